--- /dev/null
+++ b/caraway/base/random.h
@@ -0,0 +1,35 @@
+#pragma once
+// The seeded random source that decisions take. SplitMix64 from the standard
+// seed_seq would be platform dependent in its distributions, so the two draws
+// that decisions need are defined here on std::mt19937_64.
+
+#include <cstdint>
+#include <random>
+
+namespace caraway {
+
+struct Random
+{
+  std::mt19937_64 mEngine;
+
+  explicit Random(uint64_t aSeed = 1)
+    : mEngine(aSeed)
+  {
+  }
+};
+
+// Uniform in [0, aBound). aBound must be greater than zero.
+inline uint64_t
+DrawBelow(Random& aRandom, uint64_t aBound)
+{
+  return aRandom.mEngine() % aBound;
+}
+
+// Uniform in [0, 1).
+inline double
+DrawUnit(Random& aRandom)
+{
+  return static_cast<double>(aRandom.mEngine() >> 11) * 0x1.0p-53;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/config/config_view.cpp
@@ -0,0 +1,204 @@
+// Applying changes to a configuration copy, and rebuilding one from a snapshot.
+
+#include "caraway/config/config_view.h"
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/error.h"
+
+namespace caraway {
+
+namespace {
+
+template<class... Ts>
+struct Overloaded : Ts...
+{
+  using Ts::operator()...;
+};
+template<class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+void
+ApplyContent(ConfigView& aView, Revision aRevision, const ConfigChange& aChange)
+{
+  std::visit(
+    Overloaded{
+      [&](const SetContract& aSet) {
+        aView.mContracts[aSet.mContract.mWorkspace] = aSet.mContract;
+      },
+      [&](const WithdrawContract& aWithdraw) {
+        auto contract = aView.mContracts.find(aWithdraw.mWorkspace);
+        if (contract != aView.mContracts.end()) {
+          contract->second.mWithdrawn = true;
+        }
+        for (auto& [id, key] : aView.mKeys) {
+          if (key.mWorkspace == aWithdraw.mWorkspace) {
+            key.mWithdrawn = true;
+          }
+        }
+      },
+      [&](const CreateKey& aCreate) {
+        // A withdrawn key is never brought back under the same id.
+        aView.mKeys.try_emplace(aCreate.mKey.mId, aCreate.mKey);
+      },
+      [&](const WithdrawKey& aWithdraw) {
+        // Holders without the key (nodes) keep a mark, so that they can cancel.
+        ApiKey& key = aView.mKeys[aWithdraw.mKey];
+        key.mId = aWithdraw.mKey;
+        key.mWithdrawn = true;
+      },
+      [&](const SetRoute& aSet) {
+        aView.mRoutes[aSet.mRoute.mId] = aSet.mRoute;
+      },
+      [&](const RemoveRoute& aRemove) { aView.mRoutes.erase(aRemove.mRoute); },
+      [&](const SetZoneService& aSet) {
+        aView.mZoneInService[aSet.mZone] = aSet.mInService;
+      },
+      [&](const SetTargetService& aSet) {
+        aView.mTargetInService[aSet.mTarget] = aSet.mInService;
+      },
+      [&](const SetMember& aSet) {
+        aView.mMembers[aSet.mMember.mInstance] = aSet.mMember;
+      },
+      [&](const RemoveMember& aRemove) {
+        auto member = aView.mMembers.find(aRemove.mInstance);
+        if (member != aView.mMembers.end() &&
+            member->second.mEpoch == aRemove.mEpoch) {
+          aView.mMembers.erase(member);
+        }
+      },
+    },
+    aChange);
+  aView.mObjectRevisions[ObjectName(aChange)] = aRevision;
+}
+
+bool
+FlagOf(const std::map<ZoneId, bool>& aFlags, const ZoneId& aId)
+{
+  auto flag = aFlags.find(aId);
+  return flag == aFlags.end() || flag->second;
+}
+
+} // namespace
+
+void
+ApplyChange(ConfigView& aView, const RevisedChange& aChange)
+{
+  if (aChange.mRevision <= aView.mRevision) {
+    return;
+  }
+  ApplyContent(aView, aChange.mRevision, aChange.mChange);
+  aView.mRevision = aChange.mRevision;
+}
+
+bool
+ZoneInService(const ConfigView& aView, const ZoneId& aZone)
+{
+  return FlagOf(aView.mZoneInService, aZone);
+}
+
+bool
+TargetInService(const ConfigView& aView, const TargetId& aTarget)
+{
+  auto flag = aView.mTargetInService.find(aTarget);
+  return flag == aView.mTargetInService.end() || flag->second;
+}
+
+std::string
+ObjectName(const ConfigChange& aChange)
+{
+  return std::visit(
+    Overloaded{
+      [](const SetContract& aSet) {
+        return absl::StrCat("contract/", aSet.mContract.mWorkspace.mValue);
+      },
+      [](const WithdrawContract& aWithdraw) {
+        return absl::StrCat("contract/", aWithdraw.mWorkspace.mValue);
+      },
+      [](const CreateKey& aCreate) {
+        return absl::StrCat("key/", aCreate.mKey.mId.mValue);
+      },
+      [](const WithdrawKey& aWithdraw) {
+        return absl::StrCat("key/", aWithdraw.mKey.mValue);
+      },
+      [](const SetRoute& aSet) {
+        return absl::StrCat("route/", aSet.mRoute.mId.mValue);
+      },
+      [](const RemoveRoute& aRemove) {
+        return absl::StrCat("route/", aRemove.mRoute.mValue);
+      },
+      [](const SetZoneService& aSet) {
+        return absl::StrCat("zone/", aSet.mZone.mValue);
+      },
+      [](const SetTargetService& aSet) {
+        return absl::StrCat("target/", aSet.mTarget.mValue);
+      },
+      [](const SetMember& aSet) {
+        return absl::StrCat("member/", aSet.mMember.mInstance.mValue);
+      },
+      [](const RemoveMember& aRemove) {
+        return absl::StrCat("member/", aRemove.mInstance.mValue);
+      },
+    },
+    aChange);
+}
+
+bool
+InScope(const ConfigChange& aChange, ConfigScope aScope)
+{
+  if (aScope == ConfigScope::eAll) {
+    return true;
+  }
+  return !std::holds_alternative<SetContract>(aChange) &&
+         !std::holds_alternative<CreateKey>(aChange);
+}
+
+std::vector<ConfigChange>
+SnapshotChanges(const ConfigView& aView, ConfigScope aScope)
+{
+  std::vector<ConfigChange> changes;
+  auto add = [&](ConfigChange aChange) {
+    if (InScope(aChange, aScope)) {
+      changes.push_back(std::move(aChange));
+    }
+  };
+  for (const auto& [id, contract] : aView.mContracts) {
+    add(SetContract{ contract });
+  }
+  for (const auto& [id, key] : aView.mKeys) {
+    add(CreateKey{ key });
+  }
+  for (const auto& [id, route] : aView.mRoutes) {
+    add(SetRoute{ route });
+  }
+  for (const auto& [id, inService] : aView.mZoneInService) {
+    add(SetZoneService{ id, inService });
+  }
+  for (const auto& [id, inService] : aView.mTargetInService) {
+    add(SetTargetService{ id, inService });
+  }
+  for (const auto& [id, member] : aView.mMembers) {
+    add(SetMember{ member });
+  }
+  return changes;
+}
+
+absl::Status
+ApplySnapshot(ConfigView& aView,
+              Revision aRevision,
+              const std::vector<ConfigChange>& aChanges)
+{
+  if (aRevision < aView.mRevision) {
+    return MakeError(ErrorKind::eStaleEpoch,
+                     "configuration snapshot is older than the copy held",
+                     "fetch again from another replica");
+  }
+  ConfigView fresh;
+  for (const ConfigChange& change : aChanges) {
+    ApplyContent(fresh, aRevision, change);
+  }
+  fresh.mRevision = aRevision;
+  aView = std::move(fresh);
+  return absl::OkStatus();
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/config/config_view.h
@@ -0,0 +1,65 @@
+#pragma once
+// A copy of the configuration at one revision, as every holder keeps it.
+// Control's own state contains one, too.
+
+#include <map>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+#include "caraway/config/change.h"
+
+namespace caraway {
+
+// What a holder receives. Nodes leave out contracts and keys.
+enum class ConfigScope : uint8_t
+{
+  eAll,      // entries and control
+  eNodeOnly, // zones, targets, routes, members; keys only as withdrawals
+};
+
+struct ConfigView
+{
+  Revision mRevision; // last applied; never decreases
+  absl::flat_hash_map<WorkspaceId, Contract> mContracts;
+  absl::flat_hash_map<KeyId, ApiKey> mKeys;
+  std::map<RouteId, Route> mRoutes;
+  std::map<ZoneId, bool> mZoneInService;     // absent means in service
+  std::map<TargetId, bool> mTargetInService; // absent means in service
+  std::map<InstanceId, Member> mMembers;
+  // Object revisions, for the optimistic check of operator writes. Keyed
+  // "contract/lindholt", "key/ck_...", "route/...", "zone/...", "target/...".
+  std::map<std::string, Revision> mObjectRevisions;
+};
+
+// Applies one change. A revision at or below the view's own is ignored, so
+// doubled and late deltas are harmless and the view never reverts.
+void
+ApplyChange(ConfigView& aView, const RevisedChange& aChange);
+
+bool
+ZoneInService(const ConfigView& aView, const ZoneId& aZone);
+
+bool
+TargetInService(const ConfigView& aView, const TargetId& aTarget);
+
+// The object that a change concerns, as a key of mObjectRevisions.
+std::string
+ObjectName(const ConfigChange& aChange);
+
+// True if holders of this scope receive the change.
+bool
+InScope(const ConfigChange& aChange, ConfigScope aScope);
+
+// The whole view as changes that rebuild it, all at the view's revision, in an
+// order fit for ApplySnapshot.
+std::vector<ConfigChange>
+SnapshotChanges(const ConfigView& aView, ConfigScope aScope);
+
+// Replaces the view with the given changes at aRevision. Ignored, with a
+// FailedPrecondition error, if aRevision is older than the view's.
+absl::Status
+ApplySnapshot(ConfigView& aView,
+              Revision aRevision,
+              const std::vector<ConfigChange>& aChanges);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/control_io.h
@@ -0,0 +1,118 @@
+#pragma once
+// Events and actions of the control role.
+
+#include <string>
+#include <variant>
+
+#include "caraway/base/http.h"
+#include "caraway/base/role_io.h"
+#include "caraway/consensus/raft.h"
+
+namespace caraway {
+
+// Action: write bytes at an offset of a blob file under blobs/. Writing the
+// same bytes again is harmless. No sync here; a snapshot syncs all blobs first.
+struct WriteBlob
+{
+  std::string mName; // "file-..." or "batch_..." plus ".data" or ".index"
+  uint64_t mOffset = 0;
+  std::string mBytes;
+};
+
+struct RemoveBlob
+{
+  std::string mName;
+};
+
+// Action: read from a blob; answered by BlobRead with the same number.
+struct ReadBlob
+{
+  uint64_t mRead = 0;
+  std::string mName;
+  uint64_t mOffset = 0;
+  uint32_t mLength = 0; // fewer bytes come back at the end of the file
+};
+
+// Event: the result of ReadBlob.
+struct BlobRead
+{
+  uint64_t mRead = 0;
+  bool mOk = true;
+  std::string mBytes;
+};
+
+// Event: a RaftWrite was synced, or failed.
+struct LogWritten
+{
+  uint64_t mWrite = 0;
+  bool mOk = true;
+};
+
+// Action: sync all blobs, then write and sync the snapshot file.
+struct SaveSnapshot
+{
+  SnapshotMark mMark;
+  std::string mState; // encoded ControlState
+};
+
+// Event: the result of SaveSnapshot.
+struct SnapshotSaved
+{
+  LogIndex mIndex;
+  bool mOk = true;
+};
+
+// Event: the result of a RaftReadSnapshotPart.
+struct SnapshotPartRead
+{
+  ReplicaId mTo;
+  SnapshotPart mPart;
+  bool mOk = true;
+};
+
+// Event: the result of a RaftStoreSnapshotPart. mState is set when all is done.
+struct SnapshotPartStored
+{
+  ReplicaId mFrom;
+  SnapshotPartReply mReply;
+  SnapshotMark mMark;
+  std::string mState;
+  bool mOk = true;
+};
+
+// Action: the disk failed or data is corrupt; the replica must stop.
+struct Halt
+{
+  std::string mReason;
+};
+
+using ControlEvent = std::variant<Wakeup,
+                                  MessageReceived,
+                                  PeerLost,
+                                  HttpRequest,
+                                  HttpClosed,
+                                  LogWritten,
+                                  BlobRead,
+                                  SnapshotSaved,
+                                  SnapshotPartRead,
+                                  SnapshotPartStored,
+                                  StopRequested>;
+
+using ControlAction = std::variant<SendMessage,
+                                   HttpResponse,
+                                   HttpBegin,
+                                   HttpChunk,
+                                   HttpEnd,
+                                   HttpAbort,
+                                   RaftWrite,
+                                   RaftReadSnapshotPart,
+                                   RaftStoreSnapshotPart,
+                                   SaveSnapshot,
+                                   WriteBlob,
+                                   RemoveBlob,
+                                   ReadBlob,
+                                   DecisionLog,
+                                   Halt,
+                                   Stopped>;
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/control_settings.h
@@ -0,0 +1,29 @@
+#pragma once
+// Settings of the control role. The daemon fills them from flags and
+// environment.
+
+#include <string>
+#include <vector>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+#include "caraway/consensus/raft.h"
+
+namespace caraway {
+
+struct ControlSettings
+{
+  ReplicaId mReplica;               // this replica's id, never reused
+  PeerAddress mAddress;             // advertised peer address
+  ReplicaSet mInitialReplicas;      // only read when the data folder is empty
+  std::string mOperatorTokenDigest; // hex SHA-256 of the operators' token
+  uint64_t mSeed = 1;
+  RaftSettings mRaft;
+  Duration mConfigLease = Seconds(3);
+  Duration mRemovalGrace = Seconds(2); // after a lease ran out
+  Duration mGrantLease = Seconds(2);
+  Duration mResultRetention = Seconds(30 * 24 * 3600);
+  Duration mClaimRetention = Seconds(24 * 3600);
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_settings.h
@@ -0,0 +1,36 @@
+#pragma once
+// Settings of the node role. The daemon fills them from flags and environment.
+
+#include <cstdint>
+#include <vector>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+
+namespace caraway {
+
+enum class SchedulePolicy : uint8_t
+{
+  eOnlineFirst, // fair queue, batch fills the rest and yields
+  eFirstCome,   // baseline: one queue in arrival order
+  eFixedSplit,  // baseline: half of the limit for each kind
+};
+
+struct NodeSettings
+{
+  InstanceId mInstance; // unique, from the settings
+  PeerAddress mAddress; // advertised peer address
+  ZoneId mZone;
+  RegionId mRegion;
+  std::vector<PeerAddress> mControl; // every control replica
+  uint64_t mSeed = 1;
+  SchedulePolicy mPolicy = SchedulePolicy::eOnlineFirst;
+  uint32_t mColdLimit = 1;          // calls that a cold target bears
+  uint32_t mMaxLimit = 256;         // calls at most, whatever is measured
+  Duration mTokenGoal = Millis(74); // between tokens, p95
+  Duration mFirstTokenGoal = Millis(750);
+  uint32_t mMaxOnlineQueue = 512;    // requests; more are refused
+  bool mTargetChecksFencing = false; // --target-fencing=checked
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/grant_messages.h
@@ -0,0 +1,45 @@
+#pragma once
+// Messages of admission: an entry asks the leader for tokens.
+
+#include <cstdint>
+#include <vector>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+
+namespace caraway {
+
+struct GrantAsk
+{
+  WorkspaceId mWorkspace;
+  double mSpent = 0;  // tokens spent since this session began, a running total
+  double mHeld = 0;   // unspent tokens held when sent
+  double mWanted = 0; // tokens wanted beyond those held
+};
+
+struct GrantRequest
+{
+  InstanceId mInstance;
+  Epoch mEpoch;
+  uint64_t mSequence = 0; // increases by one; a resend keeps its number
+  int64_t mSentAt = 0;
+  std::vector<GrantAsk> mAsks; // active workspaces only
+};
+
+struct GrantGiven
+{
+  WorkspaceId mWorkspace;
+  double mTokens = 0;   // granted by this reply
+  Duration mRetryAfter; // when the wanted rest is expected, 0 if all was given
+};
+
+struct GrantReply
+{
+  Epoch mEpoch;
+  uint64_t mSequence = 0; // echo; a reply to another sequence is ignored
+  int64_t mSentAt = 0;    // echo
+  Duration mLease;        // unspent tokens are dropped when it ends
+  std::vector<GrantGiven> mGrants;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/messages.cpp
@@ -0,0 +1,54 @@
+// The codec of messages.
+
+#include "caraway/wire/messages.h"
+
+#include <array>
+
+#include "caraway/wire/codec.h"
+#include "caraway/wire/serialize_messages.h"
+
+namespace caraway {
+
+std::string_view
+MessageName(const Message& aMessage)
+{
+  constexpr std::array<std::string_view, std::variant_size_v<Message>> kNames{
+    "RaftMessage",   "Register",       "RegisterReply",
+    "Renew",         "RenewReply",     "NotLeader",
+    "ConfigFetch",   "ConfigDelta",    "ConfigSnapshotPart",
+    "Leave",         "GrantRequest",   "GrantReply",
+    "Dispatch",      "AnswerPart",     "Refusal",
+    "CancelRequest", "OutcomeQuery",   "OutcomeReply",
+    "Watch",         "LoadReport",     "LeaseItems",
+    "ItemBatch",     "ItemResults",    "ItemResultsAck",
+    "ItemsRevoked",  "ControlCall",    "ControlCallReply",
+    "LoadOrder",     "LoadOrderReply",
+  };
+  return kNames[aMessage.index()];
+}
+
+std::string
+EncodeMessage(const Message& aMessage)
+{
+  return EncodeWith(aMessage);
+}
+
+absl::StatusOr<Message>
+DecodeMessage(std::string_view aBytes)
+{
+  return DecodeWith<Message>(aBytes);
+}
+
+std::string
+EncodeChange(const ConfigChange& aChange)
+{
+  return EncodeWith(aChange);
+}
+
+absl::StatusOr<ConfigChange>
+DecodeChange(std::string_view aBytes)
+{
+  return DecodeWith<ConfigChange>(aBytes);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/messages.h
@@ -0,0 +1,74 @@
+#pragma once
+// Every message between the system's processes, as one variant, and its codec.
+//
+// Message structs stand in the *_messages.h files of this folder, grouped by
+// conversation. Sending is unreliable by contract: a message may be lost, late,
+// doubled or reordered.
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "absl/status/statusor.h"
+#include "caraway/wire/batch_messages.h"
+#include "caraway/wire/call_messages.h"
+#include "caraway/wire/dispatch_messages.h"
+#include "caraway/wire/grant_messages.h"
+#include "caraway/wire/order_messages.h"
+#include "caraway/wire/raft_messages.h"
+#include "caraway/wire/session_messages.h"
+
+namespace caraway {
+
+using Message = std::variant<RaftMessage,
+                             Register,
+                             RegisterReply,
+                             Renew,
+                             RenewReply,
+                             NotLeader,
+                             ConfigFetch,
+                             ConfigDelta,
+                             ConfigSnapshotPart,
+                             Leave,
+                             GrantRequest,
+                             GrantReply,
+                             Dispatch,
+                             AnswerPart,
+                             Refusal,
+                             CancelRequest,
+                             OutcomeQuery,
+                             OutcomeReply,
+                             Watch,
+                             LoadReport,
+                             LeaseItems,
+                             ItemBatch,
+                             ItemResults,
+                             ItemResultsAck,
+                             ItemsRevoked,
+                             ControlCall,
+                             ControlCallReply,
+                             LoadOrder,
+                             LoadOrderReply>;
+
+constexpr size_t kMaxFrameBytes = 1 << 20;   // length of one encoded message
+constexpr size_t kMaxPartBytes = 256 * 1024; // body bytes of one piece
+
+// The message's type name, for logs and metrics.
+std::string_view
+MessageName(const Message& aMessage);
+
+std::string
+EncodeMessage(const Message& aMessage);
+
+// Fails with kCorruptData on anything but one whole message; never allocates
+// more than a small multiple of the input.
+absl::StatusOr<Message>
+DecodeMessage(std::string_view aBytes);
+
+// The same codec for parts that are stored or nested on their own.
+std::string
+EncodeChange(const ConfigChange& aChange);
+absl::StatusOr<ConfigChange>
+DecodeChange(std::string_view aBytes);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/order_messages.h
@@ -0,0 +1,37 @@
+#pragma once
+// Orders of the placement authority (the leader) to nodes.
+
+#include <string>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+
+namespace caraway {
+
+enum class OrderKind : uint8_t
+{
+  eLoadModel,
+  eUnloadModel,
+};
+
+struct LoadOrder
+{
+  InstanceId mNode;
+  Epoch mNodeEpoch;
+  FencingToken mToken; // order authority; a node refuses an older one
+  uint64_t mSequence = 0;
+  OrderKind mKind = OrderKind::eLoadModel;
+  ModelId mModel;
+};
+
+struct LoadOrderReply
+{
+  InstanceId mNode;
+  Epoch mNodeEpoch;
+  FencingToken mToken;
+  uint64_t mSequence = 0;
+  bool mAccepted = false;
+  std::string mMessage;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/serialize_config.h
@@ -0,0 +1,149 @@
+#pragma once
+// Internal: cereal functions of configuration objects. Include it only in codec
+// .cpp files.
+
+#include "caraway/config/change.h"
+#include "caraway/wire/serialize_base.h"
+
+namespace caraway {
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Contract& aValue)
+{
+  aArchive(aValue.mWorkspace,
+           aValue.mRate,
+           aValue.mBurst,
+           aValue.mWeight,
+           aValue.mLatency,
+           aValue.mBatchWindow,
+           aValue.mMaxBatchItems,
+           aValue.mModels,
+           aValue.mRoutes,
+           aValue.mWithdrawn);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ApiKey& aValue)
+{
+  aArchive(aValue.mId, aValue.mDigest, aValue.mWorkspace, aValue.mWithdrawn);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Route& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mMethod,
+           aValue.mPathPrefix,
+           aValue.mService,
+           aValue.mIdempotent,
+           aValue.mOpen);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, TargetInfo& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mKind,
+           aValue.mModels,
+           aValue.mServices,
+           aValue.mCanResume,
+           aValue.mChecksFencing);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Member& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mIncarnation,
+           aValue.mRole,
+           aValue.mAddress,
+           aValue.mZone,
+           aValue.mRegion,
+           aValue.mTarget,
+           aValue.mDraining);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetContract& aValue)
+{
+  aArchive(aValue.mContract);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, WithdrawContract& aValue)
+{
+  aArchive(aValue.mWorkspace);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CreateKey& aValue)
+{
+  aArchive(aValue.mKey);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, WithdrawKey& aValue)
+{
+  aArchive(aValue.mKey);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetRoute& aValue)
+{
+  aArchive(aValue.mRoute);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveRoute& aValue)
+{
+  aArchive(aValue.mRoute);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetZoneService& aValue)
+{
+  aArchive(aValue.mZone, aValue.mInService);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetTargetService& aValue)
+{
+  aArchive(aValue.mTarget, aValue.mInService);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetMember& aValue)
+{
+  aArchive(aValue.mMember);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveMember& aValue)
+{
+  aArchive(aValue.mInstance, aValue.mEpoch);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RevisedChange& aValue)
+{
+  aArchive(aValue.mRevision, aValue.mChange);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/wire/serialize_messages.h
@@ -0,0 +1,615 @@
+#pragma once
+// Internal: cereal functions of messages. Include it only in codec .cpp files.
+
+#include "caraway/wire/messages.h"
+#include "caraway/wire/serialize_config.h"
+
+namespace caraway {
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LogEntry& aValue)
+{
+  aArchive(aValue.mIndex, aValue.mTerm, aValue.mKind, aValue.mPayload);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, VoteRequest& aValue)
+{
+  aArchive(aValue.mTerm, aValue.mPreVote, aValue.mLastIndex, aValue.mLastTerm);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, VoteReply& aValue)
+{
+  aArchive(aValue.mTerm, aValue.mPreVote, aValue.mGranted);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AppendRequest& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mPreviousIndex,
+           aValue.mPreviousTerm,
+           aValue.mEntries,
+           aValue.mCommit,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AppendReply& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mAccepted,
+           aValue.mMatch,
+           aValue.mNextHint,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SnapshotPart& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mLastIndex,
+           aValue.mLastTerm,
+           aValue.mFile,
+           aValue.mOffset,
+           aValue.mBytes,
+           aValue.mFileDone,
+           aValue.mAllDone,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SnapshotPartReply& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mLastIndex,
+           aValue.mFile,
+           aValue.mNextOffset,
+           aValue.mInstalled,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RaftMessage& aValue)
+{
+  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Register& aValue)
+{
+  aArchive(aValue.mMember, aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RegisterReply& aValue)
+{
+  aArchive(
+    aValue.mInstance, aValue.mIncarnation, aValue.mEpoch, aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Renew& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mRevision,
+           aValue.mSentAt,
+           aValue.mTarget,
+           aValue.mRunning,
+           aValue.mLimit,
+           aValue.mDraining);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RenewReply& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mVerdict,
+           aValue.mLease,
+           aValue.mRevision,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, NotLeader& aValue)
+{
+  aArchive(aValue.mLeader);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigFetch& aValue)
+{
+  aArchive(aValue.mHeld,
+           aValue.mScope,
+           aValue.mSnapshotOffset,
+           aValue.mSnapshotRevision);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigDelta& aValue)
+{
+  aArchive(aValue.mFrom, aValue.mTo, aValue.mChanges);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigSnapshotPart& aValue)
+{
+  aArchive(aValue.mRevision, aValue.mOffset, aValue.mChanges, aValue.mLast);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Leave& aValue)
+{
+  aArchive(aValue.mInstance, aValue.mEpoch);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantAsk& aValue)
+{
+  aArchive(aValue.mWorkspace, aValue.mSpent, aValue.mHeld, aValue.mWanted);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantRequest& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mSequence,
+           aValue.mSentAt,
+           aValue.mAsks);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantGiven& aValue)
+{
+  aArchive(aValue.mWorkspace, aValue.mTokens, aValue.mRetryAfter);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantReply& aValue)
+{
+  aArchive(aValue.mEpoch,
+           aValue.mSequence,
+           aValue.mSentAt,
+           aValue.mLease,
+           aValue.mGrants);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Dispatch& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mAttempt,
+           aValue.mEntry,
+           aValue.mEntryEpoch,
+           aValue.mNodeEpoch,
+           aValue.mSequence,
+           aValue.mWorkspace,
+           aValue.mKey,
+           aValue.mWeight,
+           aValue.mLatency,
+           aValue.mModel,
+           aValue.mService,
+           aValue.mIdempotent,
+           aValue.mStream,
+           aValue.mDeadline,
+           aValue.mPromptTokens,
+           aValue.mOutputTokens,
+           aValue.mMethod,
+           aValue.mPath,
+           aValue.mHeaders,
+           aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AnswerPart& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mAttempt,
+           aValue.mNodeEpoch,
+           aValue.mPart,
+           aValue.mStatus,
+           aValue.mHeaders,
+           aValue.mBytes,
+           aValue.mLast,
+           aValue.mRunning,
+           aValue.mQueued,
+           aValue.mLimit);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Refusal& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mAttempt,
+           aValue.mNodeEpoch,
+           aValue.mSequence,
+           aValue.mKind,
+           aValue.mOutcome,
+           aValue.mMessage,
+           aValue.mRetryAfter,
+           aValue.mRunning,
+           aValue.mQueued,
+           aValue.mLimit);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CancelRequest& aValue)
+{
+  aArchive(aValue.mRequest, aValue.mAttempt, aValue.mNodeEpoch);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, OutcomeQuery& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mAttempt,
+           aValue.mNodeEpoch,
+           aValue.mEntry,
+           aValue.mEntryEpoch,
+           aValue.mSequence,
+           aValue.mNextPart);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, OutcomeReply& aValue)
+{
+  aArchive(aValue.mRequest, aValue.mAttempt, aValue.mNodeEpoch, aValue.mState);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Watch& aValue)
+{
+  aArchive(aValue.mReportTo);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LoadReport& aValue)
+{
+  aArchive(aValue.mNode,
+           aValue.mNodeEpoch,
+           aValue.mRunning,
+           aValue.mQueued,
+           aValue.mLimit,
+           aValue.mCold);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LeaseItems& aValue)
+{
+  aArchive(aValue.mGroup,
+           aValue.mNode,
+           aValue.mNodeEpoch,
+           aValue.mSequence,
+           aValue.mModels,
+           aValue.mWanted);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, BatchItem& aValue)
+{
+  aArchive(aValue.mIndex, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemBatch& aValue)
+{
+  aArchive(aValue.mGroup,
+           aValue.mNodeEpoch,
+           aValue.mSequence,
+           aValue.mJob,
+           aValue.mToken,
+           aValue.mWorkspace,
+           aValue.mWeight,
+           aValue.mModel,
+           aValue.mEndpoint,
+           aValue.mDeadline,
+           aValue.mWindow,
+           aValue.mItems,
+           aValue.mRetryAfter);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemResult& aValue)
+{
+  aArchive(aValue.mIndex, aValue.mVerdict, aValue.mStatus, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemResults& aValue)
+{
+  aArchive(aValue.mGroup,
+           aValue.mNode,
+           aValue.mNodeEpoch,
+           aValue.mSequence,
+           aValue.mJob,
+           aValue.mToken,
+           aValue.mResults);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemResultsAck& aValue)
+{
+  aArchive(aValue.mGroup, aValue.mNodeEpoch, aValue.mSequence, aValue.mStale);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemsRevoked& aValue)
+{
+  aArchive(aValue.mGroup, aValue.mJob);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, FileInfo& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mWorkspace,
+           aValue.mName,
+           aValue.mPurpose,
+           aValue.mBytes,
+           aValue.mLines,
+           aValue.mComplete,
+           aValue.mCreatedAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, JobInfo& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mWorkspace,
+           aValue.mEndpoint,
+           aValue.mInput,
+           aValue.mOutput,
+           aValue.mStatus,
+           aValue.mTotal,
+           aValue.mCompleted,
+           aValue.mFailed,
+           aValue.mAtRisk,
+           aValue.mTimeLeft,
+           aValue.mWindow,
+           aValue.mCreatedAt,
+           aValue.mEndedAt,
+           aValue.mMetadata);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, PutFilePart& aValue)
+{
+  aArchive(aValue.mFile,
+           aValue.mName,
+           aValue.mPurpose,
+           aValue.mOffset,
+           aValue.mBytes,
+           aValue.mLast);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ReadFile& aValue)
+{
+  aArchive(aValue.mFile, aValue.mOffset);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DescribeFile& aValue)
+{
+  aArchive(aValue.mFile);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ListFiles& aValue)
+{
+  aArchive(aValue.mAfter, aValue.mLimit);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DeleteFile& aValue)
+{
+  aArchive(aValue.mFile);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CreateJob& aValue)
+{
+  aArchive(aValue.mJob,
+           aValue.mKey,
+           aValue.mInput,
+           aValue.mEndpoint,
+           aValue.mWindow,
+           aValue.mModel,
+           aValue.mMaxItems,
+           aValue.mWeight,
+           aValue.mMetadata);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DescribeJob& aValue)
+{
+  aArchive(aValue.mJob);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ListJobs& aValue)
+{
+  aArchive(aValue.mAfter, aValue.mLimit);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CancelJob& aValue)
+{
+  aArchive(aValue.mJob);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Claim& aValue)
+{
+  aArchive(aValue.mKey, aValue.mFingerprint, aValue.mRequest);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CompleteClaim& aValue)
+{
+  aArchive(aValue.mKey,
+           aValue.mRequest,
+           aValue.mStatus,
+           aValue.mContentType,
+           aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ReleaseClaim& aValue)
+{
+  aArchive(aValue.mKey, aValue.mRequest);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ControlCall& aValue)
+{
+  aArchive(aValue.mGroup,
+           aValue.mCall,
+           aValue.mEntry,
+           aValue.mEntryEpoch,
+           aValue.mWorkspace,
+           aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallFailed& aValue)
+{
+  aArchive(aValue.mKind, aValue.mMessage);
+}
+
+template<class Archive>
+void
+serialize(Archive&, CallDone&)
+{
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, FileReply& aValue)
+{
+  aArchive(aValue.mFile);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, FileListReply& aValue)
+{
+  aArchive(aValue.mFiles, aValue.mMore);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, FileBytesReply& aValue)
+{
+  aArchive(aValue.mBytes, aValue.mNextOffset, aValue.mEnd);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, JobReply& aValue)
+{
+  aArchive(aValue.mJob);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, JobListReply& aValue)
+{
+  aArchive(aValue.mJobs, aValue.mMore);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ClaimReply& aValue)
+{
+  aArchive(aValue.mVerdict, aValue.mStatus, aValue.mContentType, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ControlCallReply& aValue)
+{
+  aArchive(aValue.mGroup, aValue.mCall, aValue.mEntryEpoch, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LoadOrder& aValue)
+{
+  aArchive(aValue.mNode,
+           aValue.mNodeEpoch,
+           aValue.mToken,
+           aValue.mSequence,
+           aValue.mKind,
+           aValue.mModel);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LoadOrderReply& aValue)
+{
+  aArchive(aValue.mNode,
+           aValue.mNodeEpoch,
+           aValue.mToken,
+           aValue.mSequence,
+           aValue.mAccepted,
+           aValue.mMessage);
+}
+
+} // namespace caraway
