--- /dev/null
+++ b/caraway/control/control.h
@@ -0,0 +1,38 @@
+#pragma once
+// The control role: one replica of the durable state.
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "caraway/control/control_io.h"
+#include "caraway/control/control_settings.h"
+#include "caraway/control/control_state.h"
+
+namespace caraway {
+
+// aState is the state of the recovered snapshot, empty when there is none.
+// Fails with kCorruptData if it cannot be decoded.
+absl::StatusOr<Control>
+MakeControl(const ControlSettings& aSettings,
+            RaftRecovered aRecovered,
+            const std::string& aState,
+            MonoTime aNow,
+            int64_t aUnixSeconds);
+
+// aUnixSeconds is the wall time, used for display and nothing else.
+void
+StepControl(Control& aControl,
+            MonoTime aNow,
+            int64_t aUnixSeconds,
+            const ControlEvent& aEvent,
+            std::vector<ControlAction>& aOut);
+
+MonoTime
+NextWakeup(const Control& aControl);
+
+// Prometheus text.
+std::string
+MetricsText(const Control& aControl);
+
+} // namespace caraway
