Add the runtime: event loop, transports, HTTP, settings, logs, entry and node daemons

Cause: the roles are state machines and need I/O around them. Change: libevent loop, framed TCP with heartbeats, UDP for load hints, evhttp server and client, TLS contexts, docopt settings with environment variables, log4cplus lines, hosts and mains for the entry and the node. Conclusion: a request refused by the target's socket is told apart from one that may have run by the bytes that left the output buffer.

--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -4,24 +4,17 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
+#include "caraway/base/visitor.h"
 
 namespace caraway {
 
 namespace {
 
-template<class... Ts>
-struct Overloaded : Ts...
-{
-  using Ts::operator()...;
-};
-template<class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 void
 ApplyContent(ConfigView& aView, Revision aRevision, const ConfigChange& aChange)
 {
   std::visit(
-    Overloaded{
+    Visitor{
       [&](const SetContract& aSet) {
         aView.mContracts[aSet.mContract.mWorkspace] = aSet.mContract;
       },
@@ -107,7 +100,7 @@
 ObjectName(const ConfigChange& aChange)
 {
   return std::visit(
-    Overloaded{
+    Visitor{
       [](const SetContract& aSet) {
         return absl::StrCat("contract/", aSet.mContract.mWorkspace.mValue);
       },
--- /dev/null
+++ b/caraway/runtime/http_fetch.h
@@ -0,0 +1,46 @@
+#pragma once
+// One HTTP request to a given URL and its whole answer, for tools and
+// stand-ins.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "caraway/base/http.h"
+#include "caraway/runtime/libevent_handles.h"
+#include "caraway/runtime/loop.h"
+
+namespace caraway {
+
+struct FetchRequest
+{
+  std::string mMethod = "GET";
+  std::string mUrl; // http://ip:port/path?query, or https:// with mAuthority
+  Headers mHeaders;
+  std::string mBody;
+  Duration mTimeout = Seconds(30);
+  std::string mAuthority; // PEM file of the CA to trust, for https
+  // Called with each piece of the body as it comes; the answer's body stays
+  // empty.
+  std::function<void(const std::string&)> mOnBytes;
+};
+
+struct FetchAnswer
+{
+  int mStatus = 0;
+  Headers mHeaders;
+  std::string mBody;
+};
+
+using FetchDone = std::function<void(absl::StatusOr<FetchAnswer>)>;
+
+// Starts the request; aDone is called once, from the loop.
+void
+Fetch(Loop& aLoop, const FetchRequest& aRequest, FetchDone aDone);
+
+// Runs the loop until the answer is there. For command-line tools.
+absl::StatusOr<FetchAnswer>
+FetchAndWait(Loop& aLoop, const FetchRequest& aRequest);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/http_server.cpp
@@ -0,0 +1,411 @@
+// HTTP server on evhttp.
+
+#include "caraway/runtime/http_server.h"
+
+#include <cerrno>
+#include <cstring>
+#include <vector>
+
+#include <event2/bufferevent_ssl.h>
+#include <event2/keyvalq_struct.h>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/error.h"
+#include "caraway/runtime/socket_address.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+// While an answer is pending, the connection is still read so that a close is
+// noticed. Pipelined bytes wait in the buffer, up to this many.
+constexpr size_t kPipelinedBytes = 32 << 10;
+
+const char*
+MethodName(evhttp_cmd_type aMethod)
+{
+  switch (aMethod) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OTHER";
+  }
+}
+
+std::string
+TakeBody(evhttp_request* aRequest)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+HttpRequest
+ReadRequest(evhttp_request* aRequest, HttpCallId aCall)
+{
+  HttpRequest request;
+  request.mCall = aCall;
+  request.mMethod = MethodName(evhttp_request_get_command(aRequest));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  if (uri != nullptr) {
+    const char* path = evhttp_uri_get_path(uri);
+    const char* query = evhttp_uri_get_query(uri);
+    request.mPath = path != nullptr && *path != '\0' ? path : "/";
+    request.mQuery = query != nullptr ? query : "";
+  }
+  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    request.mHeaders.emplace_back(header->key, header->value);
+  }
+  request.mBody = TakeBody(aRequest);
+  return request;
+}
+
+// A request that evhttp could not take: too large, or not HTTP.
+void
+RefuseMalformed(evhttp_request* aRequest, int aStatus)
+{
+  const bool large = aStatus == HTTP_ENTITYTOOLARGE;
+  const std::string body =
+    absl::StrCat(R"({"error":{"message":")",
+                 large ? "request headers or body are too large"
+                       : "the request is not valid HTTP",
+                 R"(","type":"invalid_request_error","code":")",
+                 large ? "too_large" : "invalid_argument",
+                 R"(","outcome":"not_run","remedy":")",
+                 large ? "send less, or upload the file in parts by /v1/uploads"
+                       : "send a well-formed HTTP/1.1 request",
+                 R"("}})");
+  evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
+  evhttp_add_header(output, "Content-Type", "application/json");
+  evhttp_add_header(output, "Connection", "close");
+  evbuffer_add(
+    evhttp_request_get_output_buffer(aRequest), body.data(), body.size());
+  evhttp_send_reply(aRequest, aStatus, nullptr, nullptr);
+}
+
+void
+AddHeaders(evhttp_request* aRequest, const Headers& aHeaders)
+{
+  evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
+  for (const auto& [name, value] : aHeaders) {
+    // Fails on a line break in a value; such a header is left out.
+    evhttp_add_header(output, name.c_str(), value.c_str());
+  }
+}
+
+// The read watermarks while an answer is pending: the low mark is above the
+// high one, so evhttp's read callback, which takes no bytes in this state,
+// never runs.
+void
+WatchForClose(evhttp_connection* aConnection)
+{
+  bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
+  bufferevent_setwatermark(
+    buffer, EV_READ, kPipelinedBytes * 2, kPipelinedBytes);
+  // An answer may take longer than a caller may take to send a request.
+  bufferevent_set_timeouts(buffer, nullptr, nullptr);
+  bufferevent_enable(buffer, EV_READ);
+}
+
+} // namespace
+
+HttpServer::HttpServer(Loop& aLoop, HttpServerSettings aSettings)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mConnectionTimer(aLoop, [this] { WatchConnections(); })
+  , mAbortTimer(aLoop, [this] { CloseAborted(); })
+{
+}
+
+HttpServer::~HttpServer()
+{
+  // evhttp_free closes the connections and calls back for each; nobody is left
+  // to be told.
+  mCalls.clear();
+  mCallOf.clear();
+  mAborted.clear();
+}
+
+absl::Status
+HttpServer::ReloadTls()
+{
+  if (!TlsEnabled(mSettings.mTls)) {
+    return absl::OkStatus();
+  }
+  auto context = MakeTlsContext(mSettings.mTls, TlsMode::eServer);
+  if (!context.ok()) {
+    return context.status();
+  }
+  mTls = std::move(*context);
+  return absl::OkStatus();
+}
+
+absl::Status
+HttpServer::Listen()
+{
+  if (auto status = ReloadTls(); !status.ok()) {
+    return status;
+  }
+  auto address = ParseSocketAddress(mSettings.mListen);
+  if (!address.ok()) {
+    return address.status();
+  }
+  mHttp.reset(evhttp_new(mLoop.Base()));
+  evhttp_set_gencb(mHttp.get(), &HttpServer::OnEvRequest, this);
+  evhttp_set_allowed_methods(
+    mHttp.get(),
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+  evhttp_set_max_headers_size(
+    mHttp.get(), static_cast<ev_ssize_t>(mSettings.mMaxHeaderBytes));
+  evhttp_set_max_body_size(mHttp.get(),
+                           static_cast<ev_ssize_t>(mSettings.mMaxBodyBytes));
+  evhttp_set_timeout(mHttp.get(), mSettings.mIdleSeconds);
+  evhttp_set_default_content_type(mHttp.get(), nullptr);
+  evhttp_set_bevcb(mHttp.get(), &HttpServer::MakeBufferEvent, this);
+  evconnlistener* listener = evconnlistener_new_bind(
+    mLoop.Base(),
+    nullptr,
+    nullptr,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+    kBacklog,
+    reinterpret_cast<const sockaddr*>(&address->mStorage),
+    static_cast<int>(address->mLength));
+  if (listener == nullptr) {
+    return MakeError(
+      ErrorKind::eUnavailable,
+      absl::StrCat(
+        "cannot listen on ", mSettings.mListen, ": ", std::strerror(errno)),
+      "choose a free port and an address of this instance");
+  }
+  evhttp_bind_listener(mHttp.get(), listener);
+  mListener = listener;
+  mAddress = BoundAddress(evconnlistener_get_fd(listener));
+  WatchConnections();
+  return absl::OkStatus();
+}
+
+void
+HttpServer::WatchConnections()
+{
+  // evhttp has no limit of its own. Each open connection keeps about two
+  // events, so their number tells when to stop accepting.
+  constexpr int kEventsPerConnection = 2;
+  constexpr Duration kInterval = Millis(100);
+  const int events =
+    event_base_get_num_events(mLoop.Base(), EVENT_BASE_COUNT_ADDED);
+  if (events > mSettings.mMaxConnections * kEventsPerConnection) {
+    evconnlistener_disable(mListener);
+  } else {
+    evconnlistener_enable(mListener);
+  }
+  mConnectionTimer.ArmAt(mLoop.Now() + kInterval);
+}
+
+bufferevent*
+HttpServer::MakeBufferEvent(event_base* aBase, void* aServer)
+{
+  auto* server = static_cast<HttpServer*>(aServer);
+  if (server->mTls == nullptr) {
+    return bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  }
+  bufferevent* buffer =
+    bufferevent_openssl_socket_new(aBase,
+                                   -1,
+                                   SSL_new(server->mTls.get()),
+                                   BUFFEREVENT_SSL_ACCEPTING,
+                                   BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_openssl_set_allow_dirty_shutdown(buffer, 1);
+  return buffer;
+}
+
+void
+HttpServer::OnEvRequest(evhttp_request* aRequest, void* aServer)
+{
+  static_cast<HttpServer*>(aServer)->Accept(aRequest);
+}
+
+void
+HttpServer::Accept(evhttp_request* aRequest)
+{
+  if (const int refused = evhttp_request_get_response_code(aRequest);
+      refused >= HTTP_BADREQUEST) {
+    RefuseMalformed(aRequest, refused);
+    return;
+  }
+  const HttpCallId id(mNextCall++);
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  evhttp_connection_set_closecb(
+    connection, &HttpServer::OnConnectionClosed, this);
+  WatchForClose(connection);
+  mCalls[id] = { aRequest, connection, false };
+  mCallOf[connection] = id;
+  const HttpRequest request = ReadRequest(aRequest, id);
+  mOnRequest.emit(request);
+}
+
+void
+HttpServer::OnConnectionClosed(evhttp_connection* aConnection, void* aServer)
+{
+  auto* server = static_cast<HttpServer*>(aServer);
+  std::erase_if(server->mAborted, [&](const Aborted& aAborted) {
+    return aAborted.mConnection == aConnection;
+  });
+  const auto known = server->mCallOf.find(aConnection);
+  if (known == server->mCallOf.end()) {
+    return;
+  }
+  const HttpCallId id = known->second;
+  evhttp_request* request = server->mCalls.at(id).mRequest;
+  server->Finish(id);
+  if (evhttp_request_get_connection(request) == nullptr) {
+    // evhttp has detached the request and leaves it to its user.
+    evhttp_request_free(request);
+  }
+  server->mOnClosed.emit({ id });
+}
+
+HttpServer::Call*
+HttpServer::Find(HttpCallId aId)
+{
+  auto call = mCalls.find(aId);
+  return call == mCalls.end() ? nullptr : &call->second;
+}
+
+void
+HttpServer::Finish(HttpCallId aId)
+{
+  auto call = mCalls.find(aId);
+  mCallOf.erase(call->second.mConnection);
+  mCalls.erase(call);
+}
+
+void
+HttpServer::StopWatching(evhttp_connection* aConnection) const
+{
+  bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
+  bufferevent_disable(buffer, EV_READ);
+  bufferevent_setwatermark(buffer, EV_READ, 0, 0);
+  const timeval timeout{ mSettings.mIdleSeconds, 0 };
+  bufferevent_set_timeouts(buffer, &timeout, &timeout);
+}
+
+void
+HttpServer::Respond(const HttpResponse& aResponse)
+{
+  Call* call = Find(aResponse.mCall);
+  if (call == nullptr) {
+    return;
+  }
+  evhttp_request* request = call->mRequest;
+  evhttp_connection* connection = call->mConnection;
+  Finish(aResponse.mCall);
+  AddHeaders(request, aResponse.mHeaders);
+  evbuffer_add(evhttp_request_get_output_buffer(request),
+               aResponse.mBody.data(),
+               aResponse.mBody.size());
+  StopWatching(connection);
+  evhttp_send_reply(request, aResponse.mStatus, nullptr, nullptr);
+}
+
+void
+HttpServer::Begin(const HttpBegin& aBegin)
+{
+  Call* call = Find(aBegin.mCall);
+  if (call == nullptr || call->mBegan) {
+    return;
+  }
+  call->mBegan = true;
+  AddHeaders(call->mRequest, aBegin.mHeaders);
+  evhttp_send_reply_start(call->mRequest, aBegin.mStatus, nullptr);
+}
+
+void
+HttpServer::Chunk(const HttpChunk& aChunk)
+{
+  Call* call = Find(aChunk.mCall);
+  if (call == nullptr || !call->mBegan || aChunk.mBytes.empty()) {
+    return;
+  }
+  bufferevent* buffer = evhttp_connection_get_bufferevent(call->mConnection);
+  if (evbuffer_get_length(bufferevent_get_output(buffer)) >
+      mSettings.mMaxQueuedBytes) {
+    // The reader is too slow; it must not cost unbounded memory.
+    const HttpCallId id = aChunk.mCall;
+    Abort({ id });
+    mLoop.Defer([this, id] { mOnClosed.emit({ id }); });
+    return;
+  }
+  EvBufferPtr bytes(evbuffer_new());
+  evbuffer_add(bytes.get(), aChunk.mBytes.data(), aChunk.mBytes.size());
+  evhttp_send_reply_chunk(call->mRequest, bytes.get());
+}
+
+void
+HttpServer::End(const HttpEnd& aEnd)
+{
+  Call* call = Find(aEnd.mCall);
+  if (call == nullptr || !call->mBegan) {
+    return;
+  }
+  evhttp_request* request = call->mRequest;
+  evhttp_connection* connection = call->mConnection;
+  Finish(aEnd.mCall);
+  StopWatching(connection);
+  evhttp_send_reply_end(request);
+}
+
+void
+HttpServer::Abort(const HttpAbort& aAbort)
+{
+  Call* call = Find(aAbort.mCall);
+  if (call == nullptr) {
+    return;
+  }
+  // Closing the connection without the last chunk tells the caller that the
+  // answer is not whole. Bytes already queued go out first.
+  constexpr Duration kLongestWait = Seconds(2);
+  mAborted.push_back({ call->mConnection, mLoop.Now() + kLongestWait });
+  Finish(aAbort.mCall);
+  mAbortTimer.ArmAt(mLoop.Now());
+}
+
+void
+HttpServer::CloseAborted()
+{
+  constexpr Duration kInterval = Millis(5);
+  const MonoTime now = mLoop.Now();
+  std::vector<evhttp_connection*> ready;
+  for (const Aborted& aborted : mAborted) {
+    bufferevent* buffer =
+      evhttp_connection_get_bufferevent(aborted.mConnection);
+    if (now >= aborted.mGiveUp ||
+        evbuffer_get_length(bufferevent_get_output(buffer)) == 0) {
+      ready.push_back(aborted.mConnection);
+    }
+  }
+  for (evhttp_connection* connection : ready) {
+    evhttp_connection_free(connection); // calls OnConnectionClosed
+  }
+  if (!mAborted.empty()) {
+    mAbortTimer.ArmAt(now + kInterval);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/loop.h
@@ -0,0 +1,72 @@
+#pragma once
+// The event loop of a process: one loop on one thread, its clock and its
+// signals.
+
+#include <functional>
+#include <vector>
+
+#include <sigc++/sigc++.h>
+
+#include "caraway/base/time.h"
+#include "caraway/runtime/libevent_handles.h"
+
+namespace caraway {
+
+class Loop
+{
+public:
+  Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+  ~Loop();
+
+  event_base* Base() const { return mBase.get(); }
+
+  // The monotonic clock.
+  MonoTime Now() const;
+
+  // Seconds since 1970, for display only.
+  int64_t UnixSeconds() const;
+
+  // Runs aTask from the loop after the present callback has returned. Use it to
+  // free an object from one of its own callbacks.
+  void Defer(std::function<void()> aTask);
+
+  // Runs until Exit.
+  void Run();
+  void Exit();
+
+  // SIGTERM or SIGINT.
+  sigc::signal<void()> mOnStop;
+  // SIGHUP: reload certificates.
+  sigc::signal<void()> mOnReload;
+
+private:
+  static void OnSignal(evutil_socket_t aSignal, short aWhat, void* aLoop);
+  static void OnDeferred(evutil_socket_t aSocket, short aWhat, void* aLoop);
+
+  EventBasePtr mBase;
+  std::vector<EventPtr> mSignals;
+  EventPtr mDeferredEvent;
+  std::vector<std::function<void()>> mDeferred;
+};
+
+// A timer that calls its slot once at the time it is armed for.
+class Timer
+{
+public:
+  Timer(Loop& aLoop, std::function<void()> aCallback);
+
+  // Replaces an earlier time. A time in the past fires at the next turn.
+  void ArmAt(MonoTime aTime);
+  void Disarm();
+
+private:
+  static void OnFire(evutil_socket_t aSocket, short aWhat, void* aTimer);
+
+  Loop& mLoop;
+  std::function<void()> mCallback;
+  EventPtr mEvent;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/node_host.cpp
@@ -0,0 +1,94 @@
+// The node role on the event loop.
+
+#include "caraway/runtime/node_host.h"
+
+#include "caraway/base/visitor.h"
+#include "caraway/runtime/logging.h"
+
+namespace caraway {
+
+NodeHost::NodeHost(Loop& aLoop,
+                   const NodeSettings& aSettings,
+                   const PeerSettings& aPeer,
+                   const HttpServerSettings& aHttp,
+                   uint64_t aIncarnation)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mIncarnation(aIncarnation)
+  , mPeers(aLoop, aPeer)
+  , mHttp(aLoop, aHttp)
+  , mTarget(aLoop, TargetClientSettings{})
+  , mPump(aLoop,
+          { [this](MonoTime aNow,
+                   const NodeEvent& aEvent,
+                   std::vector<NodeAction>& aOut) {
+             StepNode(*mNode, aNow, aEvent, aOut);
+           },
+            [this](NodeAction& aAction) { CarryOut(aAction); },
+            [this] { return NextWakeup(*mNode); },
+            nullptr })
+{
+}
+
+absl::Status
+NodeHost::Start()
+{
+  if (auto status = mPeers.Listen(); !status.ok()) {
+    return status;
+  }
+  if (auto status = mHttp.Listen(); !status.ok()) {
+    return status;
+  }
+  mSettings.mAddress = mPeers.Address();
+  mNode =
+    std::make_unique<Node>(MakeNode(mSettings, mIncarnation, mLoop.Now()));
+  mPeers.mOnMessage.connect(
+    [this](const PeerAddress& aFrom, const Message& aMessage) {
+      mPump.Post(MessageReceived{ aFrom, aMessage });
+    });
+  mPeers.mOnPeerLost.connect(
+    [this](const PeerAddress& aPeer) { mPump.Post(PeerLost{ aPeer }); });
+  mHttp.mOnRequest.connect(
+    [this](const HttpRequest& aRequest) { mPump.Post(aRequest); });
+  mHttp.mOnClosed.connect(
+    [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
+  mTarget.mOnBegan.connect(
+    [this](const TargetCallBegan& aEvent) { mPump.Post(aEvent); });
+  mTarget.mOnBytes.connect(
+    [this](const TargetCallBytes& aEvent) { mPump.Post(aEvent); });
+  mTarget.mOnEnded.connect(
+    [this](const TargetCallEnded& aEvent) { mPump.Post(aEvent); });
+  mTarget.mOnFailed.connect(
+    [this](const TargetCallFailed& aEvent) { mPump.Post(aEvent); });
+  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
+  mLoop.mOnReload.connect([this] { mPeers.ReloadTls().IgnoreError(); });
+  WriteLog(
+    LogLevel::eInfo,
+    "listening",
+    { { "peer", mPeers.Address().mValue }, { "http", mHttp.Address() } });
+  mPump.Post(Wakeup{});
+  return absl::OkStatus();
+}
+
+void
+NodeHost::CarryOut(NodeAction& aAction)
+{
+  std::visit(
+    Visitor{
+      [this](const SendMessage& aSend) {
+        if (aSend.mDatagram) {
+          mPeers.SendDatagram(aSend.mTo, aSend.mMessage);
+        } else {
+          mPeers.Send(aSend.mTo, aSend.mMessage);
+        }
+      },
+      [this](const StartTargetCall& aCall) { mTarget.Start(aCall); },
+      [this](const CancelTargetCall& aCancel) { mTarget.Cancel(aCancel); },
+      [this](const HttpResponse& aResponse) { mHttp.Respond(aResponse); },
+      [](const DecisionLog& aDecision) { WriteLog(aDecision); },
+      [this](const Stopped&) { mLoop.Exit(); },
+    },
+    aAction);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/peer_connection.cpp
@@ -0,0 +1,157 @@
+// Framing: a 4-byte little-endian length, then the payload.
+
+#include "caraway/runtime/peer_connection.h"
+
+#include <array>
+#include <cstring>
+
+#include "caraway/runtime/logging.h"
+#include "caraway/runtime/peer_transport.h"
+#include "caraway/runtime/socket_address.h"
+#include "caraway/wire/messages.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kHeaderBytes = 4;
+
+} // namespace
+
+PeerConnection::PeerConnection(PeerTransport& aTransport,
+                               BufferEventPtr aBuffer,
+                               PeerAddress aPeer,
+                               MonoTime aNow)
+  : mTransport(aTransport)
+  , mBuffer(std::move(aBuffer))
+  , mPeer(std::move(aPeer))
+  , mDialled(!mPeer.Empty())
+  , mLastReceived(aNow)
+  , mLastSent(aNow)
+{
+}
+
+void
+PeerConnection::Start(const PeerAddress& aSelf)
+{
+  bufferevent_setcb(mBuffer.get(),
+                    &PeerConnection::OnReadable,
+                    nullptr,
+                    &PeerConnection::OnEvent,
+                    this);
+  // One whole frame fits; a peer cannot make this process buffer more.
+  bufferevent_setwatermark(
+    mBuffer.get(), EV_READ, 0, kMaxFrameBytes + kHeaderBytes);
+  bufferevent_enable(mBuffer.get(), EV_READ | EV_WRITE);
+  SendFrame(aSelf.mValue, kMaxFrameBytes);
+}
+
+bool
+PeerConnection::SendFrame(std::string_view aPayload, size_t aMaxQueued)
+{
+  evbuffer* output = bufferevent_get_output(mBuffer.get());
+  if (mClosing || evbuffer_get_length(output) + aPayload.size() > aMaxQueued) {
+    return false;
+  }
+  const auto length = static_cast<uint32_t>(aPayload.size());
+  bufferevent_write(mBuffer.get(), &length, kHeaderBytes);
+  bufferevent_write(mBuffer.get(), aPayload.data(), aPayload.size());
+  mLastSent = mTransport.mLoop.Now();
+  return true;
+}
+
+bool
+PeerConnection::Heartbeat(MonoTime aNow, Duration aInterval, Duration aSilence)
+{
+  if (aNow - mLastReceived > aSilence) {
+    return false;
+  }
+  if (aNow - mLastSent >= aInterval) {
+    // Also when the queue is full: the peer needs it to see that we live.
+    SendFrame({}, SIZE_MAX);
+  }
+  return true;
+}
+
+void
+PeerConnection::OnReadable(bufferevent*, void* aConnection)
+{
+  auto* connection = static_cast<PeerConnection*>(aConnection);
+  if (!connection->mClosing && !connection->ReadFrames()) {
+    connection->mClosing = true;
+    connection->mTransport.Closed(connection);
+  }
+}
+
+void
+PeerConnection::OnEvent(bufferevent*, short aWhat, void* aConnection)
+{
+  auto* connection = static_cast<PeerConnection*>(aConnection);
+  if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0 &&
+      !connection->mClosing) {
+    connection->mClosing = true;
+    connection->mTransport.Closed(connection);
+  }
+}
+
+bool
+PeerConnection::ReadFrames()
+{
+  mLastReceived = mTransport.mLoop.Now();
+  evbuffer* input = bufferevent_get_input(mBuffer.get());
+  uint32_t length = 0;
+  while (evbuffer_copyout(input, &length, kHeaderBytes) ==
+         static_cast<ev_ssize_t>(kHeaderBytes)) {
+    if (length > kMaxFrameBytes) {
+      ++mTransport.mCounters.mMalformed;
+      return false;
+    }
+    if (evbuffer_get_length(input) < kHeaderBytes + length) {
+      return true;
+    }
+    evbuffer_drain(input, kHeaderBytes);
+    const unsigned char* bytes =
+      evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+    const std::string_view payload(reinterpret_cast<const char*>(bytes),
+                                   length);
+    if (!HandleFrame(payload)) {
+      return false;
+    }
+    evbuffer_drain(input, length);
+  }
+  return true;
+}
+
+bool
+PeerConnection::HandleFrame(std::string_view aPayload)
+{
+  PeerCounters& counters = mTransport.mCounters;
+  counters.mReceivedBytes += kHeaderBytes + aPayload.size();
+  if (mPeer.Empty()) {
+    const std::string address(aPayload);
+    if (!ParseSocketAddress(address).ok()) {
+      ++counters.mMalformed;
+      return false;
+    }
+    mPeer = PeerAddress(address);
+    mTransport.Identified(this, mPeer);
+    return true;
+  }
+  if (aPayload.empty() || (mDialled && aPayload == mPeer.mValue)) {
+    return true; // heartbeat, or the peer's first frame on a dialled connection
+  }
+  auto message = DecodeMessage(aPayload);
+  if (!message.ok()) {
+    ++counters.mMalformed;
+    WriteLog(LogLevel::eWarning,
+             "peer_frame_refused",
+             { { "peer", mPeer.mValue },
+               { "error", std::string(message.status().message()) } });
+    return false;
+  }
+  ++counters.mReceivedMessages;
+  mTransport.mOnMessage.emit(mPeer, *message);
+  return !mClosing;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/peer_transport.h
@@ -0,0 +1,106 @@
+#pragma once
+// Messages between the system's processes over TCP, and hints over UDP.
+//
+// One connection per pair of processes carries both directions. The first frame
+// is the sender's advertised address. An idle connection carries an empty frame
+// every 500 ms; one without any byte for 2 s is closed. Sending is unreliable:
+// messages queued on a connection that breaks are dropped, and roles resend by
+// timeout.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <sigc++/sigc++.h>
+
+#include "absl/status/status.h"
+#include "caraway/base/ids.h"
+#include "caraway/runtime/libevent_handles.h"
+#include "caraway/runtime/loop.h"
+#include "caraway/runtime/tls.h"
+#include "caraway/wire/messages.h"
+
+namespace caraway {
+
+struct PeerSettings
+{
+  std::string mListen;  // "ip:port" to bind; port 0 picks one
+  PeerAddress mAddress; // advertised; empty: the bound address
+  TlsFiles mTls;        // mutual; empty: plain TCP
+  Duration mHeartbeat = Millis(500);
+  Duration mSilence = Seconds(2);
+  size_t mMaxQueuedBytes = 32
+                           << 20; // unsent on one connection; more are dropped
+  size_t mMaxConnections = 4096;  // accepted and dialled together
+};
+
+struct PeerCounters
+{
+  uint64_t mSentMessages = 0;
+  uint64_t mSentBytes = 0;
+  uint64_t mReceivedMessages = 0;
+  uint64_t mReceivedBytes = 0;
+  uint64_t mDropped = 0; // not sent: queue full or connection broken
+  uint64_t mMalformed =
+    0; // frames that did not decode; the connection is closed
+};
+
+class PeerConnection;
+
+class PeerTransport
+{
+public:
+  PeerTransport(Loop& aLoop, PeerSettings aSettings);
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+  ~PeerTransport();
+
+  // Binds the TCP and UDP sockets (same port) and loads certificates.
+  absl::Status Listen();
+
+  // Loads the certificates again; existing connections go on.
+  absl::Status ReloadTls();
+
+  const PeerAddress& Address() const { return mSettings.mAddress; }
+  const PeerCounters& Counters() const { return mCounters; }
+
+  void Send(const PeerAddress& aTo, const Message& aMessage);
+  void SendDatagram(const PeerAddress& aTo, const Message& aMessage);
+
+  sigc::signal<void(const PeerAddress&, const Message&)> mOnMessage;
+  sigc::signal<void(const PeerAddress&)> mOnPeerLost;
+
+private:
+  friend class PeerConnection;
+
+  static void OnAccept(evconnlistener* aListener,
+                       evutil_socket_t aSocket,
+                       sockaddr* aFrom,
+                       int aLength,
+                       void* aTransport);
+  static void OnDatagram(evutil_socket_t aSocket,
+                         short aWhat,
+                         void* aTransport);
+
+  void Heartbeat();
+  PeerConnection* Dial(const PeerAddress& aTo);
+  void Identified(PeerConnection* aConnection, const PeerAddress& aPeer);
+  void Closed(PeerConnection* aConnection);
+  BufferEventPtr MakeBufferEvent(evutil_socket_t aSocket, bool aClient);
+
+  Loop& mLoop;
+  PeerSettings mSettings;
+  SslContextPtr mServerTls;
+  SslContextPtr mClientTls;
+  ListenerPtr mListener;
+  evutil_socket_t mDatagramSocket = -1;
+  EventPtr mDatagramEvent;
+  Timer mHeartbeatTimer;
+  // Every open connection; those with a known peer are in mByPeer, too.
+  std::set<std::unique_ptr<PeerConnection>> mConnections;
+  std::map<PeerAddress, PeerConnection*> mByPeer;
+  PeerCounters mCounters;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/role_pump.h
@@ -0,0 +1,77 @@
+#pragma once
+// Feeds one role: queues events, steps the role, carries its actions out, and
+// wakes it at the time it asks for.
+
+#include <deque>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "caraway/base/role_io.h"
+#include "caraway/runtime/loop.h"
+
+namespace caraway {
+
+template<class Event, class Action>
+class RolePump
+{
+public:
+  // aStep steps the role; aCarryOut performs one action; aNextWakeup is asked
+  // after each drain; aAfterDrain runs once per drain and may post further
+  // events.
+  struct Functions
+  {
+    std::function<void(MonoTime, const Event&, std::vector<Action>&)> mStep;
+    std::function<void(Action&)> mCarryOut;
+    std::function<MonoTime()> mNextWakeup;
+    std::function<void()> mAfterDrain;
+  };
+
+  RolePump(Loop& aLoop, Functions aFunctions)
+    : mLoop(aLoop)
+    , mFunctions(std::move(aFunctions))
+    , mTimer(aLoop, [this] { Post(Wakeup{}); })
+  {
+  }
+
+  // Handles the event at once, or after the present one when called from an
+  // action.
+  void Post(Event aEvent)
+  {
+    mEvents.push_back(std::move(aEvent));
+    if (mDraining) {
+      return;
+    }
+    mDraining = true;
+    while (!mEvents.empty()) {
+      Drain();
+      if (mFunctions.mAfterDrain) {
+        mFunctions.mAfterDrain();
+      }
+    }
+    mDraining = false;
+    mTimer.ArmAt(mFunctions.mNextWakeup());
+  }
+
+private:
+  void Drain()
+  {
+    while (!mEvents.empty()) {
+      const Event event = std::move(mEvents.front());
+      mEvents.pop_front();
+      std::vector<Action> actions;
+      mFunctions.mStep(mLoop.Now(), event, actions);
+      for (Action& action : actions) {
+        mFunctions.mCarryOut(action);
+      }
+    }
+  }
+
+  Loop& mLoop;
+  Functions mFunctions;
+  Timer mTimer;
+  std::deque<Event> mEvents;
+  bool mDraining = false;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/socket_address.cpp
@@ -0,0 +1,67 @@
+// "ip:port" to and from socket addresses, by libevent's parser.
+
+#include "caraway/runtime/socket_address.h"
+
+#include <array>
+
+#include <arpa/inet.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/error.h"
+
+namespace caraway {
+
+absl::StatusOr<SocketAddress>
+ParseSocketAddress(const std::string& aText)
+{
+  SocketAddress address;
+  int length = sizeof(address.mStorage);
+  // libevent refuses port 0, which listeners use to have one picked.
+  const bool anyPort = aText.ends_with(":0");
+  const std::string text =
+    anyPort ? absl::StrCat(aText.substr(0, aText.size() - 1), "1") : aText;
+  const int result = evutil_parse_sockaddr_port(
+    text.c_str(), reinterpret_cast<sockaddr*>(&address.mStorage), &length);
+  if (result != 0 || aText.find(':') == std::string::npos) {
+    return MakeError(ErrorKind::eInvalidArgument,
+                     absl::StrCat("'", aText, "' is not an address"),
+                     "write it as IP:PORT, for example 127.0.0.1:7100");
+  }
+  address.mLength = static_cast<socklen_t>(length);
+  if (anyPort && address.mStorage.ss_family == AF_INET) {
+    reinterpret_cast<sockaddr_in*>(&address.mStorage)->sin_port = 0;
+  } else if (anyPort) {
+    reinterpret_cast<sockaddr_in6*>(&address.mStorage)->sin6_port = 0;
+  }
+  return address;
+}
+
+std::string
+FormatSocketAddress(const sockaddr* aAddress)
+{
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (aAddress->sa_family == AF_INET) {
+    const auto* v4 = reinterpret_cast<const sockaddr_in*>(aAddress);
+    inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+    return absl::StrCat(text.data(), ":", ntohs(v4->sin_port));
+  }
+  const auto* v6 = reinterpret_cast<const sockaddr_in6*>(aAddress);
+  inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+  return absl::StrCat("[", text.data(), "]:", ntohs(v6->sin6_port));
+}
+
+std::string
+BoundAddress(int aSocket)
+{
+  sockaddr_storage storage{};
+  socklen_t length = sizeof(storage);
+  if (getsockname(aSocket, reinterpret_cast<sockaddr*>(&storage), &length) !=
+      0) {
+    return {};
+  }
+  return FormatSocketAddress(reinterpret_cast<const sockaddr*>(&storage));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/target_client.cpp
@@ -0,0 +1,273 @@
+// HTTP client on evhttp.
+
+#include "caraway/runtime/target_client.h"
+
+#include <algorithm>
+
+#include <event2/keyvalq_struct.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "caraway/runtime/socket_address.h"
+
+namespace caraway {
+
+namespace {
+
+struct UriFree
+{
+  void operator()(evhttp_uri* aUri) const { evhttp_uri_free(aUri); }
+};
+
+evhttp_cmd_type
+MethodOf(const std::string& aMethod)
+{
+  if (aMethod == "GET") {
+    return EVHTTP_REQ_GET;
+  }
+  if (aMethod == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (aMethod == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  if (aMethod == "HEAD") {
+    return EVHTTP_REQ_HEAD;
+  }
+  if (aMethod == "OPTIONS") {
+    return EVHTTP_REQ_OPTIONS;
+  }
+  if (aMethod == "PATCH") {
+    return EVHTTP_REQ_PATCH;
+  }
+  return EVHTTP_REQ_POST;
+}
+
+// Headers that belong to one connection are written anew for this one.
+bool
+IsConnectionHeader(const std::string& aName)
+{
+  return absl::EqualsIgnoreCase(aName, "connection") ||
+         absl::EqualsIgnoreCase(aName, "host") ||
+         absl::EqualsIgnoreCase(aName, "content-length") ||
+         absl::EqualsIgnoreCase(aName, "transfer-encoding") ||
+         absl::EqualsIgnoreCase(aName, "expect");
+}
+
+} // namespace
+
+TargetClient::TargetClient(Loop& aLoop, TargetClientSettings aSettings)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mIdleTimer(aLoop, [this] { DropIdle(); })
+{
+}
+
+TargetClient::~TargetClient() = default;
+
+EvHttpConnectionPtr
+TargetClient::TakeConnection(Call& aCall,
+                             const std::string& aHost,
+                             uint16_t aPort,
+                             bool aFresh)
+{
+  if (!aFresh) {
+    // The newest idle connection is the least likely to have been closed.
+    for (auto idle = mIdle.rbegin(); idle != mIdle.rend(); ++idle) {
+      if (idle->mAuthority == aCall.mAuthority) {
+        EvHttpConnectionPtr connection = std::move(idle->mConnection);
+        mIdle.erase(std::next(idle).base());
+        aCall.mReusedConnection = true;
+        return connection;
+      }
+    }
+  }
+  return EvHttpConnectionPtr(evhttp_connection_base_bufferevent_new(
+    mLoop.Base(), nullptr, nullptr, aHost.c_str(), aPort));
+}
+
+void
+TargetClient::Start(const StartTargetCall& aStart)
+{
+  auto owned = std::make_unique<Call>();
+  Call& call = *owned;
+  call.mClient = this;
+  call.mId = aStart.mCall;
+  mCalls[aStart.mCall] = std::move(owned);
+  const std::unique_ptr<evhttp_uri, UriFree> uri(
+    evhttp_uri_parse(aStart.mUrl.c_str()));
+  const char* host = uri ? evhttp_uri_get_host(uri.get()) : nullptr;
+  const int port = uri ? evhttp_uri_get_port(uri.get()) : -1;
+  if (host == nullptr || port <= 0) {
+    Fail(call, Outcome::eNotRun, "the target's URL names no host and port");
+    return;
+  }
+  call.mAuthority = absl::StrCat(host, ":", port);
+  call.mConnection = TakeConnection(
+    call, host, static_cast<uint16_t>(port), aStart.mFreshConnection);
+  evhttp_connection_set_timeout(
+    call.mConnection.get(),
+    std::max<int>(1, static_cast<int>(aStart.mTimeout.Seconds())));
+  // One attempt: whether to send again is decided by the role.
+  evhttp_connection_set_retries(call.mConnection.get(), 0);
+  bufferevent* buffer =
+    evhttp_connection_get_bufferevent(call.mConnection.get());
+  evbuffer_add_cb(
+    bufferevent_get_output(buffer), &TargetClient::OnOutput, &call);
+
+  evhttp_request* request = evhttp_request_new(&TargetClient::OnDone, &call);
+  evhttp_request_set_header_cb(request, &TargetClient::OnHeaders);
+  evhttp_request_set_chunked_cb(request, &TargetClient::OnChunk);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  for (const auto& [name, value] : aStart.mHeaders) {
+    if (!IsConnectionHeader(name)) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+  }
+  evhttp_add_header(headers, "Host", call.mAuthority.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(request),
+               aStart.mBody.data(),
+               aStart.mBody.size());
+  if (!aStart.mBody.empty()) {
+    evhttp_add_header(
+      headers, "Content-Length", absl::StrCat(aStart.mBody.size()).c_str());
+  }
+  if (evhttp_make_request(call.mConnection.get(),
+                          request,
+                          MethodOf(aStart.mMethod),
+                          aStart.mPath.c_str()) != 0 &&
+      !call.mClosed) {
+    Fail(call, Outcome::eNotRun, "the connection could not be opened");
+  }
+}
+
+void
+TargetClient::OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aCall)
+{
+  static_cast<Call*>(aCall)->mBytesSent += aInfo->n_deleted;
+}
+
+int
+TargetClient::OnHeaders(evhttp_request* aRequest, void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  if (call->mClosed || call->mBegan) {
+    return 0;
+  }
+  call->mBegan = true;
+  TargetCallBegan began;
+  began.mCall = call->mId;
+  began.mStatus = evhttp_request_get_response_code(aRequest);
+  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    if (!IsConnectionHeader(header->key)) {
+      began.mHeaders.emplace_back(header->key, header->value);
+    }
+  }
+  call->mClient->mOnBegan.emit(began);
+  return 0;
+}
+
+void
+TargetClient::OnChunk(evhttp_request* aRequest, void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  TargetCallBytes bytes;
+  bytes.mCall = call->mId;
+  bytes.mBytes.resize(evbuffer_get_length(input));
+  evbuffer_remove(input, bytes.mBytes.data(), bytes.mBytes.size());
+  if (!call->mClosed && !bytes.mBytes.empty()) {
+    call->mClient->mOnBytes.emit(bytes);
+  }
+}
+
+void
+TargetClient::OnDone(evhttp_request* aRequest, void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  TargetClient* client = call->mClient;
+  if (call->mClosed) {
+    return;
+  }
+  if (aRequest == nullptr || evhttp_request_get_response_code(aRequest) == 0 ||
+      !call->mBegan) {
+    const bool sent = call->mBytesSent > 0;
+    client->Fail(*call,
+                 sent ? Outcome::eUnknown : Outcome::eNotRun,
+                 sent ? "the connection broke before the answer was whole"
+                      : "the target refused the connection");
+    return;
+  }
+  OnChunk(aRequest, aCall); // what the chunk callback has not taken yet
+  if (call->mClosed) {
+    return;
+  }
+  const TargetCallId id = call->mId;
+  const char* connectionHeader = evhttp_find_header(
+    evhttp_request_get_input_headers(aRequest), "Connection");
+  const bool keep = connectionHeader == nullptr ||
+                    !absl::EqualsIgnoreCase(connectionHeader, "close");
+  client->Retire(id, keep);
+  client->mOnEnded.emit({ id });
+}
+
+void
+TargetClient::Fail(Call& aCall, Outcome aOutcome, std::string aReason)
+{
+  const TargetCallId id = aCall.mId;
+  Retire(id, false);
+  // From the loop, so that a role is never entered while it still hands out
+  // actions.
+  mLoop.Defer([this, id, aOutcome, reason = std::move(aReason)] {
+    mOnFailed.emit({ id, aOutcome, reason });
+  });
+}
+
+void
+TargetClient::Cancel(const CancelTargetCall& aCancel)
+{
+  if (mCalls.contains(aCancel.mCall)) {
+    Retire(aCancel.mCall, false);
+  }
+}
+
+void
+TargetClient::Retire(TargetCallId aId, bool aReusable)
+{
+  auto known = mCalls.find(aId);
+  std::shared_ptr<Call> call = std::move(known->second);
+  mCalls.erase(known);
+  call->mClosed = true;
+  if (!call->mConnection) {
+    return;
+  }
+  bufferevent* buffer =
+    evhttp_connection_get_bufferevent(call->mConnection.get());
+  evbuffer_remove_cb(
+    bufferevent_get_output(buffer), &TargetClient::OnOutput, call.get());
+  // The connection may be running one of its callbacks now; it is freed or kept
+  // for reuse from the loop.
+  mLoop.Defer([this, call, aReusable] {
+    if (aReusable && mIdle.size() < mSettings.mMaxIdle) {
+      mIdle.push_back(
+        { call->mAuthority, std::move(call->mConnection), mLoop.Now() });
+      mIdleTimer.ArmAt(mIdle.front().mSince + mSettings.mIdleReuse);
+    }
+  });
+}
+
+void
+TargetClient::DropIdle()
+{
+  const MonoTime now = mLoop.Now();
+  std::erase_if(mIdle, [&](const Idle& aIdle) {
+    return now - aIdle.mSince >= mSettings.mIdleReuse;
+  });
+  if (!mIdle.empty()) {
+    mIdleTimer.ArmAt(mIdle.front().mSince + mSettings.mIdleReuse);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/daemons/daemon_settings.cpp
@@ -0,0 +1,84 @@
+// Settings that every daemon has.
+
+#include "daemons/daemon_settings.h"
+
+#include <openssl/rand.h>
+
+namespace caraway {
+
+namespace {
+
+TlsFiles
+ReadTls(SettingsReader& aReader, const std::string& aPrefix, bool aMutual)
+{
+  TlsFiles files;
+  files.mCertificate = aReader.Optional(aPrefix + "-cert", "");
+  if (files.mCertificate.empty()) {
+    return files;
+  }
+  files.mPrivateKey = aReader.Required(aPrefix + "-key");
+  if (aMutual) {
+    files.mAuthority = aReader.Required(aPrefix + "-ca");
+  }
+  const TlsMode mode = aMutual ? TlsMode::eMutualServer : TlsMode::eServer;
+  if (auto context = MakeTlsContext(files, mode); !context.ok()) {
+    aReader.NoteError("--" + aPrefix + "-cert",
+                      std::string(context.status().message()),
+                      "see docs/security.md for making certificates");
+  }
+  return files;
+}
+
+LogLevel
+LevelOf(const std::string& aWord)
+{
+  if (aWord == "debug") {
+    return LogLevel::eDebug;
+  }
+  if (aWord == "warning") {
+    return LogLevel::eWarning;
+  }
+  return aWord == "error" ? LogLevel::eError : LogLevel::eInfo;
+}
+
+} // namespace
+
+DaemonSettings
+ReadDaemonSettings(SettingsReader& aReader)
+{
+  constexpr uint64_t kLargestBody = 1ULL << 30;
+  constexpr uint64_t kMostConnections = 100000;
+  DaemonSettings settings;
+  settings.mHttp.mListen = aReader.Address("http");
+  settings.mHttp.mTls = ReadTls(aReader, "http", false);
+  settings.mHttp.mMaxBodyBytes = aReader.Number(
+    "max-body-bytes", settings.mHttp.mMaxBodyBytes, 1024, kLargestBody);
+  settings.mHttp.mMaxConnections = static_cast<int>(
+    aReader.Number("max-connections",
+                   static_cast<uint64_t>(settings.mHttp.mMaxConnections),
+                   16,
+                   kMostConnections));
+  settings.mPeer.mListen = aReader.Address("peer");
+  settings.mPeer.mTls = ReadTls(aReader, "peer", true);
+  if (!aReader.Optional("advertise", "").empty()) {
+    settings.mPeer.mAddress = PeerAddress(aReader.Address("advertise"));
+  }
+  settings.mLog.mFormat =
+    aReader.Choice("log-format", "kv", { "kv", "json" }) == "json"
+      ? LogFormat::eJson
+      : LogFormat::eKeyValue;
+  settings.mLog.mLevel = LevelOf(aReader.Choice(
+    "log-level", "info", { "debug", "info", "warning", "error" }));
+  settings.mLog.mFile = aReader.Optional("log-file", "");
+  return settings;
+}
+
+uint64_t
+SystemRandom()
+{
+  uint64_t value = 0;
+  RAND_bytes(reinterpret_cast<unsigned char*>(&value), sizeof(value));
+  return value | 1; // never 0, which means "none"
+}
+
+} // namespace caraway
--- /dev/null
+++ b/daemons/daemon_settings.h
@@ -0,0 +1,66 @@
+#pragma once
+// Settings that every daemon has, and the usage text for them.
+
+#include "caraway/runtime/runtime.h"
+
+namespace caraway {
+
+// Append to the daemon's own usage text.
+constexpr const char* kCommonUsage = R"(
+  --http=ADDRESS           IP:PORT of the HTTP listener.
+  --peer=ADDRESS           IP:PORT of the listener for other processes (TCP and UDP).
+  --advertise=ADDRESS      IP:PORT that other processes reach it by [same as --peer].
+  --peer-cert=FILE         PEM certificate for mutual TLS between processes.
+  --peer-key=FILE          PEM private key of --peer-cert.
+  --peer-ca=FILE           PEM authority that all processes' certificates chain to.
+  --http-cert=FILE         PEM certificate for TLS on the HTTP listener.
+  --http-key=FILE          PEM private key of --http-cert.
+  --max-body-bytes=N       Largest HTTP request body [16777216].
+  --max-connections=N      Open connections before new ones wait [8192].
+  --log-format=FORMAT      kv or json [kv].
+  --log-level=LEVEL        debug, info, warning or error [info].
+  --log-file=FILE          Append the log to this file instead of standard error.
+  --check                  Validate the settings and exit.
+  -h --help                Show this help.
+  --version                Show the version.
+)";
+
+struct DaemonSettings
+{
+  PeerSettings mPeer;
+  HttpServerSettings mHttp;
+  LogSettings mLog;
+};
+
+DaemonSettings
+ReadDaemonSettings(SettingsReader& aReader);
+
+// A random number from the system, for incarnations and seeds.
+uint64_t
+SystemRandom();
+
+// Opens the log, starts the host and runs the loop until the role has stopped.
+// Returns the process's exit code.
+template<class Host>
+int
+RunDaemon(Loop& aLoop,
+          Host& aHost,
+          const LogSettings& aLog,
+          const InstanceId& aInstance)
+{
+  OpenLog(aLog, aInstance);
+  const absl::Status status = aHost.Start();
+  if (!status.ok()) {
+    WriteLog(LogLevel::eError,
+             "start_failed",
+             { { "error", std::string(status.message()) } });
+    CloseLog();
+    return 1;
+  }
+  aLoop.Run();
+  WriteLog(LogLevel::eInfo, "stopped", {});
+  CloseLog();
+  return 0;
+}
+
+} // namespace caraway
