--- a/caraway/runtime/settings_reader.cpp
+++ b/caraway/runtime/settings_reader.cpp
@@ -69,6 +69,8 @@
       mValues[name] = "true";
     } else if (value.isString()) {
       mValues[name] = value.asString();
+    } else if (value.isStringList() && !value.asStringList().empty()) {
+      mValues[name] = absl::StrJoin(value.asStringList(), "\n");
     }
   }
   mCheckOnly = mValues.contains("check");
--- /dev/null
+++ b/tools/status_text.h
@@ -0,0 +1,12 @@
+#pragma once
+// The one-screen text of `caraway status`.
+
+#include <string>
+
+namespace caraway {
+
+// aJson is the answer of GET /admin/status.
+std::string
+StatusText(const std::string& aJson);
+
+} // namespace caraway
