Implement the agreement state machine and the log format

The first election needs every initial replica and records each voter's data folder, so that a replica that lost its disk cannot vote under its old id.

--- /dev/null
+++ b/caraway/consensus/raft.cpp
@@ -0,0 +1,250 @@
+// The entry points of the agreement state machine.
+
+#include <algorithm>
+
+#include "caraway/base/error.h"
+#include "caraway/base/lease.h"
+#include "caraway/consensus/raft_internal.h"
+
+namespace caraway {
+
+Raft
+MakeRaft(const RaftSettings& aSettings,
+         GroupId aGroup,
+         ReplicaId aSelf,
+         RaftRecovered aRecovered,
+         const ReplicaSet& aInitial,
+         uint64_t aSeed,
+         MonoTime aNow)
+{
+  Raft raft;
+  raft.mSettings = aSettings;
+  raft.mGroup = aGroup;
+  raft.mSelf = aSelf;
+  raft.mDisk = aRecovered.mDisk;
+  raft.mRandom = Random(aSeed);
+  raft.mTerm = raft.mDurableTerm = aRecovered.mHard.mTerm;
+  raft.mVotedFor = aRecovered.mHard.mVotedFor;
+  const SnapshotMark& mark = aRecovered.mSnapshot;
+  raft.mSnapshot = mark;
+  raft.mLog.mBase = raft.mCommit = raft.mApplied = mark.mIndex;
+  raft.mLog.mBaseTerm = mark.mTerm;
+  raft.mReplicas.push_back(
+    { mark.mIndex, mark.mIndex.IsNone() ? aInitial : mark.mReplicas });
+  raft.mFresh = raft.mTerm.IsNone() && mark.mIndex.IsNone() &&
+                aRecovered.mEntries.empty() && IsVoter(raft, aSelf);
+  for (LogEntry& entry : aRecovered.mEntries) {
+    AppendToLog(raft, std::move(entry));
+  }
+  raft.mWrittenTo = raft.mDurable = LastIndex(raft);
+  OnReplicasChanged(raft, aNow);
+  if (VoterCount(raft) == 1 && IsVoter(raft, aSelf)) {
+    raft.mElectionDue = raft.mStickyUntil = aNow;
+  } else {
+    // This replica may have answered a leader just before it stopped.
+    raft.mStickyUntil = GrantorLeaseEnd(aNow, aSettings.mElectionMin);
+    ResetElectionTimer(raft, aNow);
+  }
+  raft.mReported.mTerm = raft.mTerm;
+  return raft;
+}
+
+void
+RaftWakeup(Raft& aRaft, MonoTime aNow, std::vector<RaftAction>& aOut)
+{
+  if (aRaft.mFailed) {
+    return;
+  }
+  if (aRaft.mRole != RaftRole::eLeader) {
+    if (aNow >= aRaft.mElectionDue) {
+      StartPreVote(aRaft, aNow, aOut);
+    }
+  } else if (!HeardQuorumSince(aRaft, aNow - aRaft.mSettings.mElectionMax)) {
+    BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
+  } else {
+    if (aNow >= aRaft.mHeartbeatDue) {
+      aRaft.mHeartbeatDue = aNow + aRaft.mSettings.mHeartbeat;
+      SendAppends(aRaft, aNow, true, aOut);
+    }
+    RetryTransfers(aRaft, aNow, aOut);
+  }
+  FinishStep(aRaft, aOut);
+}
+
+namespace {
+
+struct Receiver
+{
+  Raft& mRaft;
+  MonoTime mNow;
+  const RaftMessage& mMessage;
+  RaftActions& mOut;
+
+  void operator()(const VoteRequest& aBody)
+  {
+    OnVoteRequest(mRaft, mNow, mMessage, aBody, mOut);
+  }
+  void operator()(const VoteReply& aBody)
+  {
+    OnVoteReply(mRaft, mNow, mMessage, aBody, mOut);
+  }
+  void operator()(const AppendRequest& aBody)
+  {
+    OnAppendRequest(mRaft, mNow, mMessage, aBody, mOut);
+  }
+  void operator()(const AppendReply& aBody)
+  {
+    OnAppendReply(mRaft, mNow, mMessage, aBody, mOut);
+  }
+  void operator()(const SnapshotPart& aBody)
+  {
+    OnSnapshotPart(mRaft, mNow, mMessage, aBody, mOut);
+  }
+  void operator()(const SnapshotPartReply& aBody)
+  {
+    OnSnapshotPartReply(mRaft, mNow, mMessage, aBody, mOut);
+  }
+};
+
+} // namespace
+
+void
+RaftReceive(Raft& aRaft,
+            MonoTime aNow,
+            const RaftMessage& aMessage,
+            std::vector<RaftAction>& aOut)
+{
+  if (aRaft.mFailed || aMessage.mGroup != aRaft.mGroup ||
+      aMessage.mTo != aRaft.mSelf || aMessage.mFrom == aRaft.mSelf ||
+      !IsTrustedSender(aRaft, aMessage) || !AcceptsFresh(aRaft, aMessage)) {
+    return;
+  }
+  std::visit(Receiver{ aRaft, aNow, aMessage, aOut }, aMessage.mBody);
+  FinishStep(aRaft, aOut);
+}
+
+void
+RaftWritten(Raft& aRaft,
+            MonoTime aNow,
+            uint64_t aWrite,
+            bool aOk,
+            std::vector<RaftAction>& aOut)
+{
+  if (aRaft.mFailed) {
+    return;
+  }
+  if (!aOk) {
+    aRaft.mFailed = true;
+  } else {
+    OnWritten(aRaft, aNow, aWrite, aOut);
+    AdvanceLeaderCommit(aRaft, aNow, aOut);
+  }
+  FinishStep(aRaft, aOut);
+}
+
+absl::StatusOr<LogIndex>
+RaftPropose(Raft& aRaft,
+            MonoTime aNow,
+            LogEntryKind aKind,
+            std::string aPayload,
+            std::vector<RaftAction>& aOut)
+{
+  if (!IsLeader(aRaft)) {
+    return MakeError(ErrorKind::eNotLeader,
+                     "this replica is not the leader",
+                     "send the request to the leader");
+  }
+  if (aRaft.mLog.mPendingBytes + aPayload.size() >
+      aRaft.mSettings.mMaxPendingBytes) {
+    return MakeError(ErrorKind::eOverloaded,
+                     "too many entries wait for a majority",
+                     "come back in a moment");
+  }
+  LogEntry entry;
+  entry.mIndex = LogIndex(LastIndex(aRaft).mValue + 1);
+  entry.mTerm = aRaft.mTerm;
+  entry.mKind = aKind;
+  entry.mPayload = std::move(aPayload);
+  const LogIndex index = entry.mIndex;
+  AppendToLog(aRaft, std::move(entry));
+  if (aKind == LogEntryKind::eMembership) {
+    OnReplicasChanged(aRaft, aNow);
+  }
+  SendAppends(aRaft, aNow, false, aOut);
+  FinishStep(aRaft, aOut);
+  return index;
+}
+
+void
+FinishStep(Raft& aRaft, RaftActions& aOut)
+{
+  if (aRaft.mFailed) {
+    aRaft.mRole = RaftRole::eFollower;
+    aRaft.mLeader = ReplicaId();
+    aRaft.mPeers.clear();
+    aRaft.mHeld.clear();
+  }
+  FlushWrites(aRaft, aOut);
+  RaftRoleChanged& reported = aRaft.mReported;
+  if (reported.mRole != aRaft.mRole || reported.mTerm != aRaft.mTerm ||
+      reported.mLeader != aRaft.mLeader) {
+    reported = RaftRoleChanged{ aRaft.mRole, aRaft.mTerm, aRaft.mLeader };
+    aOut.emplace_back(reported);
+  }
+}
+
+bool
+IsLeader(const Raft& aRaft)
+{
+  return aRaft.mRole == RaftRole::eLeader && !aRaft.mFailed;
+}
+
+ReplicaId
+LeaderOf(const Raft& aRaft)
+{
+  return aRaft.mLeader;
+}
+
+Term
+TermOf(const Raft& aRaft)
+{
+  return aRaft.mTerm;
+}
+
+LogIndex
+CommitIndex(const Raft& aRaft)
+{
+  return aRaft.mCommit;
+}
+
+const ReplicaSet&
+ReplicasOf(const Raft& aRaft)
+{
+  return aRaft.mReplicas.back().mReplicas;
+}
+
+bool
+LostItsDisk(const Raft& aRaft)
+{
+  return aRaft.mLostDisk;
+}
+
+bool
+HasFailed(const Raft& aRaft)
+{
+  return aRaft.mFailed;
+}
+
+MonoTime
+NextWakeup(const Raft& aRaft)
+{
+  if (aRaft.mFailed) {
+    return kNever;
+  }
+  if (aRaft.mRole != RaftRole::eLeader) {
+    return aRaft.mElectionDue;
+  }
+  return aRaft.mHeartbeatDue;
+}
+
+} // namespace caraway
--- a/caraway/consensus/raft.h
+++ b/caraway/consensus/raft.h
@@ -9,8 +9,6 @@
 // reports the write that contains it as synced.
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -38,6 +36,10 @@
   Duration mElectionMax = Millis(900);
   uint32_t mMaxAppendBytes = 512 * 1024; // per AppendRequest
   uint32_t mSnapshotEvery = 20000;       // log entries between snapshots
+  uint64_t mSnapshotBytes = 64 << 20;    // payload bytes between snapshots
+  uint32_t mTailEntries = 5000;   // kept in memory behind the snapshot, so
+  uint64_t mTailBytes = 16 << 20; // that a slow replica needs no transfer
+  uint64_t mMaxPendingBytes = 32 << 20; // proposed and not yet committed
 };
 
 // A member of the replica set. Learners receive the log and do not vote.
@@ -46,6 +48,11 @@
   ReplicaId mId;
   std::string mAddress; // peer address
   bool mVoter = true;
+  // Identity of the data folder this replica votes with, 0 while unknown. Set
+  // by the leader at the first election and at promotion. Messages sent from
+  // another folder under this id are ignored, since a replica that lost its
+  // disk has also lost its vote.
+  uint64_t mDisk = 0;
 };
 
 struct ReplicaSet
@@ -70,6 +77,7 @@
 // What a replica finds on its disk at start.
 struct RaftRecovered
 {
+  uint64_t mDisk = 0; // identity of the data folder, random, 0: not checked
   HardState mHard;
   SnapshotMark mSnapshot;         // mIndex none: no snapshot yet
   std::vector<LogEntry> mEntries; // after the snapshot, without gaps
@@ -100,10 +108,12 @@
 struct RaftTakeSnapshot
 {
   LogIndex mUpTo;
+  SnapshotMark mMark; // of mUpTo, to be stored with the state
 };
 
-// Action: read a piece of the newest snapshot for a replica that is far behind,
-// then call RaftSnapshotPartRead.
+// Action: read the piece of the newest snapshot at this offset, or the first
+// piece of the next file where the file ends there; then call
+// RaftSnapshotPartRead.
 struct RaftReadSnapshotPart
 {
   ReplicaId mTo;
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -67,7 +67,8 @@
                      bool aOk,
                      std::vector<RaftAction>& aOut);
 
-// aMark is set when the last part was stored; the state machine has been
+// aReply.mFile empty: the piece did not fit, the transfer starts anew. aMark is
+// set when the last part was stored; the state machine has been
 // replaced.
 void
 RaftSnapshotPartStored(Raft& aRaft,
@@ -100,6 +101,15 @@
 const ReplicaSet&
 ReplicasOf(const Raft& aRaft);
 
+// True when the other replicas hold a vote of this id on another data folder.
+// The replica then takes no part in the group; give it a new id.
+bool
+LostItsDisk(const Raft& aRaft);
+
+// True after a failed write; the replica does nothing more.
+bool
+HasFailed(const Raft& aRaft);
+
 MonoTime
 NextWakeup(const Raft& aRaft);
 
--- /dev/null
+++ b/caraway/consensus/raft_election.cpp
@@ -0,0 +1,243 @@
+// Elections: pre-vote, votes, and the rules that keep two leaders apart.
+
+#include <algorithm>
+
+#include "caraway/base/lease.h"
+#include "caraway/consensus/raft_internal.h"
+
+namespace caraway {
+
+void
+ResetElectionTimer(Raft& aRaft, MonoTime aNow)
+{
+  // Never before the end of the promise given to the leader.
+  const MonoTime first =
+    GrantorLeaseEnd(aNow, aRaft.mSettings.mElectionMin) + Micros(1);
+  const MonoTime last = aNow + aRaft.mSettings.mElectionMax;
+  const int64_t spread = std::max<int64_t>((last - first).mMicros, 1);
+  aRaft.mElectionDue =
+    first + Micros(static_cast<int64_t>(
+              DrawBelow(aRaft.mRandom, static_cast<uint64_t>(spread))));
+}
+
+void
+BecomeFollower(Raft& aRaft, MonoTime aNow, Term aTerm, ReplicaId aLeader)
+{
+  if (aTerm > aRaft.mTerm) {
+    SetTerm(aRaft, aTerm, ReplicaId());
+  }
+  if (aRaft.mRole != RaftRole::eFollower) {
+    ResetElectionTimer(aRaft, aNow);
+  }
+  aRaft.mRole = RaftRole::eFollower;
+  aRaft.mLeader = aLeader;
+  aRaft.mVotes.clear();
+  aRaft.mPeers.clear();
+}
+
+void
+HeardLeader(Raft& aRaft, MonoTime aNow, ReplicaId aLeader)
+{
+  BecomeFollower(aRaft, aNow, aRaft.mTerm, aLeader);
+  aRaft.mStickyUntil = GrantorLeaseEnd(aNow, aRaft.mSettings.mElectionMin);
+  ResetElectionTimer(aRaft, aNow);
+}
+
+namespace {
+
+// The first election needs every replica, so that a replica which finds its
+// disk empty later can be told from one that never took part.
+size_t
+VotesNeeded(const Raft& aRaft)
+{
+  const size_t voters = VoterCount(aRaft);
+  return LastIndex(aRaft).IsNone() ? voters : voters / 2 + 1;
+}
+
+bool
+HasEnoughVotes(const Raft& aRaft)
+{
+  const auto granted = static_cast<size_t>(
+    std::count_if(aRaft.mVotes.begin(), aRaft.mVotes.end(), [&](auto& aVote) {
+      return IsVoter(aRaft, aVote.first);
+    }));
+  return granted >= VotesNeeded(aRaft);
+}
+
+void
+AskForVotes(Raft& aRaft, bool aPreVote, RaftActions& aOut)
+{
+  VoteRequest request;
+  request.mTerm = aPreVote ? Term(aRaft.mTerm.mValue + 1) : aRaft.mTerm;
+  request.mPreVote = aPreVote;
+  request.mLastIndex = LastIndex(aRaft);
+  request.mLastTerm = LastTerm(aRaft);
+  for (const Replica& replica : aRaft.mReplicas.back().mReplicas.mReplicas) {
+    if (replica.mId == aRaft.mSelf || !replica.mVoter) {
+      continue;
+    }
+    RaftSend send = MessageTo(aRaft, replica.mId);
+    send.mMessage.mBody = request;
+    SendWhenSynced(aRaft, std::move(send), aOut);
+  }
+}
+
+void
+StartVote(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
+{
+  aRaft.mRole = RaftRole::eCandidate;
+  SetTerm(aRaft, Term(aRaft.mTerm.mValue + 1), aRaft.mSelf);
+  aRaft.mFresh = false;
+  aRaft.mVotes.clear();
+  ResetElectionTimer(aRaft, aNow);
+  AskForVotes(aRaft, false, aOut);
+  // The own vote counts once it is synced: it comes back as a message.
+  RaftSend own;
+  own.mMessage.mGroup = aRaft.mGroup;
+  own.mMessage.mFrom = own.mMessage.mTo = aRaft.mSelf;
+  own.mMessage.mDisk = aRaft.mDisk;
+  own.mMessage.mBody = VoteReply{ aRaft.mTerm, false, true };
+  aRaft.mHeld.push_back({ aRaft.mNextWrite, std::move(own) });
+}
+
+// A candidate's log must hold at least what this replica holds.
+bool
+IsUpToDate(const Raft& aRaft, const VoteRequest& aRequest)
+{
+  const Term last = LastTerm(aRaft);
+  return aRequest.mLastTerm > last || (aRequest.mLastTerm == last &&
+                                       aRequest.mLastIndex >= LastIndex(aRaft));
+}
+
+// A leader was heard, or is this replica and has its majority: no votes, not
+// even for a higher term. The leader lease rests on this.
+bool
+FollowsLiveLeader(const Raft& aRaft, MonoTime aNow)
+{
+#ifdef CARAWAY_PLANTED_FAULT_skip_prevote_stickiness
+  return false;
+#endif
+  if (aRaft.mRole == RaftRole::eLeader) {
+    return HeardQuorumSince(aRaft, aNow - aRaft.mSettings.mElectionMin);
+  }
+  return aNow <= aRaft.mStickyUntil;
+}
+
+void
+Reply(const Raft& aRaft, ReplicaId aTo, VoteReply aReply, RaftActions& aOut)
+{
+  RaftSend send = MessageTo(aRaft, aTo);
+  send.mMessage.mBody = aReply;
+  aOut.emplace_back(std::move(send));
+}
+
+} // namespace
+
+void
+StartPreVote(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
+{
+  ResetElectionTimer(aRaft, aNow);
+  if (!IsVoter(aRaft, aRaft.mSelf) || aRaft.mInstalling || aRaft.mLostDisk) {
+    return;
+  }
+  BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
+  aRaft.mRole = RaftRole::ePreCandidate;
+  aRaft.mVotes[aRaft.mSelf] = aRaft.mDisk;
+  if (HasEnoughVotes(aRaft)) {
+    StartVote(aRaft, aNow, aOut);
+  } else {
+    AskForVotes(aRaft, true, aOut);
+  }
+}
+
+void
+OnVoteRequest(Raft& aRaft,
+              MonoTime aNow,
+              const RaftMessage& aMessage,
+              const VoteRequest& aRequest,
+              RaftActions& aOut)
+{
+  if (aRaft.mInstalling || aRaft.mLostDisk || FollowsLiveLeader(aRaft, aNow)) {
+    return;
+  }
+  if (aRequest.mPreVote) {
+    const bool granted =
+      aRequest.mTerm > aRaft.mTerm && IsUpToDate(aRaft, aRequest);
+    const Term term = granted ? aRequest.mTerm : aRaft.mTerm;
+    Reply(aRaft, aMessage.mFrom, VoteReply{ term, true, granted }, aOut);
+    return;
+  }
+  if (aRequest.mTerm > aRaft.mTerm) {
+    BecomeFollower(aRaft, aNow, aRequest.mTerm, ReplicaId());
+  }
+  bool mayVote =
+    aRequest.mTerm == aRaft.mTerm &&
+    (aRaft.mVotedFor.IsNone() || aRaft.mVotedFor == aMessage.mFrom);
+#ifdef CARAWAY_PLANTED_FAULT_vote_twice
+  mayVote = aRequest.mTerm == aRaft.mTerm;
+#endif
+  if (!mayVote || !IsUpToDate(aRaft, aRequest)) {
+    Reply(aRaft, aMessage.mFrom, VoteReply{ aRaft.mTerm, false, false }, aOut);
+    return;
+  }
+  if (aRaft.mVotedFor.IsNone()) {
+    SetTerm(aRaft, aRaft.mTerm, aMessage.mFrom);
+  }
+  aRaft.mFresh = false;
+  ResetElectionTimer(aRaft, aNow);
+  RaftSend send = MessageTo(aRaft, aMessage.mFrom);
+  send.mMessage.mBody = VoteReply{ aRaft.mTerm, false, true };
+  SendWhenSynced(aRaft, std::move(send), aOut);
+}
+
+void
+OnVoteReply(Raft& aRaft,
+            MonoTime aNow,
+            const RaftMessage& aMessage,
+            const VoteReply& aReply,
+            RaftActions& aOut)
+{
+  if (!aReply.mGranted) {
+    if (aReply.mTerm > aRaft.mTerm && !aRaft.mFresh) {
+      BecomeFollower(aRaft, aNow, aReply.mTerm, ReplicaId());
+    }
+    return;
+  }
+  const RaftRole expected =
+    aReply.mPreVote ? RaftRole::ePreCandidate : RaftRole::eCandidate;
+  const uint64_t term = aRaft.mTerm.mValue + (aReply.mPreVote ? 1 : 0);
+  if (aRaft.mRole != expected || aReply.mTerm.mValue != term) {
+    return;
+  }
+  aRaft.mVotes[aMessage.mFrom] = aMessage.mDisk;
+  if (!HasEnoughVotes(aRaft)) {
+    return;
+  }
+  if (aReply.mPreVote) {
+    StartVote(aRaft, aNow, aOut);
+  } else {
+    BecomeLeader(aRaft, aNow, aOut);
+  }
+}
+
+bool
+AcceptsFresh(Raft& aRaft, const RaftMessage& aMessage)
+{
+  if (!aRaft.mFresh || aMessage.mFrom == aRaft.mSelf) {
+    return true;
+  }
+  if (const auto* request = std::get_if<VoteRequest>(&aMessage.mBody)) {
+    if (request->mLastIndex.IsNone()) {
+      return true;
+    }
+  } else if (const auto* reply = std::get_if<VoteReply>(&aMessage.mBody)) {
+    if (reply->mGranted) {
+      return true;
+    }
+    return false; // an answer to another replica's candidacy or a refusal
+  }
+  aRaft.mLostDisk = true;
+  return false;
+}
+
+} // namespace caraway
--- a/caraway/wire/raft_messages.h
+++ b/caraway/wire/raft_messages.h
@@ -88,6 +88,7 @@
   GroupId mGroup;
   ReplicaId mFrom;
   ReplicaId mTo;
+  uint64_t mDisk = 0; // identity of the sender's data folder, 0: unknown
   std::variant<VoteRequest,
                VoteReply,
                AppendRequest,
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -81,7 +81,7 @@
 void
 serialize(Archive& aArchive, RaftMessage& aValue)
 {
-  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mBody);
+  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mDisk, aValue.mBody);
 }
 
 template<class Archive>
