--- a/caraway/consensus/log_codec.cpp
+++ b/caraway/consensus/log_codec.cpp
@@ -33,6 +33,7 @@
 constexpr uint32_t kVersion = 1;
 constexpr std::string_view kSegmentMagic = "CRWYLOG";
 constexpr std::string_view kSnapshotMagic = "CRWYSNP";
+constexpr std::string_view kMetaMagic = "CRWYMET";
 constexpr std::string_view kRecordMagic = "RECD";
 
 struct FileHeader
@@ -40,7 +41,7 @@
   char mMagic[8] = {};
   uint32_t mVersion = kVersion;
   uint32_t mUnused = 0;
-  uint64_t mSequence = 0; // of a segment; payload length of a snapshot
+  uint64_t mSequence = 0; // segment number, payload length or folder identity
   uint64_t mCheck = 0;    // of the fields above and, in a snapshot, the payload
 };
 
@@ -245,12 +246,7 @@
   for (LogEntry& entry : aWrite.mAppend) {
     if (!entries.empty() &&
         entry.mIndex.mValue != entries.back().mIndex.mValue + 1) {
-      // A gap is only sound where a snapshot replaced the log in between.
-      if (entry.mIndex <= entries.back().mIndex ||
-          entry.mIndex.mValue > aState.mSnapshot.mIndex.mValue + 1) {
-        return Corrupt("the log", 0, "entries are missing or out of order");
-      }
-      entries.clear();
+      return Corrupt("the log", 0, "entries are missing or out of order");
     }
     entries.push_back(std::move(entry));
   }
@@ -296,6 +292,26 @@
   return state;
 }
 
+std::string
+EncodeMetaFile(uint64_t aDisk)
+{
+  return MakeFile(kMetaMagic, aDisk, {});
+}
+
+absl::StatusOr<uint64_t>
+DecodeMetaFile(std::string_view aBytes, std::string_view aFile)
+{
+  if (aBytes.size() != sizeof(FileHeader)) {
+    return Corrupt(aFile, 0, "wrong length");
+  }
+  const auto header = ReadHeader<FileHeader>(aBytes);
+  if (absl::Status status = CheckFileHeader(header, kMetaMagic, {}, aFile);
+      !status.ok()) {
+    return status;
+  }
+  return header.mSequence;
+}
+
 std::string
 EncodeSnapshotFile(const SnapshotMark& aMark, std::string_view aState)
 {
--- a/caraway/consensus/log_codec.h
+++ b/caraway/consensus/log_codec.h
@@ -41,6 +41,13 @@
 absl::StatusOr<RaftRecovered>
 ReplayWrites(std::vector<RaftWrite> aWrites, const SnapshotMark& aSnapshot);
 
+// The file with the folder's identity.
+std::string
+EncodeMetaFile(uint64_t aDisk);
+
+absl::StatusOr<uint64_t>
+DecodeMetaFile(std::string_view aBytes, std::string_view aFile);
+
 struct SnapshotContents
 {
   SnapshotMark mMark;
--- /dev/null
+++ b/caraway/runtime/data_folder.cpp
@@ -0,0 +1,139 @@
+// The class DataFolder: sticky failures around the functions of its parts.
+
+#include "caraway/runtime/data_folder.h"
+
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder_state.h"
+
+namespace caraway {
+
+absl::Status
+Sticky(DataFolderState& aState, absl::Status aStatus)
+{
+  if (aState.mFailure.ok() && !aStatus.ok()) {
+    aState.mFailure = aStatus;
+  }
+  return aStatus;
+}
+
+DataFolder::DataFolder(std::unique_ptr<DataFolderState> aState)
+  : mState(std::move(aState))
+{
+}
+
+DataFolder::~DataFolder() = default;
+
+absl::StatusOr<std::unique_ptr<DataFolder>>
+DataFolder::Open(const std::string& aPath, const DataFolderSettings& aSettings)
+{
+  auto state = std::make_unique<DataFolderState>();
+  state->mPath = aPath;
+  state->mSettings = aSettings;
+  if (absl::Status status = RecoverFolder(*state); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<DataFolder>(new DataFolder(std::move(state)));
+}
+
+RaftRecovered
+DataFolder::Recovered()
+{
+  return std::exchange(mState->mRecovered, {});
+}
+
+std::string
+DataFolder::RecoveredState()
+{
+  return std::exchange(mState->mRecoveredState, {});
+}
+
+absl::Status
+DataFolder::Append(const RaftWrite& aWrite)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  return Sticky(*mState, AppendWrite(*mState, aWrite));
+}
+
+absl::Status
+DataFolder::Sync()
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  return Sticky(*mState, SyncLog(*mState));
+}
+
+absl::Status
+DataFolder::SaveSnapshot(const SnapshotMark& aMark, std::string_view aState)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  absl::Status status = SyncBlobs(*mState);
+  if (status.ok()) {
+    status = PlaceSnapshot(*mState, aMark, EncodeSnapshotFile(aMark, aState));
+  }
+  return Sticky(*mState, status);
+}
+
+absl::StatusOr<StoredSnapshotPart>
+DataFolder::StoreSnapshotPart(const SnapshotPart& aPart)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  if (aPart.mFile != "state") {
+    if (absl::Status status = CheckBlobName(aPart.mFile); !status.ok()) {
+      return status;
+    }
+  }
+  auto stored = StorePart(*mState, aPart);
+  Sticky(*mState, stored.status()).IgnoreError();
+  return stored;
+}
+
+absl::Status
+DataFolder::WriteBlob(const std::string& aName,
+                      uint64_t aOffset,
+                      std::string_view aBytes)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  if (absl::Status status = CheckBlobName(aName); !status.ok()) {
+    return status;
+  }
+  return Sticky(*mState, WriteBlobBytes(*mState, aName, aOffset, aBytes));
+}
+
+absl::StatusOr<std::string>
+DataFolder::ReadBlob(const std::string& aName,
+                     uint64_t aOffset,
+                     uint32_t aLength)
+{
+  if (absl::Status status = CheckBlobName(aName); !status.ok()) {
+    return status;
+  }
+  auto file = OpenBlob(*mState, aName, false);
+  if (!file.ok()) {
+    return file.status();
+  }
+  return ReadAt(**file, BlobFolder(*mState) + "/" + aName, aOffset, aLength);
+}
+
+absl::Status
+DataFolder::RemoveBlob(const std::string& aName)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  if (absl::Status status = CheckBlobName(aName); !status.ok()) {
+    return status;
+  }
+  return Sticky(*mState, RemoveBlobFile(*mState, aName));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/data_folder_files.cpp
@@ -0,0 +1,205 @@
+// File functions that return errors.
+
+#include "caraway/runtime/data_folder_files.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+#include <system_error>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/absl_view.h"
+#include "caraway/base/error.h"
+
+namespace caraway {
+
+FileDescriptor::~FileDescriptor()
+{
+  if (mDescriptor >= 0) {
+    ::close(mDescriptor);
+  }
+}
+
+absl::Status
+DiskError(std::string_view aWhat, const std::string& aPath)
+{
+  const int error = errno;
+  return MakeError(ErrorKind::eDiskFailed,
+                   StdView(absl::StrCat(AbslView(aWhat),
+                                        " ",
+                                        aPath,
+                                        " failed: ",
+                                        std::generic_category().message(error))),
+                   "free space or replace the disk, then start again");
+}
+
+absl::StatusOr<FileDescriptor>
+OpenFile(const std::string& aPath, int aFlags)
+{
+  const int descriptor = ::open(aPath.c_str(), aFlags | O_CLOEXEC, 0640);
+  if (descriptor < 0) {
+    if (errno == ENOENT) {
+      return MakeError(ErrorKind::eNotFound,
+                       StdView(absl::StrCat(aPath, " does not exist")),
+                       "check the name");
+    }
+    return DiskError("opening", aPath);
+  }
+  return FileDescriptor(descriptor);
+}
+
+absl::Status
+WriteAt(const FileDescriptor& aFile,
+        const std::string& aPath,
+        uint64_t aOffset,
+        std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const ssize_t count = ::pwrite(aFile.Value(),
+                                   aBytes.data(),
+                                   aBytes.size(),
+                                   static_cast<off_t>(aOffset));
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      return DiskError("writing", aPath);
+    }
+    aBytes.remove_prefix(static_cast<size_t>(count));
+    aOffset += static_cast<uint64_t>(count);
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::string>
+ReadAt(const FileDescriptor& aFile,
+       const std::string& aPath,
+       uint64_t aOffset,
+       uint64_t aLength)
+{
+  std::string out(aLength, '\0');
+  size_t held = 0;
+  while (held < out.size()) {
+    const ssize_t count = ::pread(aFile.Value(),
+                                  out.data() + held,
+                                  out.size() - held,
+                                  static_cast<off_t>(aOffset + held));
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      return DiskError("reading", aPath);
+    }
+    if (count == 0) {
+      break;
+    }
+    held += static_cast<size_t>(count);
+  }
+  out.resize(held);
+  return out;
+}
+
+absl::StatusOr<uint64_t>
+SizeOf(const FileDescriptor& aFile, const std::string& aPath)
+{
+  struct stat status = {};
+  if (::fstat(aFile.Value(), &status) != 0) {
+    return DiskError("reading the size of", aPath);
+  }
+  return static_cast<uint64_t>(status.st_size);
+}
+
+absl::StatusOr<std::string>
+ReadWholeFile(const std::string& aPath)
+{
+  auto file = OpenFile(aPath, O_RDONLY);
+  if (!file.ok()) {
+    return file.status();
+  }
+  auto size = SizeOf(*file, aPath);
+  if (!size.ok()) {
+    return size.status();
+  }
+  return ReadAt(*file, aPath, 0, *size);
+}
+
+absl::Status
+SyncData(const FileDescriptor& aFile, const std::string& aPath)
+{
+  if (::fdatasync(aFile.Value()) != 0) {
+    return DiskError("syncing", aPath);
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+SyncFolder(const std::string& aPath)
+{
+  auto folder = OpenFile(aPath, O_RDONLY | O_DIRECTORY);
+  if (!folder.ok()) {
+    return folder.status();
+  }
+  if (::fsync(folder->Value()) != 0) {
+    return DiskError("syncing", aPath);
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ReplaceFile(const std::string& aFolder,
+            const std::string& aName,
+            std::string_view aBytes)
+{
+  const std::string path = aFolder + "/" + aName;
+  const std::string temporary = path + ".tmp";
+  auto file = OpenFile(temporary, O_RDWR | O_CREAT | O_TRUNC);
+  if (!file.ok()) {
+    return file.status();
+  }
+  absl::Status status = WriteAt(*file, temporary, 0, aBytes);
+  if (status.ok()) {
+    status = SyncData(*file, temporary);
+  }
+  if (status.ok() && ::rename(temporary.c_str(), path.c_str()) != 0) {
+    status = DiskError("renaming", temporary);
+  }
+  return status.ok() ? SyncFolder(aFolder) : status;
+}
+
+absl::Status
+RemoveFile(const std::string& aPath)
+{
+  if (::unlink(aPath.c_str()) != 0 && errno != ENOENT) {
+    return DiskError("removing", aPath);
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::vector<std::string>>
+ListFiles(const std::string& aPath)
+{
+  std::error_code error;
+  std::vector<std::string> names;
+  std::filesystem::directory_iterator at(aPath, error);
+  const std::filesystem::directory_iterator end;
+  while (!error && at != end) {
+    if (at->is_regular_file(error)) {
+      names.push_back(at->path().filename().string());
+    }
+    if (!error) {
+      at.increment(error);
+    }
+  }
+  if (error) {
+    errno = error.value();
+    return DiskError("listing", aPath);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/data_folder_log.cpp
@@ -0,0 +1,236 @@
+// Log segments: appending, syncing, dropping what a snapshot covers.
+
+#include <algorithm>
+
+#include <fcntl.h>
+
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder_state.h"
+
+namespace caraway {
+
+namespace {
+
+absl::Status
+AppendRecord(DataFolderState& aState, const RaftWrite& aWrite)
+{
+  OpenSegment& segment = aState.mSegment;
+  const std::string record =
+    EncodeLogRecord(aWrite, segment.mLength, segment.mSynced);
+  if (absl::Status status =
+        WriteAt(segment.mFile, segment.mPath, segment.mLength, record);
+      !status.ok()) {
+    return status;
+  }
+  segment.mLength += record.size();
+  return absl::OkStatus();
+}
+
+// Later segments rest on this one, so it is synced first.
+absl::Status
+RotateSegment(DataFolderState& aState)
+{
+  if (absl::Status status = SyncLog(aState); !status.ok()) {
+    return status;
+  }
+  aState.mClosed.push_back(
+    { aState.mSegment.mSequence, aState.mSegment.mLast });
+  return OpenNewSegment(aState, aState.mSegment.mSequence + 1);
+}
+
+std::optional<Term>
+TermInLog(const DataFolderState& aState, LogIndex aIndex)
+{
+  if (aIndex > aState.mLast) {
+    return std::nullopt;
+  }
+  auto run = aState.mTermRuns.upper_bound(aIndex);
+  if (run == aState.mTermRuns.begin()) {
+    return std::nullopt;
+  }
+  return std::prev(run)->second;
+}
+
+} // namespace
+
+absl::Status
+OpenNewSegment(DataFolderState& aState, uint64_t aSequence)
+{
+  OpenSegment segment;
+  segment.mSequence = aSequence;
+  segment.mPath = aState.mPath + "/" + SegmentName(aSequence);
+  auto file = OpenFile(segment.mPath, O_RDWR | O_CREAT | O_TRUNC);
+  if (!file.ok()) {
+    return file.status();
+  }
+  segment.mFile = *std::move(file);
+  const std::string header = EncodeSegmentHeader(aSequence);
+  if (absl::Status status = WriteAt(segment.mFile, segment.mPath, 0, header);
+      !status.ok()) {
+    return status;
+  }
+  segment.mLength = header.size();
+  aState.mSegment = std::move(segment);
+  aState.mFolderDirty = true;
+  RaftWrite first;
+  first.mHard = aState.mHard;
+  return AppendRecord(aState, first);
+}
+
+void
+TrackWrite(DataFolderState& aState, const RaftWrite& aWrite)
+{
+  if (aWrite.mHard) {
+    aState.mHard = *aWrite.mHard;
+  }
+  const LogIndex from = aWrite.mTruncateFrom;
+  if (!from.IsNone() && from <= aState.mLast) {
+    aState.mTermRuns.erase(aState.mTermRuns.lower_bound(from),
+                           aState.mTermRuns.end());
+    aState.mLast = LogIndex(from.mValue - 1);
+  }
+  for (const LogEntry& entry : aWrite.mAppend) {
+    if (aState.mTermRuns.empty() ||
+        aState.mTermRuns.rbegin()->second != entry.mTerm) {
+      aState.mTermRuns[entry.mIndex] = entry.mTerm;
+    }
+    aState.mLast = entry.mIndex;
+    aState.mSegment.mLast = std::max(aState.mSegment.mLast, entry.mIndex);
+  }
+}
+
+namespace {
+
+// Refuses what recovery would refuse.
+absl::Status
+CheckContinues(const DataFolderState& aState, const RaftWrite& aWrite)
+{
+  uint64_t last = aState.mLast.mValue;
+  if (!aWrite.mTruncateFrom.IsNone()) {
+    last = std::min(last, aWrite.mTruncateFrom.mValue - 1);
+  }
+  if (last <= aState.mSnapshot.mIndex.mValue && aState.mTermRuns.empty()) {
+    last = aState.mSnapshot.mIndex.mValue;
+  }
+  for (const LogEntry& entry : aWrite.mAppend) {
+    if (entry.mIndex.mValue != ++last) {
+      return MakeError(ErrorKind::eCorruptData,
+                       "entries to be written do not continue the log",
+                       "report this as a fault of the program");
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status
+AppendWrite(DataFolderState& aState, const RaftWrite& aWrite)
+{
+  if (aState.mSegment.mLength >= aState.mSettings.mSegmentBytes) {
+    if (absl::Status status = RotateSegment(aState); !status.ok()) {
+      return status;
+    }
+  }
+  // An installed snapshot already holds the first entries.
+  RaftWrite rest;
+  const RaftWrite* write = &aWrite;
+  if (!aWrite.mAppend.empty() &&
+      aWrite.mAppend.front().mIndex <= aState.mSnapshot.mIndex) {
+    rest = aWrite;
+    std::erase_if(rest.mAppend, [&](const LogEntry& aEntry) {
+      return aEntry.mIndex <= aState.mSnapshot.mIndex;
+    });
+    write = &rest;
+  }
+  if (absl::Status status = CheckContinues(aState, *write); !status.ok()) {
+    return status;
+  }
+  TrackWrite(aState, *write);
+  return AppendRecord(aState, *write);
+}
+
+absl::Status
+SyncLog(DataFolderState& aState)
+{
+  OpenSegment& segment = aState.mSegment;
+  if (absl::Status status = SyncData(segment.mFile, segment.mPath);
+      !status.ok()) {
+    return status;
+  }
+  segment.mSynced = segment.mLength;
+  if (!std::exchange(aState.mFolderDirty, false)) {
+    return absl::OkStatus();
+  }
+  return SyncFolder(aState.mPath);
+}
+
+namespace {
+
+absl::Status
+RemoveClosed(DataFolderState& aState, size_t aCount)
+{
+  // The oldest first: what is left has no gap at any moment.
+  for (size_t at = 0; at < aCount; ++at) {
+    if (absl::Status status = RemoveFile(
+          aState.mPath + "/" + SegmentName(aState.mClosed[at].mSequence));
+        !status.ok()) {
+      return status;
+    }
+  }
+  aState.mClosed.erase(aState.mClosed.begin(),
+                       aState.mClosed.begin() +
+                         static_cast<std::ptrdiff_t>(aCount));
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status
+ClearLog(DataFolderState& aState)
+{
+  if (absl::Status status = RotateSegment(aState); !status.ok()) {
+    return status;
+  }
+  // Recovery replays this record, so that a crash before the removal below does
+  // not bring the old entries back.
+  RaftWrite clear;
+  clear.mTruncateFrom = LogIndex(1);
+  TrackWrite(aState, clear);
+  absl::Status status = AppendRecord(aState, clear);
+  if (status.ok()) {
+    status = SyncLog(aState);
+  }
+  return status.ok() ? RemoveClosed(aState, aState.mClosed.size()) : status;
+}
+
+absl::Status
+DropCoveredLog(DataFolderState& aState)
+{
+  const SnapshotMark& mark = aState.mSnapshot;
+  if (TermInLog(aState, mark.mIndex) != mark.mTerm) {
+    return ClearLog(aState);
+  }
+  if (!aState.mSegment.mLast.IsNone()) {
+    if (absl::Status status = RotateSegment(aState); !status.ok()) {
+      return status;
+    }
+  }
+  // The hard state at the start of the new segment replaces the older ones.
+  if (absl::Status status = SyncLog(aState); !status.ok()) {
+    return status;
+  }
+  const auto kept = std::find_if(
+    aState.mClosed.begin(), aState.mClosed.end(), [&](auto& aSegment) {
+      return aSegment.mLast > mark.mIndex;
+    });
+  const auto run = aState.mTermRuns.upper_bound(mark.mIndex);
+  if (run != aState.mTermRuns.begin()) {
+    aState.mTermRuns.erase(aState.mTermRuns.begin(), std::prev(run));
+  }
+  return RemoveClosed(aState,
+                      static_cast<size_t>(kept - aState.mClosed.begin()));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -0,0 +1,295 @@
+// Opening a data folder: lock, identity, snapshot, log.
+
+#include <cerrno>
+#include <charconv>
+#include <filesystem>
+#include <random>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "caraway/base/absl_view.h"
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder_state.h"
+
+namespace caraway {
+
+std::string
+SegmentName(uint64_t aSequence)
+{
+  return absl::StrFormat("log-%020d.seg", aSequence);
+}
+
+std::string
+SnapshotName(LogIndex aIndex)
+{
+  return absl::StrFormat("snap-%020d", aIndex.mValue);
+}
+
+namespace {
+
+absl::Status
+CreateFolders(const DataFolderState& aState)
+{
+  std::error_code error;
+  std::filesystem::create_directories(BlobFolder(aState), error);
+  if (error) {
+    errno = error.value();
+    return DiskError("creating", BlobFolder(aState));
+  }
+  absl::Status status = SyncFolder(aState.mPath);
+  const auto parent =
+    std::filesystem::absolute(aState.mPath, error).parent_path();
+  return status.ok() && !error ? SyncFolder(parent.string()) : status;
+}
+
+absl::Status
+TakeLock(DataFolderState& aState)
+{
+  const std::string path = aState.mPath + "/lock";
+  auto file = OpenFile(path, O_RDWR | O_CREAT);
+  if (!file.ok()) {
+    return file.status();
+  }
+  if (::flock(file->Value(), LOCK_EX | LOCK_NB) != 0) {
+    return MakeError(ErrorKind::eConflict,
+                     StdView(absl::StrCat("data folder ",
+                                          aState.mPath,
+                                          " is in use by another process")),
+                     "stop that process or choose another folder");
+  }
+  aState.mLock = *std::move(file);
+  return absl::OkStatus();
+}
+
+// The number in "log-N.seg" or "snap-N"; none for other names.
+std::optional<uint64_t>
+NumberIn(std::string_view aName, std::string_view aPrefix, std::string_view aEnd)
+{
+  if (!aName.starts_with(aPrefix) || !aName.ends_with(aEnd)) {
+    return std::nullopt;
+  }
+  aName.remove_prefix(aPrefix.size());
+  aName.remove_suffix(aEnd.size());
+  uint64_t number = 0;
+  const auto [end, error] =
+    std::from_chars(aName.data(), aName.data() + aName.size(), number);
+  if (error != std::errc() || end != aName.data() + aName.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+struct FolderFiles
+{
+  std::vector<uint64_t> mSegments;  // ascending
+  std::vector<uint64_t> mSnapshots; // ascending
+};
+
+absl::StatusOr<FolderFiles>
+ScanFolder(const DataFolderState& aState)
+{
+  auto names = ListFiles(aState.mPath);
+  if (!names.ok()) {
+    return names.status();
+  }
+  FolderFiles files;
+  for (const std::string& name : *names) {
+    if (auto sequence = NumberIn(name, "log-", ".seg")) {
+      files.mSegments.push_back(*sequence);
+    } else if (auto index = NumberIn(name, "snap-", "")) {
+      files.mSnapshots.push_back(*index);
+    }
+  }
+  return files;
+}
+
+absl::Status
+Missing(const std::string& aWhat)
+{
+  return MakeError(ErrorKind::eCorruptData,
+                   StdView(absl::StrCat(aWhat, " is missing")),
+                   "replace this replica: start it with an empty data folder "
+                   "and a new replica id");
+}
+
+// Runs last: the first log segment is created before meta, so a folder with an
+// identity but without a log has lost it.
+absl::Status
+RecoverMeta(DataFolderState& aState, const FolderFiles& aFiles)
+{
+  const std::string path = aState.mPath + "/meta";
+  auto bytes = ReadWholeFile(path);
+  if (bytes.ok()) {
+    auto disk = DecodeMetaFile(*bytes, "meta");
+    if (!disk.ok()) {
+      return disk.status();
+    }
+    aState.mRecovered.mDisk = *disk;
+    return aFiles.mSegments.empty() ? Missing("the log") : absl::OkStatus();
+  }
+  if (KindOf(bytes.status()) != ErrorKind::eNotFound) {
+    return bytes.status();
+  }
+  if (!aState.mHard.mTerm.IsNone() || !aState.mLast.IsNone() ||
+      !aState.mSnapshot.mIndex.IsNone()) {
+    return Missing(path);
+  }
+  std::random_device device;
+  const uint64_t disk = (uint64_t{ device() } << 32 | device()) | 1;
+  aState.mRecovered.mDisk = disk;
+  return ReplaceFile(aState.mPath, "meta", EncodeMetaFile(disk));
+}
+
+// Older snapshots are left over from a crash right after the rename.
+absl::Status
+RecoverSnapshot(DataFolderState& aState, const FolderFiles& aFiles)
+{
+  if (aFiles.mSnapshots.empty()) {
+    return absl::OkStatus();
+  }
+  const std::string name = SnapshotName(LogIndex(aFiles.mSnapshots.back()));
+  auto bytes = ReadWholeFile(aState.mPath + "/" + name);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  auto contents = DecodeSnapshotFile(*bytes, name);
+  if (!contents.ok()) {
+    return contents.status();
+  }
+  aState.mSnapshot = std::move(contents->mMark);
+  aState.mRecoveredState = std::move(contents->mState);
+  for (size_t at = 0; at + 1 < aFiles.mSnapshots.size(); ++at) {
+    const LogIndex index(aFiles.mSnapshots[at]);
+    if (absl::Status status =
+          RemoveFile(aState.mPath + "/" + SnapshotName(index));
+        !status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+// Opens the newest segment for appending. What was read counts as synced from
+// here on, so it is synced now.
+absl::Status
+ContinueSegment(DataFolderState& aState, uint64_t aSequence, uint64_t aLength)
+{
+  OpenSegment& segment = aState.mSegment;
+  segment.mSequence = aSequence;
+  segment.mPath = aState.mPath + "/" + SegmentName(aSequence);
+  auto file = OpenFile(segment.mPath, O_RDWR);
+  if (!file.ok()) {
+    return file.status();
+  }
+  segment.mFile = *std::move(file);
+  if (::ftruncate(segment.mFile.Value(), static_cast<off_t>(aLength)) != 0) {
+    return DiskError("truncating", segment.mPath);
+  }
+  segment.mLength = aLength;
+  aState.mFolderDirty = true;
+  if (absl::Status status = SyncLog(aState); !status.ok()) {
+    return status;
+  }
+  // The record at the start of the segment may be in the part cut off.
+  RaftWrite hard;
+  hard.mHard = aState.mHard;
+  return AppendWrite(aState, hard);
+}
+
+absl::Status
+RecoverSegment(DataFolderState& aState,
+               uint64_t aSequence,
+               bool aLast,
+               std::vector<RaftWrite>& aWrites)
+{
+  const std::string name = SegmentName(aSequence);
+  auto bytes = ReadWholeFile(aState.mPath + "/" + name);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  auto contents = DecodeSegment(*bytes, name, aSequence, aLast);
+  if (!contents.ok()) {
+    return contents.status();
+  }
+  aState.mSegment.mLast = LogIndex();
+  for (RaftWrite& write : contents->mWrites) {
+    TrackWrite(aState, write);
+    aWrites.push_back(std::move(write));
+  }
+  if (!aLast) {
+    aState.mClosed.push_back({ aSequence, aState.mSegment.mLast });
+    return absl::OkStatus();
+  }
+  if (contents->mLength == 0) {
+    return OpenNewSegment(aState, aSequence);
+  }
+  return ContinueSegment(aState, aSequence, contents->mLength);
+}
+
+absl::Status
+RecoverLog(DataFolderState& aState, const FolderFiles& aFiles)
+{
+  const std::vector<uint64_t>& segments = aFiles.mSegments;
+  if (segments.empty()) {
+    return aState.mSnapshot.mIndex.IsNone() ? OpenNewSegment(aState, 1)
+                                            : Missing("the log");
+  }
+  std::vector<RaftWrite> writes;
+  for (size_t at = 0; at < segments.size(); ++at) {
+    if (segments[at] != segments.front() + at) {
+      return Missing(SegmentName(segments.front() + at));
+    }
+    if (absl::Status status = RecoverSegment(
+          aState, segments[at], at + 1 == segments.size(), writes);
+        !status.ok()) {
+      return status;
+    }
+  }
+  auto recovered = ReplayWrites(std::move(writes), aState.mSnapshot);
+  if (!recovered.ok()) {
+    return recovered.status();
+  }
+  aState.mRecovered = *std::move(recovered);
+  const SnapshotMark& mark = aState.mSnapshot;
+  if (!aState.mRecovered.mEntries.empty()) {
+    aState.mTermRuns.emplace(mark.mIndex, mark.mTerm);
+  } else if (!mark.mIndex.IsNone() && !aState.mLast.IsNone()) {
+    // What is left of the log must not stand before the next entries.
+    return ClearLog(aState);
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status
+RecoverFolder(DataFolderState& aState)
+{
+  absl::Status status = CreateFolders(aState);
+  if (status.ok()) {
+    status = TakeLock(aState);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  auto files = ScanFolder(aState);
+  if (!files.ok()) {
+    return files.status();
+  }
+  status = RecoverSnapshot(aState, *files);
+  if (status.ok()) {
+    status = RecoverLog(aState, *files);
+  }
+  if (status.ok()) {
+    status = RecoverMeta(aState, *files);
+  }
+  // Creating or continuing a segment left a record that has to be synced.
+  return status.ok() ? SyncLog(aState) : status;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -0,0 +1,152 @@
+// Snapshots: putting them in place and reading pieces for a transfer.
+
+#include <algorithm>
+
+#include <fcntl.h>
+
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder_state.h"
+
+namespace caraway {
+
+absl::Status
+PlaceSnapshot(DataFolderState& aState,
+              const SnapshotMark& aMark,
+              std::string_view aFileBytes)
+{
+  const LogIndex previous = aState.mSnapshot.mIndex;
+  if (absl::Status status =
+        ReplaceFile(aState.mPath, SnapshotName(aMark.mIndex), aFileBytes);
+      !status.ok()) {
+    return status;
+  }
+  aState.mSnapshot = aMark;
+  if (!previous.IsNone() && previous != aMark.mIndex) {
+    if (absl::Status status =
+          RemoveFile(aState.mPath + "/" + SnapshotName(previous));
+        !status.ok()) {
+      return status;
+    }
+  }
+  return DropCoveredLog(aState);
+}
+
+namespace {
+
+// Reads a piece; false at the end of the file, or where it was removed.
+absl::StatusOr<bool>
+FillPart(DataFolderState& aState,
+         const FileDescriptor& aFile,
+         const std::string& aPath,
+         SnapshotPart& aPart)
+{
+  auto size = SizeOf(aFile, aPath);
+  if (!size.ok()) {
+    return size.status();
+  }
+  auto bytes =
+    ReadAt(aFile, aPath, aPart.mOffset, aState.mSettings.mPartBytes);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  aPart.mBytes = *std::move(bytes);
+  aPart.mFileDone = aPart.mOffset + aPart.mBytes.size() >= *size;
+  return !aPart.mBytes.empty() || aPart.mOffset == 0;
+}
+
+absl::StatusOr<bool>
+FillBlobPart(DataFolderState& aState, SnapshotPart& aPart)
+{
+  auto file = OpenBlob(aState, aPart.mFile, false);
+  if (!file.ok()) {
+    if (KindOf(file.status()) == ErrorKind::eNotFound) {
+      return false;
+    }
+    return file.status();
+  }
+  return FillPart(
+    aState, **file, BlobFolder(aState) + "/" + aPart.mFile, aPart);
+}
+
+absl::StatusOr<SnapshotPart>
+FillStatePart(DataFolderState& aState, SnapshotPart aPart)
+{
+  const std::string path =
+    aState.mPath + "/" + SnapshotName(aState.mSnapshot.mIndex);
+  auto file = OpenFile(path, O_RDONLY);
+  if (!file.ok()) {
+    return file.status();
+  }
+  auto filled = FillPart(aState, *file, path, aPart);
+  if (!filled.ok()) {
+    return filled.status();
+  }
+  aPart.mAllDone = aPart.mFileDone;
+  return aPart;
+}
+
+// The first piece of the file that follows.
+absl::StatusOr<SnapshotPart>
+FillNextFile(DataFolderState& aState, SnapshotPart aPart)
+{
+  auto names = ListFiles(BlobFolder(aState));
+  if (!names.ok()) {
+    return names.status();
+  }
+  aPart.mAfter = aPart.mFile;
+  aPart.mOffset = 0;
+  for (auto at = std::upper_bound(names->begin(), names->end(), aPart.mAfter);
+       at != names->end();
+       ++at) {
+    aPart.mFile = *at;
+    auto filled = FillBlobPart(aState, aPart);
+    if (!filled.ok()) {
+      return filled.status();
+    }
+    if (*filled) {
+      return aPart;
+    }
+  }
+  aPart.mFile = "state";
+  return FillStatePart(aState, std::move(aPart));
+}
+
+} // namespace
+
+absl::StatusOr<SnapshotPart>
+DataFolder::ReadSnapshotPart(const std::string& aFile, uint64_t aOffset)
+{
+  if (mState->mSnapshot.mIndex.IsNone()) {
+    return MakeError(ErrorKind::eNotFound,
+                     "there is no snapshot yet",
+                     "ask again after the first snapshot");
+  }
+  SnapshotPart part;
+  part.mLastIndex = mState->mSnapshot.mIndex;
+  part.mLastTerm = mState->mSnapshot.mTerm;
+  part.mFile = aFile;
+  part.mOffset = aOffset;
+  if (aFile == "state") {
+    return FillStatePart(*mState, std::move(part));
+  }
+  if (!aFile.empty()) {
+    if (absl::Status status = CheckBlobName(aFile); !status.ok()) {
+      return status;
+    }
+    // A file that was sent to its end leads on to the next one, even an empty
+    // one.
+    if (aOffset > 0) {
+      auto filled = FillBlobPart(*mState, part);
+      if (!filled.ok()) {
+        return filled.status();
+      }
+      if (*filled) {
+        return part;
+      }
+    }
+  }
+  return FillNextFile(*mState, std::move(part));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/data_folder_transfer.cpp
@@ -0,0 +1,145 @@
+// Receiving a snapshot in pieces.
+
+#include <filesystem>
+
+#include <fcntl.h>
+
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder_state.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kPartName = "snap.part";
+
+std::string
+PartPath(const DataFolderState& aState)
+{
+  return aState.mPath + "/" + kPartName;
+}
+
+bool
+IsSameSnapshot(const IncomingSnapshot& aIncoming, const SnapshotPart& aPart)
+{
+  return !aIncoming.mIndex.IsNone() && aIncoming.mIndex == aPart.mLastIndex &&
+         aIncoming.mTerm == aPart.mLastTerm;
+}
+
+// Whether the piece follows what is held. Starts a transfer where it is the
+// first piece of another snapshot.
+bool
+Continues(DataFolderState& aState, const SnapshotPart& aPart)
+{
+  IncomingSnapshot& incoming = aState.mIncoming;
+  if (!IsSameSnapshot(incoming, aPart)) {
+    if (aPart.mOffset != 0 || !aPart.mAfter.empty()) {
+      return false;
+    }
+    incoming = IncomingSnapshot{};
+    incoming.mIndex = aPart.mLastIndex;
+    incoming.mTerm = aPart.mLastTerm;
+    return true;
+  }
+  if (aPart.mFile == incoming.mFile && aPart.mOffset > 0) {
+    return aPart.mOffset == incoming.mOffset;
+  }
+  return aPart.mOffset == 0 && incoming.mFileDone &&
+         aPart.mAfter == incoming.mFile;
+}
+
+absl::Status
+WritePart(DataFolderState& aState, const SnapshotPart& aPart)
+{
+  if (aPart.mFile != "state") {
+    aState.mIncoming.mBlobs.insert(aPart.mFile);
+    return WriteBlobBytes(aState, aPart.mFile, aPart.mOffset, aPart.mBytes);
+  }
+  const int flags = O_RDWR | O_CREAT | (aPart.mOffset == 0 ? O_TRUNC : 0);
+  auto file = OpenFile(PartPath(aState), flags);
+  if (!file.ok()) {
+    return file.status();
+  }
+  return WriteAt(*file, PartPath(aState), aPart.mOffset, aPart.mBytes);
+}
+
+// Blobs that the snapshot does not know were removed by commands that the log
+// of this replica no longer brings.
+absl::Status
+RemoveOtherBlobs(DataFolderState& aState)
+{
+  auto names = ListFiles(BlobFolder(aState));
+  if (!names.ok()) {
+    return names.status();
+  }
+  for (const std::string& name : *names) {
+    if (aState.mIncoming.mBlobs.contains(name)) {
+      continue;
+    }
+    if (absl::Status status = RemoveBlobFile(aState, name); !status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+Complete(DataFolderState& aState, StoredSnapshotPart& aStored)
+{
+  auto bytes = ReadWholeFile(PartPath(aState));
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  auto contents = DecodeSnapshotFile(*bytes, kPartName);
+  if (!contents.ok() || contents->mMark.mIndex != aState.mIncoming.mIndex) {
+    // Pieces of two senders need not fit together; the transfer starts anew.
+    aState.mIncoming = IncomingSnapshot{};
+    return absl::OkStatus();
+  }
+  absl::Status status = SyncBlobs(aState);
+  if (status.ok()) {
+    status = PlaceSnapshot(aState, contents->mMark, *bytes);
+  }
+  if (status.ok()) {
+    status = RemoveOtherBlobs(aState);
+  }
+  if (status.ok()) {
+    status = RemoveFile(PartPath(aState));
+  }
+  aState.mIncoming = IncomingSnapshot{};
+  aStored.mMark = std::move(contents->mMark);
+  aStored.mState = std::move(contents->mState);
+  return status;
+}
+
+} // namespace
+
+absl::StatusOr<StoredSnapshotPart>
+StorePart(DataFolderState& aState, const SnapshotPart& aPart)
+{
+  StoredSnapshotPart stored;
+  stored.mReply.mLastIndex = aPart.mLastIndex;
+  IncomingSnapshot& incoming = aState.mIncoming;
+  if (Continues(aState, aPart)) {
+    if (absl::Status status = WritePart(aState, aPart); !status.ok()) {
+      return status;
+    }
+    incoming.mFile = aPart.mFile;
+    incoming.mOffset = aPart.mOffset + aPart.mBytes.size();
+    incoming.mFileDone = aPart.mFileDone;
+    if (aPart.mAllDone) {
+      if (absl::Status status = Complete(aState, stored); !status.ok()) {
+        return status;
+      }
+      stored.mReply.mInstalled = !stored.mMark.mIndex.IsNone();
+    }
+  }
+  if (IsSameSnapshot(incoming, aPart)) {
+    stored.mReply.mFile = incoming.mFile;
+    stored.mReply.mNextOffset = incoming.mOffset;
+  }
+  return stored;
+}
+
+} // namespace caraway
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -58,6 +58,7 @@
            aValue.mLastIndex,
            aValue.mLastTerm,
            aValue.mFile,
+           aValue.mAfter,
            aValue.mOffset,
            aValue.mBytes,
            aValue.mFileDone,
