--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -58,6 +58,7 @@
            aValue.mLastIndex,
            aValue.mLastTerm,
            aValue.mFile,
+           aValue.mAfter,
            aValue.mOffset,
            aValue.mBytes,
            aValue.mFileDone,
@@ -81,7 +82,7 @@
 void
 serialize(Archive& aArchive, RaftMessage& aValue)
 {
-  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mBody);
+  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mDisk, aValue.mBody);
 }
 
 template<class Archive>
