--- /dev/null
+++ b/caraway/control/apply_entries.cpp
@@ -0,0 +1,163 @@
+// Committed entries: durable state, effects, leader's soft state, answers.
+
+#include "absl/strings/str_cat.h"
+#include "caraway/admission/grantor.h"
+#include "caraway/base/absl_view.h"
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+namespace {
+
+void
+SendRevocations(ControlStep& aStep, const JobRevokedEffect& aRevoked)
+{
+  const auto& members = aStep.mControl.mState.mConfig.mView.mMembers;
+  for (const InstanceId& node : aRevoked.mNodes) {
+    auto member = members.find(node);
+    if (member != members.end()) {
+      Send(aStep,
+           member->second.mAddress,
+           ItemsRevoked{ GroupId(), aRevoked.mJob });
+    }
+  }
+}
+
+// Every replica writes the blobs; only the leader talks to nodes.
+void
+CarryOut(ControlStep& aStep, std::vector<LedgerEffect>& aEffects)
+{
+  for (LedgerEffect& effect : aEffects) {
+    if (auto* write = std::get_if<BlobWriteEffect>(&effect)) {
+      aStep.mOut.emplace_back(WriteBlob{
+        std::move(write->mName), write->mOffset, std::move(write->mBytes) });
+    } else if (auto* remove = std::get_if<BlobRemoveEffect>(&effect)) {
+      aStep.mOut.emplace_back(RemoveBlob{ std::move(remove->mName) });
+    } else if (auto* leased = std::get_if<ItemsLeasedEffect>(&effect)) {
+      aStep.mControl.mCounters.mItemsLeased += leased->mItems.size();
+    } else if (auto* revoked = std::get_if<JobRevokedEffect>(&effect)) {
+      if (IsLeader(aStep.mControl.mRaft)) {
+        SendRevocations(aStep, *revoked);
+      }
+    }
+  }
+}
+
+// The proposal made by this leader for the entry, if it is this very entry.
+// Others at or below the index are lost.
+std::optional<Proposal>
+TakeProposal(ControlStep& aStep, LogIndex aIndex, Term aTerm)
+{
+  auto& proposals = aStep.mControl.mLeadership.mProposals;
+  std::optional<Proposal> taken;
+  while (!proposals.empty() && proposals.begin()->first <= aIndex) {
+    auto first = proposals.extract(proposals.begin());
+    if (first.key() == aIndex && first.mapped().mTerm == aTerm) {
+      taken = std::move(first.mapped());
+    } else {
+      FailProposal(aStep, first.mapped().mWaiting);
+    }
+  }
+  return taken;
+}
+
+struct Before
+{
+  Revision mRevision;
+  LogIndex mIndex;
+};
+
+// Carries the change over to sessions, grants and in-force tracking.
+void
+UpdateSoftState(ControlStep& aStep,
+                const Before& aBefore,
+                const CommandOutcome& aOutcome,
+                const ControlCommand& aCommand,
+                bool aLeft)
+{
+  Leadership& leadership = aStep.mControl.mLeadership;
+  if (!leadership.mStarted) {
+    return;
+  }
+  for (const EndedSession& ended : aOutcome.mEnded) {
+    SessionEnded(leadership.mSessions,
+                 aStep.mNow,
+                 ended.mInstance,
+                 ended.mEpoch,
+                 aLeft && !ended.mReplaced);
+    GrantorSessionEnded(leadership.mGrantor, ended.mInstance, ended.mEpoch);
+    aStep.mControl.mCounters.mRemoved += ended.mReplaced || aLeft ? 0 : 1;
+  }
+  const auto* registered = std::get_if<RegisterResult>(&aOutcome.mReply);
+  if (registered != nullptr &&
+      registered->mEpoch == Epoch(aBefore.mIndex.mValue)) {
+    SessionStarted(leadership.mSessions,
+                   aStep.mNow,
+                   std::get<RegisterMember>(aCommand.mBody).mMember.mInstance,
+                   registered->mEpoch);
+  }
+  const Revision newest = aStep.mControl.mState.mConfig.mView.mRevision;
+  if (newest != aBefore.mRevision) {
+    RevisionApplied(leadership.mSessions, aStep.mNow, newest);
+  }
+}
+
+void
+ApplyCommandEntry(ControlStep& aStep,
+                  const LogEntry& aEntry,
+                  std::optional<Proposal> aProposal)
+{
+  Control& control = aStep.mControl;
+  absl::StatusOr<ControlCommand> command = DecodeCommand(aEntry.mPayload);
+  if (!command.ok()) {
+    control.mHalted = true;
+    aStep.mOut.emplace_back(Halt{ absl::StrCat("log entry ",
+                                               aEntry.mIndex.mValue,
+                                               " cannot be decoded: ",
+                                               command.status().message()) });
+    return;
+  }
+  const Before before{ control.mState.mConfig.mView.mRevision, aEntry.mIndex };
+  CommandOutcome outcome =
+    ApplyCommand(control.mState, aEntry.mIndex, *command);
+  const bool left =
+    aProposal && std::holds_alternative<WaitingLeave>(aProposal->mWaiting);
+  UpdateSoftState(aStep, before, outcome, *command, left);
+  CarryOut(aStep, outcome.mEffects);
+  if (aProposal) {
+    AnswerProposal(aStep, aProposal->mWaiting, std::move(outcome.mReply));
+  }
+}
+
+} // namespace
+
+void
+ApplyEntries(ControlStep& aStep, const std::vector<LogEntry>& aEntries)
+{
+  Control& control = aStep.mControl;
+  for (const LogEntry& entry : aEntries) {
+    if (control.mHalted) {
+      return;
+    }
+    // An installed snapshot may already contain the entry.
+    if (entry.mIndex <= control.mState.mApplied) {
+      continue;
+    }
+    std::optional<Proposal> proposal =
+      TakeProposal(aStep, entry.mIndex, entry.mTerm);
+    control.mAppliedTerm = entry.mTerm;
+    if (entry.mKind == LogEntryKind::eCommand) {
+      ApplyCommandEntry(aStep, entry, std::move(proposal));
+    } else {
+      control.mState.mApplied = entry.mIndex;
+      if (entry.mKind == LogEntryKind::eMembership) {
+        control.mAppliedReplicas = ReplicasOf(control.mRaft);
+      }
+      if (proposal) {
+        AnswerProposal(aStep, proposal->mWaiting, {});
+      }
+    }
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/command.cpp
@@ -0,0 +1,175 @@
+// Applying commands to the durable state.
+
+#include "caraway/control/command.h"
+
+#include <algorithm>
+
+#include "caraway/ledger/ledger.h"
+
+namespace caraway {
+
+namespace {
+
+struct Applier
+{
+  ControlState& mState;
+  LogIndex mIndex;
+  const ControlCommand& mCommand;
+  CommandOutcome& mOutcome;
+
+  void End(const InstanceId& aInstance, Epoch aEpoch, bool aReplaced)
+  {
+    ApplySessionEnd(mState.mLedger,
+                    mIndex,
+                    mState.mLogical,
+                    aInstance,
+                    aEpoch,
+                    mOutcome.mEffects);
+    mOutcome.mEnded.push_back({ aInstance, aEpoch, aReplaced });
+  }
+
+  bool Current(const InstanceId& aInstance, Epoch aEpoch) const
+  {
+    return IsCurrentSession(mState.mConfig.mView, aInstance, aEpoch);
+  }
+
+  void operator()(const ConfigOperation& aOperation)
+  {
+    mOutcome.mReply = ApplyOperation(mState.mConfig, aOperation);
+  }
+
+  void operator()(const RegisterMember& aRegister)
+  {
+    const InstanceId& instance = aRegister.mMember.mInstance;
+    const auto& members = mState.mConfig.mView.mMembers;
+    auto present = members.find(instance);
+    if (present != members.end()) {
+      if (present->second.mIncarnation == aRegister.mMember.mIncarnation) {
+        mOutcome.mReply = RegisterResult{ present->second.mEpoch };
+        return;
+      }
+      auto replaced = mState.mReplaced.find(instance);
+      if (replaced != mState.mReplaced.end() &&
+          replaced->second == aRegister.mMember.mIncarnation) {
+        mOutcome.mReply = RegisterResult{};
+        return;
+      }
+      mState.mReplaced[instance] = present->second.mIncarnation;
+      End(instance, present->second.mEpoch, true);
+    }
+    Member member = aRegister.mMember;
+    member.mEpoch = Epoch(mIndex.mValue);
+    AppendChange(mState.mConfig, SetMember{ std::move(member) });
+    mOutcome.mReply = RegisterResult{ Epoch(mIndex.mValue) };
+  }
+
+  void operator()(const UpdateMember& aUpdate)
+  {
+    if (!Current(aUpdate.mInstance, aUpdate.mEpoch)) {
+      return;
+    }
+    Member member = mState.mConfig.mView.mMembers.at(aUpdate.mInstance);
+    if (member.mTarget == aUpdate.mTarget &&
+        member.mDraining == aUpdate.mDraining) {
+      return;
+    }
+    member.mTarget = aUpdate.mTarget;
+    member.mDraining = aUpdate.mDraining;
+    AppendChange(mState.mConfig, SetMember{ std::move(member) });
+  }
+
+  void operator()(const EndSession& aEnd)
+  {
+    if (!Current(aEnd.mInstance, aEnd.mEpoch)) {
+      return;
+    }
+    AppendChange(mState.mConfig, RemoveMember{ aEnd.mInstance, aEnd.mEpoch });
+    mState.mReplaced.erase(aEnd.mInstance);
+    End(aEnd.mInstance, aEnd.mEpoch, false);
+  }
+
+  void operator()(const ControlCall& aCall)
+  {
+    if (!Current(aCall.mEntry, aCall.mEntryEpoch)) {
+      mOutcome.mReply =
+        CallReplyBody(CallFailed{ ErrorKind::eStaleEpoch,
+                                  "the session of the entry has ended; the "
+                                  "entry registers and calls again" });
+      return;
+    }
+    mOutcome.mReply = ApplyCall(mState.mLedger,
+                                mIndex,
+                                mState.mLogical,
+                                mCommand.mUnixSeconds,
+                                aCall,
+                                mOutcome.mEffects);
+  }
+
+  // An ended session must get no lease: nothing would ever free its items.
+  void operator()(const LeaseItems& aLease)
+  {
+    if (!Current(aLease.mNode, aLease.mNodeEpoch)) {
+      ItemBatch none;
+      none.mGroup = aLease.mGroup;
+      none.mNodeEpoch = aLease.mNodeEpoch;
+      none.mSequence = aLease.mSequence;
+      none.mRetryAfter = Seconds(1);
+      mOutcome.mReply = none;
+      return;
+    }
+    mOutcome.mReply =
+      ApplyLease(mState.mLedger, mIndex, mState.mLogical, aLease);
+  }
+
+  void operator()(const ItemResults& aResults)
+  {
+    if (!Current(aResults.mNode, aResults.mNodeEpoch)) {
+      mOutcome.mReply = ItemResultsAck{
+        aResults.mGroup, aResults.mNodeEpoch, aResults.mSequence, true
+      };
+      return;
+    }
+    mOutcome.mReply = ApplyResults(mState.mLedger,
+                                   mIndex,
+                                   mState.mLogical,
+                                   mCommand.mUnixSeconds,
+                                   aResults,
+                                   mOutcome.mEffects);
+  }
+
+  void operator()(const LedgerTick& aTick)
+  {
+    ApplyLedgerTick(mState.mLedger,
+                    mIndex,
+                    mState.mLogical,
+                    mCommand.mUnixSeconds,
+                    aTick.mResultRetention,
+                    aTick.mClaimRetention,
+                    mOutcome.mEffects);
+  }
+};
+
+} // namespace
+
+CommandOutcome
+ApplyCommand(ControlState& aState,
+             LogIndex aIndex,
+             const ControlCommand& aCommand)
+{
+  CommandOutcome outcome;
+  aState.mLogical = std::max(aState.mLogical, aCommand.mLogical);
+  std::visit(Applier{ aState, aIndex, aCommand, outcome }, aCommand.mBody);
+  aState.mApplied = aIndex;
+  return outcome;
+}
+
+bool
+IsCurrentSession(const ConfigView& aView,
+                 const InstanceId& aInstance,
+                 Epoch aEpoch)
+{
+  auto member = aView.mMembers.find(aInstance);
+  return member != aView.mMembers.end() && member->second.mEpoch == aEpoch;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/command_codec.cpp
@@ -0,0 +1,183 @@
+// The codec of commands and of the durable state in snapshots.
+
+#include <algorithm>
+
+#include "caraway/control/command.h"
+#include "caraway/ledger/ledger.h"
+#include "caraway/wire/codec.h"
+#include "caraway/wire/serialize_messages.h"
+
+namespace caraway {
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigOperation& aValue)
+{
+  aArchive(aValue.mId, aValue.mFingerprint, aValue.mExpected, aValue.mChange);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, OperationResult& aValue)
+{
+  aArchive(aValue.mError,
+           aValue.mMessage,
+           aValue.mRevision,
+           aValue.mFingerprint,
+           aValue.mObject);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RegisterMember& aValue)
+{
+  aArchive(aValue.mMember);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, UpdateMember& aValue)
+{
+  aArchive(aValue.mInstance, aValue.mEpoch, aValue.mTarget, aValue.mDraining);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, EndSession& aValue)
+{
+  aArchive(aValue.mInstance, aValue.mEpoch);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LedgerTick& aValue)
+{
+  aArchive(aValue.mResultRetention, aValue.mClaimRetention);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ControlCommand& aValue)
+{
+  aArchive(aValue.mLogical, aValue.mUnixSeconds, aValue.mBody);
+}
+
+namespace {
+
+constexpr uint32_t kStateVersion = 1;
+
+// The durable state in the form that is stored. The configuration is stored as
+// the changes that rebuild it.
+struct StoredState
+{
+  uint32_t mVersion = kStateVersion;
+  LogIndex mApplied;
+  MonoTime mLogical;
+  Revision mRevision;
+  std::vector<ConfigChange> mConfig;
+  std::map<std::string, Revision> mObjectRevisions;
+  std::deque<RevisedChange> mRecent;
+  std::vector<std::pair<OperationId, OperationResult>> mOperations;
+  std::map<InstanceId, uint64_t> mReplaced;
+  std::string mLedger;
+};
+
+template<class Archive>
+void
+serialize(Archive& aArchive, StoredState& aValue)
+{
+  aArchive(aValue.mVersion,
+           aValue.mApplied,
+           aValue.mLogical,
+           aValue.mRevision,
+           aValue.mConfig,
+           aValue.mObjectRevisions,
+           aValue.mRecent,
+           aValue.mOperations,
+           aValue.mReplaced,
+           aValue.mLedger);
+}
+
+absl::Status
+RestoreConfig(StoredState& aStored, ConfigHistory& aHistory)
+{
+  absl::Status restored =
+    ApplySnapshot(aHistory.mView, aStored.mRevision, aStored.mConfig);
+  if (!restored.ok()) {
+    return restored;
+  }
+  aHistory.mView.mRevision = aStored.mRevision;
+  aHistory.mView.mObjectRevisions = std::move(aStored.mObjectRevisions);
+  aHistory.mRecent = std::move(aStored.mRecent);
+  for (auto& [id, result] : aStored.mOperations) {
+    aHistory.mOperationOrder.push_back(id);
+    aHistory.mOperations.emplace(id, std::move(result));
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+std::string
+EncodeCommand(const ControlCommand& aCommand)
+{
+  return EncodeWith(aCommand);
+}
+
+absl::StatusOr<ControlCommand>
+DecodeCommand(std::string_view aBytes)
+{
+  return DecodeWith<ControlCommand>(aBytes);
+}
+
+std::string
+EncodeControlState(const ControlState& aState)
+{
+  const ConfigHistory& config = aState.mConfig;
+  StoredState stored;
+  stored.mApplied = aState.mApplied;
+  stored.mLogical = aState.mLogical;
+  stored.mRevision = config.mView.mRevision;
+  stored.mConfig = SnapshotChanges(config.mView, ConfigScope::eAll);
+  stored.mObjectRevisions = config.mView.mObjectRevisions;
+  stored.mRecent = config.mRecent;
+  for (const OperationId& id : config.mOperationOrder) {
+    stored.mOperations.emplace_back(id, config.mOperations.at(id));
+  }
+  stored.mReplaced = aState.mReplaced;
+  stored.mLedger = EncodeLedger(aState.mLedger);
+  return EncodeWith(stored);
+}
+
+absl::StatusOr<ControlState>
+DecodeControlState(std::string_view aBytes)
+{
+  ControlState state;
+  if (aBytes.empty()) {
+    return state;
+  }
+  absl::StatusOr<StoredState> stored = DecodeWith<StoredState>(aBytes);
+  if (!stored.ok()) {
+    return stored.status();
+  }
+  if (stored->mVersion != kStateVersion) {
+    return MakeError(ErrorKind::eCorruptData,
+                     "the snapshot has an unknown version",
+                     "start the version that wrote it");
+  }
+  absl::StatusOr<Ledger> ledger = DecodeLedger(stored->mLedger);
+  if (!ledger.ok()) {
+    return ledger.status();
+  }
+  state.mLedger = *std::move(ledger);
+  state.mApplied = stored->mApplied;
+  state.mLogical = stored->mLogical;
+  state.mReplaced = std::move(stored->mReplaced);
+  absl::Status restored = RestoreConfig(*stored, state.mConfig);
+  if (!restored.ok()) {
+    return restored;
+  }
+  return state;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/config_polls.cpp
@@ -0,0 +1,171 @@
+// Deltas, snapshot parts and long polls.
+
+#include "caraway/control/config_polls.h"
+
+#include <algorithm>
+
+#include "caraway/wire/messages.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kPartLimit = 240 * 1024; // leaves room for the frame's fields
+
+Message
+MakeDelta(const ConfigHistory& aHistory, const ConfigFetch& aFetch)
+{
+  ConfigDelta delta;
+  delta.mFrom = aFetch.mHeld;
+  delta.mTo = aFetch.mHeld;
+  auto change =
+    std::upper_bound(aHistory.mRecent.begin(),
+                     aHistory.mRecent.end(),
+                     aFetch.mHeld,
+                     [](Revision aHeld, const RevisedChange& aChange) {
+                       return aHeld < aChange.mRevision;
+                     });
+  size_t bytes = 0;
+  for (; change != aHistory.mRecent.end(); ++change) {
+    if (InScope(change->mChange, aFetch.mScope)) {
+      bytes += EncodeChange(change->mChange).size() + sizeof(Revision);
+      if (bytes > kPartLimit && !delta.mChanges.empty()) {
+        break;
+      }
+      delta.mChanges.push_back(*change);
+    }
+    delta.mTo = change->mRevision;
+  }
+  return delta;
+}
+
+// Replicas must hand out the same order at the same revision, since a holder
+// may fetch the parts of one snapshot from several of them.
+void
+SortChanges(std::vector<ConfigChange>& aChanges)
+{
+  std::vector<std::pair<std::string, size_t>> order;
+  order.reserve(aChanges.size());
+  for (size_t at = 0; at < aChanges.size(); ++at) {
+    order.emplace_back(ObjectName(aChanges[at]), at);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<ConfigChange> sorted;
+  sorted.reserve(aChanges.size());
+  for (const auto& [name, at] : order) {
+    sorted.push_back(std::move(aChanges[at]));
+  }
+  aChanges = std::move(sorted);
+}
+
+// The snapshot to hand out: the cached one while deltas lead on from it.
+CachedSnapshot&
+PrepareSnapshot(ConfigPolls& aPolls,
+                const ConfigHistory& aHistory,
+                ConfigScope aScope)
+{
+  CachedSnapshot& cached = aPolls.mSnapshots[aScope];
+  if (cached.mRevision.IsNone() ||
+      !HasChangesSince(aHistory, cached.mRevision)) {
+    cached.mRevision = aHistory.mView.mRevision;
+    cached.mChanges = SnapshotChanges(aHistory.mView, aScope);
+    SortChanges(cached.mChanges);
+  }
+  return cached;
+}
+
+Message
+MakeSnapshotPart(ConfigPolls& aPolls,
+                 MonoTime aNow,
+                 const ConfigHistory& aHistory,
+                 const ConfigFetch& aFetch)
+{
+  CachedSnapshot& cached = PrepareSnapshot(aPolls, aHistory, aFetch.mScope);
+  cached.mLastUsed = aNow;
+  ConfigSnapshotPart part;
+  part.mRevision = cached.mRevision;
+  if (aFetch.mSnapshotRevision == cached.mRevision) {
+    part.mOffset =
+      std::min<uint64_t>(aFetch.mSnapshotOffset, cached.mChanges.size());
+  }
+  size_t bytes = 0;
+  size_t at = part.mOffset;
+  for (; at < cached.mChanges.size(); ++at) {
+    bytes += EncodeChange(cached.mChanges[at]).size();
+    if (bytes > kPartLimit && !part.mChanges.empty()) {
+      break;
+    }
+    part.mChanges.push_back(cached.mChanges[at]);
+  }
+  part.mLast = at == cached.mChanges.size();
+  return part;
+}
+
+bool
+IsBehind(const ConfigHistory& aHistory, const ConfigFetch& aFetch)
+{
+  return aFetch.mHeld < aHistory.mView.mRevision;
+}
+
+SendMessage
+Answer(ConfigPolls& aPolls,
+       MonoTime aNow,
+       const ConfigHistory& aHistory,
+       const PeerAddress& aTo,
+       const ConfigFetch& aFetch)
+{
+  if (IsBehind(aHistory, aFetch) && !HasChangesSince(aHistory, aFetch.mHeld)) {
+    ++aPolls.mSnapshotParts;
+    return { aTo, MakeSnapshotPart(aPolls, aNow, aHistory, aFetch) };
+  }
+  aPolls.mDeltas += IsBehind(aHistory, aFetch) ? 1 : 0;
+  return { aTo, MakeDelta(aHistory, aFetch) };
+}
+
+} // namespace
+
+std::vector<SendMessage>
+HandleConfigFetch(ConfigPolls& aPolls,
+                  MonoTime aNow,
+                  const ConfigHistory& aHistory,
+                  const PeerAddress& aFrom,
+                  const ConfigFetch& aFetch)
+{
+  aPolls.mPolls.erase(aFrom);
+  if (IsBehind(aHistory, aFetch)) {
+    return { Answer(aPolls, aNow, aHistory, aFrom, aFetch) };
+  }
+  aPolls.mPolls[aFrom] = { aFetch, aNow + kPollLength };
+  return {};
+}
+
+std::vector<SendMessage>
+AnswerPolls(ConfigPolls& aPolls, MonoTime aNow, const ConfigHistory& aHistory)
+{
+  std::vector<SendMessage> answers;
+  for (auto poll = aPolls.mPolls.begin(); poll != aPolls.mPolls.end();) {
+    const ConfigFetch& fetch = poll->second.mFetch;
+    if (poll->second.mDue > aNow && !IsBehind(aHistory, fetch)) {
+      ++poll;
+      continue;
+    }
+    answers.push_back(Answer(aPolls, aNow, aHistory, poll->first, fetch));
+    poll = aPolls.mPolls.erase(poll);
+  }
+  std::erase_if(aPolls.mSnapshots, [&](const auto& aCached) {
+    return aCached.second.mLastUsed + kSnapshotKept <= aNow;
+  });
+  return answers;
+}
+
+MonoTime
+NextPollDue(const ConfigPolls& aPolls)
+{
+  MonoTime due = kNever;
+  for (const auto& [from, poll] : aPolls.mPolls) {
+    due = std::min(due, poll.mDue);
+  }
+  return due;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/control.cpp
@@ -0,0 +1,209 @@
+// The control role as one state machine: start, events, wakeups.
+
+#include "caraway/control/control.h"
+
+#include <algorithm>
+#include <type_traits>
+
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+namespace {
+
+// How long a stopping replica waits for proposals to be answered.
+constexpr Duration kStopLimit = Seconds(2);
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const ConfigFetch& aFetch)
+{
+  for (SendMessage& answer : HandleConfigFetch(aStep.mControl.mPolls,
+                                               aStep.mNow,
+                                               aStep.mControl.mState.mConfig,
+                                               aFrom,
+                                               aFetch)) {
+    aStep.mOut.emplace_back(std::move(answer));
+  }
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress&,
+              const RaftMessage& aMessage)
+{
+  RaftReceive(aStep.mControl.mRaft, aStep.mNow, aMessage, aStep.mRaft);
+}
+
+// Messages that are not for control are ignored.
+template<class T>
+constexpr bool kForControl =
+  std::is_same_v<T, RaftMessage> || std::is_same_v<T, Register> ||
+  std::is_same_v<T, Renew> || std::is_same_v<T, ConfigFetch> ||
+  std::is_same_v<T, Leave> || std::is_same_v<T, GrantRequest> ||
+  std::is_same_v<T, LeaseItems> || std::is_same_v<T, ItemResults> ||
+  std::is_same_v<T, ControlCall>;
+
+struct EventHandler
+{
+  ControlStep& mStep;
+
+  void operator()(const Wakeup&) const
+  {
+    RaftWakeup(mStep.mControl.mRaft, mStep.mNow, mStep.mRaft);
+  }
+
+  void operator()(const MessageReceived& aEvent) const
+  {
+    std::visit(
+      [&](const auto& aMessage) {
+        if constexpr (kForControl<std::decay_t<decltype(aMessage)>>) {
+          HandleMessage(mStep, aEvent.mFrom, aMessage);
+        }
+      },
+      aEvent.mMessage);
+  }
+
+  void operator()(const PeerLost& aEvent) const
+  {
+    mStep.mControl.mPolls.mPolls.erase(aEvent.mPeer);
+  }
+
+  void operator()(const HttpRequest& aEvent) const
+  {
+    HandleHttp(mStep, aEvent);
+  }
+
+  // The write goes on; only its answer is no longer wanted.
+  void operator()(const HttpClosed& aEvent) const
+  {
+    for (auto& [index, proposal] : mStep.mControl.mLeadership.mProposals) {
+      const auto* write = std::get_if<WaitingWrite>(&proposal.mWaiting);
+      const auto* change = std::get_if<WaitingReplicas>(&proposal.mWaiting);
+      if ((write != nullptr && write->mCall == aEvent.mCall) ||
+          (change != nullptr && change->mCall == aEvent.mCall)) {
+        proposal.mWaiting = std::monostate{};
+      }
+    }
+  }
+
+  void operator()(const BlobRead& aEvent) const
+  {
+    HandleBlobRead(mStep, aEvent);
+  }
+
+  void operator()(const StopRequested&) const
+  {
+    if (!mStep.mControl.mStopping) {
+      mStep.mControl.mStopping = true;
+      mStep.mControl.mStopBy = mStep.mNow + kStopLimit;
+    }
+  }
+
+  template<class T>
+  void operator()(const T& aEvent) const
+  {
+    HandleRaftEvent(mStep, aEvent);
+  }
+};
+
+void
+AnswerDuePolls(ControlStep& aStep)
+{
+  for (SendMessage& answer : AnswerPolls(
+         aStep.mControl.mPolls, aStep.mNow, aStep.mControl.mState.mConfig)) {
+    aStep.mOut.emplace_back(std::move(answer));
+  }
+}
+
+void
+FinishStop(ControlStep& aStep)
+{
+  Control& control = aStep.mControl;
+  if (!control.mStopping || control.mStopped) {
+    return;
+  }
+  if (control.mLeadership.mProposals.empty() || aStep.mNow >= control.mStopBy) {
+    control.mStopped = true;
+    aStep.mOut.emplace_back(Stopped{});
+  }
+}
+
+} // namespace
+
+absl::StatusOr<Control>
+MakeControl(const ControlSettings& aSettings,
+            RaftRecovered aRecovered,
+            const std::string& aState,
+            MonoTime aNow,
+            int64_t /*aUnixSeconds*/)
+{
+  absl::StatusOr<ControlState> state = DecodeControlState(aState);
+  if (!state.ok()) {
+    return state.status();
+  }
+  Control control;
+  control.mSettings = aSettings;
+  control.mState = *std::move(state);
+  control.mState.mApplied = aRecovered.mSnapshot.mIndex;
+  control.mAppliedTerm = aRecovered.mSnapshot.mTerm;
+  control.mAppliedReplicas = aRecovered.mSnapshot.mIndex.IsNone()
+                               ? aSettings.mInitialReplicas
+                               : aRecovered.mSnapshot.mReplicas;
+  control.mRaft = MakeRaft(aSettings.mRaft,
+                           GroupId(),
+                           aSettings.mReplica,
+                           std::move(aRecovered),
+                           aSettings.mInitialReplicas,
+                           aSettings.mSeed,
+                           aNow);
+  return control;
+}
+
+void
+StepControl(Control& aControl,
+            MonoTime aNow,
+            int64_t aUnixSeconds,
+            const ControlEvent& aEvent,
+            std::vector<ControlAction>& aOut)
+{
+  ControlStep step{ aControl, aNow, aUnixSeconds, aOut, {} };
+  if (aControl.mHalted) {
+    if (const auto* request = std::get_if<HttpRequest>(&aEvent)) {
+      HandleHttp(step, *request);
+    }
+    return;
+  }
+  const Revision before = aControl.mState.mConfig.mView.mRevision;
+  std::visit(EventHandler{ step }, aEvent);
+  RunRaftActions(step);
+  UpdateLeadership(step);
+  RunLeaderDuties(step);
+  RunRaftActions(step);
+  UpdateLeadership(step);
+  const bool changed = aControl.mState.mConfig.mView.mRevision != before;
+  if (changed || NextPollDue(aControl.mPolls) <= aNow) {
+    AnswerDuePolls(step);
+  }
+  FinishStop(step);
+}
+
+MonoTime
+NextWakeup(const Control& aControl)
+{
+  if (aControl.mHalted) {
+    return kNever;
+  }
+  MonoTime next =
+    std::min(NextWakeup(aControl.mRaft), NextPollDue(aControl.mPolls));
+  if (aControl.mLeadership.mStarted) {
+    next = std::min(next, aControl.mLeadership.mNextScan);
+  }
+  if (aControl.mStopping && !aControl.mStopped) {
+    next = std::min(next, aControl.mStopBy);
+  }
+  return next;
+}
+
+} // namespace caraway
--- a/caraway/control/control_settings.h
+++ b/caraway/control/control_settings.h
@@ -17,7 +17,10 @@
   PeerAddress mAddress;             // advertised peer address
   ReplicaSet mInitialReplicas;      // only read when the data folder is empty
   std::string mOperatorTokenDigest; // hex SHA-256 of the operators' token
-  uint64_t mSeed = 1;
+  uint64_t mSeed = 1;               // elections
+  std::string mKeySeed; // 32 bytes from the system's random source, drawn at
+                        // every start; keys are derived from it, so it is
+                        // secret; empty allows no new keys
   RaftSettings mRaft;
   Duration mConfigLease = Seconds(3);
   Duration mRemovalGrace = Seconds(2); // after a lease ran out
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -1,13 +1,133 @@
 #pragma once
-// The state of the control role.
+// The state of the control role: the agreed log, the durable state built from
+// it, and the soft state of the leader.
 
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+
+#include "caraway/admission/grantor_state.h"
+#include "caraway/base/http.h"
+#include "caraway/consensus/raft_state.h"
+#include "caraway/control/blob_fetch.h"
+#include "caraway/control/command.h"
+#include "caraway/control/config_polls.h"
 #include "caraway/control/control_settings.h"
+#include "caraway/membership/sessions.h"
 
 namespace caraway {
 
+// What to do once a proposed entry is applied. A proposal is answered only if
+// the entry applied at its index has the same term.
+
+struct WaitingRegister
+{
+  PeerAddress mFrom;
+  InstanceId mInstance;
+  uint64_t mIncarnation = 0;
+  int64_t mSentAt = 0;
+};
+
+struct WaitingLeave
+{
+  PeerAddress mFrom;
+  InstanceId mInstance;
+  Epoch mEpoch;
+};
+
+struct WaitingWrite
+{
+  HttpCallId mCall;
+  std::string mKeyText; // of a key being created; shown once
+};
+
+struct WaitingReplicas
+{
+  HttpCallId mCall;
+};
+
+struct WaitingCall
+{
+  PeerAddress mFrom;
+  GroupId mGroup;
+  uint64_t mCall = 0;
+  Epoch mEntryEpoch;
+};
+
+struct WaitingLease
+{
+  PeerAddress mFrom;
+  InstanceId mNode;
+};
+
+struct WaitingResults
+{
+  PeerAddress mFrom;
+};
+
+struct WaitingTick
+{};
+
+using Waiting = std::variant<std::monostate,
+                             WaitingRegister,
+                             WaitingLeave,
+                             WaitingWrite,
+                             WaitingReplicas,
+                             WaitingCall,
+                             WaitingLease,
+                             WaitingResults,
+                             WaitingTick>;
+
+struct Proposal
+{
+  Term mTerm;
+  Waiting mWaiting;
+};
+
+// Soft state that only the leader has.
+struct Leadership
+{
+  bool mStarted = false; // held the leader lease at least once in this term
+  Term mTerm;
+  MonoTime mStartedAt;
+  MonoTime mLogicalBase; // logical time at mStartedAt
+  Sessions mSessions;
+  Grantor mGrantor;
+  std::map<LogIndex, Proposal> mProposals;
+  MonoTime mNextScan;     // next look at lost members and ledger deadlines
+  bool mTickOpen = false; // a ledger tick is proposed
+  MonoTime mLastTick;
+};
+
+struct ControlCounters
+{
+  uint64_t mProposals = 0;
+  uint64_t mRenewals = 0;
+  uint64_t mGrants = 0;
+  uint64_t mCalls = 0;
+  uint64_t mItemsLeased = 0;
+  uint64_t mRemoved = 0;
+  uint64_t mLeaderChanges = 0;
+};
+
 struct Control
 {
   ControlSettings mSettings;
+  Raft mRaft;
+  ControlState mState;
+  Term mAppliedTerm;           // term of the entry at mState.mApplied
+  ReplicaSet mAppliedReplicas; // replica set as of mState.mApplied
+  ConfigPolls mPolls;
+  Leadership mLeadership;
+  BlobFetches mFetches;
+  std::optional<SnapshotMark> mSaving; // snapshot being written
+  uint64_t mKeyNumber = 0;             // keys derived since the start
+  bool mHalted = false;                // disk failed; does nothing more
+  bool mStopping = false;
+  bool mStopped = false;
+  MonoTime mStopBy;
+  ControlCounters mCounters;
 };
 
 } // namespace caraway
--- /dev/null
+++ b/caraway/control/ledger_messages.cpp
@@ -0,0 +1,267 @@
+// Calls of entries to the ledger, and leases and results of nodes.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/absl_view.h"
+#include "caraway/control/step.h"
+#include "caraway/ledger/ledger.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr uint32_t kMaxLeasedItems = 64;
+constexpr Duration kNoWorkRetry = Seconds(1);
+
+// Results are proposed in commands of about this size.
+constexpr size_t kResultsPerCommandBytes = 512 * 1024;
+
+// A single result above this does not fit into a log entry.
+constexpr size_t kMaxResultBytes = 640 * 1024;
+
+const ConfigView&
+ViewOf(const ControlStep& aStep)
+{
+  return aStep.mControl.mState.mConfig.mView;
+}
+
+void
+Reply(ControlStep& aStep,
+      const PeerAddress& aTo,
+      const ControlCall& aCall,
+      CallReplyBody aBody)
+{
+  Send(aStep,
+       aTo,
+       ControlCallReply{
+         aCall.mGroup, aCall.mCall, aCall.mEntryEpoch, std::move(aBody) });
+}
+
+CallFailed
+FailedBy(const absl::Status& aStatus)
+{
+  return { KindOf(aStatus), std::string(StdView(aStatus.message())) };
+}
+
+// What is wrong with a call before the ledger sees it.
+std::optional<CallFailed>
+CheckCall(const ControlStep& aStep, const ControlCall& aCall)
+{
+  if (!IsCurrentSession(ViewOf(aStep), aCall.mEntry, aCall.mEntryEpoch)) {
+    return CallFailed{ ErrorKind::eStaleEpoch,
+                       "the session of the entry has ended; the entry "
+                       "registers and calls again" };
+  }
+  if (!aCall.mGroup.IsNone()) {
+    return CallFailed{ ErrorKind::eInvalidArgument,
+                       "there is no such replication group; use group 0" };
+  }
+  size_t bytes = 0;
+  if (const auto* part = std::get_if<PutFilePart>(&aCall.mBody)) {
+    bytes = part->mBytes.size();
+  } else if (const auto* done = std::get_if<CompleteClaim>(&aCall.mBody)) {
+    bytes = done->mBody.size();
+  }
+  if (bytes > kMaxPartBytes) {
+    return CallFailed{ ErrorKind::eTooLarge,
+                       "the part is larger than 256 KiB; send smaller parts" };
+  }
+  return std::nullopt;
+}
+
+// The limits of a job come from the contract as control has it, since the copy
+// of the entry may be older.
+std::optional<CallFailed>
+FillFromContract(const ControlStep& aStep,
+                 const WorkspaceId& aWorkspace,
+                 CreateJob& aCreate)
+{
+  const auto& contracts = ViewOf(aStep).mContracts;
+  auto contract = contracts.find(aWorkspace);
+  if (contract == contracts.end() || contract->second.mWithdrawn) {
+    return CallFailed{ ErrorKind::eNotPermitted,
+                       "the workspace has no contract in force; ask the "
+                       "operator" };
+  }
+  aCreate.mMaxItems = contract->second.mMaxBatchItems;
+  aCreate.mWeight = contract->second.mWeight;
+  if (aCreate.mWindow <= Duration{}) {
+    aCreate.mWindow = contract->second.mBatchWindow;
+  }
+  return std::nullopt;
+}
+
+void
+ReadFilePiece(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const ControlCall& aCall)
+{
+  absl::StatusOr<FileReadPlan> plan =
+    PlanFileRead(aStep.mControl.mState.mLedger, aCall);
+  if (!plan.ok()) {
+    Reply(aStep, aFrom, aCall, FailedBy(plan.status()));
+    return;
+  }
+  if (plan->mRanges.empty()) {
+    Reply(
+      aStep, aFrom, aCall, FileBytesReply{ {}, plan->mNextOffset, plan->mEnd });
+    return;
+  }
+  FilePiece piece;
+  piece.mTo = aFrom;
+  piece.mReply.mGroup = aCall.mGroup;
+  piece.mReply.mCall = aCall.mCall;
+  piece.mReply.mEntryEpoch = aCall.mEntryEpoch;
+  piece.mItems = std::move(plan->mItems);
+  piece.mNextOffset = plan->mNextOffset;
+  piece.mEnd = plan->mEnd;
+  StartReads(aStep, std::move(piece), !plan->mDirect, plan->mRanges);
+}
+
+// Whether a lease must go through the log. Asking without work is answered
+// directly, but a resend must get the items of the first time.
+bool
+NeedsLease(ControlStep& aStep, const LeaseItems& aMessage)
+{
+  Session& session =
+    aStep.mControl.mLeadership.mSessions.mSessions.at(aMessage.mNode);
+  if (session.mLeaseKnown && aMessage.mSequence > session.mLeaseAsked &&
+      !HasWork(aStep.mControl.mState.mLedger, aMessage.mModels)) {
+    return false;
+  }
+  session.mLeaseKnown = true;
+  session.mLeaseAsked = std::max(session.mLeaseAsked, aMessage.mSequence);
+  return true;
+}
+
+// Splits results into commands that fit into log entries.
+std::vector<ItemResults>
+SplitResults(const ItemResults& aMessage)
+{
+  std::vector<ItemResults> commands;
+  size_t bytes = 0;
+  for (const ItemResult& result : aMessage.mResults) {
+    if (commands.empty() || bytes > kResultsPerCommandBytes) {
+      commands.push_back(aMessage);
+      commands.back().mResults.clear();
+      bytes = 0;
+    }
+    commands.back().mResults.push_back(result);
+    if (result.mBody.size() > kMaxResultBytes) {
+      ItemResult& stored = commands.back().mResults.back();
+      stored.mVerdict = ItemVerdict::ePermanent;
+      stored.mBody = "the response is larger than 640 KiB; ask for a shorter "
+                     "one";
+    }
+    bytes += commands.back().mResults.back().mBody.size();
+  }
+  if (commands.empty()) {
+    commands.push_back(aMessage);
+  }
+  return commands;
+}
+
+} // namespace
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const ControlCall& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  ++aStep.mControl.mCounters.mCalls;
+  if (auto failed = CheckCall(aStep, aMessage)) {
+    Reply(aStep, aFrom, aMessage, *failed);
+    return;
+  }
+  if (std::holds_alternative<ReadFile>(aMessage.mBody)) {
+    ReadFilePiece(aStep, aFrom, aMessage);
+    return;
+  }
+  if (IsReadOnly(aMessage.mBody)) {
+    Reply(aStep,
+          aFrom,
+          aMessage,
+          ReadCall(aStep.mControl.mState.mLedger, LogicalNow(aStep), aMessage));
+    return;
+  }
+  ControlCall call = aMessage;
+  if (auto* create = std::get_if<CreateJob>(&call.mBody)) {
+    if (auto failed = FillFromContract(aStep, call.mWorkspace, *create)) {
+      Reply(aStep, aFrom, aMessage, *failed);
+      return;
+    }
+  }
+  const absl::Status proposed =
+    Propose(aStep,
+            std::move(call),
+            WaitingCall{
+              aFrom, aMessage.mGroup, aMessage.mCall, aMessage.mEntryEpoch });
+  if (KindOf(proposed) == ErrorKind::eTooLarge) {
+    Reply(aStep, aFrom, aMessage, FailedBy(proposed));
+  }
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const LeaseItems& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  if (!IsCurrentSession(ViewOf(aStep), aMessage.mNode, aMessage.mNodeEpoch)) {
+    RenewReply ended;
+    ended.mInstance = aMessage.mNode;
+    ended.mEpoch = aMessage.mNodeEpoch;
+    ended.mVerdict = RenewVerdict::eUnknownSession;
+    Send(aStep, aFrom, ended);
+    return;
+  }
+  if (!NeedsLease(aStep, aMessage)) {
+    ItemBatch none;
+    none.mGroup = aMessage.mGroup;
+    none.mNodeEpoch = aMessage.mNodeEpoch;
+    none.mSequence = aMessage.mSequence;
+    none.mRetryAfter = kNoWorkRetry;
+    Send(aStep, aFrom, none);
+    return;
+  }
+  LeaseItems lease = aMessage;
+  lease.mWanted = std::min(lease.mWanted, kMaxLeasedItems);
+  (void)Propose(aStep, lease, WaitingLease{ aFrom, lease.mNode });
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const ItemResults& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  if (!IsCurrentSession(ViewOf(aStep), aMessage.mNode, aMessage.mNodeEpoch)) {
+    Send(aStep,
+         aFrom,
+         ItemResultsAck{
+           aMessage.mGroup, aMessage.mNodeEpoch, aMessage.mSequence, true });
+    return;
+  }
+  // Entries are applied in order, so the last one answers for all.
+  std::vector<ItemResults> commands = SplitResults(aMessage);
+  for (size_t at = 0; at < commands.size(); ++at) {
+    const bool last = at + 1 == commands.size();
+    Waiting waiting;
+    if (last) {
+      waiting = WaitingResults{ aFrom };
+    }
+    if (!Propose(aStep, std::move(commands[at]), std::move(waiting)).ok()) {
+      return;
+    }
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/member_messages.cpp
@@ -0,0 +1,150 @@
+// Sessions, configuration leases and grants of members.
+
+#include "caraway/admission/grantor.h"
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kMaxInstanceName = 128;
+
+// How long until a member's changed target is proposed again.
+constexpr Duration kUpdateAgain = Seconds(1);
+
+const ConfigView&
+ViewOf(const ControlStep& aStep)
+{
+  return aStep.mControl.mState.mConfig.mView;
+}
+
+void
+SendUnknownSession(ControlStep& aStep,
+                   const PeerAddress& aTo,
+                   const InstanceId& aInstance,
+                   Epoch aEpoch)
+{
+  RenewReply reply;
+  reply.mInstance = aInstance;
+  reply.mEpoch = aEpoch;
+  reply.mVerdict = RenewVerdict::eUnknownSession;
+  Send(aStep, aTo, reply);
+}
+
+// Proposes the member's new target or drain, if it differs.
+void
+UpdateFromRenewal(ControlStep& aStep, const Renew& aRenew)
+{
+  const Member& member = ViewOf(aStep).mMembers.at(aRenew.mInstance);
+  const bool node = member.mRole == MemberRole::eNode;
+  if (member.mDraining == aRenew.mDraining &&
+      (!node || member.mTarget == aRenew.mTarget)) {
+    return;
+  }
+  Session& session =
+    aStep.mControl.mLeadership.mSessions.mSessions.at(aRenew.mInstance);
+  if (session.mUpdateProposed != MonoTime{} &&
+      aStep.mNow < session.mUpdateProposed + kUpdateAgain) {
+    return;
+  }
+  session.mUpdateProposed = aStep.mNow;
+  (void)Propose(aStep,
+                UpdateMember{ aRenew.mInstance,
+                              aRenew.mEpoch,
+                              node ? aRenew.mTarget : TargetInfo{},
+                              aRenew.mDraining },
+                {});
+}
+
+} // namespace
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const Register& aMessage)
+{
+  const Member& member = aMessage.mMember;
+  if (member.mInstance.Empty() ||
+      member.mInstance.mValue.size() > kMaxInstanceName ||
+      member.mAddress.Empty() || !CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  const auto& members = ViewOf(aStep).mMembers;
+  auto present = members.find(member.mInstance);
+  if (present != members.end() &&
+      present->second.mIncarnation == member.mIncarnation) {
+    Send(aStep,
+         aFrom,
+         RegisterReply{ member.mInstance,
+                        member.mIncarnation,
+                        present->second.mEpoch,
+                        aMessage.mSentAt });
+    return;
+  }
+  (void)Propose(
+    aStep,
+    RegisterMember{ member },
+    WaitingRegister{
+      aFrom, member.mInstance, member.mIncarnation, aMessage.mSentAt });
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const Renew& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  ++aStep.mControl.mCounters.mRenewals;
+  const RenewReply reply = HandleRenew(aStep.mControl.mLeadership.mSessions,
+                                       aStep.mNow,
+                                       aMessage,
+                                       ViewOf(aStep).mRevision);
+  Send(aStep, aFrom, reply);
+  if (reply.mVerdict != RenewVerdict::eUnknownSession) {
+    UpdateFromRenewal(aStep, aMessage);
+  }
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const Leave& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  if (!IsCurrentSession(ViewOf(aStep), aMessage.mInstance, aMessage.mEpoch)) {
+    SendUnknownSession(aStep, aFrom, aMessage.mInstance, aMessage.mEpoch);
+    return;
+  }
+  (void)Propose(aStep,
+                EndSession{ aMessage.mInstance, aMessage.mEpoch },
+                WaitingLeave{ aFrom, aMessage.mInstance, aMessage.mEpoch });
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const GrantRequest& aMessage)
+{
+  if (!CheckLeader(aStep, aFrom)) {
+    return;
+  }
+  const ConfigView& view = ViewOf(aStep);
+  if (!IsCurrentSession(view, aMessage.mInstance, aMessage.mEpoch)) {
+    SendUnknownSession(aStep, aFrom, aMessage.mInstance, aMessage.mEpoch);
+    return;
+  }
+  if (view.mMembers.at(aMessage.mInstance).mRole != MemberRole::eEntry) {
+    return;
+  }
+  ++aStep.mControl.mCounters.mGrants;
+  Send(aStep,
+       aFrom,
+       HandleGrantRequest(
+         aStep.mControl.mLeadership.mGrantor, aStep.mNow, view, aMessage));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/operator_http.h
@@ -0,0 +1,65 @@
+#pragma once
+// Internal: the operators' HTTP API. Bodies are JSON.
+
+#include <string>
+#include <vector>
+
+#include "caraway/base/outcome.h"
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+struct HttpFailure
+{
+  ErrorKind mKind = ErrorKind::eInvalidArgument;
+  std::string mWhat;
+  std::string mRemedy;
+  Outcome mOutcome = Outcome::eNotRun;
+  std::optional<Revision> mRevision;  // present one, for a lost race
+  std::optional<PeerAddress> mLeader; // where to go instead
+};
+
+// A request with its path taken apart.
+struct OperatorCall
+{
+  const HttpRequest& mRequest;
+  std::vector<std::string> mPath; // segments after "/admin"
+};
+
+void
+ReplyJson(ControlStep& aStep, HttpCallId aCall, int aStatus, std::string aBody);
+
+void
+ReplyFailure(ControlStep& aStep, HttpCallId aCall, const HttpFailure& aFailure);
+
+// For a status made by MakeError, whose message is "<what>; <remedy>".
+HttpFailure
+FailureFrom(const absl::Status& aStatus);
+
+// Answer to an applied write.
+void
+ReplyWrite(ControlStep& aStep,
+           const WaitingWrite& aWaiting,
+           const OperationResult& aResult);
+
+// Answer to an applied change of the replica set.
+void
+ReplyReplicas(ControlStep& aStep, HttpCallId aCall);
+
+// operator_writes.cpp; false if the path is none of theirs.
+bool
+HandleOperatorWrite(ControlStep& aStep, const OperatorCall& aCall);
+
+// operator_reads.cpp; false if the path is none of theirs.
+bool
+HandleOperatorRead(ControlStep& aStep, const OperatorCall& aCall);
+
+// replica_changes.cpp
+void
+HandleReplicaChange(ControlStep& aStep, const OperatorCall& aCall);
+
+// First value of a query parameter, undecoded; empty if absent.
+std::string
+QueryValue(const std::string& aQuery, const std::string& aName);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/operator_writes.cpp
@@ -0,0 +1,245 @@
+// Operators' writes: contracts, keys, routes, zones and targets.
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "caraway/control/key_secret.h"
+#include "caraway/control/operator_http.h"
+#include "caraway/control/operator_parse.h"
+
+namespace caraway {
+
+namespace {
+
+// Hash of what was asked. The same operation id with another request is a
+// mistake of the operator and must not be answered with the first result.
+uint64_t
+Fingerprint(const HttpRequest& aRequest)
+{
+  const std::string text =
+    absl::StrCat(aRequest.mMethod, "\n", aRequest.mPath, "\n", aRequest.mBody);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+absl::StatusOr<ConfigOperation>
+ReadOperation(const HttpRequest& aRequest)
+{
+  ConfigOperation operation;
+  operation.mId = OperationId(HeaderValue(aRequest.mHeaders, "X-Operation-Id"));
+  absl::Status named = CheckName("header X-Operation-Id", operation.mId.mValue);
+  if (!named.ok()) {
+    return named;
+  }
+  operation.mFingerprint = Fingerprint(aRequest);
+  const std::string expected =
+    HeaderValue(aRequest.mHeaders, "X-Expected-Revision");
+  if (!expected.empty()) {
+    absl::StatusOr<uint64_t> number =
+      ParseNumber("the header X-Expected-Revision", expected);
+    if (!number.ok()) {
+      return number.status();
+    }
+    operation.mExpected = Revision(*number);
+  }
+  return operation;
+}
+
+struct Write
+{
+  ConfigChange mChange;
+  std::string mKeyText; // of a new key
+};
+
+absl::StatusOr<Write>
+ReadContractWrite(const OperatorCall& aCall)
+{
+  const std::string& workspace = aCall.mPath[1];
+  if (aCall.mRequest.mMethod == "PUT") {
+    absl::StatusOr<Contract> contract =
+      ParseContract(workspace, aCall.mRequest.mBody);
+    if (!contract.ok()) {
+      return contract.status();
+    }
+    return Write{ SetContract{ *std::move(contract) }, {} };
+  }
+  absl::Status named = CheckName("workspace", workspace);
+  if (!named.ok()) {
+    return named;
+  }
+  return Write{ WithdrawContract{ WorkspaceId(workspace) }, {} };
+}
+
+absl::StatusOr<Write>
+ReadRouteWrite(const OperatorCall& aCall)
+{
+  const std::string& id = aCall.mPath[1];
+  if (aCall.mRequest.mMethod == "PUT") {
+    absl::StatusOr<Route> route = ParseRoute(id, aCall.mRequest.mBody);
+    if (!route.ok()) {
+      return route.status();
+    }
+    return Write{ SetRoute{ *std::move(route) }, {} };
+  }
+  absl::Status named = CheckName("route", id);
+  if (!named.ok()) {
+    return named;
+  }
+  return Write{ RemoveRoute{ RouteId(id) }, {} };
+}
+
+absl::StatusOr<Write>
+ReadKeyCreation(ControlStep& aStep, const OperatorCall& aCall)
+{
+  Control& control = aStep.mControl;
+  absl::StatusOr<WorkspaceId> workspace = ParseKeyRequest(aCall.mRequest.mBody);
+  if (!workspace.ok()) {
+    return workspace.status();
+  }
+  if (control.mSettings.mKeySeed.empty()) {
+    return MakeError(ErrorKind::eUnavailable,
+                     "this replica has no random seed for keys",
+                     "start it with one");
+  }
+  NewKey key =
+    DeriveKey(control.mSettings.mKeySeed, ++control.mKeyNumber, *workspace);
+  return Write{ CreateKey{ key.mKey }, std::move(key.mText) };
+}
+
+absl::StatusOr<Write>
+ReadServiceWrite(const OperatorCall& aCall)
+{
+  const std::string& name = aCall.mPath[1];
+  const bool zone = aCall.mPath[0] == "zones";
+  absl::Status named = CheckName(zone ? "zone" : "target", name);
+  if (!named.ok()) {
+    return named;
+  }
+  const bool in = aCall.mPath[2] == "in";
+  if (zone) {
+    return Write{ SetZoneService{ ZoneId(name), in }, {} };
+  }
+  return Write{ SetTargetService{ TargetId(name), in }, {} };
+}
+
+// The write that a path and method stand for; nullopt for none.
+std::optional<absl::StatusOr<Write>>
+ReadWrite(ControlStep& aStep, const OperatorCall& aCall)
+{
+  const auto& path = aCall.mPath;
+  const std::string& method = aCall.mRequest.mMethod;
+  const bool putOrDelete = method == "PUT" || method == "DELETE";
+  if (path.size() == 2 && path[0] == "contracts" && putOrDelete) {
+    return ReadContractWrite(aCall);
+  }
+  if (path.size() == 2 && path[0] == "routes" && putOrDelete) {
+    return ReadRouteWrite(aCall);
+  }
+  if (path.size() == 1 && path[0] == "keys" && method == "POST") {
+    return ReadKeyCreation(aStep, aCall);
+  }
+  if (path.size() == 2 && path[0] == "keys" && method == "DELETE") {
+    absl::Status named = CheckName("key", path[1]);
+    if (!named.ok()) {
+      return named;
+    }
+    return Write{ WithdrawKey{ KeyId(path[1]) }, {} };
+  }
+  if (path.size() == 3 && (path[0] == "zones" || path[0] == "targets") &&
+      (path[2] == "in" || path[2] == "out") && method == "POST") {
+    return ReadServiceWrite(aCall);
+  }
+  return std::nullopt;
+}
+
+void
+ReplyKey(ControlStep& aStep,
+         const WaitingWrite& aWaiting,
+         const OperationResult& aResult)
+{
+  nlohmann::json body;
+  body["revision"] = aResult.mRevision.mValue;
+  body["id"] = std::string(absl::StripPrefix(aResult.mObject, "key/"));
+  if (aResult.mRepeated) {
+    body["note"] = "the secret was shown once, in the first answer; if it was "
+                   "lost, withdraw this key and create another";
+  } else {
+    body["key"] = aWaiting.mKeyText;
+  }
+  ReplyJson(aStep, aWaiting.mCall, 200, body.dump());
+}
+
+std::string
+RemedyFor(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::eRevisionConflict:
+      return "read the object again and repeat the change on top of it";
+    case ErrorKind::eConflict:
+      return "use a new X-Operation-Id";
+    default:
+      return "check the name";
+  }
+}
+
+} // namespace
+
+bool
+HandleOperatorWrite(ControlStep& aStep, const OperatorCall& aCall)
+{
+  const HttpCallId call = aCall.mRequest.mCall;
+  if (aCall.mPath.size() == 1 && aCall.mPath[0] == "replicas" &&
+      aCall.mRequest.mMethod == "POST") {
+    HandleReplicaChange(aStep, aCall);
+    return true;
+  }
+  std::optional<absl::StatusOr<Write>> write = ReadWrite(aStep, aCall);
+  if (!write) {
+    return false;
+  }
+  absl::StatusOr<ConfigOperation> operation = ReadOperation(aCall.mRequest);
+  absl::Status status = write->ok() ? operation.status() : write->status();
+  if (status.ok()) {
+    operation->mChange = std::move((*write)->mChange);
+    Log(aStep,
+        "operator_write",
+        ObjectName(operation->mChange),
+        operation->mId.mValue);
+    status = Propose(aStep,
+                     *std::move(operation),
+                     WaitingWrite{ call, std::move((*write)->mKeyText) });
+  }
+  if (!status.ok()) {
+    ReplyFailure(aStep, call, FailureFrom(status));
+  }
+  return true;
+}
+
+void
+ReplyWrite(ControlStep& aStep,
+           const WaitingWrite& aWaiting,
+           const OperationResult& aResult)
+{
+  if (aResult.mError != ErrorKind::eNone) {
+    HttpFailure failure;
+    failure.mKind = aResult.mError;
+    failure.mWhat = aResult.mMessage;
+    failure.mRemedy = RemedyFor(aResult.mError);
+    if (aResult.mError == ErrorKind::eRevisionConflict) {
+      failure.mRevision = aResult.mRevision;
+    }
+    ReplyFailure(aStep, aWaiting.mCall, failure);
+    return;
+  }
+  if (!aWaiting.mKeyText.empty()) {
+    ReplyKey(aStep, aWaiting, aResult);
+    return;
+  }
+  nlohmann::json body;
+  body["revision"] = aResult.mRevision.mValue;
+  ReplyJson(aStep, aWaiting.mCall, 200, body.dump());
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/raft_glue.cpp
@@ -0,0 +1,146 @@
+// Between the agreement state machine and the role's events and actions.
+
+#include <type_traits>
+
+#include "caraway/base/absl_view.h"
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+namespace {
+
+void
+Fail(ControlStep& aStep, const std::string& aReason)
+{
+  aStep.mControl.mHalted = true;
+  aStep.mOut.emplace_back(Halt{ aReason });
+}
+
+void
+TakeSnapshot(ControlStep& aStep)
+{
+  Control& control = aStep.mControl;
+  SnapshotMark mark;
+  mark.mIndex = control.mState.mApplied;
+  mark.mTerm = control.mAppliedTerm;
+  mark.mReplicas = control.mAppliedReplicas;
+  control.mSaving = mark;
+  aStep.mOut.emplace_back(
+    SaveSnapshot{ mark, EncodeControlState(control.mState) });
+}
+
+void
+RunRaftAction(ControlStep& aStep, RaftAction& aAction)
+{
+  std::visit(
+    [&](auto& aOne) {
+      using T = std::decay_t<decltype(aOne)>;
+      if constexpr (std::is_same_v<T, RaftSend>) {
+        Send(aStep, PeerAddress(aOne.mAddress), std::move(aOne.mMessage));
+      } else if constexpr (std::is_same_v<T, RaftApply>) {
+        ApplyEntries(aStep, aOne.mEntries);
+      } else if constexpr (std::is_same_v<T, RaftTakeSnapshot>) {
+        TakeSnapshot(aStep);
+      } else if constexpr (std::is_same_v<T, RaftRoleChanged>) {
+        ++aStep.mControl.mCounters.mLeaderChanges;
+        Log(aStep,
+            "leader",
+            aOne.mLeader.IsNone() ? "none"
+                                  : std::to_string(aOne.mLeader.mValue),
+            "term " + std::to_string(aOne.mTerm.mValue));
+      } else {
+        aStep.mOut.emplace_back(std::move(aOne));
+      }
+    },
+    aAction);
+}
+
+// Replaces the durable state by an installed snapshot. A snapshot that is not
+// newer is ignored, so that the revision never reverts.
+bool
+InstallState(ControlStep& aStep, const SnapshotPartStored& aEvent)
+{
+  Control& control = aStep.mControl;
+  if (aEvent.mMark.mIndex <= control.mState.mApplied) {
+    return true;
+  }
+  absl::StatusOr<ControlState> state = DecodeControlState(aEvent.mState);
+  if (!state.ok()) {
+    Fail(aStep,
+         "the snapshot received from the leader is corrupt: " +
+           std::string(StdView(state.status().message())));
+    return false;
+  }
+  control.mState = *std::move(state);
+  control.mState.mApplied = aEvent.mMark.mIndex;
+  control.mAppliedTerm = aEvent.mMark.mTerm;
+  control.mAppliedReplicas = aEvent.mMark.mReplicas;
+  return true;
+}
+
+} // namespace
+
+void
+RunRaftActions(ControlStep& aStep)
+{
+  while (!aStep.mRaft.empty()) {
+    std::vector<RaftAction> actions;
+    actions.swap(aStep.mRaft);
+    for (RaftAction& action : actions) {
+      RunRaftAction(aStep, action);
+    }
+  }
+}
+
+void
+HandleRaftEvent(ControlStep& aStep, const LogWritten& aEvent)
+{
+  RaftWritten(
+    aStep.mControl.mRaft, aStep.mNow, aEvent.mWrite, aEvent.mOk, aStep.mRaft);
+  if (!aEvent.mOk) {
+    Fail(aStep, "the log could not be written; free or replace the disk");
+  }
+}
+
+void
+HandleRaftEvent(ControlStep& aStep, const SnapshotSaved& aEvent)
+{
+  Control& control = aStep.mControl;
+  if (!control.mSaving || control.mSaving->mIndex != aEvent.mIndex) {
+    return;
+  }
+  RaftSnapshotTaken(
+    control.mRaft, aStep.mNow, *control.mSaving, aEvent.mOk, aStep.mRaft);
+  control.mSaving.reset();
+  if (!aEvent.mOk) {
+    Fail(aStep, "a snapshot could not be written; free or replace the disk");
+  }
+}
+
+void
+HandleRaftEvent(ControlStep& aStep, const SnapshotPartRead& aEvent)
+{
+  RaftSnapshotPartRead(aStep.mControl.mRaft,
+                       aStep.mNow,
+                       aEvent.mTo,
+                       aEvent.mPart,
+                       aEvent.mOk,
+                       aStep.mRaft);
+}
+
+void
+HandleRaftEvent(ControlStep& aStep, const SnapshotPartStored& aEvent)
+{
+  if (aEvent.mOk && aEvent.mReply.mInstalled && !InstallState(aStep, aEvent)) {
+    return;
+  }
+  RaftSnapshotPartStored(aStep.mControl.mRaft,
+                         aStep.mNow,
+                         aEvent.mFrom,
+                         aEvent.mReply,
+                         aEvent.mMark,
+                         aEvent.mOk,
+                         aStep.mRaft);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/membership/removal.cpp
@@ -0,0 +1,87 @@
+// Removal of lost members, and the rule against waves of false removals.
+
+#include <map>
+
+#include "caraway/membership/sessions.h"
+
+namespace caraway {
+
+namespace {
+
+// How long a wave of losses is waited out: more likely than the loss of two
+// zones is that this leader was paused or cut off.
+constexpr Duration kWaveWait = Seconds(5);
+
+// How long until the end of a session is proposed again.
+constexpr Duration kProposeAgain = Seconds(2);
+
+struct ZoneCount
+{
+  uint64_t mMembers = 0;
+  uint64_t mLapsed = 0;
+};
+
+// A member that registered and has not renewed yet has no lease, but the same
+// time to get one.
+MonoTime
+LapseTime(const Sessions& aSessions, const Session& aSession)
+{
+  return std::max(aSession.mLeaseEnd,
+                  GrantorLeaseEnd(aSession.mStarted, aSessions.mLease));
+}
+
+// True if more than half of the members of two zones have no lease.
+bool
+IsWave(Sessions& aSessions, MonoTime aNow, const ConfigView& aView)
+{
+  std::map<ZoneId, ZoneCount> zones;
+  aSessions.mLapsed = 0;
+  for (const auto& [instance, session] : aSessions.mSessions) {
+    auto member = aView.mMembers.find(instance);
+    if (member == aView.mMembers.end()) {
+      continue;
+    }
+    ZoneCount& zone = zones[member->second.mZone];
+    ++zone.mMembers;
+    if (LapseTime(aSessions, session) <= aNow) {
+      ++zone.mLapsed;
+      ++aSessions.mLapsed;
+    }
+  }
+  int lost = 0;
+  for (const auto& [id, zone] : zones) {
+    lost += zone.mLapsed * 2 > zone.mMembers ? 1 : 0;
+  }
+  return lost >= 2;
+}
+
+} // namespace
+
+std::vector<LostMember>
+LostMembers(Sessions& aSessions,
+            MonoTime aNow,
+            Duration aGrace,
+            const ConfigView& aView)
+{
+  if (!IsWave(aSessions, aNow, aView)) {
+    aSessions.mWaveSince = {};
+  } else if (aSessions.mWaveSince == MonoTime{}) {
+    aSessions.mWaveSince = aNow;
+  }
+  std::vector<LostMember> lost;
+  if (aSessions.mWaveSince != MonoTime{} &&
+      aNow < aSessions.mWaveSince + kWaveWait) {
+    return lost;
+  }
+  for (auto& [instance, session] : aSessions.mSessions) {
+    const bool proposed = session.mEndProposed != MonoTime{} &&
+                          aNow < session.mEndProposed + kProposeAgain;
+    if (LapseTime(aSessions, session) + aGrace <= aNow && !proposed) {
+      session.mEndProposed = aNow;
+      lost.push_back({ instance, session.mEpoch });
+    }
+  }
+  return lost;
+}
+
+} // namespace caraway
