--- /dev/null
+++ b/caraway/ledger/leases.cpp
@@ -0,0 +1,197 @@
+// Leasing of items to nodes.
+
+#include <algorithm>
+
+#include "caraway/ledger/internal.h"
+
+namespace caraway {
+
+namespace {
+
+// An idle node asks again after this time.
+constexpr Duration kAskAgain = Seconds(1);
+
+// A job that the measured pace would finish late is charged half, so its
+// workspace gets up to twice its share.
+constexpr uint64_t kAtRiskShare = 2;
+
+struct Candidate
+{
+  uint64_t mTag = 0;
+  WorkspaceId mWorkspace;
+  JobId mJob;
+};
+
+// The job of this workspace with the least slack that is not past its deadline.
+const JobId*
+FirstJob(const Ledger& aLedger,
+         const LedgerWorkspace& aSpace,
+         const ModelId& aModel)
+{
+  auto ready = aSpace.mReady.find(aModel);
+  if (ready == aSpace.mReady.end()) {
+    return nullptr;
+  }
+  for (const auto& [key, id] : ready->second) {
+    if (aSpace.mJobs.at(id).mDeadline > aLedger.mNow) {
+      return &id;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<Candidate>
+ChooseJob(const Ledger& aLedger, const std::vector<ModelId>& aModels)
+{
+  std::optional<Candidate> best;
+  for (const ModelId& model : aModels) {
+    auto ready = aLedger.mReady.find(model);
+    if (ready == aLedger.mReady.end()) {
+      continue;
+    }
+    for (const auto& [tag, workspace] : ready->second) {
+      if (best && std::tie(best->mTag, best->mWorkspace) <=
+                    std::tie(tag, workspace)) {
+        break;
+      }
+      const LedgerWorkspace& space = aLedger.mWorkspaces.at(workspace);
+      if (const JobId* job = FirstJob(aLedger, space, model)) {
+        best = Candidate{ tag, workspace, *job };
+        break;
+      }
+    }
+  }
+  return best;
+}
+
+// Returned items first, then items never leased.
+ItemRanges
+TakeItems(const Job& aJob, JobWork& aWork, uint64_t aWanted)
+{
+  ItemRanges taken;
+  while (aWanted > 0 && !aWork.mReturned.empty()) {
+    ItemRange& front = aWork.mReturned.front();
+    const auto count = static_cast<uint32_t>(
+      std::min<uint64_t>(aWanted, front.mEnd - front.mBegin));
+    taken.push_back(ItemRange{ front.mBegin, front.mBegin + count });
+    front.mBegin += count;
+    aWanted -= count;
+    if (front.mBegin == front.mEnd) {
+      aWork.mReturned.erase(aWork.mReturned.begin());
+    }
+  }
+  const auto fresh = static_cast<uint32_t>(
+    std::min<uint64_t>(aWanted, aJob.mTotal - aWork.mCursor));
+  if (fresh > 0) {
+    const ItemRange range{ aWork.mCursor, aWork.mCursor + fresh };
+    if (!taken.empty() && taken.back().mEnd == range.mBegin) {
+      taken.back().mEnd = range.mEnd;
+    } else {
+      taken.push_back(range);
+    }
+    aWork.mCursor += fresh;
+  }
+  return taken;
+}
+
+void
+FillBatch(const Ledger& aLedger, const LeaseRef& aRef, ItemBatch& aBatch)
+{
+  auto space = aLedger.mWorkspaces.find(aRef.mWorkspace);
+  if (space == aLedger.mWorkspaces.end()) {
+    return;
+  }
+  auto work = space->second.mWork.find(aRef.mJob);
+  if (work == space->second.mWork.end()) {
+    return;
+  }
+  auto lease = work->second.mLeases.find(aRef.mToken);
+  if (lease == work->second.mLeases.end()) {
+    return;
+  }
+  const Job& job = space->second.mJobs.at(aRef.mJob);
+  aBatch.mJob = aRef.mJob;
+  aBatch.mToken = aRef.mToken;
+  aBatch.mWorkspace = aRef.mWorkspace;
+  aBatch.mWeight = job.mWeight;
+  aBatch.mModel = job.mModel;
+  aBatch.mEndpoint = job.mEndpoint;
+  aBatch.mDeadline = std::max(Duration{}, job.mDeadline - aLedger.mNow);
+  aBatch.mWindow = job.mWindow;
+  aBatch.mRetryAfter = {};
+  for (uint32_t item : ListItems(lease->second.mItems)) {
+    aBatch.mItems.push_back(BatchItem{ item, {} });
+  }
+}
+
+LeaseRef
+GiveLease(Ledger& aLedger,
+          LogIndex aIndex,
+          const LeaseItems& aRequest,
+          const Candidate& aChosen)
+{
+  LedgerWorkspace& space = aLedger.mWorkspaces[aChosen.mWorkspace];
+  const Job& job = space.mJobs[aChosen.mJob];
+  JobWork& work = space.mWork[aChosen.mJob];
+  const uint64_t wanted =
+    std::min<uint64_t>({ aRequest.mWanted, kMaxLeaseItems, work.mItemLimit });
+  ItemRanges items = TakeItems(job, work, wanted);
+  const uint64_t weight =
+    uint64_t{ job.mWeight } * (work.mAtRisk ? kAtRiskShare : 1);
+  ChargeWorkspace(aLedger, aChosen.mWorkspace, CountItems(items), weight);
+  const FencingToken token(aIndex.mValue);
+  work.mLeases[token] =
+    ItemLease{ aRequest.mNode, aRequest.mNodeEpoch, std::move(items) };
+  RefreshReady(aLedger, aChosen.mWorkspace, aChosen.mJob);
+  return LeaseRef{ aChosen.mWorkspace, aChosen.mJob, token };
+}
+
+} // namespace
+
+bool
+HasWork(const Ledger& aLedger, const std::vector<ModelId>& aModels)
+{
+  return std::any_of(
+    aModels.begin(), aModels.end(), [&](const ModelId& aModel) {
+      return aLedger.mReady.contains(aModel);
+    });
+}
+
+ItemBatch
+ApplyLease(Ledger& aLedger,
+           LogIndex aIndex,
+           MonoTime aLogicalNow,
+           const LeaseItems& aRequest)
+{
+  aLedger.mNow = std::max(aLedger.mNow, aLogicalNow);
+  ItemBatch batch;
+  batch.mGroup = aRequest.mGroup;
+  batch.mNodeEpoch = aRequest.mNodeEpoch;
+  batch.mSequence = aRequest.mSequence;
+  batch.mRetryAfter = kAskAgain;
+  if (aRequest.mNode.Empty() ||
+      SessionEnded(aLedger, aRequest.mNode, aRequest.mNodeEpoch)) {
+    return batch;
+  }
+  auto [place, fresh] =
+    aLedger.mNodes.try_emplace({ aRequest.mNode, aRequest.mNodeEpoch });
+  NodeSession& session = place->second;
+  if (!fresh && aRequest.mSequence <= session.mSequence) {
+    // A late copy of an older ask must lease nothing: nobody waits for it.
+    if (aRequest.mSequence == session.mSequence) {
+      FillBatch(aLedger, session.mAnswer, batch);
+    }
+    return batch;
+  }
+  session.mSequence = aRequest.mSequence;
+  session.mAnswer = {};
+  auto chosen = ChooseJob(aLedger, aRequest.mModels);
+  if (chosen && aRequest.mWanted > 0) {
+    session.mAnswer = GiveLease(aLedger, aIndex, aRequest, *chosen);
+    session.mLeases.insert(session.mAnswer);
+    FillBatch(aLedger, session.mAnswer, batch);
+  }
+  return batch;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/ledger/ranges.h
@@ -0,0 +1,39 @@
+#pragma once
+// Sets of item numbers as sorted, disjoint, non-adjacent half-open ranges.
+
+#include <cstdint>
+#include <vector>
+
+namespace caraway {
+
+struct ItemRange
+{
+  uint32_t mBegin = 0;
+  uint32_t mEnd = 0; // one past the last
+
+  bool operator==(const ItemRange&) const = default;
+};
+
+using ItemRanges = std::vector<ItemRange>;
+
+void
+AddItem(ItemRanges& aRanges, uint32_t aItem);
+
+// False if the item was not in the set.
+bool
+RemoveItem(ItemRanges& aRanges, uint32_t aItem);
+
+bool
+ContainsItem(const ItemRanges& aRanges, uint32_t aItem);
+
+uint64_t
+CountItems(const ItemRanges& aRanges);
+
+std::vector<uint32_t>
+ListItems(const ItemRanges& aRanges);
+
+// Sorted, disjoint, not adjacent, none empty, none past aTotal.
+bool
+ValidRanges(const ItemRanges& aRanges, uint32_t aTotal);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/ledger/ready.cpp
@@ -0,0 +1,199 @@
+// Which job the next lease goes to: workspaces by start-time fair queueing, jobs
+// of one workspace by slack. Also the measured pace that slack and risk use.
+
+#include <algorithm>
+
+#include "caraway/ledger/internal.h"
+
+namespace caraway {
+
+namespace {
+
+// One item at weight 1 advances a start tag by this much; exact for all weights
+// up to 1000 within rounding.
+constexpr uint64_t kTagPerItem = uint64_t{ 1 } << 20;
+
+constexpr int64_t kMicrosPerSecond = 1000000;
+
+// Work of this many items at a measured pace. 128 bits, since the product of
+// items and micros overflows 64.
+int64_t
+WorkMicros(uint64_t aItems, int64_t aMicroItems)
+{
+  const auto micros = static_cast<unsigned __int128>(aItems) *
+                      kMicrosPerSecond * kMicrosPerSecond /
+                      static_cast<uint64_t>(aMicroItems);
+  return static_cast<int64_t>(
+    std::min<unsigned __int128>(micros, kNever.mMicros));
+}
+
+void
+RemoveWorkspace(Ledger& aLedger,
+                const WorkspaceId& aWorkspace,
+                const ModelId& aModel)
+{
+  auto ready = aLedger.mReady.find(aModel);
+  if (ready == aLedger.mReady.end()) {
+    return;
+  }
+  ready->second.erase({ aLedger.mWorkspaces[aWorkspace].mTag, aWorkspace });
+  if (ready->second.empty()) {
+    aLedger.mReady.erase(ready);
+  }
+}
+
+void
+SamplePace(Pace& aPace, Duration aInterval)
+{
+  const auto sample = static_cast<int64_t>(
+    static_cast<unsigned __int128>(aPace.mFinished) * kMicrosPerSecond *
+    kMicrosPerSecond / static_cast<uint64_t>(aInterval.mMicros));
+  // A quarter of the newest interval smooths over results that come in groups.
+  aPace.mMicroItems =
+    aPace.mMeasured ? aPace.mMicroItems + (sample - aPace.mMicroItems) / 4
+                    : sample;
+  aPace.mMeasured = aPace.mMeasured || aPace.mFinished > 0;
+  aPace.mFinished = 0;
+}
+
+// True if the jobs of this model, served in the order of their deadlines at the
+// measured pace, reach this one too late. aAhead counts the items so far.
+bool
+MissesDeadline(const Pace& aPace, const Job& aJob, MonoTime aNow, uint64_t aAhead)
+{
+  const Duration left = aJob.mDeadline - aNow;
+  if (aPace.mMicroItems <= 0) {
+    // Nothing measured yet: a quarter of the window may pass before the first
+    // result.
+    return left < aJob.mWindow - aJob.mWindow / 4;
+  }
+  return WorkMicros(aAhead, aPace.mMicroItems) > left.mMicros;
+}
+
+} // namespace
+
+uint64_t
+ItemsToLease(const Job& aJob, const JobWork& aWork)
+{
+  return CountItems(aWork.mReturned) + (aJob.mTotal - aWork.mCursor);
+}
+
+int64_t
+SlackKey(const LedgerWorkspace& aSpace, const Job& aJob)
+{
+  auto pace = aSpace.mPace.find(aJob.mModel);
+  if (pace == aSpace.mPace.end() || pace->second.mMicroItems <= 0) {
+    return aJob.mDeadline.mMicros;
+  }
+  const uint64_t remaining = aJob.mTotal - aJob.mCompleted - aJob.mFailed;
+  return aJob.mDeadline.mMicros -
+         WorkMicros(remaining, pace->second.mMicroItems);
+}
+
+void
+RemoveReady(Ledger& aLedger, const WorkspaceId& aWorkspace, const JobId& aJob)
+{
+  LedgerWorkspace& space = aLedger.mWorkspaces[aWorkspace];
+  const Job& job = space.mJobs[aJob];
+  auto ready = space.mReady.find(job.mModel);
+  if (ready == space.mReady.end()) {
+    return;
+  }
+  ready->second.erase({ space.mWork[aJob].mSlackKey, aJob });
+  if (ready->second.empty()) {
+    space.mReady.erase(ready);
+    RemoveWorkspace(aLedger, aWorkspace, job.mModel);
+  }
+}
+
+void
+RefreshReady(Ledger& aLedger, const WorkspaceId& aWorkspace, const JobId& aJob)
+{
+  LedgerWorkspace& space = aLedger.mWorkspaces[aWorkspace];
+  const Job& job = space.mJobs[aJob];
+  JobWork& work = space.mWork[aJob];
+  const bool hasItems =
+    !work.mReturned.empty() || work.mCursor < job.mTotal;
+  if (!hasItems) {
+    RemoveReady(aLedger, aWorkspace, aJob);
+    return;
+  }
+  if (space.mReady.empty()) {
+    // A workspace that was idle gets no credit for that time.
+    space.mTag = std::max(space.mTag, aLedger.mVirtual);
+  }
+  aLedger.mReady[job.mModel].emplace(space.mTag, aWorkspace);
+  space.mReady[job.mModel].emplace(work.mSlackKey, aJob);
+}
+
+void
+ChargeWorkspace(Ledger& aLedger,
+                const WorkspaceId& aWorkspace,
+                uint64_t aItems,
+                uint64_t aWeight)
+{
+  LedgerWorkspace& space = aLedger.mWorkspaces[aWorkspace];
+  aLedger.mVirtual = std::max(aLedger.mVirtual, space.mTag);
+  for (const auto& [model, jobs] : space.mReady) {
+    aLedger.mReady[model].erase({ space.mTag, aWorkspace });
+  }
+  space.mTag += aItems * kTagPerItem / aWeight;
+  for (const auto& [model, jobs] : space.mReady) {
+    aLedger.mReady[model].emplace(space.mTag, aWorkspace);
+  }
+}
+
+void
+RebuildDerived(Ledger& aLedger)
+{
+  aLedger.mReady.clear();
+  aLedger.mDeadlines.clear();
+  aLedger.mJobSpace.clear();
+  aLedger.mReleasedSet = { aLedger.mReleased.begin(), aLedger.mReleased.end() };
+  for (auto& [workspace, space] : aLedger.mWorkspaces) {
+    space.mReady.clear();
+    for (auto& [id, work] : space.mWork) {
+      const Job& job = space.mJobs[id];
+      aLedger.mDeadlines.emplace(job.mDeadline, workspace, id);
+      aLedger.mJobSpace[id] = workspace;
+      if (!work.mReturned.empty() || work.mCursor < job.mTotal) {
+        space.mReady[job.mModel].emplace(work.mSlackKey, id);
+        aLedger.mReady[job.mModel].emplace(space.mTag, workspace);
+      }
+    }
+  }
+}
+
+void
+UpdatePace(Ledger& aLedger, Duration aInterval)
+{
+  for (auto& [workspace, space] : aLedger.mWorkspaces) {
+    if (space.mWork.empty()) {
+      space.mPace.clear();
+      continue;
+    }
+    for (auto& [model, pace] : space.mPace) {
+      SamplePace(pace, aInterval);
+    }
+  }
+  // In the order of deadlines, so that items ahead can be summed per model.
+  std::map<std::pair<WorkspaceId, ModelId>, uint64_t> ahead;
+  for (const auto& [deadline, workspace, id] : aLedger.mDeadlines) {
+    LedgerWorkspace& space = aLedger.mWorkspaces[workspace];
+    const Job& job = space.mJobs[id];
+    JobWork& work = space.mWork[id];
+    uint64_t& items = ahead[{ workspace, job.mModel }];
+    items += job.mTotal - job.mCompleted - job.mFailed;
+    work.mAtRisk =
+      MissesDeadline(space.mPace[job.mModel], job, aLedger.mNow, items);
+    const int64_t key = SlackKey(space, job);
+    auto ready = space.mReady.find(job.mModel);
+    if (ready != space.mReady.end() &&
+        ready->second.erase({ work.mSlackKey, id }) > 0) {
+      ready->second.emplace(key, id);
+    }
+    work.mSlackKey = key;
+  }
+}
+
+} // namespace caraway
