--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -6,16 +6,10 @@
 
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/routing/choose.h"
 
 namespace caraway {
 
-enum class RoutePolicy : uint8_t
-{
-  eLeastLoaded, // two random choices, prefix affinity, zone first
-  eRoundRobin,  // baseline
-  eRandom,      // baseline
-};
-
 struct EntrySettings
 {
   InstanceId mInstance; // unique, from the settings
--- /dev/null
+++ b/caraway/routing/retry_budget.cpp
@@ -0,0 +1,43 @@
+// The retry budget.
+
+#include "caraway/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+// A workspace starts with one retry, so that its first request can have one.
+// The limits bound how many retries follow at once after a quiet time.
+constexpr double kStart = 1;
+constexpr double kMaxWorkspace = 10;
+constexpr double kMaxTotal = 100;
+// Sums of a tenth are not exact in binary.
+constexpr double kWhole = 1 - 1e-9;
+
+} // namespace
+
+void
+EarnRetries(RetryBudget& aBudget, const WorkspaceId& aWorkspace)
+{
+  double& own =
+    aBudget.mByWorkspace.try_emplace(aWorkspace, kStart).first->second;
+  own = std::min(own + aBudget.mShare, kMaxWorkspace);
+  aBudget.mTotal = std::min(aBudget.mTotal + aBudget.mShare, kMaxTotal);
+}
+
+bool
+TakeRetry(RetryBudget& aBudget, const WorkspaceId& aWorkspace)
+{
+  double& own =
+    aBudget.mByWorkspace.try_emplace(aWorkspace, kStart).first->second;
+  if (own < kWhole || aBudget.mTotal < kWhole) {
+    return false;
+  }
+  own -= 1;
+  aBudget.mTotal -= 1;
+  return true;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/routing/subset.cpp
@@ -0,0 +1,161 @@
+// Subsets by rendezvous hashing.
+
+#include "caraway/routing/subset.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "caraway/routing/hash.h"
+
+namespace caraway {
+
+namespace {
+
+// A third of the subset lies in other zones, so that work can spill over.
+constexpr uint32_t kRemoteShare = 3;
+// Every target has at least this many entries, so that one may be lost.
+constexpr uint64_t kMinHomes = 2;
+
+struct Candidate
+{
+  InstanceId mNode;
+  uint64_t mScore = 0;
+  bool mHome = false;
+};
+
+std::vector<InstanceId>
+EntriesOf(const SubsetInput& aInput, const ZoneId* aZone)
+{
+  std::vector<InstanceId> entries;
+  auto add = [&](const SubsetEntry& aEntry) {
+    if (aZone == nullptr || aEntry.mZone == *aZone) {
+      entries.push_back(aEntry.mInstance);
+    }
+  };
+  add(aInput.mSelf);
+  for (const SubsetEntry& entry : aInput.mEntries) {
+    if (entry.mInstance != aInput.mSelf.mInstance) {
+      add(entry);
+    }
+  }
+  return entries;
+}
+
+// True if this entry is among the aHomes best entries for the target.
+bool
+IsHome(const SubsetInput& aInput,
+       const std::vector<InstanceId>& aEntries,
+       const InstanceId& aNode,
+       uint64_t aOwnScore,
+       uint64_t aHomes)
+{
+  uint64_t better = 0;
+  for (const InstanceId& entry : aEntries) {
+    if (entry != aInput.mSelf.mInstance &&
+        RendezvousScore(entry.mValue, aNode.mValue) > aOwnScore) {
+      ++better;
+    }
+    if (better >= aHomes) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<Candidate>
+Ranked(const SubsetInput& aInput,
+       const std::vector<InstanceId>& aNodes,
+       const std::vector<InstanceId>& aEntries,
+       uint32_t aSlots)
+{
+  std::vector<Candidate> ranked;
+  if (aNodes.empty()) {
+    return ranked;
+  }
+  // Half of the mean number of entries per target are homes; the other half
+  // comes from filling up, which keeps an entry's own number near its size.
+  const uint64_t mean = aEntries.size() * aSlots / aNodes.size();
+  const uint64_t homes = std::max(kMinHomes, (mean + 1) / 2);
+  for (const InstanceId& node : aNodes) {
+    const uint64_t score =
+      RendezvousScore(aInput.mSelf.mInstance.mValue, node.mValue);
+    const bool home =
+      !aEntries.empty() && IsHome(aInput, aEntries, node, score, homes);
+    ranked.push_back({ node, score, home });
+  }
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return std::pair(aLeft.mHome, aLeft.mScore) >
+                     std::pair(aRight.mHome, aRight.mScore);
+            });
+  return ranked;
+}
+
+// Takes all homes, and others up to aSlots in total.
+void
+Take(const std::vector<Candidate>& aRanked,
+     size_t aSlots,
+     std::vector<InstanceId>& aOut)
+{
+  size_t taken = 0;
+  for (const Candidate& candidate : aRanked) {
+    if (candidate.mHome || taken < aSlots) {
+      aOut.push_back(candidate.mNode);
+      ++taken;
+    }
+  }
+}
+
+// Targets of zones without any entry belong to the entries of all zones.
+std::vector<Candidate>
+RankedRemote(const SubsetInput& aInput, uint32_t aSlots)
+{
+  std::vector<InstanceId> covered;
+  std::vector<InstanceId> bare;
+  for (const SubsetTarget& target : aInput.mTargets) {
+    if (target.mZone == aInput.mSelf.mZone) {
+      continue;
+    }
+    const bool hasEntry = std::any_of(
+      aInput.mEntries.begin(),
+      aInput.mEntries.end(),
+      [&](const SubsetEntry& aEntry) { return aEntry.mZone == target.mZone; });
+    (hasEntry ? covered : bare).push_back(target.mNode);
+  }
+  std::vector<Candidate> ranked =
+    Ranked(aInput, bare, EntriesOf(aInput, nullptr), aSlots);
+  const std::vector<Candidate> rest = Ranked(aInput, covered, {}, aSlots);
+  ranked.insert(ranked.end(), rest.begin(), rest.end());
+  return ranked;
+}
+
+} // namespace
+
+std::vector<InstanceId>
+ChooseSubset(const SubsetInput& aInput)
+{
+  std::vector<InstanceId> local;
+  for (const SubsetTarget& target : aInput.mTargets) {
+    if (target.mZone == aInput.mSelf.mZone) {
+      local.push_back(target.mNode);
+    }
+  }
+  const auto remoteCount =
+    static_cast<uint32_t>(aInput.mTargets.size() - local.size());
+  const auto localCount = static_cast<uint32_t>(local.size());
+  const uint32_t size = aInput.mSize;
+  const uint32_t wantRemote =
+    localCount == 0 ? size : std::max(size / kRemoteShare, 1U);
+  const uint32_t localSlots = size - std::min(wantRemote, remoteCount);
+  const uint32_t remoteSlots = size - std::min(localSlots, localCount);
+
+  std::vector<InstanceId> chosen;
+  const std::vector<InstanceId> neighbours =
+    EntriesOf(aInput, &aInput.mSelf.mZone);
+  Take(Ranked(aInput, local, neighbours, localSlots), localSlots, chosen);
+  Take(RankedRemote(aInput, remoteSlots), remoteSlots, chosen);
+  return chosen;
+}
+
+} // namespace caraway
