--- /dev/null
+++ b/caraway/entry/admission_step.cpp
@@ -0,0 +1,146 @@
+// Admission of requests.
+
+#include "caraway/entry/admission_step.h"
+
+#include <algorithm>
+
+#include "caraway/admission/token_holder.h"
+#include "caraway/entry/attempts.h"
+#include "caraway/entry/claims.h"
+#include "caraway/entry/control_replies.h"
+#include "caraway/entry/outcome.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kAskWait = Millis(200);
+
+void
+LogAdmission(EntryStep& aStep,
+             const CallerRequest& aRequest,
+             LogLevel aLevel,
+             const char* aChoice,
+             const char* aReason)
+{
+  DecisionLog log;
+  log.mLevel = aLevel;
+  log.mEvent = "admit";
+  log.mRequest = aRequest.mId;
+  log.mWorkspace = aRequest.mWorkspace;
+  log.mChoice = aChoice;
+  log.mReason = aReason;
+  aStep.mOut.emplace_back(std::move(log));
+}
+
+void
+StartWork(EntryStep& aStep, CallerRequest& aRequest)
+{
+  if (aRequest.mControl.mStep != ControlStep::eNone) {
+    StartControlWork(aStep, aRequest);
+  } else if (!aRequest.mClaimKey.Empty()) {
+    StartClaim(aStep, aRequest);
+  } else {
+    StartAttempts(aStep, aRequest);
+  }
+}
+
+void
+RefuseRate(EntryStep& aStep, CallerRequest& aRequest, Duration aRetryAfter)
+{
+  LogAdmission(
+    aStep, aRequest, LogLevel::eInfo, "refused", "workspace above its rate");
+  CallerError error;
+  error.mKind = ErrorKind::eRateLimited;
+  error.mMessage = "the workspace is above its rate";
+  error.mRetryAfter = aRetryAfter;
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+// Returns false if the request is to wait.
+bool
+TryOnce(EntryStep& aStep, CallerRequest& aRequest, bool aAsked)
+{
+  Entry& entry = aStep.mEntry;
+  auto contract = entry.mConfig.mContracts.find(aRequest.mWorkspace);
+  if (contract == entry.mConfig.mContracts.end()) {
+    return true; // the withdrawal has ended it, or will at once
+  }
+  const Admission admission =
+    TryAdmit(entry.mTokens, aStep.mNow, contract->second, aAsked);
+  switch (admission.mVerdict) {
+    case AdmitVerdict::eAdmitted:
+      ++entry.mMetrics.mAdmitted;
+      aRequest.mTokenTaken = true;
+      LogAdmission(
+        aStep, aRequest, LogLevel::eDebug, "admitted", "token spent");
+      StartWork(aStep, aRequest);
+      return true;
+    case AdmitVerdict::eRefused:
+      RefuseRate(aStep, aRequest, admission.mRetryAfter);
+      return true;
+    case AdmitVerdict::eAsk:
+      break;
+  }
+  return false;
+}
+
+} // namespace
+
+void
+AdmitRequest(EntryStep& aStep, CallerRequest& aRequest)
+{
+  if (aRequest.mKey.Empty()) { // open routes have no contract
+    StartWork(aStep, aRequest);
+    return;
+  }
+  if (TryOnce(aStep, aRequest, false)) {
+    return;
+  }
+  aRequest.mPhase = RequestPhase::eAdmitting;
+  aRequest.mAskUntil = aStep.mNow + kAskWait;
+  aStep.mEntry.mParked.push_back(aRequest.mSerial);
+  ScheduleRequest(aStep, aRequest);
+}
+
+void
+RetryParked(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  std::deque<uint64_t> parked = std::move(entry.mParked);
+  entry.mParked.clear();
+  for (uint64_t serial : parked) {
+    auto request = entry.mRequests.find(serial);
+    if (request != entry.mRequests.end() &&
+        request->second.mPhase == RequestPhase::eAdmitting &&
+        !TryOnce(aStep, request->second, true)) {
+      entry.mParked.push_back(serial);
+    }
+  }
+}
+
+void
+GiveUpParked(EntryStep& aStep, CallerRequest& aRequest)
+{
+  std::deque<uint64_t>& parked = aStep.mEntry.mParked;
+  parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
+               parked.end());
+  // Tokens may have come back from other requests meanwhile.
+  if (!TryOnce(aStep, aRequest, true)) {
+    RefuseRate(aStep, aRequest, Seconds(1));
+  }
+}
+
+void
+SendGrantRequests(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  if (entry.mSession.mEpoch.IsNone() || entry.mDrain.mStopped) {
+    return;
+  }
+  if (auto request = NextGrantRequest(entry.mTokens, aStep.mNow)) {
+    Send(aStep, entry.mSession.mLeader, std::move(*request));
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/config_fetch.cpp
@@ -0,0 +1,156 @@
+// Fetching of configuration.
+
+#include "caraway/entry/config_fetch.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kSilence = Seconds(2);
+// A replica holds a poll for 1 s when it has nothing new. One that answers
+// sooner without news is not asked again before that.
+constexpr Duration kPollInterval = Seconds(1);
+
+const PeerAddress&
+FetchPeer(const Entry& aEntry)
+{
+  const std::vector<PeerAddress>& replicas = aEntry.mSettings.mControl;
+  return replicas[aEntry.mFetcher.mReplica % replicas.size()];
+}
+
+void
+ChangeReplica(EntryStep& aStep)
+{
+  ConfigFetcher& fetcher = aStep.mEntry.mFetcher;
+  ++fetcher.mReplica;
+  fetcher.mReplyBy = kNever;
+  fetcher.mNextFetch = aStep.mNow;
+}
+
+// A poll was answered; the next one follows at once after news.
+void
+Answered(EntryStep& aStep, const PeerAddress& aFrom, bool aNews)
+{
+  ConfigFetcher& fetcher = aStep.mEntry.mFetcher;
+  if (aFrom != FetchPeer(aStep.mEntry) || fetcher.mReplyBy == kNever) {
+    return;
+  }
+  fetcher.mReplyBy = kNever;
+  fetcher.mNextFetch =
+    aNews ? aStep.mNow : std::max(aStep.mNow, fetcher.mSentAt + kPollInterval);
+}
+
+void
+DropParts(ConfigFetcher& aFetcher)
+{
+  aFetcher.mPartRevision = {};
+  aFetcher.mParts.clear();
+}
+
+} // namespace
+
+void
+TickFetch(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  ConfigFetcher& fetcher = entry.mFetcher;
+  if (entry.mSettings.mControl.empty() || entry.mDrain.mStopped) {
+    return;
+  }
+  if (aStep.mNow >= fetcher.mReplyBy) {
+    ChangeReplica(aStep);
+  }
+  if (fetcher.mReplyBy != kNever || aStep.mNow < fetcher.mNextFetch) {
+    return;
+  }
+  ConfigFetch fetch;
+  fetch.mHeld = entry.mConfig.mRevision;
+  fetch.mScope = ConfigScope::eAll;
+  fetch.mSnapshotOffset = fetcher.mParts.size();
+  fetch.mSnapshotRevision = fetcher.mPartRevision;
+  fetcher.mSentAt = aStep.mNow;
+  fetcher.mReplyBy = aStep.mNow + kSilence;
+  Send(aStep, FetchPeer(entry), fetch);
+}
+
+MonoTime
+FetchWakeup(const Entry& aEntry)
+{
+  const ConfigFetcher& fetcher = aEntry.mFetcher;
+  if (aEntry.mSettings.mControl.empty() || aEntry.mDrain.mStopped) {
+    return kNever;
+  }
+  return fetcher.mReplyBy != kNever ? fetcher.mReplyBy : fetcher.mNextFetch;
+}
+
+void
+FetchSoon(EntryStep& aStep)
+{
+  aStep.mEntry.mFetcher.mNextFetch = aStep.mNow;
+}
+
+bool
+HandleConfigDelta(EntryStep& aStep,
+                  const PeerAddress& aFrom,
+                  const ConfigDelta& aDelta)
+{
+  ConfigView& view = aStep.mEntry.mConfig;
+  const bool news =
+    aDelta.mFrom <= view.mRevision && aDelta.mTo > view.mRevision;
+  if (news) {
+    for (const RevisedChange& change : aDelta.mChanges) {
+      ApplyChange(view, change);
+    }
+    view.mRevision = std::max(view.mRevision, aDelta.mTo);
+    DropParts(aStep.mEntry.mFetcher);
+  }
+  Answered(aStep, aFrom, news);
+  return news;
+}
+
+bool
+HandleSnapshotPart(EntryStep& aStep,
+                   const PeerAddress& aFrom,
+                   const ConfigSnapshotPart& aPart)
+{
+  Entry& entry = aStep.mEntry;
+  ConfigFetcher& fetcher = entry.mFetcher;
+  if (aPart.mRevision <= entry.mConfig.mRevision) {
+    DropParts(fetcher);
+    Answered(aStep, aFrom, false);
+    return false;
+  }
+  if (aPart.mOffset == 0) {
+    DropParts(fetcher);
+    fetcher.mPartRevision = aPart.mRevision;
+  }
+  const bool inOrder = aPart.mRevision == fetcher.mPartRevision &&
+                       aPart.mOffset == fetcher.mParts.size();
+  if (inOrder) {
+    fetcher.mParts.insert(
+      fetcher.mParts.end(), aPart.mChanges.begin(), aPart.mChanges.end());
+  } else if (aPart.mRevision != fetcher.mPartRevision) {
+    DropParts(fetcher); // the replica has moved on: begin again
+  }
+  bool applied = false;
+  if (inOrder && aPart.mLast) {
+    applied =
+      ApplySnapshot(entry.mConfig, aPart.mRevision, fetcher.mParts).ok();
+    DropParts(fetcher);
+  }
+  Answered(aStep, aFrom, true);
+  return applied;
+}
+
+void
+FetchPeerLost(EntryStep& aStep, const PeerAddress& aPeer)
+{
+  Entry& entry = aStep.mEntry;
+  if (!entry.mSettings.mControl.empty() && aPeer == FetchPeer(entry)) {
+    ChangeReplica(aStep);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/control_calls.cpp
@@ -0,0 +1,159 @@
+// Calls to the ledger's leader.
+
+#include "caraway/entry/control_calls.h"
+
+#include "caraway/entry/claims.h"
+#include "caraway/entry/control_replies.h"
+#include "caraway/entry/session.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kResendInterval = Millis(500);
+// A claim is settled after its caller was answered, but not for ever: when the
+// session ends, the ledger marks the claim unknown by itself.
+constexpr Duration kBackgroundDeadline = Seconds(10);
+
+void
+SendCall(EntryStep& aStep, uint64_t aNumber, PendingCall& aCall)
+{
+  SetTimer(aStep.mEntry.mCallTimers, aNumber, aStep.mNow + kResendInterval);
+  if (!aCall.mMessage.mEntryEpoch.IsNone()) {
+    Send(aStep, aStep.mEntry.mSession.mLeader, aCall.mMessage);
+  }
+}
+
+uint64_t
+StartCall(EntryStep& aStep,
+          const WorkspaceId& aWorkspace,
+          uint64_t aRequest,
+          MonoTime aDeadline,
+          CallBody aBody)
+{
+  Entry& entry = aStep.mEntry;
+  const uint64_t number = entry.mNextCall++;
+  PendingCall& call = entry.mCalls[number];
+  call.mRequest = aRequest;
+  call.mDeadline = aDeadline;
+  call.mMessage.mCall = number;
+  call.mMessage.mEntry = entry.mSettings.mInstance;
+  call.mMessage.mEntryEpoch = entry.mSession.mEpoch;
+  call.mMessage.mWorkspace = aWorkspace;
+  call.mMessage.mBody = std::move(aBody);
+  SendCall(aStep, number, call);
+  return number;
+}
+
+// The leader could not serve the call; it is sent again.
+bool
+IsTransient(const CallReplyBody& aBody)
+{
+  const auto* failed = std::get_if<CallFailed>(&aBody);
+  return failed != nullptr && (failed->mKind == ErrorKind::eUnavailable ||
+                               failed->mKind == ErrorKind::eNotLeader);
+}
+
+} // namespace
+
+void
+CallControl(EntryStep& aStep, CallerRequest& aRequest, CallBody aBody)
+{
+  aRequest.mPendingCall = StartCall(
+    aStep, aRequest.mWorkspace, aRequest.mSerial, kNever, std::move(aBody));
+}
+
+void
+CallControlInBackground(EntryStep& aStep,
+                        const WorkspaceId& aWorkspace,
+                        CallBody aBody)
+{
+  StartCall(
+    aStep, aWorkspace, 0, aStep.mNow + kBackgroundDeadline, std::move(aBody));
+}
+
+void
+TickCalls(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  while (auto number = PopDue(entry.mCallTimers, aStep.mNow)) {
+    auto call = entry.mCalls.find(*number);
+    if (call == entry.mCalls.end()) {
+      continue;
+    }
+    if (aStep.mNow >= call->second.mDeadline) {
+      entry.mCalls.erase(call);
+      continue;
+    }
+    SendCall(aStep, *number, call->second);
+    // The silence may mean that the leader is gone: find out by a Renew.
+    RenewSoon(aStep);
+  }
+}
+
+void
+ResendCalls(EntryStep& aStep)
+{
+  for (auto& [number, call] : aStep.mEntry.mCalls) {
+    SendCall(aStep, number, call);
+  }
+}
+
+void
+RestampCalls(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  std::map<uint64_t, PendingCall> calls = std::move(entry.mCalls);
+  entry.mCalls.clear();
+  for (auto& [number, call] : calls) {
+    ClearTimer(entry.mCallTimers, number);
+    const uint64_t fresh = entry.mNextCall++;
+    call.mMessage.mCall = fresh;
+    call.mMessage.mEntryEpoch = entry.mSession.mEpoch;
+    auto request = entry.mRequests.find(call.mRequest);
+    if (request != entry.mRequests.end()) {
+      request->second.mPendingCall = fresh;
+    }
+    SendCall(aStep, fresh, entry.mCalls[fresh] = std::move(call));
+  }
+}
+
+void
+DropCall(EntryStep& aStep, uint64_t aCall)
+{
+  aStep.mEntry.mCalls.erase(aCall);
+  ClearTimer(aStep.mEntry.mCallTimers, aCall);
+}
+
+void
+HandleControlReply(EntryStep& aStep, const ControlCallReply& aReply)
+{
+  Entry& entry = aStep.mEntry;
+  auto call = entry.mCalls.find(aReply.mCall);
+  if (call == entry.mCalls.end() ||
+      call->second.mMessage.mEntryEpoch != aReply.mEntryEpoch ||
+      IsTransient(aReply.mBody)) {
+    return;
+  }
+  auto request = entry.mRequests.find(call->second.mRequest);
+  DropCall(aStep, aReply.mCall);
+  if (request == entry.mRequests.end()) {
+    return;
+  }
+  request->second.mPendingCall = 0;
+  switch (request->second.mPhase) {
+    case RequestPhase::eClaiming:
+      HandleClaimReply(aStep, request->second, aReply.mBody);
+      break;
+    case RequestPhase::eCompleting:
+      HandleCompleted(aStep, request->second);
+      break;
+    case RequestPhase::eControl:
+      HandleControlWorkReply(aStep, request->second, aReply.mBody);
+      break;
+    default:
+      break;
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/control_replies.cpp
@@ -0,0 +1,396 @@
+// Files, uploads and batches: what follows each reply of control.
+
+#include "caraway/entry/control_replies.h"
+
+#include <algorithm>
+
+#include "caraway/entry/attempts.h"
+#include "caraway/entry/completion_request.h"
+#include "caraway/entry/control_calls.h"
+#include "caraway/entry/object_json.h"
+#include "caraway/entry/outcome.h"
+#include "caraway/entry/reply.h"
+#include "caraway/entry/upload_id.h"
+
+namespace caraway {
+
+namespace {
+
+void
+Fail(EntryStep& aStep,
+     CallerRequest& aRequest,
+     ErrorKind aKind,
+     std::string aMessage,
+     std::string aRemedy)
+{
+  CallerError error;
+  error.mKind = aKind;
+  error.mMessage = std::move(aMessage);
+  error.mRemedy = std::move(aRemedy);
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+void
+ReplyJson(EntryStep& aStep, CallerRequest& aRequest, std::string aBody)
+{
+  ReplyWhole(aStep,
+             aRequest,
+             200,
+             { { "Content-Type", "application/json" } },
+             std::move(aBody));
+}
+
+// A long transfer gets its whole time again with each step of progress.
+void
+ExtendDeadline(EntryStep& aStep, CallerRequest& aRequest)
+{
+  aRequest.mDeadline = std::max(
+    aRequest.mDeadline, aStep.mNow + aStep.mEntry.mSettings.mDefaultDeadline);
+  ScheduleRequest(aStep, aRequest);
+}
+
+// The next piece of mBytes; mOffset is where it goes in the file.
+void
+PutNextPart(EntryStep& aStep, CallerRequest& aRequest)
+{
+  ControlWork& work = aRequest.mControl;
+  const uint64_t done = work.mOffset - work.mStart;
+  PutFilePart part;
+  part.mFile = work.mFile;
+  part.mName = work.mName;
+  part.mPurpose = work.mPurpose;
+  part.mOffset = work.mOffset;
+  part.mBytes = work.mBytes.substr(done, kMaxPartBytes);
+  part.mLast = work.mStep == ControlStep::eCreateFile &&
+               done + part.mBytes.size() == work.mBytes.size();
+  work.mOffset += part.mBytes.size();
+  CallControl(aStep, aRequest, std::move(part));
+}
+
+bool
+AllPut(const ControlWork& aWork)
+{
+  return aWork.mOffset - aWork.mStart == aWork.mBytes.size();
+}
+
+UploadId
+UploadOf(const ControlWork& aWork)
+{
+  return { aWork.mFile, aWork.mDeclared };
+}
+
+void
+SendCreateJob(EntryStep& aStep, CallerRequest& aRequest)
+{
+  const Entry& entry = aStep.mEntry;
+  ControlWork& work = aRequest.mControl;
+  auto contract = entry.mConfig.mContracts.find(aRequest.mWorkspace);
+  if (contract == entry.mConfig.mContracts.end()) {
+    return; // the withdrawal ends the request
+  }
+  const std::vector<ModelId>& models = contract->second.mModels;
+  if (std::find(models.begin(), models.end(), work.mModel) == models.end()) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eNotPermitted,
+         "the contract does not allow the model of the input file",
+         "use a model that GET /v1/models lists");
+    return;
+  }
+  work.mStep = ControlStep::eCreateJob;
+  CreateJob create;
+  create.mJob = work.mJob;
+  create.mKey = work.mKey;
+  create.mInput = work.mFile;
+  create.mEndpoint = work.mEndpoint;
+  create.mWindow = work.mWindow;
+  create.mModel = work.mModel;
+  create.mMaxItems = contract->second.mMaxBatchItems;
+  create.mWeight = contract->second.mWeight;
+  create.mMetadata = work.mMetadata;
+  CallControl(aStep, aRequest, std::move(create));
+}
+
+void
+TakeFirstLine(EntryStep& aStep,
+              CallerRequest& aRequest,
+              const FileBytesReply& aReply)
+{
+  const size_t end = aReply.mBytes.find('\n');
+  if (end == std::string::npos && !aReply.mEnd) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eInvalidArgument,
+         "the first line of the input file is longer than 256 KiB",
+         "send shorter requests");
+    return;
+  }
+  absl::StatusOr<ModelId> model =
+    ModelOfBatchLine(aReply.mBytes.substr(0, end));
+  if (!model.ok()) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eInvalidArgument,
+         "the first line of the input file names no model",
+         "give each line a 'body' with a 'model'");
+    return;
+  }
+  aRequest.mControl.mModel = *model;
+  SendCreateJob(aStep, aRequest);
+}
+
+void
+TakeContent(EntryStep& aStep,
+            CallerRequest& aRequest,
+            const FileBytesReply& aReply)
+{
+  ControlWork& work = aRequest.mControl;
+  if (!aRequest.mBegun) {
+    BeginReply(
+      aStep, aRequest, 200, { { "Content-Type", "application/octet-stream" } });
+  }
+  ChunkReply(aStep, aRequest, aReply.mBytes);
+  if (aReply.mEnd) {
+    EndReply(aStep, aRequest);
+    return;
+  }
+  if (aReply.mNextOffset <= work.mOffset || aRequest.mCallerGone) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eUnavailable,
+         "the file could not be read to its end",
+         "read it again");
+    return;
+  }
+  work.mOffset = aReply.mNextOffset;
+  CallControl(aStep, aRequest, ReadFile{ work.mFile, work.mOffset });
+  ExtendDeadline(aStep, aRequest);
+}
+
+// The part ids have to be those of the stored bytes, in order and without gaps.
+bool
+PartsMatch(const ControlWork& aWork, uint64_t aBytes)
+{
+  uint64_t at = 0;
+  for (const std::string& text : aWork.mPartIds) {
+    const std::optional<UploadPartId> part = ParseUploadPartId(text);
+    if (!part || part->mFile != aWork.mFile || part->mStart != at ||
+        part->mEnd < part->mStart) {
+      return false;
+    }
+    at = part->mEnd;
+  }
+  return at == aBytes && aBytes == aWork.mDeclared;
+}
+
+void
+TakeUploadInfo(EntryStep& aStep, CallerRequest& aRequest, const FileInfo& aFile)
+{
+  ControlWork& work = aRequest.mControl;
+  work.mName = aFile.mName;
+  work.mPurpose = aFile.mPurpose;
+  work.mStart = aFile.mBytes;
+  work.mOffset = aFile.mBytes;
+  if (aFile.mComplete) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eConflict,
+         "the upload is complete",
+         "create another upload");
+    return;
+  }
+  if (work.mStep == ControlStep::eMeasureUpload) {
+    if (aFile.mBytes + work.mBytes.size() > work.mDeclared) {
+      Fail(aStep,
+           aRequest,
+           ErrorKind::eTooLarge,
+           "the parts hold more bytes than the upload announced",
+           "create an upload with the right size");
+      return;
+    }
+    work.mStep = ControlStep::eAppendUpload;
+    PutNextPart(aStep, aRequest);
+    return;
+  }
+  if (!PartsMatch(work, aFile.mBytes)) {
+    Fail(aStep,
+         aRequest,
+         ErrorKind::eInvalidArgument,
+         "the part ids are not those of the stored bytes in order",
+         "send the parts one after another and list all of them; if a part "
+         "was sent twice, create the upload anew");
+    return;
+  }
+  work.mStep = ControlStep::eCompleteUpload;
+  PutFilePart last;
+  last.mFile = work.mFile;
+  last.mName = work.mName;
+  last.mPurpose = work.mPurpose;
+  last.mOffset = aFile.mBytes;
+  last.mLast = true;
+  CallControl(aStep, aRequest, std::move(last));
+}
+
+// FileReply of a put, a description or a completion.
+void
+TakeFile(EntryStep& aStep, CallerRequest& aRequest, const FileInfo& aFile)
+{
+  ControlWork& work = aRequest.mControl;
+  switch (work.mStep) {
+    case ControlStep::eDescribeFile:
+      ReplyJson(aStep, aRequest, FileJson(aFile));
+      return;
+    case ControlStep::eMeasureUpload:
+    case ControlStep::eCheckUpload:
+      TakeUploadInfo(aStep, aRequest, aFile);
+      return;
+    case ControlStep::eCreateUpload:
+      ReplyJson(
+        aStep,
+        aRequest,
+        UploadJson(
+          UploadIdText(UploadOf(work)), aFile, work.mDeclared, "pending"));
+      return;
+    case ControlStep::eCompleteUpload:
+      ReplyJson(
+        aStep,
+        aRequest,
+        UploadJson(
+          UploadIdText(UploadOf(work)), aFile, work.mDeclared, "completed"));
+      return;
+    default:
+      break;
+  }
+  if (!AllPut(work)) {
+    PutNextPart(aStep, aRequest);
+    ExtendDeadline(aStep, aRequest);
+  } else if (work.mStep == ControlStep::eAppendUpload) {
+    const UploadPartId part{ work.mFile, work.mStart, work.mOffset };
+    ReplyJson(
+      aStep,
+      aRequest,
+      UploadPartJson(UploadPartIdText(part), UploadIdText(UploadOf(work))));
+  } else {
+    ReplyJson(aStep, aRequest, FileJson(aFile));
+  }
+}
+
+void
+TakeDone(EntryStep& aStep, CallerRequest& aRequest)
+{
+  const ControlWork& work = aRequest.mControl;
+  if (work.mStep == ControlStep::eCancelUpload) {
+    FileInfo info;
+    info.mName = work.mName;
+    info.mPurpose = "batch";
+    ReplyJson(
+      aStep,
+      aRequest,
+      UploadJson(
+        UploadIdText(UploadOf(work)), info, work.mDeclared, "cancelled"));
+  } else {
+    ReplyJson(aStep, aRequest, DeletedJson(work.mFile));
+  }
+}
+
+void
+TakeFailure(EntryStep& aStep,
+            CallerRequest& aRequest,
+            const CallFailed& aFailed)
+{
+  CallerError error;
+  error.mKind = aFailed.mKind;
+  error.mMessage = aFailed.mMessage;
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+template<class... Ts>
+struct Overloaded : Ts...
+{
+  using Ts::operator()...;
+};
+template<class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+} // namespace
+
+void
+StartControlWork(EntryStep& aStep, CallerRequest& aRequest)
+{
+  ControlWork& work = aRequest.mControl;
+  aRequest.mPhase = RequestPhase::eControl;
+  switch (work.mStep) {
+    case ControlStep::eCreateFile:
+    case ControlStep::eCreateUpload:
+      PutNextPart(aStep, aRequest);
+      break;
+    case ControlStep::eListFiles:
+      CallControl(
+        aStep, aRequest, ListFiles{ FileId(work.mAfter), work.mLimit });
+      break;
+    case ControlStep::eDescribeFile:
+    case ControlStep::eMeasureUpload:
+    case ControlStep::eCheckUpload:
+      CallControl(aStep, aRequest, DescribeFile{ work.mFile });
+      break;
+    case ControlStep::eReadContent:
+    case ControlStep::eReadFirstLine:
+      CallControl(aStep, aRequest, ReadFile{ work.mFile, 0 });
+      break;
+    case ControlStep::eDeleteFile:
+    case ControlStep::eCancelUpload:
+      CallControl(aStep, aRequest, DeleteFile{ work.mFile });
+      break;
+    case ControlStep::eDescribeJob:
+      CallControl(aStep, aRequest, DescribeJob{ work.mJob });
+      break;
+    case ControlStep::eListJobs:
+      CallControl(aStep, aRequest, ListJobs{ JobId(work.mAfter), work.mLimit });
+      break;
+    case ControlStep::eCancelJob:
+      CallControl(aStep, aRequest, CancelJob{ work.mJob });
+      break;
+    default:
+      break;
+  }
+  ScheduleRequest(aStep, aRequest);
+}
+
+void
+HandleControlWorkReply(EntryStep& aStep,
+                       CallerRequest& aRequest,
+                       const CallReplyBody& aBody)
+{
+  std::visit(
+    Overloaded{
+      [&](const CallFailed& aFailed) { TakeFailure(aStep, aRequest, aFailed); },
+      [&](const CallDone&) { TakeDone(aStep, aRequest); },
+      [&](const FileReply& aReply) { TakeFile(aStep, aRequest, aReply.mFile); },
+      [&](const FileListReply& aReply) {
+        ReplyJson(aStep, aRequest, FileListJson(aReply));
+      },
+      [&](const FileBytesReply& aReply) {
+        if (aRequest.mControl.mStep == ControlStep::eReadFirstLine) {
+          TakeFirstLine(aStep, aRequest, aReply);
+        } else {
+          TakeContent(aStep, aRequest, aReply);
+        }
+      },
+      [&](const JobReply& aReply) {
+        ReplyJson(aStep, aRequest, JobJson(aReply.mJob));
+      },
+      [&](const JobListReply& aReply) {
+        ReplyJson(aStep, aRequest, JobListJson(aReply));
+      },
+      [&](const ClaimReply&) {
+        Fail(aStep,
+             aRequest,
+             ErrorKind::eUnavailable,
+             "control answered another question",
+             "send the request again");
+      },
+    },
+    aBody);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/drain.cpp
@@ -0,0 +1,103 @@
+// The graceful stop.
+
+#include "caraway/entry/drain.h"
+
+#include "caraway/entry/session.h"
+
+namespace caraway {
+
+namespace {
+
+// How long the platform's balancer may go on sending after /readyz fails.
+constexpr Duration kBalancerTime = Seconds(2);
+constexpr Duration kLeaveInterval = Millis(500);
+constexpr Duration kLeaveLimit = Seconds(5);
+
+bool
+IsIdle(const Entry& aEntry)
+{
+  return aEntry.mRequests.size() == aEntry.mFinished.size() &&
+         aEntry.mCalls.empty();
+}
+
+// Control has ended the session, or removed the member.
+bool
+HasLeft(const Entry& aEntry)
+{
+  if (aEntry.mSession.mEpoch.IsNone()) {
+    return true;
+  }
+  auto own = aEntry.mConfig.mMembers.find(aEntry.mSettings.mInstance);
+  return own == aEntry.mConfig.mMembers.end() ||
+         own->second.mEpoch != aEntry.mSession.mEpoch;
+}
+
+void
+Stop(EntryStep& aStep)
+{
+  aStep.mEntry.mDrain.mStopped = true;
+  aStep.mOut.emplace_back(Stopped{});
+}
+
+} // namespace
+
+void
+StartDrain(EntryStep& aStep)
+{
+  DrainState& drain = aStep.mEntry.mDrain;
+  if (drain.mSince == kNever) {
+    drain.mSince = aStep.mNow;
+    RenewSoon(aStep);
+  }
+}
+
+bool
+RefusesNewWork(const Entry& aEntry, MonoTime aNow)
+{
+  return aEntry.mDrain.mSince != kNever &&
+         aNow >= aEntry.mDrain.mSince + kBalancerTime;
+}
+
+void
+TickDrain(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  DrainState& drain = entry.mDrain;
+  if (drain.mStopped || !RefusesNewWork(entry, aStep.mNow)) {
+    return;
+  }
+  drain.mWoken = true;
+  if (!IsIdle(entry)) {
+    return;
+  }
+  if (drain.mLeaveAt == kNever) {
+    drain.mLeaveAt = aStep.mNow;
+    drain.mNextLeave = aStep.mNow;
+  }
+  if (HasLeft(entry) || aStep.mNow >= drain.mLeaveAt + kLeaveLimit) {
+    Stop(aStep);
+    return;
+  }
+  if (aStep.mNow >= drain.mNextLeave) {
+    Send(aStep,
+         entry.mSession.mLeader,
+         Leave{ entry.mSettings.mInstance, entry.mSession.mEpoch });
+    drain.mNextLeave = aStep.mNow + kLeaveInterval;
+  }
+}
+
+MonoTime
+DrainWakeup(const Entry& aEntry)
+{
+  const DrainState& drain = aEntry.mDrain;
+  if (drain.mStopped || drain.mSince == kNever) {
+    return kNever;
+  }
+  // While requests are in progress their own timers wake the entry.
+  if (drain.mNextLeave != kNever) {
+    return IsIdle(aEntry) ? drain.mNextLeave : kNever;
+  }
+  return drain.mWoken ? kNever : drain.mSince + kBalancerTime;
+}
+
+} // namespace caraway
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -1,40 +1,216 @@
-// Entry points of the entry role.
+// One step of the entry: the event, then everything that is due.
 
 #include "caraway/entry/entry.h"
 
+#include <algorithm>
+
+#include "caraway/admission/token_holder.h"
+#include "caraway/entry/admission_step.h"
+#include "caraway/entry/attempts.h"
+#include "caraway/entry/caller_http.h"
+#include "caraway/entry/claims.h"
+#include "caraway/entry/config_fetch.h"
+#include "caraway/entry/control_calls.h"
+#include "caraway/entry/drain.h"
+#include "caraway/entry/outcome.h"
+#include "caraway/entry/relay.h"
+#include "caraway/entry/session.h"
+#include "caraway/entry/targets.h"
+#include "caraway/routing/hash.h"
+
 namespace caraway {
 
+namespace {
+
+bool
+ChangesTopology(const ConfigDelta& aDelta)
+{
+  return std::any_of(
+    aDelta.mChanges.begin(),
+    aDelta.mChanges.end(),
+    [](const RevisedChange& aChange) {
+      return std::holds_alternative<SetMember>(aChange.mChange) ||
+             std::holds_alternative<RemoveMember>(aChange.mChange) ||
+             std::holds_alternative<SetZoneService>(aChange.mChange) ||
+             std::holds_alternative<SetTargetService>(aChange.mChange);
+    });
+}
+
+void
+ConfigApplied(EntryStep& aStep, bool aTopology)
+{
+  EndWithdrawn(aStep);
+  if (aTopology) {
+    TopologyChanged(aStep);
+    AttemptsTopologyChanged(aStep);
+  }
+  RenewSoon(aStep);
+}
+
+void
+HandleLoadReport(EntryStep& aStep, const LoadReport& aReport)
+{
+  TakeLoad(aStep,
+           aReport.mNode,
+           aReport.mNodeEpoch,
+           { aReport.mRunning, aReport.mQueued, aReport.mLimit });
+}
+
+// Messages not listed here are not for entries and are ignored.
+void
+HandleMessage(EntryStep& aStep, const MessageReceived& aEvent)
+{
+  const PeerAddress& from = aEvent.mFrom;
+  const Message& message = aEvent.mMessage;
+  if (const auto* part = std::get_if<AnswerPart>(&message)) {
+    HandleAnswerPart(aStep, *part);
+  } else if (const auto* refusal = std::get_if<Refusal>(&message)) {
+    HandleRefusal(aStep, *refusal);
+  } else if (const auto* outcome = std::get_if<OutcomeReply>(&message)) {
+    HandleOutcomeReply(aStep, *outcome);
+  } else if (const auto* report = std::get_if<LoadReport>(&message)) {
+    HandleLoadReport(aStep, *report);
+  } else if (const auto* grant = std::get_if<GrantReply>(&message)) {
+    HandleGrantReply(aStep.mEntry.mTokens, aStep.mNow, *grant);
+    RetryParked(aStep);
+  } else if (const auto* call = std::get_if<ControlCallReply>(&message)) {
+    HandleControlReply(aStep, *call);
+  } else if (const auto* delta = std::get_if<ConfigDelta>(&message)) {
+    if (HandleConfigDelta(aStep, from, *delta)) {
+      ConfigApplied(aStep, ChangesTopology(*delta));
+    }
+  } else if (const auto* snapshot = std::get_if<ConfigSnapshotPart>(&message)) {
+    if (HandleSnapshotPart(aStep, from, *snapshot)) {
+      ConfigApplied(aStep, true);
+    }
+  } else if (const auto* registered = std::get_if<RegisterReply>(&message)) {
+    HandleRegisterReply(aStep, from, *registered);
+  } else if (const auto* renewed = std::get_if<RenewReply>(&message)) {
+    HandleRenewReply(aStep, from, *renewed);
+  } else if (const auto* redirect = std::get_if<NotLeader>(&message)) {
+    HandleNotLeader(aStep, from, *redirect);
+  }
+}
+
+void
+HandlePeerLost(EntryStep& aStep, const PeerAddress& aPeer)
+{
+  SessionPeerLost(aStep, aPeer);
+  FetchPeerLost(aStep, aPeer);
+  // Before attempts: what is sent anew must avoid this target.
+  TargetPeerLost(aStep, aPeer);
+  AttemptsPeerLost(aStep, aPeer);
+}
+
+void
+DeadlinePassed(EntryStep& aStep, CallerRequest& aRequest)
+{
+  if (aRequest.mPhase == RequestPhase::eCompleting) {
+    HandleCompleted(aStep, aRequest);
+    return;
+  }
+  CallerError error;
+  error.mKind = ErrorKind::eTimeout;
+  error.mMessage = "the deadline passed";
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+void
+TickRequests(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  while (auto serial = PopDue(entry.mRequestTimers, aStep.mNow)) {
+    auto found = entry.mRequests.find(*serial);
+    if (found == entry.mRequests.end()) {
+      continue;
+    }
+    CallerRequest& request = found->second;
+    if (aStep.mNow >= request.mDeadline) {
+      DeadlinePassed(aStep, request);
+    } else if (request.mPhase == RequestPhase::eAdmitting) {
+      GiveUpParked(aStep, request);
+    } else if (request.mPhase == RequestPhase::eRunning) {
+      TickAttempt(aStep, request);
+    } else {
+      ScheduleRequest(aStep, request);
+    }
+  }
+}
+
+void
+HandleEvent(EntryStep& aStep, const EntryEvent& aEvent)
+{
+  if (const auto* message = std::get_if<MessageReceived>(&aEvent)) {
+    HandleMessage(aStep, *message);
+  } else if (const auto* http = std::get_if<HttpRequest>(&aEvent)) {
+    HandleHttpRequest(aStep, *http);
+  } else if (const auto* closed = std::get_if<HttpClosed>(&aEvent)) {
+    HandleHttpClosed(aStep, closed->mCall);
+  } else if (const auto* lost = std::get_if<PeerLost>(&aEvent)) {
+    HandlePeerLost(aStep, lost->mPeer);
+  } else if (std::holds_alternative<StopRequested>(aEvent)) {
+    StartDrain(aStep);
+  }
+}
+
+} // namespace
+
 Entry
-MakeEntry(const EntrySettings& aSettings,
-          uint64_t /*aIncarnation*/,
-          MonoTime /*aNow*/)
+MakeEntry(const EntrySettings& aSettings, uint64_t aIncarnation, MonoTime aNow)
 {
   Entry entry;
   entry.mSettings = aSettings;
+  entry.mIncarnation = aIncarnation;
+  // Entries with the same seed must not draw the same request ids.
+  entry.mRandom =
+    Random(aSettings.mSeed ^
+           RendezvousScore(aIncarnation, aSettings.mInstance.mValue));
+  entry.mRetries.mShare = aSettings.mRetryBudget;
+  entry.mSession.mNextSend = aNow;
+  entry.mFetcher.mNextFetch = aNow;
+  if (!aSettings.mControl.empty()) {
+    const uint64_t replicas = aSettings.mControl.size();
+    entry.mSession.mReplica = DrawBelow(entry.mRandom, replicas);
+    entry.mSession.mLeader = aSettings.mControl[entry.mSession.mReplica];
+    entry.mFetcher.mReplica = DrawBelow(entry.mRandom, replicas);
+  }
   return entry;
 }
 
 void
-StepEntry(Entry& /*aEntry*/,
-          MonoTime /*aNow*/,
+StepEntry(Entry& aEntry,
+          MonoTime aNow,
           const EntryEvent& aEvent,
           std::vector<EntryAction>& aOut)
 {
-  if (std::holds_alternative<StopRequested>(aEvent)) {
-    aOut.emplace_back(Stopped{});
+  EntryStep step{ aEntry, aNow, aOut };
+  HandleEvent(step, aEvent);
+  TickRequests(step);
+  TickCalls(step);
+  TickFetch(step);
+  TickSession(step);
+  TickWatch(step);
+  SendGrantRequests(step);
+  TickDrain(step);
+  for (uint64_t serial : aEntry.mFinished) {
+    aEntry.mRequests.erase(serial);
   }
+  aEntry.mFinished.clear();
 }
 
 MonoTime
-NextWakeup(const Entry& /*aEntry*/)
+NextWakeup(const Entry& aEntry)
 {
-  return kNever;
-}
-
-std::string
-MetricsText(const Entry& /*aEntry*/)
-{
-  return {};
+  MonoTime next = std::min({ FirstDue(aEntry.mRequestTimers),
+                             FirstDue(aEntry.mCallTimers),
+                             SessionWakeup(aEntry),
+                             FetchWakeup(aEntry),
+                             aEntry.mNextWatch,
+                             DrainWakeup(aEntry) });
+  if (!aEntry.mSession.mEpoch.IsNone() && !aEntry.mDrain.mStopped) {
+    next = std::min(next, NextWakeup(aEntry.mTokens));
+  }
+  return next;
 }
 
 } // namespace caraway
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -1,13 +1,76 @@
 #pragma once
 // The state of the entry role.
 
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "caraway/admission/token_holder_state.h"
+#include "caraway/base/random.h"
+#include "caraway/config/config_view.h"
+#include "caraway/entry/entry_metrics.h"
 #include "caraway/entry/entry_settings.h"
+#include "caraway/entry/request_state.h"
+#include "caraway/entry/session_state.h"
+#include "caraway/entry/timer_set.h"
+#include "caraway/routing/choose.h"
+#include "caraway/routing/retry_budget.h"
+#include "caraway/routing/target_state.h"
+#include "caraway/wire/call_messages.h"
 
 namespace caraway {
 
+// The subset of targets for one model or service.
+struct TargetGroup
+{
+  std::vector<RouteCandidate> mCandidates;
+  uint64_t mTopology = 0; // Entry::mTopology when it was built
+  MonoTime mUsedAt;
+};
+
+// A control call not yet answered, sent again every 500 ms.
+struct PendingCall
+{
+  ControlCall mMessage;
+  uint64_t mRequest = 0; // serial of the waiting request, 0 for none
+  MonoTime mDeadline;    // given up then; the request's own deadline is earlier
+};
+
 struct Entry
 {
   EntrySettings mSettings;
+  uint64_t mIncarnation = 0;
+  Random mRandom;
+  Session mSession;
+  ConfigFetcher mFetcher;
+  DrainState mDrain;
+  ConfigView mConfig;
+  TokenHolder mTokens;
+
+  // Requests by serial. Both indexes name only requests in mRequests.
+  std::map<uint64_t, CallerRequest> mRequests;
+  absl::flat_hash_map<HttpCallId, uint64_t> mByCall; // callers still connected
+  absl::flat_hash_map<RequestId, uint64_t> mById;
+  uint64_t mNextSerial = 1;
+  std::vector<uint64_t> mFinished; // erased at the end of the step
+  std::deque<uint64_t> mParked;    // eAdmitting, in arrival order
+  TimerSet mRequestTimers;
+
+  std::map<uint64_t, PendingCall> mCalls; // by call number
+  TimerSet mCallTimers;
+  uint64_t mNextCall = 1; // numbers are never used twice in one process
+
+  uint64_t mTopology = 1; // changes with members, zones and targets
+  std::map<std::string, TargetGroup> mGroups;
+  TargetStates mTargets;
+  absl::flat_hash_map<InstanceId, MonoTime> mWatchedAt;
+  MonoTime mNextWatch = kNever;
+  absl::flat_hash_map<Epoch, uint64_t> mSequences; // last used, by node epoch
+  RetryBudget mRetries;
+  uint64_t mRoundRobin = 0;
+  EntryMetrics mMetrics;
 };
 
 } // namespace caraway
--- /dev/null
+++ b/caraway/entry/header_filter.cpp
@@ -0,0 +1,87 @@
+// Which headers pass between callers and targets.
+
+#include "caraway/entry/header_filter.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kHopHeaders[] = {
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "content-length",
+};
+
+constexpr const char* kCallerOnly[] = {
+  "authorization", "cookie",       "x-api-key",     "host",
+  "expect",        "x-request-id", "x-deadline-ms",
+};
+
+template<size_t Count>
+bool
+IsIn(const char* const (&aNames)[Count], const std::string& aLower)
+{
+  return std::any_of(std::begin(aNames),
+                     std::end(aNames),
+                     [&](const char* aName) { return aLower == aName; });
+}
+
+std::vector<std::string>
+NamedInConnection(const Headers& aHeaders)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, value] : aHeaders) {
+    if (absl::AsciiStrToLower(name) != "connection") {
+      continue;
+    }
+    for (absl::string_view part : absl::StrSplit(value, ',')) {
+      names.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(part)));
+    }
+  }
+  return names;
+}
+
+Headers
+Filter(const Headers& aHeaders, bool aToTarget)
+{
+  const std::vector<std::string> named = NamedInConnection(aHeaders);
+  Headers kept;
+  for (const auto& [name, value] : aHeaders) {
+    const std::string lower = absl::AsciiStrToLower(name);
+    if (IsIn(kHopHeaders, lower) || (aToTarget && IsIn(kCallerOnly, lower)) ||
+        std::find(named.begin(), named.end(), lower) != named.end()) {
+      continue;
+    }
+    kept.emplace_back(name, value);
+  }
+  return kept;
+}
+
+} // namespace
+
+Headers
+HeadersForTarget(const Headers& aHeaders)
+{
+  return Filter(aHeaders, true);
+}
+
+Headers
+HeadersForCaller(const Headers& aHeaders)
+{
+  return Filter(aHeaders, false);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/metrics.cpp
@@ -0,0 +1,64 @@
+// Metrics of the entry as Prometheus text.
+
+#include "absl/strings/str_cat.h"
+#include "caraway/entry/entry.h"
+
+namespace caraway {
+
+namespace {
+
+void
+Counter(std::string& aOut, const char* aName, uint64_t aValue)
+{
+  absl::StrAppend(
+    &aOut, "# TYPE ", aName, " counter\n", aName, " ", aValue, "\n");
+}
+
+void
+Gauge(std::string& aOut, const char* aName, uint64_t aValue)
+{
+  absl::StrAppend(
+    &aOut, "# TYPE ", aName, " gauge\n", aName, " ", aValue, "\n");
+}
+
+template<class Map>
+void
+Labelled(std::string& aOut,
+         const char* aName,
+         const char* aLabel,
+         const Map& aValues)
+{
+  absl::StrAppend(&aOut, "# TYPE ", aName, " counter\n");
+  for (const auto& [label, value] : aValues) {
+    absl::StrAppend(
+      &aOut, aName, "{", aLabel, "=\"", label, "\"} ", value, "\n");
+  }
+}
+
+} // namespace
+
+std::string
+MetricsText(const Entry& aEntry)
+{
+  const EntryMetrics& metrics = aEntry.mMetrics;
+  std::string out;
+  Counter(out, "caraway_entry_requests_total", metrics.mRequests);
+  Counter(out, "caraway_entry_admitted_total", metrics.mAdmitted);
+  Counter(out, "caraway_entry_tokens_returned_total", metrics.mReturned);
+  Counter(out, "caraway_entry_dispatches_total", metrics.mDispatches);
+  Counter(out, "caraway_entry_retries_total", metrics.mRetries);
+  Counter(out, "caraway_entry_affinity_hits_total", metrics.mAffine);
+  Counter(out, "caraway_entry_outcome_queries_total", metrics.mQueries);
+  Labelled(out, "caraway_entry_answers_total", "status", metrics.mAnswers);
+  Labelled(out, "caraway_entry_failures_total", "code", metrics.mFailures);
+  Labelled(out, "caraway_entry_outcomes_total", "outcome", metrics.mOutcomes);
+  Gauge(out, "caraway_entry_active_requests", aEntry.mRequests.size());
+  Gauge(out, "caraway_entry_config_revision", aEntry.mConfig.mRevision.mValue);
+  Gauge(out, "caraway_entry_epoch", aEntry.mSession.mEpoch.mValue);
+  out +=
+    metrics.mFirstByte.PrometheusText("caraway_entry_first_byte_seconds", "");
+  out += metrics.mWhole.PrometheusText("caraway_entry_answer_seconds", "");
+  return out;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/outcome.cpp
@@ -0,0 +1,113 @@
+// Outcomes and failures of requests.
+
+#include "caraway/entry/outcome.h"
+
+#include <algorithm>
+
+#include "caraway/admission/token_holder.h"
+#include "caraway/entry/claims.h"
+#include "caraway/entry/reply.h"
+
+namespace caraway {
+
+namespace {
+
+// A change of files or batches whose call was not answered may have happened.
+bool
+MayHaveChanged(const CallerRequest& aRequest)
+{
+  if (aRequest.mPhase != RequestPhase::eControl) {
+    return false;
+  }
+  switch (aRequest.mControl.mStep) {
+    case ControlStep::eCreateFile:
+    case ControlStep::eDeleteFile:
+    case ControlStep::eCreateUpload:
+    case ControlStep::eAppendUpload:
+    case ControlStep::eCompleteUpload:
+    case ControlStep::eCancelUpload:
+    case ControlStep::eCreateJob:
+    case ControlStep::eCancelJob:
+      return aRequest.mPendingCall != 0;
+    default:
+      return false;
+  }
+}
+
+void
+LogFailure(EntryStep& aStep,
+           const CallerRequest& aRequest,
+           const CallerError& aError)
+{
+  DecisionLog log;
+  log.mLevel = LogLevel::eWarning;
+  log.mEvent = "fail";
+  log.mRequest = aRequest.mId;
+  log.mWorkspace = aRequest.mWorkspace;
+  log.mChoice = std::string(OutcomeName(aError.mOutcome));
+  log.mReason = std::string(ErrorKindName(aError.mKind));
+  log.mExtra = { { "attempts", std::to_string(aRequest.mAttempts.size()) } };
+  aStep.mOut.emplace_back(std::move(log));
+}
+
+} // namespace
+
+Outcome
+OutcomeOf(const CallerRequest& aRequest)
+{
+  const bool proven =
+    std::all_of(aRequest.mAttempts.begin(),
+                aRequest.mAttempts.end(),
+                [](const Attempt& aAttempt) { return aAttempt.mNotRun; });
+  return proven && !MayHaveChanged(aRequest) ? Outcome::eNotRun
+                                             : Outcome::eUnknown;
+}
+
+void
+EndAttempt(EntryStep& aStep, Attempt& aAttempt)
+{
+  if (aAttempt.mEnded) {
+    return;
+  }
+  aAttempt.mEnded = true;
+  auto state = aStep.mEntry.mTargets.find(aAttempt.mNode);
+  if (state != aStep.mEntry.mTargets.end() &&
+      state->second.mEpoch == aAttempt.mNodeEpoch && state->second.mOwn > 0) {
+    --state->second.mOwn;
+  }
+}
+
+void
+EndAttempts(EntryStep& aStep, CallerRequest& aRequest, bool aCancel)
+{
+  for (Attempt& attempt : aRequest.mAttempts) {
+    if (!attempt.mEnded && aCancel) {
+      Send(aStep,
+           attempt.mAddress,
+           CancelRequest{ aRequest.mId, attempt.mNumber, attempt.mNodeEpoch });
+    }
+    EndAttempt(aStep, attempt);
+  }
+}
+
+void
+FailRequest(EntryStep& aStep,
+            CallerRequest& aRequest,
+            CallerError aError,
+            bool aCancelAll)
+{
+  if (aRequest.mPhase == RequestPhase::eDone) {
+    return;
+  }
+  aError.mOutcome = OutcomeOf(aRequest);
+  EndAttempts(aStep, aRequest, aCancelAll || aRequest.mTarget.mIdempotent);
+  if (aError.mOutcome == Outcome::eNotRun && aRequest.mTokenTaken) {
+    ReturnToken(aStep.mEntry.mTokens, aStep.mNow, aRequest.mWorkspace);
+    ++aStep.mEntry.mMetrics.mReturned;
+  }
+  SettleFailedClaim(aStep, aRequest, aError);
+  LogFailure(aStep, aRequest, aError);
+  ReplyError(aStep, aRequest, aError);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/session.cpp
@@ -0,0 +1,240 @@
+// The session with control.
+
+#include "caraway/entry/session.h"
+
+#include <algorithm>
+
+#include "caraway/admission/token_holder.h"
+#include "caraway/base/lease.h"
+#include "caraway/entry/config_fetch.h"
+#include "caraway/entry/control_calls.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kRenewInterval = Seconds(1);
+constexpr Duration kReplyTimeout = Millis(500);
+// Two replicas that each name the other as leader must not cause a loop of
+// messages without a pause.
+constexpr Duration kRedirectPause = Millis(50);
+constexpr Duration kNotYetPause = Millis(100);
+
+void
+TryNextReplica(EntryStep& aStep, Duration aPause)
+{
+  Session& session = aStep.mEntry.mSession;
+  const std::vector<PeerAddress>& replicas = aStep.mEntry.mSettings.mControl;
+  session.mConfirmed = {};
+  if (replicas.empty()) {
+    return;
+  }
+  session.mReplica = (session.mReplica + 1) % replicas.size();
+  if (replicas[session.mReplica] == session.mLeader) {
+    session.mReplica = (session.mReplica + 1) % replicas.size();
+  }
+  session.mLeader = replicas[session.mReplica];
+  session.mReplyBy = kNever;
+  session.mResendAt = std::min(session.mResendAt, aStep.mNow + aPause);
+}
+
+Member
+OwnMember(const Entry& aEntry)
+{
+  Member member;
+  member.mInstance = aEntry.mSettings.mInstance;
+  member.mIncarnation = aEntry.mIncarnation;
+  member.mRole = MemberRole::eEntry;
+  member.mAddress = aEntry.mSettings.mAddress;
+  member.mZone = aEntry.mSettings.mZone;
+  member.mRegion = aEntry.mSettings.mRegion;
+  return member;
+}
+
+void
+SendRegister(EntryStep& aStep)
+{
+  Register message;
+  message.mMember = OwnMember(aStep.mEntry);
+  message.mSentAt = aStep.mNow.mMicros;
+  Send(aStep, aStep.mEntry.mSession.mLeader, std::move(message));
+}
+
+void
+SendRenew(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  Renew message;
+  message.mInstance = entry.mSettings.mInstance;
+  message.mEpoch = entry.mSession.mEpoch;
+  message.mRevision = entry.mConfig.mRevision;
+  message.mSentAt = aStep.mNow.mMicros;
+  message.mDraining = entry.mDrain.mSince != kNever;
+  entry.mSession.mRenewed = message.mRevision;
+  Send(aStep, entry.mSession.mLeader, std::move(message));
+}
+
+// A replica answered as leader.
+void
+Confirm(EntryStep& aStep, const PeerAddress& aFrom)
+{
+  Session& session = aStep.mEntry.mSession;
+  if (session.mConfirmed == aFrom) {
+    return;
+  }
+  session.mConfirmed = aFrom;
+  session.mLeader = aFrom;
+  GrantorChanged(aStep.mEntry.mTokens, aStep.mNow);
+  ResendCalls(aStep);
+}
+
+void
+StartSession(EntryStep& aStep, Epoch aEpoch)
+{
+  Entry& entry = aStep.mEntry;
+  entry.mSession.mEpoch = aEpoch;
+  entry.mSession.mNextSend = aStep.mNow;
+  // Dispatch numbers begin again with each epoch of this entry. Attempts that
+  // are out keep the epoch and number they were sent with.
+  entry.mSequences.clear();
+  StartTokenHolder(
+    entry.mTokens, aStep.mNow, entry.mSettings.mInstance, aEpoch);
+  RestampCalls(aStep);
+}
+
+} // namespace
+
+bool
+LeaseHolds(const Entry& aEntry, MonoTime aNow)
+{
+  return !aEntry.mSession.mEpoch.IsNone() && aNow < aEntry.mSession.mLeaseEnd;
+}
+
+void
+TickSession(EntryStep& aStep)
+{
+  Session& session = aStep.mEntry.mSession;
+  if (aStep.mEntry.mDrain.mStopped || session.mLeader.Empty()) {
+    return;
+  }
+  if (aStep.mNow >= session.mReplyBy) {
+    TryNextReplica(aStep, {});
+  }
+  if (aStep.mNow >= session.mResendAt) {
+    session.mResendAt = kNever;
+    session.mNextSend = aStep.mNow;
+    ResendCalls(aStep);
+  }
+  if (aStep.mNow < session.mNextSend) {
+    return;
+  }
+  if (!session.mEpoch.IsNone()) {
+    SendRenew(aStep);
+  } else if (aStep.mEntry.mDrain.mLeaveAt == kNever) {
+    SendRegister(aStep);
+  }
+  session.mLastSent = aStep.mNow;
+  session.mNextSend = aStep.mNow + kRenewInterval;
+  session.mReplyBy = std::min(session.mReplyBy, aStep.mNow + kReplyTimeout);
+}
+
+MonoTime
+SessionWakeup(const Entry& aEntry)
+{
+  const Session& session = aEntry.mSession;
+  if (aEntry.mDrain.mStopped || session.mLeader.Empty()) {
+    return kNever;
+  }
+  return std::min({ session.mNextSend, session.mReplyBy, session.mResendAt });
+}
+
+void
+RenewSoon(EntryStep& aStep)
+{
+  if (!aStep.mEntry.mSession.mEpoch.IsNone()) {
+    aStep.mEntry.mSession.mNextSend = aStep.mNow;
+  }
+}
+
+void
+HandleRegisterReply(EntryStep& aStep,
+                    const PeerAddress& aFrom,
+                    const RegisterReply& aReply)
+{
+  Entry& entry = aStep.mEntry;
+  if (aReply.mInstance != entry.mSettings.mInstance ||
+      aReply.mIncarnation != entry.mIncarnation ||
+      !entry.mSession.mEpoch.IsNone() ||
+      aReply.mEpoch <= entry.mSession.mEnded) {
+    return;
+  }
+  entry.mSession.mReplyBy = kNever;
+  StartSession(aStep, aReply.mEpoch);
+  Confirm(aStep, aFrom);
+}
+
+void
+HandleRenewReply(EntryStep& aStep,
+                 const PeerAddress& aFrom,
+                 const RenewReply& aReply)
+{
+  Entry& entry = aStep.mEntry;
+  Session& session = entry.mSession;
+  if (aReply.mInstance != entry.mSettings.mInstance ||
+      session.mEpoch.IsNone() || aReply.mEpoch != session.mEpoch) {
+    return;
+  }
+  if (aReply.mSentAt == session.mLastSent.mMicros) {
+    session.mReplyBy = kNever;
+  }
+  Confirm(aStep, aFrom);
+  switch (aReply.mVerdict) {
+    case RenewVerdict::eGranted:
+      session.mLeaseEnd = std::max(
+        session.mLeaseEnd, HolderLeaseEnd({ aReply.mSentAt }, aReply.mLease));
+      break;
+    case RenewVerdict::eNotYet:
+      FetchSoon(aStep);
+      session.mNextSend =
+        std::min(session.mNextSend, aStep.mNow + kNotYetPause);
+      break;
+    case RenewVerdict::eUnknownSession:
+      session.mEnded = session.mEpoch;
+      session.mEpoch = {};
+      session.mLeaseEnd = kLongAgo;
+      session.mNextSend = aStep.mNow;
+      break;
+  }
+}
+
+void
+HandleNotLeader(EntryStep& aStep,
+                const PeerAddress& aFrom,
+                const NotLeader& aReply)
+{
+  Session& session = aStep.mEntry.mSession;
+  if (aFrom != session.mLeader) {
+    return; // an answer to an earlier choice
+  }
+  if (aReply.mLeader.Empty() || aReply.mLeader == aFrom) {
+    TryNextReplica(aStep, kRedirectPause);
+    return;
+  }
+  session.mLeader = aReply.mLeader;
+  session.mConfirmed = {};
+  session.mReplyBy = kNever;
+  // The first redirect is followed at once, further ones after a pause.
+  const MonoTime earliest = session.mRedirectedAt + kRedirectPause;
+  session.mRedirectedAt = std::max(aStep.mNow, earliest);
+  session.mResendAt = std::max(aStep.mNow, earliest);
+}
+
+void
+SessionPeerLost(EntryStep& aStep, const PeerAddress& aPeer)
+{
+  if (aPeer == aStep.mEntry.mSession.mLeader) {
+    TryNextReplica(aStep, kRedirectPause);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/session.h
@@ -0,0 +1,41 @@
+#pragma once
+// The session with control: registration, lease, and finding the leader.
+
+#include "caraway/entry/entry_step.h"
+
+namespace caraway {
+
+// True while keyed work may be accepted.
+bool
+LeaseHolds(const Entry& aEntry, MonoTime aNow);
+
+void
+TickSession(EntryStep& aStep);
+
+MonoTime
+SessionWakeup(const Entry& aEntry);
+
+// Renews at once: a new revision was applied, or the entry is leaving.
+void
+RenewSoon(EntryStep& aStep);
+
+void
+HandleRegisterReply(EntryStep& aStep,
+                    const PeerAddress& aFrom,
+                    const RegisterReply& aReply);
+
+void
+HandleRenewReply(EntryStep& aStep,
+                 const PeerAddress& aFrom,
+                 const RenewReply& aReply);
+
+void
+HandleNotLeader(EntryStep& aStep,
+                const PeerAddress& aFrom,
+                const NotLeader& aReply);
+
+// The connection to a replica was lost.
+void
+SessionPeerLost(EntryStep& aStep, const PeerAddress& aPeer);
+
+} // namespace caraway
--- a/caraway/routing/retry_budget.cpp
+++ b/caraway/routing/retry_budget.cpp
@@ -27,6 +27,14 @@
   aBudget.mTotal = std::min(aBudget.mTotal + aBudget.mShare, kMaxTotal);
 }
 
+bool
+HasRetry(const RetryBudget& aBudget, const WorkspaceId& aWorkspace)
+{
+  auto own = aBudget.mByWorkspace.find(aWorkspace);
+  const double left = own == aBudget.mByWorkspace.end() ? kStart : own->second;
+  return left >= kWhole && aBudget.mTotal >= kWhole;
+}
+
 bool
 TakeRetry(RetryBudget& aBudget, const WorkspaceId& aWorkspace)
 {
@@ -40,4 +48,11 @@
   return true;
 }
 
+void
+ReturnRetry(RetryBudget& aBudget, const WorkspaceId& aWorkspace)
+{
+  aBudget.mByWorkspace[aWorkspace] += 1;
+  aBudget.mTotal += 1;
+}
+
 } // namespace caraway
--- a/caraway/routing/retry_budget.h
+++ b/caraway/routing/retry_budget.h
@@ -22,4 +22,12 @@
 bool
 TakeRetry(RetryBudget& aBudget, const WorkspaceId& aWorkspace);
 
+// True if TakeRetry would succeed.
+bool
+HasRetry(const RetryBudget& aBudget, const WorkspaceId& aWorkspace);
+
+// A retry that was taken found no target to go to.
+void
+ReturnRetry(RetryBudget& aBudget, const WorkspaceId& aWorkspace);
+
 } // namespace caraway
