--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -107,9 +107,8 @@
 absl::Status
 RemoveBlobFile(DataFolderState& aState, const std::string& aName)
 {
-  std::erase_if(aState.mBlobs, [&](const CachedBlob& aBlob) {
-    return aBlob.mName == aName;
-  });
+  std::erase_if(aState.mBlobs,
+                [&](const CachedBlob& aBlob) { return aBlob.mName == aName; });
   aState.mDirtyBlobs.erase(aName);
   aState.mBlobFolderDirty = true;
   return RemoveFile(BlobPath(aState, aName));
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -28,13 +28,14 @@
 DiskError(std::string_view aWhat, const std::string& aPath)
 {
   const int error = errno;
-  return MakeError(ErrorKind::eDiskFailed,
-                   StdView(absl::StrCat(AbslView(aWhat),
-                                        " ",
-                                        aPath,
-                                        " failed: ",
-                                        std::generic_category().message(error))),
-                   "free space or replace the disk, then start again");
+  return MakeError(
+    ErrorKind::eDiskFailed,
+    StdView(absl::StrCat(AbslView(aWhat),
+                         " ",
+                         aPath,
+                         " failed: ",
+                         std::generic_category().message(error))),
+    "free space or replace the disk, then start again");
 }
 
 absl::StatusOr<FileDescriptor>
@@ -59,10 +60,8 @@
         std::string_view aBytes)
 {
   while (!aBytes.empty()) {
-    const ssize_t count = ::pwrite(aFile.Value(),
-                                   aBytes.data(),
-                                   aBytes.size(),
-                                   static_cast<off_t>(aOffset));
+    const ssize_t count = ::pwrite(
+      aFile.Value(), aBytes.data(), aBytes.size(), static_cast<off_t>(aOffset));
     if (count < 0 && errno == EINTR) {
       continue;
     }
--- a/caraway/runtime/data_folder_log.cpp
+++ b/caraway/runtime/data_folder_log.cpp
@@ -221,10 +221,10 @@
   if (absl::Status status = SyncLog(aState); !status.ok()) {
     return status;
   }
-  const auto kept = std::find_if(
-    aState.mClosed.begin(), aState.mClosed.end(), [&](auto& aSegment) {
-      return aSegment.mLast > mark.mIndex;
-    });
+  const auto kept =
+    std::find_if(aState.mClosed.begin(),
+                 aState.mClosed.end(),
+                 [&](auto& aSegment) { return aSegment.mLast > mark.mIndex; });
   const auto run = aState.mTermRuns.upper_bound(mark.mIndex);
   if (run != aState.mTermRuns.begin()) {
     aState.mTermRuns.erase(aState.mTermRuns.begin(), std::prev(run));
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -68,7 +68,9 @@
 
 // The number in "log-N.seg" or "snap-N"; none for other names.
 std::optional<uint64_t>
-NumberIn(std::string_view aName, std::string_view aPrefix, std::string_view aEnd)
+NumberIn(std::string_view aName,
+         std::string_view aPrefix,
+         std::string_view aEnd)
 {
   if (!aName.starts_with(aPrefix) || !aName.ends_with(aEnd)) {
     return std::nullopt;
--- a/caraway/runtime/data_folder_snapshot.cpp
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -45,8 +45,7 @@
   if (!size.ok()) {
     return size.status();
   }
-  auto bytes =
-    ReadAt(aFile, aPath, aPart.mOffset, aState.mSettings.mPartBytes);
+  auto bytes = ReadAt(aFile, aPath, aPart.mOffset, aState.mSettings.mPartBytes);
   if (!bytes.ok()) {
     return bytes.status();
   }
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -57,7 +57,7 @@
   HardState mHard; // repeated at the start of each segment
   std::vector<ClosedSegment> mClosed;
   OpenSegment mSegment;
-  bool mFolderDirty = false;          // a segment was created since the last sync
+  bool mFolderDirty = false; // a segment was created since the last sync
   std::map<LogIndex, Term> mTermRuns; // first entry of each run of one term
   LogIndex mLast;                     // last entry of the log
 
