Implement admission by leased tokens

The first request under a new leader only introduces the leader, so that a late copy of an older request never counts as a report.

--- /dev/null
+++ b/caraway/admission/grantor.cpp
@@ -0,0 +1,371 @@
+// The token grantor: refill, outstanding tokens, fair division.
+
+#include "caraway/admission/grantor.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "caraway/admission/hold.h"
+#include "caraway/base/lease.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kSweepInterval = Seconds(10);
+constexpr Duration kMaxRetryAfter = Seconds(60);
+
+// Tokens given in advance are at most this part of the burst. So requests that
+// stay inside the rate and three quarters of the burst find a token wherever
+// they arrive, even if all tokens given in advance lie elsewhere.
+constexpr double kAdvancePart = 0.25;
+
+bool
+Known(const Grantor& aGrantor, MonoTime aNow)
+{
+  return aNow >= aGrantor.mKnownSince;
+}
+
+// The most tokens that the level may have.
+double
+LevelLimit(const GrantBucket& aBucket, const Contract& aContract, bool aKnown)
+{
+  // Earlier leaders gave out at most the burst in all, so what is not reported
+  // yet is at most the burst less the first reports.
+  const double unreported =
+    aKnown ? 0 : std::max(0.0, aContract.mBurst - aBucket.mFirstHeld);
+  return std::max(0.0, aContract.mBurst - aBucket.mOutstanding - unreported);
+}
+
+// Refills up to aUntil with the limit that holds meanwhile.
+void
+RefillSpan(const Grantor& aGrantor,
+           GrantBucket& aBucket,
+           const Contract& aContract,
+           MonoTime aUntil)
+{
+  auto span = [&](MonoTime aEnd, bool aKnown) {
+    const Duration passed = aEnd - aBucket.mRefilledAt;
+    if (passed <= Duration{}) {
+      return;
+    }
+    aBucket.mLevel =
+      std::min(aBucket.mLevel + aContract.mRate * passed.Seconds(),
+               LevelLimit(aBucket, aContract, aKnown));
+    aBucket.mRefilledAt = aEnd;
+  };
+  span(std::min(aUntil, aGrantor.mKnownSince), false);
+  span(aUntil, true);
+}
+
+void
+DropHolding(GrantBucket& aBucket,
+            std::map<Epoch, GrantHolding>::iterator aPlace)
+{
+  const GrantHolding& holding = aPlace->second;
+  aBucket.mOutstanding -= holding.mAmount;
+  aBucket.mHeld -= holding.mAmount;
+  aBucket.mWaiting -= holding.mWaiting;
+  aBucket.mPrefetch -= holding.mPrefetch;
+  aBucket.mEnds.erase({ holding.mEnds, aPlace->first });
+  aBucket.mHoldings.erase(aPlace);
+}
+
+// Brings the bucket to aNow. Each lease end is a step of its own, since tokens
+// outstanding until then limit the refill until then.
+void
+Refill(const Grantor& aGrantor,
+       GrantBucket& aBucket,
+       const Contract& aContract,
+       MonoTime aNow)
+{
+  while (true) {
+    const MonoTime brief =
+      aBucket.mBriefs.empty() ? kNever : aBucket.mBriefs.front().first;
+    const MonoTime held =
+      aBucket.mEnds.empty() ? kNever : aBucket.mEnds.begin()->first;
+    const MonoTime ends = std::min(brief, held);
+    if (ends > aNow) {
+      break;
+    }
+    RefillSpan(aGrantor, aBucket, aContract, ends);
+    if (brief <= held) {
+      aBucket.mOutstanding -= aBucket.mBriefs.front().second;
+      aBucket.mBriefs.pop_front();
+    } else {
+      DropHolding(aBucket,
+                  aBucket.mHoldings.find(aBucket.mEnds.begin()->second));
+    }
+  }
+  RefillSpan(aGrantor, aBucket, aContract, aNow);
+  aBucket.mLevel = std::min(
+    aBucket.mLevel, LevelLimit(aBucket, aContract, Known(aGrantor, aNow)));
+}
+
+GrantBucket&
+BucketOf(Grantor& aGrantor, const Contract& aContract, MonoTime aNow)
+{
+  auto [place, fresh] = aGrantor.mBuckets.try_emplace(aContract.mWorkspace);
+  GrantBucket& bucket = place->second;
+  if (fresh) {
+    // A bucket that nobody used has refilled since holdings are known.
+    bucket.mRefilledAt = std::min(aGrantor.mKnownSince, aNow);
+  }
+  Refill(aGrantor, bucket, aContract, aNow);
+  return bucket;
+}
+
+double
+WholeCount(double aCount)
+{
+  // The order of arguments turns NaN into 0.
+  return std::min(std::max(0.0, std::floor(aCount)), 1e9);
+}
+
+// Takes the report of an ask into the books. aFirst: the session's first report
+// after an election, so its tokens come from an earlier leader.
+void
+TakeReport(GrantBucket& aBucket,
+           GrantHolding& aHolding,
+           const GrantAsk& aAsk,
+           bool aFirst)
+{
+  const double held = WholeCount(aAsk.mHeld);
+  const double spent = aAsk.mSpent - aHolding.mSpent;
+  if (aFirst) {
+    aBucket.mFirstHeld += held;
+  } else if (spent >= 0) {
+    aBucket.mLevel += std::max(0.0, aHolding.mAmount - held - spent);
+  }
+  aBucket.mOutstanding += held - aHolding.mAmount;
+  aBucket.mHeld += held - aHolding.mAmount;
+  aHolding.mAmount = held;
+  aHolding.mSpent = aAsk.mSpent;
+  const double wanted = WholeCount(aAsk.mWanted);
+  const double waiting = std::min(WholeCount(aAsk.mWaiting), wanted);
+  aBucket.mWaiting += waiting - aHolding.mWaiting;
+  aBucket.mPrefetch += wanted - waiting - aHolding.mPrefetch;
+  aHolding.mWaiting = waiting;
+  aHolding.mPrefetch = wanted - waiting;
+}
+
+// The part of aTokens that is due to one of several wants.
+double
+ShareOf(double aTokens, double aMine, double aAll)
+{
+  return aAll <= aTokens ? aMine : std::floor(aTokens * aMine / aAll);
+}
+
+struct Division
+{
+  double mBrief = 0; // for requests on hold
+  double mHeld = 0;  // in advance
+};
+
+// Requests on hold come first. Each waiting entry gets at least one token while
+// there are any, since its share of a few tokens would round to nothing.
+Division
+DivideTokens(const GrantBucket& aBucket,
+             const GrantHolding& aHolding,
+             double aBurst)
+{
+  const double tokens = std::floor(aBucket.mLevel);
+  if (tokens <= 0) {
+    return {};
+  }
+  Division division;
+  division.mBrief =
+    std::max(ShareOf(tokens, aHolding.mWaiting, aBucket.mWaiting),
+             std::min(1.0, aHolding.mWaiting));
+  const double rest =
+    std::min(tokens - aBucket.mWaiting,
+             std::floor(aBurst * kAdvancePart) - aBucket.mHeld);
+  if (rest > 0) {
+    division.mHeld = ShareOf(rest, aHolding.mPrefetch, aBucket.mPrefetch);
+  }
+  return division;
+}
+
+void
+BookGrant(GrantBucket& aBucket,
+          GrantHolding& aHolding,
+          const Division& aDivision,
+          MonoTime aNow)
+{
+  const double tokens = aDivision.mBrief + aDivision.mHeld;
+  aBucket.mLevel -= tokens;
+  aBucket.mOutstanding += tokens;
+  aBucket.mWaiting -= aDivision.mBrief;
+  aBucket.mPrefetch -= aDivision.mHeld;
+  aBucket.mHeld += aDivision.mHeld;
+  aHolding.mAmount += aDivision.mHeld;
+  aHolding.mWaiting -= aDivision.mBrief;
+  aHolding.mPrefetch -= aDivision.mHeld;
+  if (aDivision.mBrief > 0) {
+    aBucket.mBriefs.emplace_back(GrantorLeaseEnd(aNow, kBriefLease),
+                                 aDivision.mBrief);
+  }
+}
+
+// When the unmet wants of this holder are expected; 0 if none are unmet and no
+// other entry waits. Anything else asks holders to give back what they can.
+Duration
+RetryAfter(const GrantBucket& aBucket,
+           const GrantHolding& aHolding,
+           const Contract& aContract)
+{
+  double missing = aBucket.mWaiting;
+  if (missing <= 0) {
+    missing = aHolding.mPrefetch;
+  }
+  if (missing <= 0) {
+    return {};
+  }
+  if (aContract.mRate <= 0) {
+    return kMaxRetryAfter;
+  }
+  // Other entries are about to give back what they hold.
+  const double recalled = aBucket.mHeld - aHolding.mAmount;
+  const double seconds =
+    std::max(0.0, missing - aBucket.mLevel - recalled) / aContract.mRate;
+  const auto micros =
+    static_cast<int64_t>(std::min(seconds, kMaxRetryAfter.Seconds()) * 1e6);
+  return std::max(Micros(micros), Millis(1));
+}
+
+GrantGiven
+HandleAsk(Grantor& aGrantor,
+          MonoTime aNow,
+          const Contract& aContract,
+          Epoch aEpoch,
+          const GrantAsk& aAsk,
+          bool aFirst)
+{
+  GrantBucket& bucket = BucketOf(aGrantor, aContract, aNow);
+  auto [place, fresh] = bucket.mHoldings.try_emplace(aEpoch);
+  GrantHolding& holding = place->second;
+  if (!fresh) {
+    bucket.mEnds.erase({ holding.mEnds, aEpoch });
+  }
+  TakeReport(bucket, holding, aAsk, aFirst);
+  bucket.mLevel = std::min(
+    bucket.mLevel, LevelLimit(bucket, aContract, Known(aGrantor, aNow)));
+  const Division division = DivideTokens(bucket, holding, aContract.mBurst);
+  BookGrant(bucket, holding, division, aNow);
+  const Duration retryAfter = RetryAfter(bucket, holding, aContract);
+  // The holder refuses what will not come in time; it is not wanted any more.
+  const double refused =
+    holding.mWaiting - ExpectedInHold(holding.mWaiting, retryAfter);
+  holding.mWaiting -= refused;
+  bucket.mWaiting -= refused;
+  holding.mEnds = GrantorLeaseEnd(aNow, aGrantor.mLease);
+  bucket.mEnds.emplace(holding.mEnds, aEpoch);
+  if (holding.mAmount <= 0 && holding.mWaiting <= 0 && holding.mPrefetch <= 0) {
+    DropHolding(bucket, place);
+  }
+  return GrantGiven{
+    aAsk.mWorkspace, division.mHeld, division.mBrief, retryAfter
+  };
+}
+
+// Full buckets without holdings are as good as new ones.
+void
+Sweep(Grantor& aGrantor, MonoTime aNow, const ConfigView& aConfig)
+{
+  if (aNow < aGrantor.mNextSweep) {
+    return;
+  }
+  aGrantor.mNextSweep = aNow + kSweepInterval;
+  absl::erase_if(aGrantor.mBuckets, [&](auto& aEntry) {
+    auto contract = aConfig.mContracts.find(aEntry.first);
+    if (contract == aConfig.mContracts.end()) {
+      return true;
+    }
+    GrantBucket& bucket = aEntry.second;
+    Refill(aGrantor, bucket, contract->second, aNow);
+    return bucket.mHoldings.empty() && bucket.mBriefs.empty() &&
+           bucket.mLevel >= contract->second.mBurst;
+  });
+}
+
+} // namespace
+
+void
+StartGrantor(Grantor& aGrantor,
+             MonoTime aNow,
+             const ConfigView& aConfig,
+             Duration aGrantLease,
+             Duration aConfigLease,
+             Term aTerm)
+{
+  aGrantor = Grantor{};
+  aGrantor.mIncarnation =
+    aTerm.IsNone() ? static_cast<uint64_t>(aNow.mMicros) + 1 : aTerm.mValue;
+  aGrantor.mLease = aGrantLease;
+  aGrantor.mNextSweep = aNow + kSweepInterval;
+  for (const auto& [id, member] : aConfig.mMembers) {
+    if (member.mRole == MemberRole::eEntry) {
+      aGrantor.mUnreported.insert(member.mEpoch);
+    }
+  }
+  aGrantor.mBriefsGone = GrantorLeaseEnd(aNow, kBriefLease);
+  aGrantor.mKnownSince =
+    aGrantor.mUnreported.empty()
+      ? aNow
+      : GrantorLeaseEnd(aNow, std::min(aGrantLease, aConfigLease));
+}
+
+GrantReply
+HandleGrantRequest(Grantor& aGrantor,
+                   MonoTime aNow,
+                   const ConfigView& aConfig,
+                   const GrantRequest& aRequest)
+{
+  GrantReply reply;
+  reply.mEpoch = aRequest.mEpoch;
+  reply.mSequence = aRequest.mSequence;
+  reply.mSentAt = aRequest.mSentAt;
+  reply.mGrantor = aGrantor.mIncarnation;
+  reply.mLease = aGrantor.mLease;
+  reply.mBriefLease = kBriefLease;
+  GrantSession& session = aGrantor.mSessions[aRequest.mEpoch];
+#ifndef CARAWAY_PLANTED_FAULT_doubled_report
+  if (aRequest.mSequence == session.mSequence) {
+    return session.mReply;
+  }
+  if (aRequest.mSequence < session.mSequence) {
+    return reply;
+  }
+#endif
+  session.mSequence = aRequest.mSequence;
+  if (aRequest.mGrantor == aGrantor.mIncarnation) {
+    const bool first = aGrantor.mUnreported.erase(aRequest.mEpoch) > 0;
+    for (const GrantAsk& ask : aRequest.mAsks) {
+      auto contract = aConfig.mContracts.find(ask.mWorkspace);
+      if (contract == aConfig.mContracts.end() || contract->second.mWithdrawn) {
+        reply.mGrants.push_back(
+          GrantGiven{ ask.mWorkspace, 0, 0, kMaxRetryAfter });
+        continue;
+      }
+      reply.mGrants.push_back(HandleAsk(
+        aGrantor, aNow, contract->second, aRequest.mEpoch, ask, first));
+    }
+    if (first && aGrantor.mUnreported.empty()) {
+      aGrantor.mKnownSince =
+        std::min(aGrantor.mKnownSince, std::max(aNow, aGrantor.mBriefsGone));
+    }
+    Sweep(aGrantor, aNow, aConfig);
+  }
+  session.mReply = reply;
+  return reply;
+}
+
+void
+GrantorSessionEnded(Grantor& aGrantor,
+                    const InstanceId& /*aEntry*/,
+                    Epoch aEpoch)
+{
+  aGrantor.mSessions.erase(aEpoch);
+}
+
+} // namespace caraway
--- a/caraway/admission/grantor.h
+++ b/caraway/admission/grantor.h
@@ -5,7 +5,16 @@
 // outstanding is an upper bound of the tokens given out and neither reported
 // spent nor expired. Refill adds rate * time to the level and stops at burst -
 // outstanding. So the sum admitted over any interval is at most rate * time +
-// burst, whatever is lost, doubled or late.
+// burst, whatever is lost, doubled or late. Time is that of the leader's clock.
+//
+// One request of a session is in flight at a time and a reply to another
+// sequence is ignored, so a request states exactly what its session holds.
+// Tokens for requests on hold have a brief lease: they are spent on arrival or
+// dropped, so they need no report, and the refill is held up only that long.
+// Tokens that the holder reports neither spent nor held go back to the level;
+// tokens that ran out unreported are lost. The first request under a new leader
+// only introduces that leader (mGrantor): a late copy of an earlier request
+// must not count as a report of what is held now.
 
 #include "caraway/admission/grantor_state.h"
 #include "caraway/config/config_view.h"
@@ -14,13 +23,16 @@
 namespace caraway {
 
 // This replica became leader: no bucket has tokens, and every registered entry
-// may hold tokens until it reports or aConfigLease has run out.
+// may hold tokens until it reports or the shorter of both leases has run out.
+// aTerm (the Raft term) tells this leadership from all others; without it the
+// time of the election has to do.
 void
 StartGrantor(Grantor& aGrantor,
              MonoTime aNow,
              const ConfigView& aConfig,
              Duration aGrantLease,
-             Duration aConfigLease);
+             Duration aConfigLease,
+             Term aTerm = Term());
 
 // aRequest must come from a registered session (the caller checks the epoch).
 GrantReply
--- a/caraway/admission/grantor_state.h
+++ b/caraway/admission/grantor_state.h
@@ -1,12 +1,62 @@
 #pragma once
 // The state of the token grantor.
 
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/wire/grant_messages.h"
 
 namespace caraway {
 
+// What one entry session may hold of one workspace. All counts are whole
+// numbers, so that sums stay exact.
+struct GrantHolding
+{
+  double mAmount = 0;   // upper bound of its unspent tokens
+  MonoTime mEnds;       // they are gone from here on
+  double mSpent = 0;    // running total of its last report
+  double mWaiting = 0;  // wanted for requests on hold, not given yet
+  double mPrefetch = 0; // wanted beyond that, not given yet
+};
+
+struct GrantBucket
+{
+  double mLevel = 0; // tokens to give
+  MonoTime mRefilledAt;
+  double mHeld = 0;        // sum of mAmount
+  double mOutstanding = 0; // mHeld and the sum of mBriefs
+  double mFirstHeld = 0;   // held in the first reports after an election
+  double mWaiting = 0;     // sum of mWaiting
+  double mPrefetch = 0;    // sum of mPrefetch
+  std::map<Epoch, GrantHolding> mHoldings; // by entry session
+  std::set<std::pair<MonoTime, Epoch>> mEnds;
+  // Tokens given to requests on hold, and when they are gone, in that order.
+  std::deque<std::pair<MonoTime, double>> mBriefs;
+};
+
+struct GrantSession
+{
+  uint64_t mSequence = 0;
+  GrantReply mReply; // to that sequence, for a resend
+};
+
 struct Grantor
-{};
+{
+  uint64_t mIncarnation = 0; // of this leadership
+  Duration mLease;
+  // Until then, entries that have not reported may hold tokens of an earlier
+  // leader.
+  MonoTime mKnownSince;
+  MonoTime mBriefsGone; // likewise for tokens of requests on hold
+  std::set<Epoch> mUnreported;
+  std::map<Epoch, GrantSession> mSessions; // epochs are unique in the system
+  absl::flat_hash_map<WorkspaceId, GrantBucket> mBuckets;
+  MonoTime mNextSweep;
+};
 
 } // namespace caraway
--- /dev/null
+++ b/caraway/admission/token_holder.cpp
@@ -0,0 +1,390 @@
+// The token holder: spending, and when and what to ask.
+
+#include "caraway/admission/token_holder.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "caraway/admission/hold.h"
+#include "caraway/base/lease.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kReportInterval = Millis(200);
+constexpr Duration kResendAfter = Millis(200);
+constexpr double kUrgentPerSecond = 16;
+constexpr double kUrgentBurst = 4;
+// While tokens are short, an entry asks again for its requests on hold at most
+// this often: four times in their 200 ms.
+constexpr Duration kAskAgain = Millis(50);
+constexpr Duration kDemandWindow = Seconds(1);
+constexpr Duration kForgetAfter = Seconds(10);
+constexpr MonoTime kLongAgo{ -Seconds(3600).mMicros };
+
+void
+DropExpired(HeldTokens& aTokens, MonoTime aNow)
+{
+  if (aNow >= aTokens.mEnds) {
+    aTokens.mHeld = 0;
+    aTokens.mReturnable = 0;
+  }
+  if (aNow >= aTokens.mBriefEnds) {
+    aTokens.mBrief = 0;
+    aTokens.mBriefSpent = 0;
+  }
+}
+
+void
+TurnWindow(HeldTokens& aTokens, MonoTime aNow)
+{
+  const Duration age = aNow - aTokens.mWindow;
+  if (age < kDemandWindow) {
+    return;
+  }
+  aTokens.mArrivalsBefore = age < kDemandWindow * 2 ? aTokens.mArrivals : 0;
+  aTokens.mArrivals = 0;
+  aTokens.mWindow =
+    age < kDemandWindow * 2 ? aTokens.mWindow + kDemandWindow : aNow;
+}
+
+// Requests in the last second.
+double
+Demand(HeldTokens& aTokens, MonoTime aNow)
+{
+  TurnWindow(aTokens, aNow);
+  const double passed =
+    (aNow - aTokens.mWindow).Seconds() / kDemandWindow.Seconds();
+  return aTokens.mArrivals + aTokens.mArrivalsBefore * (1 - passed);
+}
+
+// Tokens to keep in advance: one second of demand, one report interval of it
+// when tokens are scarce. Less than two requests a second are not worth tokens
+// that would lie idle here while another entry needs them.
+double
+KeepTarget(HeldTokens& aTokens, MonoTime aNow)
+{
+  const double demand = Demand(aTokens, aNow);
+  const double ahead = aTokens.mScarce ? demand * kReportInterval.Seconds()
+                                       : std::max(0.0, demand - 1);
+  return std::floor(ahead);
+}
+
+// Tokens to give back with the next message.
+double
+Excess(HeldTokens& aTokens, MonoTime aNow)
+{
+  const double target = KeepTarget(aTokens, aNow);
+  const double allowed =
+    aTokens.mScarce || target == 0 ? target : 2 * target + 1;
+  return aTokens.mHeld > allowed ? aTokens.mHeld - target : 0;
+}
+
+bool
+NothingToSay(const HeldTokens& aTokens)
+{
+  return aTokens.mHeld == 0 && aTokens.mUnsent == 0 && aTokens.mSent == 0 &&
+         aTokens.mOpen == 0 && aTokens.mSpent == aTokens.mReported;
+}
+
+void
+RefillUrgent(TokenHolder& aHolder, MonoTime aNow)
+{
+  aHolder.mUrgentLeft =
+    std::min(kUrgentBurst,
+             aHolder.mUrgentLeft +
+               (aNow - aHolder.mUrgentAt).Seconds() * kUrgentPerSecond);
+  aHolder.mUrgentAt = aNow;
+}
+
+bool
+IsUrgent(const HeldTokens& aTokens, MonoTime aNow)
+{
+  return (aTokens.mUnsent > 0 && aNow >= aTokens.mAskAgainAt) ||
+         aTokens.mGiveBack;
+}
+
+GrantAsk
+MakeAsk(const WorkspaceId& aWorkspace, HeldTokens& aTokens, MonoTime aNow)
+{
+  // Tokens given back are dropped before the message leaves.
+  aTokens.mHeld -= Excess(aTokens, aNow);
+  GrantAsk ask;
+  ask.mWorkspace = aWorkspace;
+  ask.mSpent = aTokens.mSpent;
+  ask.mHeld = aTokens.mHeld;
+  ask.mWaiting = aTokens.mUnsent;
+  ask.mWanted = std::max(
+    ask.mWaiting, aTokens.mUnsent + KeepTarget(aTokens, aNow) - aTokens.mHeld);
+  aTokens.mOpen = ask.mWanted;
+  aTokens.mSent = aTokens.mUnsent;
+  aTokens.mUnsent = 0;
+  aTokens.mReported = aTokens.mSpent;
+  aTokens.mReturnable = 0;
+  aTokens.mGiveBack = false;
+  aTokens.mSentAt = aNow;
+  return ask;
+}
+
+std::vector<GrantAsk>
+CollectAsks(TokenHolder& aHolder, MonoTime aNow)
+{
+  std::vector<GrantAsk> asks;
+  for (auto id = aHolder.mActive.begin(); id != aHolder.mActive.end();) {
+    HeldTokens& tokens = aHolder.mTokens[*id];
+    DropExpired(tokens, aNow);
+    if (NothingToSay(tokens)) {
+      id = aHolder.mActive.erase(id);
+      continue;
+    }
+    if (aHolder.mReportAll || IsUrgent(tokens, aNow) ||
+        aNow >= tokens.mSentAt + kReportInterval) {
+      asks.push_back(MakeAsk(*id, tokens, aNow));
+    }
+    ++id;
+  }
+  return asks;
+}
+
+bool
+AnyUrgent(TokenHolder& aHolder, MonoTime aNow)
+{
+  return aHolder.mReportAll ||
+         std::any_of(aHolder.mActive.begin(),
+                     aHolder.mActive.end(),
+                     [&](const WorkspaceId& aId) {
+                       return IsUrgent(aHolder.mTokens[aId], aNow);
+                     });
+}
+
+void
+Sweep(TokenHolder& aHolder, MonoTime aNow)
+{
+  if (aNow < aHolder.mNextSweep) {
+    return;
+  }
+  aHolder.mNextSweep = aNow + kForgetAfter;
+  absl::erase_if(aHolder.mTokens, [&](const auto& aEntry) {
+    return !aHolder.mActive.contains(aEntry.first) &&
+           aEntry.second.mWindow + kForgetAfter <= aNow;
+  });
+}
+
+void
+TakeGrant(HeldTokens& aTokens,
+          MonoTime aNow,
+          const GrantReply& aReply,
+          const GrantGiven& aGiven)
+{
+  // Tokens that ran out before the reply came stay lost.
+  DropExpired(aTokens, aNow);
+  aTokens.mHeld += std::max(0.0, aGiven.mTokens);
+  aTokens.mEnds = HolderLeaseEnd({ aReply.mSentAt }, aReply.mLease);
+#ifdef CARAWAY_PLANTED_FAULT_grant_renewed_past_expiry
+  aTokens.mEnds = HolderLeaseEnd(aNow, aReply.mLease);
+#endif
+  aTokens.mBrief = std::max(0.0, aGiven.mBrief);
+  aTokens.mBriefSpent = 0;
+  aTokens.mBriefEnds = HolderLeaseEnd({ aReply.mSentAt }, aReply.mBriefLease);
+  DropExpired(aTokens, aNow);
+  aTokens.mScarce = aGiven.mRetryAfter > Duration{};
+  aTokens.mRetryAt = aNow + aGiven.mRetryAfter;
+  aTokens.mAskAgainAt =
+    aTokens.mScarce ? aNow + std::min(kAskAgain, aGiven.mRetryAfter) : aNow;
+  const double missing = std::max(0.0, aTokens.mCovered - aGiven.mBrief);
+  aTokens.mExpected = ExpectedInHold(missing, aGiven.mRetryAfter);
+  aTokens.mOpen = std::max(0.0, aTokens.mOpen - aGiven.mTokens - aGiven.mBrief);
+  aTokens.mGiveBack =
+    aTokens.mScarce && missing == 0 && Excess(aTokens, aNow) > 0;
+}
+
+} // namespace
+
+void
+StartTokenHolder(TokenHolder& aHolder,
+                 MonoTime aNow,
+                 const InstanceId& aEntry,
+                 Epoch aEpoch)
+{
+  aHolder = TokenHolder{};
+  aHolder.mEntry = aEntry;
+  aHolder.mEpoch = aEpoch;
+  aHolder.mLastSent = aNow - kReportInterval;
+  aHolder.mUrgentAt = aNow;
+  aHolder.mNextSweep = aNow + kForgetAfter;
+}
+
+Admission
+TryAdmit(TokenHolder& aHolder,
+         MonoTime aNow,
+         const Contract& aContract,
+         bool aAsked)
+{
+  if (aContract.mWithdrawn || aContract.mRate <= 0) {
+    return { AdmitVerdict::eRefused, Seconds(60) };
+  }
+  auto [place, fresh] = aHolder.mTokens.try_emplace(aContract.mWorkspace);
+  HeldTokens& tokens = place->second;
+  if (fresh) {
+    tokens.mWindow = aNow;
+    tokens.mSentAt = kLongAgo;
+  }
+  DropExpired(tokens, aNow);
+  if (!aAsked) {
+    TurnWindow(tokens, aNow);
+    ++tokens.mArrivals;
+  }
+  aHolder.mActive.insert(aContract.mWorkspace);
+  const bool covered = aAsked && tokens.mCovered > 0;
+  tokens.mCovered -= covered ? 1 : 0;
+  if (tokens.mBrief >= 1) {
+    --tokens.mBrief;
+    ++tokens.mBriefSpent;
+    return { AdmitVerdict::eAdmitted, {} };
+  }
+  if (tokens.mHeld >= 1) {
+    --tokens.mHeld;
+    ++tokens.mSpent;
+    ++tokens.mReturnable;
+    return { AdmitVerdict::eAdmitted, {} };
+  }
+  if (covered && tokens.mScarce) {
+    if (tokens.mExpected < 1) {
+      return { AdmitVerdict::eRefused,
+               std::max(Millis(1), tokens.mRetryAt - aNow) };
+    }
+    --tokens.mExpected;
+  }
+  ++tokens.mUnsent;
+  return { AdmitVerdict::eAsk, {} };
+}
+
+void
+ReturnToken(TokenHolder& aHolder, MonoTime aNow, const WorkspaceId& aWorkspace)
+{
+  auto place = aHolder.mTokens.find(aWorkspace);
+  if (place == aHolder.mTokens.end()) {
+    return;
+  }
+  HeldTokens& tokens = place->second;
+  DropExpired(tokens, aNow);
+  if (tokens.mBriefSpent >= 1) {
+    --tokens.mBriefSpent;
+    ++tokens.mBrief;
+    return;
+  }
+  // A token already reported spent is no longer in the grantor's books.
+  if (tokens.mReturnable >= 1) {
+    --tokens.mReturnable;
+    --tokens.mSpent;
+    ++tokens.mHeld;
+    aHolder.mActive.insert(aWorkspace);
+  }
+}
+
+std::optional<GrantRequest>
+NextGrantRequest(TokenHolder& aHolder, MonoTime aNow)
+{
+  if (aHolder.mInFlight) {
+    if (aNow < aHolder.mResendAt) {
+      return std::nullopt;
+    }
+    aHolder.mResendAt = aNow + kResendAfter;
+    return aHolder.mInFlight;
+  }
+  RefillUrgent(aHolder, aNow);
+  const bool regular = aNow >= aHolder.mLastSent + kReportInterval;
+  if (!regular && (aHolder.mUrgentLeft < 1 || !AnyUrgent(aHolder, aNow))) {
+    return std::nullopt;
+  }
+  GrantRequest request;
+  request.mAsks = CollectAsks(aHolder, aNow);
+  Sweep(aHolder, aNow);
+  if (request.mAsks.empty() && !aHolder.mReportAll) {
+    return std::nullopt;
+  }
+  aHolder.mUrgentLeft -= regular ? 0 : 1;
+  aHolder.mReportAll = false;
+  aHolder.mLastSent = aNow;
+  aHolder.mResendAt = aNow + kResendAfter;
+  request.mInstance = aHolder.mEntry;
+  request.mEpoch = aHolder.mEpoch;
+  request.mSequence = ++aHolder.mSequence;
+  request.mSentAt = aNow.mMicros;
+  request.mGrantor = aHolder.mGrantor;
+  aHolder.mInFlight = request;
+  return request;
+}
+
+void
+HandleGrantReply(TokenHolder& aHolder, MonoTime aNow, const GrantReply& aReply)
+{
+  if (!aHolder.mInFlight || aReply.mEpoch != aHolder.mEpoch ||
+      aReply.mSequence != aHolder.mInFlight->mSequence) {
+    return;
+  }
+  aHolder.mInFlight.reset();
+  const bool known = aReply.mGrantor == aHolder.mGrantor;
+  // The caller tries all requests on hold again, so they are counted anew.
+  for (const WorkspaceId& id : aHolder.mActive) {
+    HeldTokens& tokens = aHolder.mTokens[id];
+    tokens.mCovered = known ? tokens.mSent : 0;
+    tokens.mSent = 0;
+    tokens.mUnsent = 0;
+  }
+  if (!known) {
+    aHolder.mGrantor = aReply.mGrantor;
+    aHolder.mReportAll = true;
+    return;
+  }
+  for (const GrantGiven& given : aReply.mGrants) {
+    auto tokens = aHolder.mTokens.find(given.mWorkspace);
+    if (tokens != aHolder.mTokens.end()) {
+      TakeGrant(tokens->second, aNow, aReply, given);
+    }
+  }
+}
+
+void
+GrantorChanged(TokenHolder& aHolder, MonoTime /*aNow*/)
+{
+  // The request in flight is never sent to another leader under its number: the
+  // old leader may have granted it, and its reply may still come.
+  aHolder.mInFlight.reset();
+  aHolder.mReportAll = true;
+  for (const WorkspaceId& id : aHolder.mActive) {
+    HeldTokens& tokens = aHolder.mTokens[id];
+    tokens.mUnsent += tokens.mSent;
+    tokens.mSent = 0;
+  }
+}
+
+MonoTime
+NextWakeup(const TokenHolder& aHolder)
+{
+  if (aHolder.mInFlight) {
+    return aHolder.mResendAt;
+  }
+  if (aHolder.mActive.empty() && !aHolder.mReportAll) {
+    return kNever;
+  }
+  MonoTime urgent = aHolder.mReportAll ? aHolder.mUrgentAt : kNever;
+  for (const WorkspaceId& id : aHolder.mActive) {
+    const HeldTokens& tokens = aHolder.mTokens.at(id);
+    if (tokens.mUnsent > 0) {
+      urgent = std::min(urgent, tokens.mAskAgainAt);
+    }
+    if (tokens.mGiveBack) {
+      urgent = std::min(urgent, aHolder.mUrgentAt);
+    }
+  }
+  const double missing = std::max(0.0, 1 - aHolder.mUrgentLeft);
+  const MonoTime permitted =
+    aHolder.mUrgentAt +
+    Micros(static_cast<int64_t>(std::ceil(missing / kUrgentPerSecond * 1e6)));
+  return std::min(aHolder.mLastSent + kReportInterval,
+                  std::max(urgent, permitted));
+}
+
+} // namespace caraway
--- a/caraway/ledger/claims.cpp
+++ b/caraway/ledger/claims.cpp
@@ -177,9 +177,8 @@
     return CallDone{}; // a resend
   }
   if (record->mState == ClaimState::eCompleted) {
-    return Fail(ErrorKind::eConflict,
-                "the claim is completed",
-                "use its stored answer");
+    return Fail(
+      ErrorKind::eConflict, "the claim is completed", "use its stored answer");
   }
   CloseClaim(aLedger, aWorkspace, aRelease.mKey, *record);
   aLedger.mWorkspaces[aWorkspace].mClaims.erase(aRelease.mKey);
--- a/caraway/ledger/files.cpp
+++ b/caraway/ledger/files.cpp
@@ -112,12 +112,11 @@
             uint64_t aHash)
 {
   const uint64_t end = aPart.mOffset + aPart.mBytes.size();
-  auto part = std::lower_bound(aFile.mParts.begin(),
-                               aFile.mParts.end(),
-                               end,
-                               [](const FilePart& aLeft, uint64_t aRight) {
-                                 return aLeft.mEnd < aRight;
-                               });
+  auto part = std::lower_bound(
+    aFile.mParts.begin(),
+    aFile.mParts.end(),
+    end,
+    [](const FilePart& aLeft, uint64_t aRight) { return aLeft.mEnd < aRight; });
   const bool sameEnd = part != aFile.mParts.end() && part->mEnd == end;
   const uint64_t begin =
     sameEnd && part != aFile.mParts.begin() ? (part - 1)->mEnd : 0;
@@ -151,9 +150,10 @@
   if (aPart.mBytes.size() > kMaxPartBytes ||
       aPart.mName.size() > kMaxNameBytes ||
       aPart.mPurpose.size() > kMaxNameBytes) {
-    return Fail(ErrorKind::eTooLarge,
-                "a file part is over 256 KiB, or its name or purpose over 1 KiB",
-                "send smaller parts and shorter names");
+    return Fail(
+      ErrorKind::eTooLarge,
+      "a file part is over 256 KiB, or its name or purpose over 1 KiB",
+      "send smaller parts and shorter names");
   }
   if (aFile == nullptr && aPart.mOffset != 0) {
     return NoSuchFile(aPart.mFile);
@@ -196,15 +196,14 @@
                 "split the file or shorten its lines and upload it again");
   }
   if (!aPart.mBytes.empty()) {
-    aEffects.push_back(BlobWriteEffect{
-      DataBlob(blob), aPart.mOffset, aPart.mBytes });
+    aEffects.push_back(
+      BlobWriteEffect{ DataBlob(blob), aPart.mOffset, aPart.mBytes });
     file.mBytes += aPart.mBytes.size();
     file.mParts.push_back(FilePart{ file.mBytes, aHash });
   }
   if (!index.empty()) {
-    aEffects.push_back(BlobWriteEffect{ IndexBlob(blob),
-                                        firstLine * kIndexRecordBytes,
-                                        std::move(index) });
+    aEffects.push_back(BlobWriteEffect{
+      IndexBlob(blob), firstLine * kIndexRecordBytes, std::move(index) });
   }
   file.mComplete = aPart.mLast;
   return FileReply{ FileInfoOf(aWorkspace, aPart.mFile, file) };
--- a/caraway/ledger/jobs.cpp
+++ b/caraway/ledger/jobs.cpp
@@ -73,10 +73,11 @@
   }
   const LedgerFile& input = file->second;
   if (!input.mComplete || input.mLines == 0) {
-    return Fail(
-      ErrorKind::eInvalidArgument,
-      absl::StrCat("input file ", aCreate.mInput.mValue, " is incomplete or empty"),
-      "finish the upload with at least one line");
+    return Fail(ErrorKind::eInvalidArgument,
+                absl::StrCat("input file ",
+                             aCreate.mInput.mValue,
+                             " is incomplete or empty"),
+                "finish the upload with at least one line");
   }
   if (input.mLines > aCreate.mMaxItems) {
     return Fail(ErrorKind::eTooLarge,
@@ -194,8 +195,7 @@
     return NoSuchJob(aJob);
   }
   if (space->mWork.contains(aJob)) {
-    EndJob(
-      aLedger, aTime, aWorkspace, aJob, JobStatus::eCancelled, aEffects);
+    EndJob(aLedger, aTime, aWorkspace, aJob, JobStatus::eCancelled, aEffects);
   }
   return JobReply{ JobInfoOf(*space, aTime.mNow, aWorkspace, aJob) };
 }
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -50,8 +50,8 @@
       continue;
     }
     for (const auto& [tag, workspace] : ready->second) {
-      if (best && std::tie(best->mTag, best->mWorkspace) <=
-                    std::tie(tag, workspace)) {
+      if (best &&
+          std::tie(best->mTag, best->mWorkspace) <= std::tie(tag, workspace)) {
         break;
       }
       const LedgerWorkspace& space = aLedger.mWorkspaces.at(workspace);
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -29,9 +29,9 @@
 constexpr uint64_t kMaxResultBytes = 256 * 1024 - 1;
 constexpr uint32_t kMaxLeaseItems = 64;
 constexpr uint8_t kMaxAttempts = 3;
-constexpr size_t kMaxClaims = 10000;                 // per workspace
+constexpr size_t kMaxClaims = 10000;                  // per workspace
 constexpr uint64_t kMaxClaimBytes = 64 * 1024 * 1024; // stored answers, too
-constexpr uint32_t kMaxListed = 200;                 // objects in one page
+constexpr uint32_t kMaxListed = 200;                  // objects in one page
 constexpr size_t kMaxPageBytes = 512 * 1024;
 constexpr size_t kMaxNameBytes = 1024; // names, endpoints, models, keys
 constexpr size_t kMaxMetadataBytes = 16 * 1024;
@@ -99,9 +99,9 @@
 // place: at or above the cursor, in mReturned, in one lease, or done.
 struct JobWork
 {
-  uint32_t mCursor = 0;        // first item never leased
-  ItemRanges mReturned;        // below the cursor, to be leased again
-  std::vector<uint64_t> mDone; // bitmap
+  uint32_t mCursor = 0;                  // first item never leased
+  ItemRanges mReturned;                  // below the cursor, to be leased again
+  std::vector<uint64_t> mDone;           // bitmap
   std::map<uint32_t, uint8_t> mAttempts; // only items that failed before
   std::map<FencingToken, ItemLease> mLeases;
   bool mAtRisk = false;
@@ -162,8 +162,8 @@
 
 struct NodeSession
 {
-  uint64_t mSequence = 0;  // newest ask
-  LeaseRef mAnswer;        // what it got; job empty if nothing
+  uint64_t mSequence = 0; // newest ask
+  LeaseRef mAnswer;       // what it got; job empty if nothing
   std::set<LeaseRef> mLeases;
 };
 
@@ -182,7 +182,7 @@
 
 struct Ledger
 {
-  MonoTime mNow; // logical time of the last command; never decreases
+  MonoTime mNow;         // logical time of the last command; never decreases
   uint64_t mVirtual = 0; // virtual time of fair queueing
   MonoTime mPaceAt;      // start of the present pace interval
   Duration mResultRetention = Seconds(30 * 86400);
--- a/caraway/ledger/ranges.cpp
+++ b/caraway/ledger/ranges.cpp
@@ -13,11 +13,12 @@
 size_t
 RangeAfter(const ItemRanges& aRanges, uint32_t aItem)
 {
-  auto after = std::upper_bound(
-    aRanges.begin(),
-    aRanges.end(),
-    aItem,
-    [](uint32_t aLeft, const ItemRange& aRight) { return aLeft < aRight.mBegin; });
+  auto after = std::upper_bound(aRanges.begin(),
+                                aRanges.end(),
+                                aItem,
+                                [](uint32_t aLeft, const ItemRange& aRight) {
+                                  return aLeft < aRight.mBegin;
+                                });
   return static_cast<size_t>(after - aRanges.begin());
 }
 
--- a/caraway/ledger/reads.cpp
+++ b/caraway/ledger/reads.cpp
@@ -125,9 +125,10 @@
                      "skip the item; it has no result");
   }
   if (length > kMaxLineBytes) {
-    return MakeError(ErrorKind::eCorruptData,
-                     absl::StrCat("a record of ", aIndex.mName, " is not valid"),
-                     "replace this replica's data folder");
+    return MakeError(
+      ErrorKind::eCorruptData,
+      absl::StrCat("a record of ", aIndex.mName, " is not valid"),
+      "replace this replica's data folder");
   }
   const size_t stem = aIndex.mName.size() - kIndexSuffix.size();
   return BlobRange{ DataBlob(aIndex.mName.substr(0, stem)),
--- a/caraway/ledger/ready.cpp
+++ b/caraway/ledger/ready.cpp
@@ -1,5 +1,6 @@
-// Which job the next lease goes to: workspaces by start-time fair queueing, jobs
-// of one workspace by slack. Also the measured pace that slack and risk use.
+// Which job the next lease goes to: workspaces by start-time fair queueing,
+// jobs of one workspace by slack. Also the measured pace that slack and risk
+// use.
 
 #include <algorithm>
 
@@ -49,9 +50,9 @@
     static_cast<unsigned __int128>(aPace.mFinished) * kMicrosPerSecond *
     kMicrosPerSecond / static_cast<uint64_t>(aInterval.mMicros));
   // A quarter of the newest interval smooths over results that come in groups.
-  aPace.mMicroItems =
-    aPace.mMeasured ? aPace.mMicroItems + (sample - aPace.mMicroItems) / 4
-                    : sample;
+  aPace.mMicroItems = aPace.mMeasured
+                        ? aPace.mMicroItems + (sample - aPace.mMicroItems) / 4
+                        : sample;
   aPace.mMeasured = aPace.mMeasured || aPace.mFinished > 0;
   aPace.mFinished = 0;
 }
@@ -59,7 +60,10 @@
 // True if the jobs of this model, served in the order of their deadlines at the
 // measured pace, reach this one too late. aAhead counts the items so far.
 bool
-MissesDeadline(const Pace& aPace, const Job& aJob, MonoTime aNow, uint64_t aAhead)
+MissesDeadline(const Pace& aPace,
+               const Job& aJob,
+               MonoTime aNow,
+               uint64_t aAhead)
 {
   const Duration left = aJob.mDeadline - aNow;
   if (aPace.mMicroItems <= 0) {
@@ -112,8 +116,7 @@
   LedgerWorkspace& space = aLedger.mWorkspaces[aWorkspace];
   const Job& job = space.mJobs[aJob];
   JobWork& work = space.mWork[aJob];
-  const bool hasItems =
-    !work.mReturned.empty() || work.mCursor < job.mTotal;
+  const bool hasItems = !work.mReturned.empty() || work.mCursor < job.mTotal;
   if (!hasItems) {
     RemoveReady(aLedger, aWorkspace, aJob);
     return;
--- a/caraway/ledger/results.cpp
+++ b/caraway/ledger/results.cpp
@@ -112,8 +112,8 @@
   }
   const std::string blob = BlobOf(aChange.mId.mValue, aChange.mJob.mBlob);
   aChange.mJob.mDataBytes += writer.mData.size();
-  aEffects.push_back(BlobWriteEffect{
-    DataBlob(blob), writer.mStart, std::move(writer.mData) });
+  aEffects.push_back(
+    BlobWriteEffect{ DataBlob(blob), writer.mStart, std::move(writer.mData) });
   BlobWriteEffect index;
   uint32_t next = 0;
   for (const auto& [item, place] : writer.mRecords) {
@@ -159,16 +159,14 @@
     return std::nullopt;
   }
   const LeaseRef ref{ space->second, aResults.mJob, aResults.mToken };
-  auto session =
-    aLedger.mNodes.find({ aResults.mNode, aResults.mNodeEpoch });
+  auto session = aLedger.mNodes.find({ aResults.mNode, aResults.mNodeEpoch });
   if (session != aLedger.mNodes.end() &&
       session->second.mLeases.contains(ref)) {
     return ref;
   }
 #ifdef CARAWAY_PLANTED_FAULT_stale_token_accepted
-  const auto& leases = aLedger.mWorkspaces.at(space->second)
-                         .mWork.at(aResults.mJob)
-                         .mLeases;
+  const auto& leases =
+    aLedger.mWorkspaces.at(space->second).mWork.at(aResults.mJob).mLeases;
   for (const auto& [token, lease] : leases) {
     for (const ItemResult& result : aResults.mResults) {
       if (ContainsItem(lease.mItems, result.mIndex)) {
@@ -194,12 +192,10 @@
 {
   LedgerWorkspace& space = aLedger.mWorkspaces[aRef.mWorkspace];
   Job& job = space.mJobs[aRef.mJob];
-  return JobChange{ aLedger,
-                    aRef.mWorkspace,
-                    aRef.mJob,
-                    job,
-                    space.mWork[aRef.mJob],
-                    ResultWriter{ job.mDataBytes, {}, {} } };
+  return JobChange{
+    aLedger, aRef.mWorkspace,        aRef.mJob,
+    job,     space.mWork[aRef.mJob], ResultWriter{ job.mDataBytes, {}, {} }
+  };
 }
 
 // The node of this lease is lost: all its items count one attempt.
@@ -274,14 +270,12 @@
   ended.mEpoch = std::max(ended.mEpoch, aEpoch);
   ended.mAt = aLedger.mNow;
   auto session = aLedger.mNodes.lower_bound({ aInstance, Epoch(0) });
-  while (session != aLedger.mNodes.end() &&
-         session->first.first == aInstance &&
+  while (session != aLedger.mNodes.end() && session->first.first == aInstance &&
          session->first.second <= aEpoch) {
     const std::set<LeaseRef> leases = std::move(session->second.mLeases);
     session = aLedger.mNodes.erase(session);
     for (const LeaseRef& ref : leases) {
-      LoseLease(
-        aLedger, CommandTime{ aIndex, aLedger.mNow, 0 }, ref, aEffects);
+      LoseLease(aLedger, CommandTime{ aIndex, aLedger.mNow, 0 }, ref, aEffects);
     }
   }
   EndClaimSessions(aLedger, aInstance, aEpoch);
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -12,7 +12,6 @@
 
 constexpr uint32_t kFormat = 1;
 
-
 // Sums of two valid times or durations don't overflow.
 bool
 ValidTimes(std::initializer_list<int64_t> aMicros)
@@ -174,11 +173,10 @@
                       aLedger.mClaimRetention.mMicros }) &&
          ValidMarks(aLedger.mEndedJobs) && ValidMarks(aLedger.mFileMarks) &&
          ValidMarks(aLedger.mClaimMarks) &&
-         std::all_of(aLedger.mWorkspaces.begin(),
-                     aLedger.mWorkspaces.end(),
-                     [](const auto& aEntry) {
-                       return ValidWorkspace(aEntry.second);
-                     }) &&
+         std::all_of(
+           aLedger.mWorkspaces.begin(),
+           aLedger.mWorkspaces.end(),
+           [](const auto& aEntry) { return ValidWorkspace(aEntry.second); }) &&
          ValidSessions(aLedger);
 }
 
--- a/caraway/wire/grant_messages.h
+++ b/caraway/wire/grant_messages.h
@@ -12,9 +12,10 @@
 struct GrantAsk
 {
   WorkspaceId mWorkspace;
-  double mSpent = 0;  // tokens spent since this session began, a running total
-  double mHeld = 0;   // unspent tokens held when sent
-  double mWanted = 0; // tokens wanted beyond those held
+  double mSpent = 0;   // of mTokens, since this session began, a running total
+  double mHeld = 0;    // unspent tokens held when sent
+  double mWanted = 0;  // tokens wanted beyond those held
+  double mWaiting = 0; // part of mWanted that requests on hold wait for
 };
 
 struct GrantRequest
@@ -22,14 +23,16 @@
   InstanceId mInstance;
   Epoch mEpoch;
   uint64_t mSequence = 0; // increases by one; a resend keeps its number
-  int64_t mSentAt = 0;
+  int64_t mSentAt = 0;    // of the first send
+  uint64_t mGrantor = 0;  // of the last reply; another leader grants nothing
   std::vector<GrantAsk> mAsks; // active workspaces only
 };
 
 struct GrantGiven
 {
   WorkspaceId mWorkspace;
-  double mTokens = 0;   // granted by this reply
+  double mTokens = 0;   // granted by this reply under mLease
+  double mBrief = 0;    // granted for requests on hold under mBriefLease
   Duration mRetryAfter; // when the wanted rest is expected, 0 if all was given
 };
 
@@ -38,7 +41,9 @@
   Epoch mEpoch;
   uint64_t mSequence = 0; // echo; a reply to another sequence is ignored
   int64_t mSentAt = 0;    // echo
+  uint64_t mGrantor = 0;  // identifies the leadership that granted
   Duration mLease;        // unspent tokens are dropped when it ends
+  Duration mBriefLease;   // likewise; these tokens are never reported
   std::vector<GrantGiven> mGrants;
 };
 
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -167,7 +167,11 @@
 void
 serialize(Archive& aArchive, GrantAsk& aValue)
 {
-  aArchive(aValue.mWorkspace, aValue.mSpent, aValue.mHeld, aValue.mWanted);
+  aArchive(aValue.mWorkspace,
+           aValue.mSpent,
+           aValue.mHeld,
+           aValue.mWanted,
+           aValue.mWaiting);
 }
 
 template<class Archive>
@@ -178,6 +182,7 @@
            aValue.mEpoch,
            aValue.mSequence,
            aValue.mSentAt,
+           aValue.mGrantor,
            aValue.mAsks);
 }
 
@@ -185,7 +190,8 @@
 void
 serialize(Archive& aArchive, GrantGiven& aValue)
 {
-  aArchive(aValue.mWorkspace, aValue.mTokens, aValue.mRetryAfter);
+  aArchive(
+    aValue.mWorkspace, aValue.mTokens, aValue.mBrief, aValue.mRetryAfter);
 }
 
 template<class Archive>
@@ -195,7 +201,9 @@
   aArchive(aValue.mEpoch,
            aValue.mSequence,
            aValue.mSentAt,
+           aValue.mGrantor,
            aValue.mLease,
+           aValue.mBriefLease,
            aValue.mGrants);
 }
 
