--- /dev/null
+++ b/caraway/node/batch_line.cpp
@@ -0,0 +1,268 @@
+// The lines of batch files and the requests made of them.
+
+#include "caraway/node/batch_line.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/absl_view.h"
+#include "caraway/base/error.h"
+
+namespace caraway {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint32_t kDefaultOutput = 256; // tokens, when no limit is given
+constexpr uint64_t kMaxOutput = 1000000;
+constexpr size_t kBytesPerToken = 4; // usual for text
+
+absl::Status
+Invalid(std::string_view aWhat, std::string_view aRemedy)
+{
+  return MakeError(ErrorKind::eInvalidArgument, aWhat, aRemedy);
+}
+
+uint32_t
+ExpectedOutput(const Json& aBody)
+{
+  for (const char* field : { "max_completion_tokens", "max_tokens" }) {
+    auto found = aBody.find(field);
+    if (found != aBody.end() && found->is_number_unsigned()) {
+      return static_cast<uint32_t>(
+        std::min<uint64_t>(found->get<uint64_t>(), kMaxOutput));
+    }
+  }
+  return kDefaultOutput;
+}
+
+// Answers with several choices, tool calls or log probabilities have parts
+// that are not put together here; they are asked for plainly.
+bool
+CanStream(const Json& aBody, std::string_view aUrl)
+{
+  if (aUrl != "/v1/chat/completions" && aUrl != "/v1/completions") {
+    return false;
+  }
+  for (const char* field :
+       { "stream", "tools", "functions", "logprobs", "top_logprobs", "best_of",
+         "echo", "audio", "modalities", "stream_options" }) {
+    if (aBody.contains(field)) {
+      return false;
+    }
+  }
+  auto choices = aBody.find("n");
+  const bool one = choices == aBody.end() || *choices == 1;
+  auto prompt = aBody.find("prompt");
+  return one && (prompt == aBody.end() || prompt->is_string());
+}
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool
+IsChat(const BatchTask& aTask)
+{
+  return aTask.mPath == "/v1/chat/completions";
+}
+
+// Text of one SSE event; empty for events without any.
+std::string
+EventText(const Json& aChoice)
+{
+  auto delta = aChoice.find("delta");
+  if (delta != aChoice.end() && delta->is_object()) {
+    auto content = delta->find("content");
+    return content != delta->end() && content->is_string()
+             ? content->get<std::string>()
+             : std::string();
+  }
+  auto text = aChoice.find("text");
+  return text != aChoice.end() && text->is_string() ? text->get<std::string>()
+                                                    : std::string();
+}
+
+uint32_t
+TakeChoice(BatchTask& aTask, const Json& aChoice)
+{
+  auto finish = aChoice.find("finish_reason");
+  if (finish != aChoice.end() && finish->is_string()) {
+    aTask.mFinish = finish->get<std::string>();
+  }
+  const std::string text = EventText(aChoice);
+  aTask.mText += text;
+  return text.empty() ? 0 : 1;
+}
+
+uint32_t
+TakeEvent(BatchTask& aTask, std::string_view aData)
+{
+  if (aData == "[DONE]") {
+    aTask.mStreamDone = true;
+    return 0;
+  }
+  const Json json = Json::parse(aData, nullptr, false);
+  if (!json.is_object() || json.contains("error")) {
+    aTask.mStreamError = true;
+    return 0;
+  }
+  if (aTask.mAnswerId.empty() && json.contains("id") &&
+      json["id"].is_string()) {
+    aTask.mAnswerId = json["id"].get<std::string>();
+  }
+  if (json.contains("usage") && json["usage"].is_object()) {
+    aTask.mUsage = Dump(json["usage"]);
+  }
+  auto choices = json.find("choices");
+  if (choices == json.end() || !choices->is_array() || choices->empty() ||
+      !choices->front().is_object()) {
+    return 0;
+  }
+  return TakeChoice(aTask, choices->front());
+}
+
+std::string
+LineId(const BatchTask& aTask)
+{
+  return absl::StrCat(
+    "batch_req_", aTask.mLease.mJob.mValue, "_", aTask.mIndex);
+}
+
+} // namespace
+
+absl::StatusOr<BatchLine>
+ParseBatchLine(std::string_view aLine, std::string_view aEndpoint)
+{
+  const Json json = Json::parse(aLine, nullptr, false);
+  if (!json.is_object()) {
+    return Invalid("the line is not a JSON object",
+                   "write one object per line");
+  }
+  BatchLine line;
+  auto id = json.find("custom_id");
+  if (id != json.end() && id->is_string()) {
+    line.mCustomId = id->get<std::string>();
+  }
+  auto method = json.find("method");
+  if (method != json.end() && *method != "POST") {
+    return Invalid("the line's method is not POST", "use POST");
+  }
+  auto url = json.find("url");
+  line.mUrl = url != json.end() && url->is_string() ? url->get<std::string>()
+                                                    : std::string(aEndpoint);
+  if (line.mUrl != aEndpoint) {
+    return Invalid("the line's url differs from the job's endpoint",
+                   "use one endpoint for the whole file");
+  }
+  auto body = json.find("body");
+  if (body == json.end() || !body->is_object()) {
+    return Invalid("the line has no request body",
+                   "put the request into \"body\"");
+  }
+  line.mBody = Dump(*body);
+  line.mPrompt = static_cast<uint32_t>(line.mBody.size() / kBytesPerToken);
+  line.mOutput = ExpectedOutput(*body);
+  line.mCanStream = CanStream(*body, line.mUrl);
+  return line;
+}
+
+std::string
+RequestBody(const BatchTask& aTask, bool aResume)
+{
+  if (!aTask.mStreamed) {
+    return aTask.mBody;
+  }
+  Json body = Json::parse(aTask.mBody, nullptr, false);
+  body["stream"] = true;
+  body["stream_options"] = { { "include_usage", true } };
+  if (aResume) {
+    body["resume_from"] = aTask.mText;
+  }
+  return Dump(body);
+}
+
+uint32_t
+TakeStreamBytes(BatchTask& aTask, std::string_view aBytes)
+{
+  uint32_t events = 0;
+  aTask.mPending.append(aBytes);
+  size_t begin = 0;
+  for (size_t end = aTask.mPending.find('\n', begin);
+       end != std::string::npos;
+       end = aTask.mPending.find('\n', begin)) {
+    std::string_view line(aTask.mPending.data() + begin, end - begin);
+    begin = end + 1;
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (!line.starts_with("data:")) {
+      continue;
+    }
+    line.remove_prefix(5);
+    if (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    events += TakeEvent(aTask, line);
+  }
+  aTask.mPending.erase(0, begin);
+  aTask.mTokens += events;
+  return events;
+}
+
+std::string
+StreamedAnswer(const BatchTask& aTask)
+{
+  const bool chat = IsChat(aTask);
+  Json choice = { { "index", 0 },
+                  { "finish_reason",
+                    aTask.mFinish.empty() ? Json() : Json(aTask.mFinish) } };
+  if (chat) {
+    choice["message"] = { { "role", "assistant" },
+                          { "content", aTask.mText } };
+  } else {
+    choice["text"] = aTask.mText;
+  }
+  Json answer = { { "id", aTask.mAnswerId },
+                  { "object", chat ? "chat.completion" : "text_completion" },
+                  { "model", aTask.mLease.mModel.mValue },
+                  { "choices", Json::array({ choice }) } };
+  if (!aTask.mUsage.empty()) {
+    answer["usage"] = Json::parse(aTask.mUsage, nullptr, false);
+  }
+  return Dump(answer);
+}
+
+std::string
+OutputLine(const BatchTask& aTask, std::string_view aAnswer)
+{
+  Json body = Json::parse(aAnswer, nullptr, false);
+  if (body.is_discarded()) {
+    body = std::string(aAnswer);
+  }
+  return Dump(Json{ { "id", LineId(aTask) },
+                    { "custom_id", aTask.mCustomId },
+                    { "response",
+                      { { "status_code", aTask.mStatus },
+                        { "request_id", LineId(aTask) },
+                        { "body", std::move(body) } } },
+                    { "error", nullptr } });
+}
+
+std::string
+ErrorLine(const BatchTask& aTask,
+          std::string_view aCode,
+          std::string_view aMessage)
+{
+  return Dump(Json{ { "id", LineId(aTask) },
+                    { "custom_id", aTask.mCustomId },
+                    { "response", nullptr },
+                    { "error",
+                      { { "code", std::string(aCode) },
+                        { "message", std::string(aMessage) } } } });
+}
+
+} // namespace caraway
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -1,32 +1,251 @@
-// The node role's public functions.
+// The node role: one step per event, then what time and room allow.
 
 #include "caraway/node/node.h"
 
+#include <algorithm>
+
+#include "caraway/node/node_internal.h"
+
 namespace caraway {
 
+namespace {
+
+constexpr Duration kTick = Seconds(1);
+// Three announcements missed, with half a second for delay.
+constexpr Duration kTargetSilence = Millis(3500);
+constexpr Duration kItemGrace = Seconds(2); // control leases items on after this
+// The HTTP client reports silence first; this is the backstop.
+constexpr Duration kSilenceGrace = Seconds(1);
+
+void
+OnMessage(Node& aNode,
+          MonoTime aNow,
+          const MessageReceived& aEvent,
+          NodeActions& aOut)
+{
+  const Message& message = aEvent.mMessage;
+  const PeerAddress& from = aEvent.mFrom;
+  if (const auto* dispatch = std::get_if<Dispatch>(&message)) {
+    OnDispatch(aNode, aNow, from, *dispatch, aOut);
+  } else if (const auto* cancel = std::get_if<CancelRequest>(&message)) {
+    OnCancelRequest(aNode, aNow, *cancel, aOut);
+  } else if (const auto* query = std::get_if<OutcomeQuery>(&message)) {
+    OnOutcomeQuery(aNode, aNow, from, *query, aOut);
+  } else if (const auto* watch = std::get_if<Watch>(&message)) {
+    OnWatch(aNode, aNow, *watch);
+  } else if (const auto* reg = std::get_if<RegisterReply>(&message)) {
+    OnRegisterReply(aNode, aNow, *reg, aOut);
+  } else if (const auto* renew = std::get_if<RenewReply>(&message)) {
+    OnRenewReply(aNode, aNow, *renew, aOut);
+  } else if (const auto* other = std::get_if<NotLeader>(&message)) {
+    OnNotLeader(aNode, aNow, *other, aOut);
+  } else if (const auto* delta = std::get_if<ConfigDelta>(&message)) {
+    OnConfigDelta(aNode, aNow, *delta, aOut);
+  } else if (const auto* part = std::get_if<ConfigSnapshotPart>(&message)) {
+    OnSnapshotPart(aNode, aNow, *part, aOut);
+  } else if (const auto* items = std::get_if<ItemBatch>(&message)) {
+    OnItemBatch(aNode, aNow, *items, aOut);
+  } else if (const auto* ack = std::get_if<ItemResultsAck>(&message)) {
+    OnResultsAck(aNode, aNow, *ack, aOut);
+  } else if (const auto* revoked = std::get_if<ItemsRevoked>(&message)) {
+    OnItemsRevoked(aNode, aNow, *revoked, aOut);
+  } else if (const auto* order = std::get_if<LoadOrder>(&message)) {
+    OnLoadOrder(aNode, aNow, from, *order, aOut);
+  }
+}
+
+void
+OnPeerLost(Node& aNode,
+           MonoTime aNow,
+           const PeerAddress& aPeer,
+           NodeActions& aOut)
+{
+  DropEntryCalls(aNode, aNow, aPeer, {}, {}, aOut);
+  const auto& control = aNode.mSettings.mControl;
+  if (std::find(control.begin(), control.end(), aPeer) == control.end()) {
+    return;
+  }
+  NodeSession& session = aNode.mSession;
+  const PeerAddress leader =
+    session.mLeader.Empty()
+      ? control[session.mLeaderIndex % control.size()]
+      : session.mLeader;
+  if (leader == aPeer) {
+    session.mLeader = {};
+    ++session.mLeaderIndex;
+    session.mAskedAt = MonoTime{ 0 };
+    session.mRegisterAt = std::min(session.mRegisterAt, aNow);
+    session.mRenewAt = std::min(session.mRenewAt, aNow);
+  }
+  if (control[session.mConfigIndex % control.size()] == aPeer) {
+    session.mFetchTimeout = aNow;
+  }
+}
+
+void
+FailSilentCalls(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  std::vector<TargetCallId> silent;
+  for (const auto& [id, info] : aNode.mTargetCalls) {
+    if (aNow - info.mLastByte > info.mTimeout + kSilenceGrace) {
+      silent.push_back(id);
+    }
+  }
+  for (const TargetCallId id : silent) {
+    aOut.emplace_back(CancelTargetCall{ id });
+    OnTargetFailed(aNode,
+                   aNow,
+                   { id, Outcome::eUnknown, "no byte within the time limit" },
+                   aOut);
+  }
+}
+
+void
+Tick(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (aNow < aNode.mNextTick) {
+    return;
+  }
+  aNode.mNextTick = aNow + kTick;
+  const MonoTime leaseEnd = aNode.mSession.mLeaseEnd;
+  if (leaseEnd.mMicros != 0 && aNow >= leaseEnd + kItemGrace) {
+    DropTasks(aNode, aNow, nullptr, nullptr, aOut);
+  }
+  FailSilentCalls(aNode, aNow, aOut);
+  ForgetOldAnswers(aNode, aNow);
+  BoundKeptAnswers(aNode);
+  ReturnStuckItems(aNode, aNow, aOut);
+}
+
+void
+RefuseAfterLease(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (!aNode.mScheduler.mUrgent.empty() && !HasLease(aNode, aNow)) {
+    RefuseWaiting(aNode,
+                  aNow,
+                  ErrorKind::eLeaseExpired,
+                  "this node lost contact with control",
+                  aOut);
+  }
+}
+
+// Batch work without a lease waits; online work was refused.
+void
+HoldWithoutService(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  Scheduler& scheduler = aNode.mScheduler;
+  const bool held = scheduler.mHeld;
+  scheduler.mHeld = held || RefusalReason(aNode, aNow) != ErrorKind::eNone;
+  RunSchedule(aNode, aNow, aOut);
+  scheduler.mHeld = held;
+}
+
+void
+DoWork(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  NodeTarget& target = aNode.mTarget;
+  if (target.mPresent && aNow - target.mHeardAt > kTargetSilence) {
+    LoseTarget(aNode, aNow, aOut);
+  }
+  Tick(aNode, aNow, aOut);
+  FetchConfig(aNode, aNow, aOut);
+  TrySession(aNode, aNow, aOut);
+  PollLoad(aNode, aNow, aOut);
+  RefuseAfterLease(aNode, aNow, aOut);
+  HoldWithoutService(aNode, aNow, aOut);
+  AskForItems(aNode, aNow, aOut);
+  SendResults(aNode, aNow, aOut);
+  SendReports(aNode, aNow, aOut);
+  ContinueStop(aNode, aNow, aOut);
+}
+
+} // namespace
+
 Node
-MakeNode(const NodeSettings& aSettings, uint64_t, MonoTime)
+MakeNode(const NodeSettings& aSettings, uint64_t aIncarnation, MonoTime aNow)
 {
   Node node;
   node.mSettings = aSettings;
+  node.mSession.mIncarnation = aIncarnation;
+  // Nodes spread over the replicas for configuration.
+  node.mSession.mConfigIndex = static_cast<size_t>(aSettings.mSeed % 1024);
+  node.mSession.mFetchTimeout = aNow;
+  node.mSession.mRegisterAt = aNow;
+  node.mNextTick = aNow;
+  SchedulerSettings scheduler;
+  scheduler.mPolicy = aSettings.mPolicy;
+  scheduler.mLimit = { aSettings.mColdLimit,
+                       aSettings.mMaxLimit,
+                       aSettings.mTokenGoal,
+                       aSettings.mFirstTokenGoal };
+  scheduler.mMaxOnlineQueue = aSettings.mMaxOnlineQueue;
+  node.mScheduler = MakeScheduler(scheduler);
   return node;
 }
 
 void
-StepNode(Node&, MonoTime, const NodeEvent&, std::vector<NodeAction>&)
+StepNode(Node& aNode,
+         MonoTime aNow,
+         const NodeEvent& aEvent,
+         std::vector<NodeAction>& aOut)
 {
+  if (aNode.mStop == StopState::eStopped) {
+    return;
+  }
+  if (const auto* message = std::get_if<MessageReceived>(&aEvent)) {
+    OnMessage(aNode, aNow, *message, aOut);
+  } else if (const auto* lost = std::get_if<PeerLost>(&aEvent)) {
+    OnPeerLost(aNode, aNow, lost->mPeer, aOut);
+  } else if (const auto* request = std::get_if<HttpRequest>(&aEvent)) {
+    OnHttp(aNode, aNow, *request, aOut);
+  } else if (const auto* began = std::get_if<TargetCallBegan>(&aEvent)) {
+    OnTargetBegan(aNode, aNow, *began, aOut);
+  } else if (const auto* bytes = std::get_if<TargetCallBytes>(&aEvent)) {
+    OnTargetBytes(aNode, aNow, *bytes, aOut);
+  } else if (const auto* ended = std::get_if<TargetCallEnded>(&aEvent)) {
+    OnTargetEnded(aNode, aNow, *ended, aOut);
+  } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
+    OnTargetFailed(aNode, aNow, *failed, aOut);
+  } else if (std::holds_alternative<StopRequested>(aEvent)) {
+    OnStop(aNode, aNow, aOut);
+  }
+  DoWork(aNode, aNow, aOut);
+  if (aNode.mStop == StopState::eStopped) {
+    aOut.emplace_back(Stopped{});
+  }
 }
 
 MonoTime
-NextWakeup(const Node&)
-{
-  return kNever;
-}
-
-std::string
-MetricsText(const Node&)
+NextWakeup(const Node& aNode)
 {
-  return {};
+  if (aNode.mStop == StopState::eStopped) {
+    return kNever;
+  }
+  const NodeSession& session = aNode.mSession;
+  const NodeTarget& target = aNode.mTarget;
+  MonoTime next = aNode.mNextTick;
+  if (!aNode.mSettings.mControl.empty()) {
+    next = std::min(next, session.mFetchTimeout);
+  }
+  next = std::min(next, NextDecision(aNode.mScheduler));
+  if (session.mLive) {
+    next = std::min(next, session.mRenewAt);
+  } else if (target.mPresent && aNode.mStop == StopState::eServing) {
+    next = std::min(next, session.mRegisterAt);
+  }
+  if (target.mPresent) {
+    next = std::min(next, target.mHeardAt + kTargetSilence + Micros(1));
+    if (target.mLoadCall.IsNone()) {
+      next = std::min(next, target.mLoadAt);
+    }
+  }
+  if (!aNode.mReports.mWatchers.empty()) {
+    next = std::min(next, NextReport(aNode));
+  }
+  if (aNode.mStop == StopState::eLeaving) {
+    next = std::min(next, aNode.mLeaveAt);
+  }
+  return std::min(next, NextBatchWakeup(aNode));
 }
 
 } // namespace caraway
--- /dev/null
+++ b/caraway/node/node_batch.cpp
@@ -0,0 +1,262 @@
+// Batch work: leasing items and handing them back.
+
+#include <algorithm>
+#include <cmath>
+
+#include "caraway/base/absl_view.h"
+#include "caraway/node/batch_line.h"
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr uint32_t kMaxChunk = 64;            // items of one lease
+constexpr double kAheadSeconds = 2;           // work kept ready
+constexpr Duration kResend = Millis(500);
+constexpr Duration kShortestPause = Millis(50);
+constexpr Duration kPollEvery = Millis(200);
+constexpr Duration kLongestWait = Seconds(10); // without room, then back
+constexpr size_t kMaxUnacked = 8; // messages; more stop the leasing
+
+// Items that finish in two seconds at the measured rate.
+uint32_t
+ItemsAhead(const Node& aNode)
+{
+  const NodeBatch& batch = aNode.mBatch;
+  if (batch.mItemSeconds <= 0) {
+    return 0;
+  }
+  const auto running = static_cast<double>(
+    aNode.mScheduler.mRunning.size() - aNode.mScheduler.mRunningOnline);
+  return static_cast<uint32_t>(std::min<double>(
+    kMaxChunk, std::ceil(running * kAheadSeconds / batch.mItemSeconds)));
+}
+
+uint32_t
+ItemsWanted(const Node& aNode, MonoTime aNow)
+{
+  const uint32_t room = BatchRoom(aNode.mScheduler, aNow);
+  const uint32_t ahead = ItemsAhead(aNode);
+  const auto waiting = static_cast<uint32_t>(aNode.mScheduler.mBatch.size());
+  if (room > 0) {
+    return std::min(kMaxChunk, room + ahead);
+  }
+  return waiting * 2 < ahead ? ahead - waiting : 0;
+}
+
+bool
+MayLease(const Node& aNode, MonoTime aNow)
+{
+  return RefusalReason(aNode, aNow) == ErrorKind::eNone &&
+         !aNode.mScheduler.mHeld &&
+         !aNode.mTarget.mAnnounced.mInfo.mModels.empty() &&
+         aNode.mBatch.mUnacked.size() < kMaxUnacked;
+}
+
+void
+SendLease(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  LeaseItems lease;
+  lease.mNode = aNode.mSettings.mInstance;
+  lease.mNodeEpoch = aNode.mSession.mEpoch;
+  lease.mSequence = aNode.mBatch.mLeaseSequence;
+  lease.mModels = aNode.mTarget.mAnnounced.mInfo.mModels;
+  lease.mWanted = aNode.mBatch.mLeaseWanted;
+  aNode.mBatch.mLeaseSendAt = aNow + kResend;
+  SendToLeader(aNode, std::move(lease), aOut);
+}
+
+void
+AddTask(Node& aNode,
+        MonoTime aNow,
+        const BatchLease& aLease,
+        const BatchItem& aItem)
+{
+  BatchTask task;
+  task.mWork = WorkId(aNode.mNextWork++);
+  task.mLease = aLease;
+  task.mIndex = aItem.mIndex;
+  task.mWaitingSince = aNow;
+  auto line = ParseBatchLine(aItem.mBody, aLease.mEndpoint);
+  if (!line.ok()) {
+    ++aNode.mCounters.mItemsFailed;
+    AddResult(aNode,
+              aNow,
+              task,
+              ItemVerdict::ePermanent,
+              ErrorLine(
+                task, "invalid_line", StdView(line.status().message())));
+    return;
+  }
+  task.mCustomId = line->mCustomId;
+  task.mPath = line->mUrl;
+  task.mBody = line->mBody;
+  task.mPrompt = line->mPrompt;
+  task.mOutput = line->mOutput;
+  task.mStreamed = line->mCanStream && aNode.mTarget.mAnnounced.mInfo.mKind ==
+                                         TargetKind::eEngine;
+  Work work;
+  work.mId = task.mWork;
+  work.mWorkspace = aLease.mWorkspace;
+  work.mWeight = aLease.mWeight;
+  work.mPrompt = task.mPrompt;
+  work.mCost = static_cast<double>(task.mPrompt) + task.mOutput;
+  work.mStreamed = task.mStreamed;
+  work.mDeadline = aLease.mDeadline;
+  work.mWindow = aLease.mWindow;
+  AddBatch(aNode.mScheduler, work);
+  aNode.mBatch.mTasks.emplace(task.mWork, std::move(task));
+}
+
+void
+ReturnItems(Node& aNode, MonoTime aNow, Duration aWaited)
+{
+  auto& tasks = aNode.mBatch.mTasks;
+  for (auto task = tasks.begin(); task != tasks.end();) {
+    const bool waiting = task->second.mTargetCall.IsNone();
+    if (!waiting || aNow - task->second.mWaitingSince < aWaited) {
+      ++task;
+      continue;
+    }
+    RemoveWaiting(aNode.mScheduler, task->first);
+    ++aNode.mCounters.mItemsReturned;
+    AddResult(aNode, aNow, task->second, ItemVerdict::eReturned, {});
+    task = tasks.erase(task);
+  }
+}
+
+} // namespace
+
+void
+AskForItems(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  NodeBatch& batch = aNode.mBatch;
+  if (!aNode.mSession.mLive) {
+    return;
+  }
+  if (batch.mLeasing) {
+    // Sent again even while draining: items may be leased already.
+    if (aNow >= batch.mLeaseSendAt) {
+      SendLease(aNode, aNow, aOut);
+    }
+    return;
+  }
+  batch.mPollAt = aNow + kPollEvery;
+  if (aNow < batch.mAskAt || !MayLease(aNode, aNow)) {
+    return;
+  }
+  const uint32_t wanted = ItemsWanted(aNode, aNow);
+  if (wanted == 0) {
+    return;
+  }
+  ++batch.mLeaseSequence;
+  batch.mLeasing = true;
+  batch.mLeaseWanted = wanted;
+  SendLease(aNode, aNow, aOut);
+}
+
+void
+OnItemBatch(Node& aNode,
+            MonoTime aNow,
+            const ItemBatch& aBatch,
+            NodeActions& aOut)
+{
+  NodeBatch& batch = aNode.mBatch;
+  if (!batch.mLeasing || aBatch.mNodeEpoch != aNode.mSession.mEpoch ||
+      aBatch.mSequence != batch.mLeaseSequence) {
+    return; // doubled, or of an older session
+  }
+  batch.mLeasing = false;
+  if (aBatch.mJob.Empty() || aBatch.mItems.empty()) {
+    batch.mAskAt = aNow + std::max(aBatch.mRetryAfter, kShortestPause);
+    return;
+  }
+  BatchLease lease;
+  lease.mJob = aBatch.mJob;
+  lease.mToken = aBatch.mToken;
+  lease.mWorkspace = aBatch.mWorkspace;
+  lease.mWeight = aBatch.mWeight;
+  lease.mModel = aBatch.mModel;
+  lease.mEndpoint = aBatch.mEndpoint;
+  lease.mDeadline = aNow + aBatch.mDeadline;
+  lease.mWindow = aBatch.mWindow;
+  lease.mNodeEpoch = aBatch.mNodeEpoch;
+  for (const BatchItem& item : aBatch.mItems) {
+    AddTask(aNode, aNow, lease, item);
+  }
+  const ErrorKind reason = RefusalReason(aNode, aNow);
+  if (reason == ErrorKind::eDraining || reason == ErrorKind::eZoneOut) {
+    ReturnWaitingItems(aNode, aNow, aOut);
+  }
+}
+
+void
+DropTasks(Node& aNode,
+          MonoTime aNow,
+          const JobId* aJob,
+          const FencingToken* aToken,
+          NodeActions& aOut)
+{
+  auto& tasks = aNode.mBatch.mTasks;
+  for (auto task = tasks.begin(); task != tasks.end();) {
+    const BatchLease& lease = task->second.mLease;
+    const bool drop = (aJob == nullptr || lease.mJob == *aJob) &&
+                      (aToken == nullptr || lease.mToken == *aToken);
+    if (!drop) {
+      ++task;
+      continue;
+    }
+    RemoveWaiting(aNode.mScheduler, task->first);
+    NoteEnd(aNode.mScheduler, aNow, task->first, Ending::eCancelled, 0);
+    CloseTargetCall(aNode, task->second.mTargetCall, aOut);
+    task = tasks.erase(task);
+  }
+}
+
+void
+OnItemsRevoked(Node& aNode,
+               MonoTime aNow,
+               const ItemsRevoked& aRevoked,
+               NodeActions& aOut)
+{
+  DropTasks(aNode, aNow, &aRevoked.mJob, nullptr, aOut);
+  auto& groups = aNode.mBatch.mGroups;
+  for (auto group = groups.begin(); group != groups.end();) {
+    group = group->first.first == aRevoked.mJob ? groups.erase(group)
+                                                : std::next(group);
+  }
+}
+
+void
+ReturnWaitingItems(Node& aNode, MonoTime aNow, NodeActions&)
+{
+  ReturnItems(aNode, aNow, Duration{ 0 });
+}
+
+void
+ReturnStuckItems(Node& aNode, MonoTime aNow, NodeActions&)
+{
+  ReturnItems(aNode, aNow, kLongestWait);
+}
+
+MonoTime
+NextBatchWakeup(const Node& aNode)
+{
+  const NodeBatch& batch = aNode.mBatch;
+  MonoTime next = kNever;
+  if (batch.mLeasing && aNode.mSession.mLive) {
+    next = std::min(next, batch.mLeaseSendAt);
+  } else if (aNode.mSession.mLive) {
+    next = std::min(next, std::max(batch.mAskAt, batch.mPollAt));
+  }
+  for (const auto& [key, group] : batch.mGroups) {
+    next = std::min(next, group.mFirstReady + Millis(100));
+  }
+  for (const auto& [sequence, pending] : batch.mUnacked) {
+    next = std::min(next, pending.mSendAt);
+  }
+  return next;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_batch_results.cpp
@@ -0,0 +1,121 @@
+// Batch work: results on their way back to the ledger.
+
+#include <algorithm>
+
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kGroupItems = 32;
+constexpr size_t kGroupBytes = 768 * 1024; // one message stays under 1 MiB
+constexpr Duration kGroupWait = Millis(100);
+constexpr Duration kResend = Millis(500);
+
+// Moves a group's results into as many messages as they need.
+void
+PackGroup(Node& aNode,
+          MonoTime aNow,
+          const BatchLeaseKey& aKey,
+          ResultGroup& aGroup)
+{
+  NodeBatch& batch = aNode.mBatch;
+  size_t next = 0;
+  while (next < aGroup.mResults.size()) {
+    PendingResults pending;
+    ItemResults& message = pending.mMessage;
+    message.mNode = aNode.mSettings.mInstance;
+    message.mNodeEpoch = aGroup.mNodeEpoch;
+    message.mSequence = ++batch.mResultSequence;
+    message.mJob = aKey.first;
+    message.mToken = aKey.second;
+    size_t bytes = 0;
+    while (next < aGroup.mResults.size() &&
+           message.mResults.size() < kGroupItems &&
+           (bytes == 0 ||
+            bytes + aGroup.mResults[next].mBody.size() <= kGroupBytes)) {
+      bytes += aGroup.mResults[next].mBody.size() + 1;
+      message.mResults.push_back(std::move(aGroup.mResults[next++]));
+    }
+    pending.mSendAt = aNow;
+    batch.mUnacked.emplace(message.mSequence, std::move(pending));
+  }
+}
+
+bool
+IsReady(const ResultGroup& aGroup, MonoTime aNow)
+{
+  if (aGroup.mResults.size() >= kGroupItems ||
+      aNow - aGroup.mFirstReady >= kGroupWait) {
+    return true;
+  }
+  size_t bytes = 0;
+  for (const ItemResult& result : aGroup.mResults) {
+    bytes += result.mBody.size();
+  }
+  return bytes >= kGroupBytes / 2;
+}
+
+} // namespace
+
+void
+AddResult(Node& aNode,
+          MonoTime aNow,
+          const BatchTask& aTask,
+          ItemVerdict aVerdict,
+          std::string aBody)
+{
+  ResultGroup& group =
+    aNode.mBatch.mGroups[{ aTask.mLease.mJob, aTask.mLease.mToken }];
+  if (group.mResults.empty()) {
+    group.mFirstReady = aNow;
+    group.mNodeEpoch = aTask.mLease.mNodeEpoch;
+  }
+  ItemResult result;
+  result.mIndex = aTask.mIndex;
+  result.mVerdict = aVerdict;
+  result.mStatus = static_cast<uint16_t>(aTask.mStatus);
+  result.mBody = std::move(aBody);
+  group.mResults.push_back(std::move(result));
+}
+
+void
+SendResults(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  NodeBatch& batch = aNode.mBatch;
+  for (auto group = batch.mGroups.begin(); group != batch.mGroups.end();) {
+    if (!IsReady(group->second, aNow)) {
+      ++group;
+      continue;
+    }
+    PackGroup(aNode, aNow, group->first, group->second);
+    group = batch.mGroups.erase(group);
+  }
+  for (auto& [sequence, pending] : batch.mUnacked) {
+    if (aNow >= pending.mSendAt) {
+      pending.mSendAt = aNow + kResend;
+      SendToLeader(aNode, pending.mMessage, aOut);
+    }
+  }
+}
+
+void
+OnResultsAck(Node& aNode,
+             MonoTime aNow,
+             const ItemResultsAck& aAck,
+             NodeActions& aOut)
+{
+  auto found = aNode.mBatch.mUnacked.find(aAck.mSequence);
+  if (found == aNode.mBatch.mUnacked.end()) {
+    return;
+  }
+  const ItemResults acked = std::move(found->second.mMessage);
+  aNode.mBatch.mUnacked.erase(found);
+  if (aAck.mStale) {
+    DropTasks(aNode, aNow, &acked.mJob, &acked.mToken, aOut);
+    aNode.mBatch.mGroups.erase({ acked.mJob, acked.mToken });
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_batch_run.cpp
@@ -0,0 +1,248 @@
+// Batch work: running items at the target.
+
+#include <algorithm>
+
+#include "caraway/node/announce.h"
+#include "caraway/node/batch_line.h"
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kMaxAnswer = 700 * 1024; // has to fit into one message
+constexpr size_t kMaxErrorText = 1024;
+constexpr double kSmoothing = 0.1;
+
+void
+ClearProgress(BatchTask& aTask)
+{
+  aTask.mText.clear();
+  aTask.mTokens = 0;
+  aTask.mAnswerId.clear();
+}
+
+std::string
+ItemRequestId(const BatchTask& aTask)
+{
+  return aTask.mLease.mJob.mValue + "/" + std::to_string(aTask.mIndex);
+}
+
+bool
+IsRetryable(int aStatus)
+{
+  return aStatus == 0 || aStatus >= 500 || aStatus == 408 || aStatus == 409 ||
+         aStatus == 429;
+}
+
+Ending
+EndingOf(int aStatus)
+{
+  if (aStatus == 503) {
+    return Ending::eBusy;
+  }
+  if (aStatus >= 500) {
+    return Ending::eServerError;
+  }
+  return aStatus >= 400 ? Ending::eClientError : Ending::eGood;
+}
+
+// Takes the task out and hands its result over.
+void
+EndTask(Node& aNode,
+        MonoTime aNow,
+        WorkId aWork,
+        ItemVerdict aVerdict,
+        std::string aBody)
+{
+  auto found = aNode.mBatch.mTasks.find(aWork);
+  ++(aVerdict == ItemVerdict::eDone ? aNode.mCounters.mItemsDone
+                                    : aNode.mCounters.mItemsFailed);
+  AddResult(aNode, aNow, found->second, aVerdict, std::move(aBody));
+  aNode.mBatch.mTasks.erase(found);
+}
+
+void
+LearnItemTime(Node& aNode, MonoTime aNow, WorkId aWork)
+{
+  auto running = aNode.mScheduler.mRunning.find(aWork);
+  if (running == aNode.mScheduler.mRunning.end()) {
+    return;
+  }
+  const double seconds =
+    std::max(1e-3, (aNow - running->second.mStarted).Seconds());
+  double& usual = aNode.mBatch.mItemSeconds;
+  usual = usual == 0 ? seconds : usual + kSmoothing * (seconds - usual);
+}
+
+std::string
+ErrorText(const BatchTask& aTask)
+{
+  return aTask.mAnswer.substr(0, kMaxErrorText);
+}
+
+} // namespace
+
+void
+StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
+{
+  BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  const bool resume =
+    task.mTokens > 0 && aNode.mTarget.mAnnounced.mInfo.mCanResume;
+  if (!resume) {
+    ClearProgress(task);
+  }
+  task.mStatus = 0;
+  task.mEventStream = task.mStreamDone = task.mStreamError = false;
+  task.mAnswer.clear();
+  task.mPending.clear();
+  task.mUsage.clear();
+  task.mFinish.clear();
+  StartTargetCall call;
+  call.mMethod = "POST";
+  call.mPath = task.mPath;
+  call.mHeaders = { { "Content-Type", "application/json" },
+                    { "X-Request-Id", ItemRequestId(task) } };
+  if (resume) {
+    call.mHeaders.emplace_back("X-Resume-Tokens", std::to_string(task.mTokens));
+  }
+  call.mBody = RequestBody(task, resume);
+  TargetCallInfo info;
+  info.mUse = TargetUse::eBatch;
+  info.mWork = aWork;
+  task.mLastByte = aNow;
+  task.mTargetCall = CallTarget(aNode, aNow, info, std::move(call), aOut);
+  ++aNode.mCounters.mStarted;
+}
+
+void
+PreemptTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
+{
+  BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  CloseTargetCall(aNode, task.mTargetCall, aOut);
+  task.mTargetCall = {};
+  task.mWaitingSince = aNow;
+  task.mPreempted = true;
+  ++aNode.mCounters.mPreempted;
+  if (aNode.mTarget.mAnnounced.mCanCancel) {
+    StartTargetCall call;
+    call.mMethod = "POST";
+    call.mPath = "/cancel";
+    call.mHeaders = { { "Content-Type", "application/json" } };
+    call.mBody = CancelBody(RequestId(ItemRequestId(task)));
+    call.mTimeout = Seconds(5);
+    TargetCallInfo info;
+    info.mUse = TargetUse::eCancel;
+    CallTarget(aNode, aNow, info, std::move(call), aOut);
+  }
+}
+
+void
+TakeBatchBytes(Node& aNode,
+               MonoTime aNow,
+               BatchTask& aTask,
+               std::string_view aBytes,
+               NodeActions& aOut)
+{
+  aTask.mLastByte = aNow;
+  if (aTask.mEventStream) {
+    if (TakeStreamBytes(aTask, aBytes) == 0) {
+      return;
+    }
+  } else if (aTask.mAnswer.size() <= kMaxAnswer) {
+    aTask.mAnswer.append(aBytes);
+  }
+  LogLimit(aNode,
+           NoteToken(aNode.mScheduler, aNow, aTask.mWork),
+           "goal missed",
+           aOut);
+}
+
+void
+FinishTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
+{
+  auto found = aNode.mBatch.mTasks.find(aWork);
+  if (found == aNode.mBatch.mTasks.end()) {
+    return;
+  }
+  BatchTask& task = found->second;
+  const bool cut =
+    task.mEventStream && (!task.mStreamDone || task.mStreamError);
+  if (!cut) {
+    LearnItemTime(aNode, aNow, aWork);
+  }
+  LogLimit(
+    aNode,
+    NoteEnd(aNode.mScheduler, aNow, aWork, EndingOf(task.mStatus), 0),
+    "item ended",
+    aOut);
+  if (IsRetryable(task.mStatus) || cut) {
+    EndTask(aNode,
+            aNow,
+            aWork,
+            ItemVerdict::eRetryable,
+            ErrorLine(task, "target_failed", ErrorText(task)));
+    return;
+  }
+  if (task.mStatus >= 400) {
+    EndTask(aNode,
+            aNow,
+            aWork,
+            ItemVerdict::ePermanent,
+            ErrorLine(task,
+                      "http_" + std::to_string(task.mStatus),
+                      ErrorText(task)));
+    return;
+  }
+  const std::string answer =
+    task.mEventStream ? StreamedAnswer(task) : std::move(task.mAnswer);
+  if (answer.size() > kMaxAnswer) {
+    EndTask(aNode,
+            aNow,
+            aWork,
+            ItemVerdict::ePermanent,
+            ErrorLine(task,
+                      "too_large",
+                      "the answer exceeds 700 KiB; ask for less output"));
+    return;
+  }
+  EndTask(aNode, aNow, aWork, ItemVerdict::eDone, OutputLine(task, answer));
+}
+
+void
+FailTask(Node& aNode,
+         MonoTime aNow,
+         WorkId aWork,
+         Outcome aOutcome,
+         std::string_view aReason,
+         NodeActions& aOut)
+{
+  auto found = aNode.mBatch.mTasks.find(aWork);
+  if (found == aNode.mBatch.mTasks.end()) {
+    return;
+  }
+  BatchTask& task = found->second;
+  auto running = aNode.mScheduler.mRunning.find(aWork);
+  const bool again = aOutcome == Outcome::eNotRun &&
+                     running != aNode.mScheduler.mRunning.end();
+  const Work work =
+    running == aNode.mScheduler.mRunning.end() ? Work() : running->second.mWork;
+  LogLimit(aNode,
+           NoteEnd(aNode.mScheduler, aNow, aWork, Ending::eBusy, 0),
+           "item broken",
+           aOut);
+  if (again) {
+    // The target never saw it: it waits here and counts no attempt.
+    task.mTargetCall = {};
+    task.mWaitingSince = aNow;
+    AddBatch(aNode.mScheduler, work);
+    return;
+  }
+  EndTask(aNode,
+          aNow,
+          aWork,
+          ItemVerdict::eRetryable,
+          ErrorLine(task, "target_failed", aReason));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_calls_group.cpp
@@ -0,0 +1,109 @@
+// What happens to many online calls at once: a lost entry, a withdrawn key, a
+// node or target that takes no more work.
+
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+// Keys of the queued and running calls that match.
+template<class Match>
+std::vector<AttemptKey>
+LiveCalls(const Node& aNode, Match aMatch)
+{
+  std::vector<AttemptKey> keys;
+  for (const auto& [work, key] : aNode.mCallOf) {
+    const NodeCall& call = aNode.mCalls.at(key);
+    if (aMatch(call)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+} // namespace
+
+void
+DropEntryCalls(Node& aNode,
+               MonoTime aNow,
+               const PeerAddress& aEntry,
+               const InstanceId& aInstance,
+               Epoch aNewest,
+               NodeActions& aOut)
+{
+  const auto keys = LiveCalls(aNode, [&](const NodeCall& aCall) {
+    const Dispatch& dispatch = aCall.mDispatch;
+    const bool lost = !aEntry.Empty() && aCall.mEntryAt == aEntry;
+    const bool ended = !aInstance.Empty() && dispatch.mEntry == aInstance &&
+                       dispatch.mEntryEpoch < aNewest;
+    const bool mayStop =
+      dispatch.mIdempotent || aCall.mState == CallState::eQueued;
+    return (lost || ended) && mayStop;
+  });
+  for (const AttemptKey& key : keys) {
+    NodeCall& call = aNode.mCalls.at(key);
+    const Outcome outcome = call.mState == CallState::eQueued
+                              ? Outcome::eNotRun
+                              : Outcome::eUnknown;
+    // The refusal is kept for an entry that only lost its connection and asks.
+    RefuseCall(aNode,
+               aNow,
+               call,
+               ErrorKind::eUnavailable,
+               outcome,
+               "the connection to the entry was lost; send it again",
+               {},
+               aOut);
+  }
+}
+
+void
+CancelWithdrawn(Node& aNode,
+                MonoTime aNow,
+                const KeyId& aKey,
+                const WorkspaceId& aWorkspace,
+                NodeActions& aOut)
+{
+  const auto keys = LiveCalls(aNode, [&](const NodeCall& aCall) {
+    const Dispatch& dispatch = aCall.mDispatch;
+    return (!aKey.Empty() && dispatch.mKey == aKey) ||
+           (!aWorkspace.Empty() && dispatch.mWorkspace == aWorkspace);
+  });
+  for (const AttemptKey& key : keys) {
+    NodeCall& call = aNode.mCalls.at(key);
+    RefuseCall(aNode,
+               aNow,
+               call,
+               ErrorKind::eWithdrawn,
+               call.mState == CallState::eQueued ? Outcome::eNotRun
+                                                 : Outcome::eUnknown,
+               "the key was withdrawn; use another key",
+               {},
+               aOut);
+  }
+}
+
+void
+RefuseWaiting(Node& aNode,
+              MonoTime aNow,
+              ErrorKind aKind,
+              std::string_view aMessage,
+              NodeActions& aOut)
+{
+  const auto keys = LiveCalls(aNode, [](const NodeCall& aCall) {
+    return aCall.mState == CallState::eQueued;
+  });
+  for (const AttemptKey& key : keys) {
+    RefuseCall(aNode,
+               aNow,
+               aNode.mCalls.at(key),
+               aKind,
+               Outcome::eNotRun,
+               std::string(aMessage) + "; send it to another target",
+               {},
+               aOut);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_reports.cpp
@@ -0,0 +1,91 @@
+// Load reports to the entries that watch this node.
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kWatchFor = Seconds(10);
+constexpr Duration kReportEvery = Seconds(2);
+constexpr Duration kShortestGap = Millis(200); // at most 5 rounds a second
+// Reports on a change are spread out further when many entries watch, so that
+// the node sends at most 25 a second beyond the regular ones.
+constexpr Duration kGapPerWatcher = Millis(40);
+constexpr size_t kMaxWatchers = 1024;
+
+bool
+Changed(uint32_t aNow, uint32_t aBefore)
+{
+  const uint32_t difference =
+    aNow > aBefore ? aNow - aBefore : aBefore - aNow;
+  return difference * 5 > std::max<uint32_t>(aBefore, 1);
+}
+
+} // namespace
+
+void
+OnWatch(Node& aNode, MonoTime aNow, const Watch& aWatch)
+{
+  auto& watchers = aNode.mReports.mWatchers;
+  const bool known = watchers.contains(aWatch.mReportTo);
+  if (aWatch.mReportTo.Empty() ||
+      (!known && watchers.size() >= kMaxWatchers)) {
+    return;
+  }
+  watchers[aWatch.mReportTo].mUntil = aNow + kWatchFor;
+  if (!known) {
+    aNode.mReports.mNextAt = aNow; // a new watcher gets a report soon
+  }
+}
+
+void
+SendReports(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  NodeReports& reports = aNode.mReports;
+  if (reports.mWatchers.empty() || aNow - reports.mLastAt < kShortestGap) {
+    return;
+  }
+  const uint32_t load = RunningCalls(aNode) + QueuedCalls(aNode);
+  const uint32_t limit = aNode.mScheduler.mLimit.mValue;
+  const Duration gap =
+    kGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
+  const bool changed = Changed(load, reports.mLastLoad) ||
+                       Changed(limit, reports.mLastLimit);
+  if (aNow < reports.mNextAt &&
+      !(changed && aNow - reports.mLastAt >= gap)) {
+    return;
+  }
+  reports.mNextAt = aNow + kReportEvery;
+  reports.mLastAt = aNow;
+  reports.mLastLoad = load;
+  reports.mLastLimit = limit;
+  LoadReport report;
+  report.mNode = aNode.mSettings.mInstance;
+  report.mNodeEpoch = aNode.mSession.mEpoch;
+  report.mRunning = RunningCalls(aNode);
+  report.mQueued = QueuedCalls(aNode);
+  report.mLimit = limit;
+  report.mCold = aNode.mScheduler.mLimit.mRamping;
+  auto& watchers = reports.mWatchers;
+  for (auto watcher = watchers.begin(); watcher != watchers.end();) {
+    if (aNow >= watcher->second.mUntil) {
+      watcher = watchers.erase(watcher);
+      continue;
+    }
+    aOut.emplace_back(SendMessage{ watcher->first, report, true });
+    ++watcher;
+  }
+}
+
+MonoTime
+NextReport(const Node& aNode)
+{
+  const NodeReports& reports = aNode.mReports;
+  return std::max(reports.mNextAt, reports.mLastAt + kShortestGap);
+}
+
+} // namespace caraway
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -6,15 +6,10 @@
 
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/scheduling/scheduler.h"
 
 namespace caraway {
 
-enum class SchedulePolicy : uint8_t
-{
-  eOnlineFirst, // fair queue, batch fills the rest and yields
-  eFirstCome,   // baseline: one queue in arrival order
-  eFixedSplit,  // baseline: half of the limit for each kind
-};
 
 struct NodeSettings
 {
--- /dev/null
+++ b/caraway/node/node_stop.cpp
@@ -0,0 +1,90 @@
+// Graceful stop: drain, hand back, leave.
+
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+// Entries learn of the drain within this time after control did; until then
+// their dispatches are refused here, and not lost with the process.
+constexpr Duration kDrainSettle = Seconds(2);
+// Without a leader the process leaves anyway after this time.
+constexpr Duration kGiveUp = Seconds(5);
+constexpr Duration kLeaveEvery = Millis(500);
+
+bool
+IsIdle(const Node& aNode)
+{
+  return aNode.mCallOf.empty() && aNode.mBatch.mTasks.empty();
+}
+
+bool
+ResultsDelivered(const Node& aNode)
+{
+  return aNode.mBatch.mGroups.empty() && aNode.mBatch.mUnacked.empty();
+}
+
+void
+BeginLeave(Node& aNode, MonoTime aNow)
+{
+  aNode.mStop = StopState::eLeaving;
+  aNode.mLeaveSince = aNow;
+  aNode.mLeaveAt = aNow;
+}
+
+void
+SendLeave(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  Leave leave;
+  leave.mInstance = aNode.mSettings.mInstance;
+  leave.mEpoch = aNode.mSession.mEpoch;
+  aNode.mLeaveAt = aNow + kLeaveEvery;
+  SendToLeader(aNode, std::move(leave), aOut);
+  // The reply "unknown session" to this renewal confirms that Leave arrived.
+  SendRenew(aNode, aNow, aOut);
+}
+
+} // namespace
+
+void
+OnStop(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (aNode.mStop != StopState::eServing) {
+    return;
+  }
+  aNode.mStop = StopState::eDraining;
+  aNode.mStopSince = aNow;
+  aNode.mDrainKnown = MonoTime{ 0 };
+  RefuseWaiting(
+    aNode, aNow, ErrorKind::eDraining, "this node is leaving", aOut);
+  ReturnWaitingItems(aNode, aNow, aOut);
+  if (aNode.mSession.mLive) {
+    SendRenew(aNode, aNow, aOut);
+  }
+}
+
+void
+ContinueStop(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (aNode.mStop == StopState::eDraining && IsIdle(aNode)) {
+    const bool known = aNode.mDrainKnown.mMicros != 0 &&
+                       aNow - aNode.mDrainKnown >= kDrainSettle;
+    const bool without = aNow - aNode.mStopSince >= kGiveUp;
+    if (!aNode.mSession.mLive) {
+      aNode.mStop = StopState::eStopped; // no session to end
+    } else if ((known && ResultsDelivered(aNode)) ||
+               (without && aNow >= aNode.mSession.mLeaseEnd)) {
+      BeginLeave(aNode, aNow);
+    }
+  }
+  if (aNode.mStop == StopState::eLeaving) {
+    if (aNow - aNode.mLeaveSince >= kGiveUp) {
+      aNode.mStop = StopState::eStopped;
+    } else if (aNow >= aNode.mLeaveAt) {
+      SendLeave(aNode, aNow, aOut);
+    }
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/node/node_target.cpp
@@ -0,0 +1,177 @@
+// What the target says of itself: announcements, load, leaving.
+
+#include <algorithm>
+
+#include "caraway/node/announce.h"
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kLoadEvery = Seconds(1);
+
+// A target may start while others' calls still run at it (of this node before
+// its restart), so nothing starts until it was asked.
+void
+TreatAsNew(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  LogLimit(aNode, NoteColdTarget(aNode.mScheduler), "target started", aOut);
+  aNode.mScheduler.mLimit.mWarmValue = 0;
+  aNode.mScheduler.mLimit.mSaysCold = false;
+  aNode.mScheduler.mForeign = 0;
+  aNode.mScheduler.mHeld = true;
+  aNode.mTarget.mOrphansGone = false;
+  aNode.mTarget.mOwnPeak = aNode.mTarget.mOwnPeakBefore = 0;
+  aNode.mTarget.mLeaving = false;
+  aNode.mDrainKnown = MonoTime{ 0 };
+  if (!aNode.mTarget.mLoadCall.IsNone()) {
+    CloseTargetCall(aNode, aNode.mTarget.mLoadCall, aOut);
+    aNode.mTarget.mLoadCall = {};
+  }
+  aNode.mTarget.mLoadAt = aNow;
+}
+
+} // namespace
+
+void
+LogLimit(Node& aNode,
+         LimitChange aChange,
+         std::string_view aReason,
+         NodeActions& aOut)
+{
+  if (aChange == LimitChange::eNone) {
+    return;
+  }
+  if (aChange == LimitChange::eTurnedCold) {
+    ++aNode.mCounters.mTurnedCold;
+  }
+  DecisionLog log;
+  log.mLevel =
+    aChange == LimitChange::eGrew ? LogLevel::eDebug : LogLevel::eInfo;
+  log.mEvent = "limit";
+  log.mChoice = std::string(LimitChangeName(aChange));
+  log.mReason = std::string(aReason);
+  log.mExtra = { { "limit",
+                   std::to_string(aNode.mScheduler.mLimit.mValue) },
+                 { "running", std::to_string(RunningCalls(aNode)) } };
+  aOut.emplace_back(std::move(log));
+}
+
+void
+OnAnnouncement(Node& aNode,
+               MonoTime aNow,
+               const Announcement& aAnnouncement,
+               NodeActions& aOut)
+{
+  NodeTarget& target = aNode.mTarget;
+  const bool restarted =
+    !target.mPresent || target.mAnnounced.mStartId != aAnnouncement.mStartId;
+  const bool leaving = target.mLeaving &&
+                       target.mAnnounced.mStartId == aAnnouncement.mStartId;
+  const bool changed = target.mAnnounced.mInfo != aAnnouncement.mInfo;
+  target.mAnnounced = aAnnouncement;
+  target.mPresent = true;
+  target.mHeardAt = aNow;
+  if (restarted) {
+    TreatAsNew(aNode, aNow, aOut);
+    target.mLeaving = leaving;
+  } else if (target.mOrphansGone || target.mLoadCall.IsNone()) {
+    aNode.mScheduler.mHeld = false; // it answers again after a refused call
+  }
+  if ((restarted || changed) && aNode.mSession.mLive) {
+    SendRenew(aNode, aNow, aOut);
+  }
+}
+
+void
+OnTargetLeave(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (aNode.mTarget.mLeaving || !aNode.mTarget.mPresent) {
+    return;
+  }
+  aNode.mTarget.mLeaving = true;
+  RefuseWaiting(
+    aNode, aNow, ErrorKind::eDraining, "the target is leaving", aOut);
+  ReturnWaitingItems(aNode, aNow, aOut);
+  if (aNode.mSession.mLive) {
+    SendRenew(aNode, aNow, aOut);
+  }
+}
+
+void
+LoseTarget(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  aNode.mTarget.mPresent = false;
+  aNode.mScheduler.mHeld = true;
+  LogLimit(aNode, NoteColdTarget(aNode.mScheduler), "target is silent", aOut);
+  RefuseWaiting(aNode,
+                aNow,
+                ErrorKind::eTargetFailed,
+                "the target stopped announcing itself",
+                aOut);
+  ReturnWaitingItems(aNode, aNow, aOut);
+  if (aNode.mSession.mLive) {
+    SendRenew(aNode, aNow, aOut);
+  }
+}
+
+void
+PollLoad(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  NodeTarget& target = aNode.mTarget;
+  target.mOwnPeak = std::max(target.mOwnPeak, RunningCalls(aNode));
+  if (!target.mPresent || !target.mLoadCall.IsNone() ||
+      aNow < target.mLoadAt) {
+    return;
+  }
+  target.mLoadAt = aNow + kLoadEvery;
+  target.mLoadBody.clear();
+  target.mLoadStatus = 0;
+  StartTargetCall call;
+  call.mMethod = "GET";
+  call.mPath = "/load";
+  call.mTimeout = Seconds(2);
+  TargetCallInfo info;
+  info.mUse = TargetUse::eLoad;
+  target.mLoadCall = CallTarget(aNode, aNow, info, std::move(call), aOut);
+}
+
+void
+OnLoadAnswer(Node& aNode, MonoTime, bool aWhole, NodeActions& aOut)
+{
+  NodeTarget& target = aNode.mTarget;
+  target.mLoadCall = {};
+  const auto load = ParseLoad(target.mLoadBody);
+  if (!aWhole || target.mLoadStatus != 200 || !load.ok()) {
+    // A target without load reports: only its behaviour is known. One that
+    // refuses connections stays held until it announces itself again.
+    aNode.mScheduler.mForeign = 0;
+    if (aWhole) {
+      aNode.mScheduler.mHeld = false;
+    }
+    return;
+  }
+  const uint32_t reported = load->mRunning + load->mWaiting;
+  const uint32_t own =
+    std::max({ target.mOwnPeak, target.mOwnPeakBefore, RunningCalls(aNode) });
+  target.mOwnPeakBefore = target.mOwnPeak;
+  target.mOwnPeak = RunningCalls(aNode);
+  // Reports lag, so the most own calls of the last two intervals count as
+  // known. Foreign calls only get fewer: work reaches the target only here.
+  uint32_t foreign = reported > own ? reported - own : 0;
+  if (target.mOrphansGone) {
+    foreign = 0;
+  }
+  target.mOrphansGone = target.mOrphansGone || foreign == 0;
+  aNode.mScheduler.mForeign = foreign;
+  aNode.mScheduler.mHeld = false;
+  const bool turned = load->mCold && !aNode.mScheduler.mLimit.mSaysCold;
+  aNode.mScheduler.mLimit.mSaysCold = load->mCold;
+  if (turned) {
+    LogLimit(
+      aNode, NoteColdTarget(aNode.mScheduler), "target reports cold", aOut);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/scheduling/scheduler.cpp
@@ -0,0 +1,257 @@
+// What waits and what runs, and what is learned from it.
+
+#include "caraway/scheduling/scheduler.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+// Nearly full counts as full for the growth of the limit.
+bool
+LimitUsed(const Scheduler& aScheduler)
+{
+  return Occupied(aScheduler) * 4 >= aScheduler.mLimit.mValue * 3;
+}
+
+bool
+Within(const Scheduler& aScheduler)
+{
+  return Occupied(aScheduler) <= aScheduler.mLimit.mValue;
+}
+
+bool
+HasRoomForOnline(const Scheduler& aScheduler)
+{
+  if (aScheduler.mHeld || aScheduler.mOnline.mSize > 0) {
+    return false;
+  }
+  const uint32_t foreignAndOnline =
+    aScheduler.mRunningOnline + aScheduler.mForeign;
+  const bool yields = aScheduler.mSettings.mPolicy ==
+                      SchedulePolicy::eOnlineFirst;
+  return (yields ? foreignAndOnline : Occupied(aScheduler)) <
+         aScheduler.mLimit.mValue;
+}
+
+Work
+TakeWaiting(Scheduler& aScheduler, WorkId aWork)
+{
+  auto place = aScheduler.mWaiting.find(aWork);
+  Work work = std::move(place->second);
+  aScheduler.mWaiting.erase(place);
+  if (work.mKind == WorkKind::eOnline) {
+    aScheduler.mUrgent.erase({ work.mDeadline, aWork });
+  } else {
+    aScheduler.mBatch.erase({ work.mDeadline, aWork });
+  }
+  return work;
+}
+
+// Cuts the newest work of the largest backlog if the newcomer's own workspace
+// has less; returns none if the newcomer itself has to go.
+WorkId
+MakeRoom(Scheduler& aScheduler, const Work& aNewcomer)
+{
+  const WorkspaceId largest = LargestBacklog(aScheduler.mOnline);
+  if (largest.Empty() || largest == aNewcomer.mWorkspace ||
+      aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+    return {};
+  }
+  const Work evicted = PopNewest(aScheduler.mOnline, largest);
+  TakeWaiting(aScheduler, evicted.mId);
+  return evicted.mId;
+}
+
+} // namespace
+
+Scheduler
+MakeScheduler(const SchedulerSettings& aSettings)
+{
+  Scheduler scheduler;
+  scheduler.mSettings = aSettings;
+  scheduler.mLimit = MakeLimit(aSettings.mLimit);
+  return scheduler;
+}
+
+uint32_t
+Occupied(const Scheduler& aScheduler)
+{
+  return static_cast<uint32_t>(aScheduler.mRunning.size()) +
+         aScheduler.mForeign;
+}
+
+Admission
+OfferOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork)
+{
+  Admission admission;
+  RecordArrival(aScheduler.mBursts, aNow);
+  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t places =
+    aScheduler.mSettings.mPolicy == SchedulePolicy::eFixedSplit
+      ? std::max<uint32_t>(1, limit / 2)
+      : limit;
+  if (!HasRoomForOnline(aScheduler)) {
+    // Half of a call's time is left of each running call on average, divided
+    // over the places; the work ahead in fair order comes on top.
+    const double ahead =
+      CostAhead(aScheduler.mOnline, aWork.mWorkspace, aWork.mWeight) +
+      aScheduler.mRate.mCost;
+    admission.mExpectedWait = ExpectedWait(aScheduler.mRate, ahead, places);
+  }
+  if (aWork.mDeadline <= aNow ||
+      aNow + admission.mExpectedWait > aWork.mDeadline) {
+    admission.mVerdict = Verdict::eRefused;
+    admission.mKind = ErrorKind::eDeadlineTooShort;
+    admission.mRetryAfter = std::max(Millis(100), admission.mExpectedWait);
+    return admission;
+  }
+  if (aScheduler.mOnline.mSize >= aScheduler.mSettings.mMaxOnlineQueue) {
+    admission.mEvicted = MakeRoom(aScheduler, aWork);
+    if (admission.mEvicted.IsNone()) {
+      admission.mVerdict = Verdict::eRefused;
+      admission.mKind = ErrorKind::eOverloaded;
+      admission.mRetryAfter = std::max(Seconds(1), admission.mExpectedWait);
+      return admission;
+    }
+  }
+  Work queued = aWork;
+  queued.mKind = WorkKind::eOnline;
+  aScheduler.mUrgent.insert({ queued.mDeadline, queued.mId });
+  aScheduler.mWaiting.emplace(queued.mId, queued);
+  if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+    queued.mWorkspace = {}; // the baselines know no workspaces
+  }
+  PushFair(aScheduler.mOnline, std::move(queued));
+  return admission;
+}
+
+void
+AddBatch(Scheduler& aScheduler, const Work& aWork)
+{
+  Work queued = aWork;
+  queued.mKind = WorkKind::eBatch;
+  aScheduler.mBatch.insert({ queued.mDeadline, queued.mId });
+  aScheduler.mWaiting.emplace(queued.mId, queued);
+  if (aScheduler.mSettings.mPolicy == SchedulePolicy::eFirstCome) {
+    queued.mWorkspace = {};
+    PushFair(aScheduler.mOnline, std::move(queued));
+  }
+}
+
+bool
+RemoveWaiting(Scheduler& aScheduler, WorkId aWork)
+{
+  if (!aScheduler.mWaiting.contains(aWork)) {
+    return false;
+  }
+  const Work work = TakeWaiting(aScheduler, aWork);
+  const bool fair =
+    aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst;
+  RemoveFair(
+    aScheduler.mOnline, fair ? work.mWorkspace : WorkspaceId(), aWork);
+  return true;
+}
+
+LimitChange
+NoteToken(Scheduler& aScheduler, MonoTime aNow, WorkId aWork)
+{
+  auto found = aScheduler.mRunning.find(aWork);
+  if (found == aScheduler.mRunning.end()) {
+    return LimitChange::eNone;
+  }
+  RunningWork& running = found->second;
+  const bool first = running.mTokens++ == 0;
+  const Duration since =
+    aNow - (first ? running.mStarted : running.mLastToken);
+  running.mLastToken = aNow;
+  if (!running.mWork.mStreamed) {
+    return LimitChange::eNone;
+  }
+  if (first) {
+    return RecordFirstToken(
+      aScheduler.mLimit, since, running.mWork.mPrompt, Within(aScheduler));
+  }
+  RecordBatchGap(aScheduler.mBatchCap, since);
+  return RecordTokenGap(aScheduler.mLimit, since, Within(aScheduler));
+}
+
+LimitChange
+NoteEnd(Scheduler& aScheduler,
+        MonoTime aNow,
+        WorkId aWork,
+        Ending aEnding,
+        double aCost)
+{
+  auto found = aScheduler.mRunning.find(aWork);
+  if (found == aScheduler.mRunning.end()) {
+    return LimitChange::eNone;
+  }
+  const bool used = LimitUsed(aScheduler);
+  const RunningWork running = std::move(found->second);
+  aScheduler.mRunning.erase(found);
+  const bool online = running.mWork.mKind == WorkKind::eOnline;
+  if (online) {
+    --aScheduler.mRunningOnline;
+  }
+  if (online && aCost > 0) {
+    CorrectCharge(aScheduler.mOnline,
+                  running.mWork.mWorkspace,
+                  running.mWork.mWeight,
+                  aCost - running.mWork.mCost);
+  }
+  switch (aEnding) {
+    case Ending::eGood:
+      if (online) {
+        RecordService(
+          aScheduler.mRate, running.mWork.mCost, aNow - running.mStarted);
+      }
+      return RecordCompletion(aScheduler.mLimit, true, used);
+    case Ending::eClientError:
+      return RecordCompletion(aScheduler.mLimit, false, used);
+    case Ending::eServerError:
+      return RecordServerError(aScheduler.mLimit);
+    case Ending::eBusy:
+      return RecordBroken(aScheduler.mLimit);
+    case Ending::eCancelled:
+      break;
+  }
+  return LimitChange::eNone;
+}
+
+LimitChange
+NoteColdTarget(Scheduler& aScheduler)
+{
+  return TurnCold(aScheduler.mLimit);
+}
+
+LimitChange
+CheckSilence(Scheduler& aScheduler, MonoTime aNow)
+{
+  LimitChange change = LimitChange::eNone;
+  if (!Within(aScheduler)) {
+    return change;
+  }
+  for (auto& [id, running] : aScheduler.mRunning) {
+    const bool silent =
+      running.mWork.mStreamed && running.mTokens == 0 &&
+      !running.mSlowNoted &&
+      aNow - running.mStarted >
+        ColdThreshold(aScheduler.mLimit, running.mWork.mPrompt);
+    if (silent) {
+      running.mSlowNoted = true;
+      change = TurnCold(aScheduler.mLimit);
+    }
+  }
+  return change;
+}
+
+bool
+NearDeadline(const Work& aWork, MonoTime aNow)
+{
+  return aWork.mKind == WorkKind::eBatch &&
+         (aWork.mDeadline - aNow) * 5 < aWork.mWindow;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/scheduling/scheduler.h
@@ -0,0 +1,152 @@
+#pragma once
+// What the target gets and when. The engine admits everything at once, so the
+// order is decided here.
+//
+// Online work goes first, in fair order over workspaces. Batch work fills what
+// is left, and its call with the least progress is stopped in the same step in
+// which online work needs the room. Two baselines are kept for comparison.
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "caraway/base/error.h"
+#include "caraway/scheduling/batch_cap.h"
+#include "caraway/scheduling/burst_tracker.h"
+#include "caraway/scheduling/concurrency_limit.h"
+#include "caraway/scheduling/fair_queue.h"
+#include "caraway/scheduling/service_rate.h"
+
+namespace caraway {
+
+enum class SchedulePolicy : uint8_t
+{
+  eOnlineFirst, // fair queue, batch fills the rest and yields
+  eFirstCome,   // baseline: one queue in arrival order
+  eFixedSplit,  // baseline: half of the limit for each kind
+};
+
+struct SchedulerSettings
+{
+  SchedulePolicy mPolicy = SchedulePolicy::eOnlineFirst;
+  LimitSettings mLimit;
+  uint32_t mMaxOnlineQueue = 512; // waiting online work; more is refused
+};
+
+struct Scheduler
+{
+  SchedulerSettings mSettings;
+  ConcurrencyLimit mLimit;
+  BatchCap mBatchCap;
+  BurstTracker mBursts;
+  ServiceRate mRate;
+  FairQueue mOnline;                            // waiting online work
+  std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
+  std::map<WorkId, Work> mWaiting;              // online and batch
+  std::set<std::pair<MonoTime, WorkId>> mBatch; // waiting batch, by deadline
+  std::map<WorkId, RunningWork> mRunning;       // in the order of arrival
+  uint32_t mRunningOnline = 0;                  // of mRunning
+  uint32_t mForeign = 0; // calls at the target that this node did not start
+  bool mHeld = true;     // nothing starts: the target's state is unknown
+};
+
+Scheduler
+MakeScheduler(const SchedulerSettings& aSettings);
+
+enum class Verdict : uint8_t
+{
+  eQueued,
+  eRefused, // mKind says why
+};
+
+struct Admission
+{
+  Verdict mVerdict = Verdict::eQueued;
+  ErrorKind mKind = ErrorKind::eNone;
+  Duration mRetryAfter;
+  Duration mExpectedWait;
+  WorkId mEvicted; // waiting work of a larger backlog that made room
+};
+
+// Queues online work or refuses it. Work that cannot start before its deadline
+// at the measured rate is refused at once. When the queue is full, the newest
+// work of the workspace with the largest backlog per weight goes.
+Admission
+OfferOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork);
+
+void
+AddBatch(Scheduler& aScheduler, const Work& aWork);
+
+enum class StepKind : uint8_t
+{
+  eStart,   // give it to the target now
+  ePreempt, // stop this batch call; it waits again
+  eExpire,  // its deadline passed while it waited
+};
+
+struct ScheduleStep
+{
+  StepKind mKind = StepKind::eStart;
+  WorkId mWork;
+};
+
+// Decides what to do now. Carry the steps out in order: a preemption stands
+// before the start that it makes room for.
+void
+Schedule(Scheduler& aScheduler,
+         MonoTime aNow,
+         std::vector<ScheduleStep>& aSteps);
+
+// The next time at which waiting or running work needs a decision.
+MonoTime
+NextDecision(const Scheduler& aScheduler);
+
+// Takes waiting work out; true if it was waiting.
+bool
+RemoveWaiting(Scheduler& aScheduler, WorkId aWork);
+
+// A token or piece of a running call came.
+LimitChange
+NoteToken(Scheduler& aScheduler, MonoTime aNow, WorkId aWork);
+
+enum class Ending : uint8_t
+{
+  eGood,        // whole answer
+  eClientError, // whole answer, 4xx
+  eServerError, // whole answer, 5xx
+  eBusy,        // 503, or a broken or refused connection
+  eCancelled,   // stopped by this side
+};
+
+// A running call ended. aCost is the true cost, 0 if not known.
+LimitChange
+NoteEnd(Scheduler& aScheduler,
+        MonoTime aNow,
+        WorkId aWork,
+        Ending aEnding,
+        double aCost);
+
+// The target's start id changed or it stopped answering.
+LimitChange
+NoteColdTarget(Scheduler& aScheduler);
+
+// A running call has waited so long for its first token that the target must
+// be cold, although nothing was heard.
+LimitChange
+CheckSilence(Scheduler& aScheduler, MonoTime aNow);
+
+// Calls at the target, this node's and others.
+uint32_t
+Occupied(const Scheduler& aScheduler);
+
+// More batch work that could start now, beyond what waits already.
+uint32_t
+BatchRoom(const Scheduler& aScheduler, MonoTime aNow);
+
+// True if less than 20% of the job's window is left.
+bool
+NearDeadline(const Work& aWork, MonoTime aNow);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -0,0 +1,259 @@
+// Which work starts, and which batch call gives way to online work.
+
+#include <algorithm>
+
+#include "caraway/scheduling/scheduler.h"
+
+namespace caraway {
+
+namespace {
+
+// Batch prompts read by the engine at one time while online work is about. An
+// online prompt waits behind them, and two keep the engine's reading busy.
+constexpr uint32_t kBatchPrompts = 2;
+constexpr uint32_t kNearShareDivisor = 10; // of the limit, near their deadline
+
+using Steps = std::vector<ScheduleStep>;
+
+void
+Start(Scheduler& aScheduler, MonoTime aNow, const Work& aWork, Steps& aSteps)
+{
+  const Work work = aScheduler.mWaiting.at(aWork.mId);
+  aScheduler.mWaiting.erase(aWork.mId);
+  if (work.mKind == WorkKind::eOnline) {
+    aScheduler.mUrgent.erase({ work.mDeadline, work.mId });
+    ++aScheduler.mRunningOnline;
+  } else {
+    aScheduler.mBatch.erase({ work.mDeadline, work.mId });
+  }
+  aScheduler.mRunning[work.mId] = { work, aNow, aNow };
+  aSteps.push_back({ StepKind::eStart, work.mId });
+}
+
+bool
+LessProgress(const RunningWork& aLeft, const RunningWork& aRight)
+{
+  if (aLeft.mTokens != aRight.mTokens) {
+    return aLeft.mTokens < aRight.mTokens;
+  }
+  return aLeft.mStarted > aRight.mStarted;
+}
+
+// Running batch calls that online work may not stop: those near their
+// deadline, at most a tenth of the limit, the ones with most progress first.
+std::set<WorkId>
+Protected(const Scheduler& aScheduler, MonoTime aNow)
+{
+  std::vector<const RunningWork*> near;
+  for (const auto& [id, running] : aScheduler.mRunning) {
+    if (NearDeadline(running.mWork, aNow)) {
+      near.push_back(&running);
+    }
+  }
+  std::sort(near.begin(), near.end(), [](const auto* aLeft, const auto* aRight) {
+    return LessProgress(*aRight, *aLeft);
+  });
+  near.resize(
+    std::min<size_t>(near.size(),
+                     aScheduler.mLimit.mValue / kNearShareDivisor));
+  std::set<WorkId> kept;
+  for (const RunningWork* running : near) {
+    kept.insert(running->mWork.mId);
+  }
+  return kept;
+}
+
+// Stops the batch call with the least progress; false if there is none.
+bool
+PreemptOne(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  const std::set<WorkId> kept = Protected(aScheduler, aNow);
+  const RunningWork* least = nullptr;
+  for (const auto& [id, running] : aScheduler.mRunning) {
+    const bool candidate =
+      running.mWork.mKind == WorkKind::eBatch && !kept.contains(id);
+    if (candidate && (least == nullptr || LessProgress(running, *least))) {
+      least = &running;
+    }
+  }
+  if (least == nullptr) {
+    return false;
+  }
+  const Work work = least->mWork;
+  aScheduler.mRunning.erase(work.mId);
+  AddBatch(aScheduler, work);
+  aSteps.push_back({ StepKind::ePreempt, work.mId });
+  return true;
+}
+
+struct Awaiting
+{
+  uint32_t mOnline = 0; // running calls without a first token
+  uint32_t mBatch = 0;
+};
+
+Awaiting
+CountAwaiting(const Scheduler& aScheduler)
+{
+  Awaiting count;
+  for (const auto& [id, running] : aScheduler.mRunning) {
+    if (running.mTokens == 0 && running.mWork.mStreamed) {
+      ++(running.mWork.mKind == WorkKind::eOnline ? count.mOnline
+                                                  : count.mBatch);
+    }
+  }
+  return count;
+}
+
+// Calls in total up to which batch work may be added.
+uint32_t
+BatchBound(const Scheduler& aScheduler, MonoTime aNow)
+{
+  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t free = limit - Headroom(aScheduler.mBursts, aNow, limit);
+  return std::min(free, static_cast<uint32_t>(aScheduler.mBatchCap.mValue));
+}
+
+void
+StartBatch(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  const uint32_t bound = BatchBound(aScheduler, aNow);
+  Awaiting awaiting = CountAwaiting(aScheduler);
+  while (!aScheduler.mBatch.empty()) {
+    if (Occupied(aScheduler) >= bound) {
+      aScheduler.mBatchCap.mReached = true;
+      return;
+    }
+    // An online prompt that the engine reads now is not slowed by new ones.
+    const bool onlineAbout = aScheduler.mRunningOnline > 0;
+    if (onlineAbout &&
+        (awaiting.mOnline > 0 || awaiting.mBatch >= kBatchPrompts)) {
+      return;
+    }
+    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
+    awaiting.mBatch += work.mStreamed ? 1 : 0;
+    Start(aScheduler, aNow, work, aSteps);
+  }
+}
+
+void
+ScheduleOnlineFirst(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  const uint32_t limit = aScheduler.mLimit.mValue;
+  // A cold target bears few calls: batch work above the limit goes at once.
+  while (aScheduler.mLimit.mRamping && Occupied(aScheduler) > limit &&
+         PreemptOne(aScheduler, aNow, aSteps)) {
+  }
+  while (aScheduler.mOnline.mSize > 0) {
+    if (Occupied(aScheduler) >= limit &&
+        !PreemptOne(aScheduler, aNow, aSteps)) {
+      return;
+    }
+    if (Occupied(aScheduler) < limit) {
+      Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+    }
+  }
+  StartBatch(aScheduler, aNow, aSteps);
+}
+
+void
+ScheduleFirstCome(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  while (aScheduler.mOnline.mSize > 0 &&
+         Occupied(aScheduler) < aScheduler.mLimit.mValue) {
+    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+  }
+}
+
+void
+ScheduleFixedSplit(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t online = (limit + 1) / 2;
+  while (aScheduler.mOnline.mSize > 0 &&
+         aScheduler.mRunningOnline + aScheduler.mForeign < online) {
+    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+  }
+  while (!aScheduler.mBatch.empty() &&
+         aScheduler.mRunning.size() - aScheduler.mRunningOnline <
+           limit - online) {
+    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
+    Start(aScheduler, aNow, work, aSteps);
+  }
+}
+
+void
+ExpireWaiting(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
+{
+  while (!aScheduler.mUrgent.empty() &&
+         aScheduler.mUrgent.begin()->first <= aNow) {
+    const WorkId work = aScheduler.mUrgent.begin()->second;
+    RemoveWaiting(aScheduler, work);
+    aSteps.push_back({ StepKind::eExpire, work });
+  }
+}
+
+} // namespace
+
+void
+Schedule(Scheduler& aScheduler,
+         MonoTime aNow,
+         std::vector<ScheduleStep>& aSteps)
+{
+  ExpireWaiting(aScheduler, aNow, aSteps);
+  JudgeBatchCap(aScheduler.mBatchCap,
+                aNow,
+                aScheduler.mSettings.mLimit.mTokenGoal,
+                aScheduler.mLimit.mValue);
+  if (aScheduler.mHeld) {
+    return;
+  }
+  switch (aScheduler.mSettings.mPolicy) {
+    case SchedulePolicy::eOnlineFirst:
+      ScheduleOnlineFirst(aScheduler, aNow, aSteps);
+      break;
+    case SchedulePolicy::eFirstCome:
+      ScheduleFirstCome(aScheduler, aNow, aSteps);
+      break;
+    case SchedulePolicy::eFixedSplit:
+      ScheduleFixedSplit(aScheduler, aNow, aSteps);
+      break;
+  }
+}
+
+MonoTime
+NextDecision(const Scheduler& aScheduler)
+{
+  MonoTime next = kNever;
+  if (!aScheduler.mUrgent.empty()) {
+    next = aScheduler.mUrgent.begin()->first;
+  }
+  if (Occupied(aScheduler) > aScheduler.mLimit.mValue) {
+    return next; // silence says nothing above the limit
+  }
+  for (const auto& [id, running] : aScheduler.mRunning) {
+    if (running.mWork.mStreamed && running.mTokens == 0 &&
+        !running.mSlowNoted) {
+      const Duration bound =
+        ColdThreshold(aScheduler.mLimit, running.mWork.mPrompt);
+      next = std::min(next, running.mStarted + bound + Micros(1));
+    }
+  }
+  return next;
+}
+
+uint32_t
+BatchRoom(const Scheduler& aScheduler, MonoTime aNow)
+{
+  const auto waiting = static_cast<uint32_t>(aScheduler.mBatch.size());
+  uint32_t bound = BatchBound(aScheduler, aNow);
+  uint32_t used = Occupied(aScheduler) +
+                  static_cast<uint32_t>(aScheduler.mOnline.mSize) + waiting;
+  if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+    bound = aScheduler.mLimit.mValue;
+    used = Occupied(aScheduler) - aScheduler.mRunningOnline + waiting;
+  }
+  return bound > used ? bound - used : 0;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/scheduling/work.h
@@ -0,0 +1,41 @@
+#pragma once
+// One unit of work as the scheduler sees it.
+
+#include <cstdint>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+
+namespace caraway {
+
+using WorkId = NumberId<struct WorkTag>; // unique within one scheduler
+
+enum class WorkKind : uint8_t
+{
+  eOnline, // a caller waits for it
+  eBatch,  // an item of a batch job
+};
+
+struct Work
+{
+  WorkId mId;
+  WorkKind mKind = WorkKind::eOnline;
+  WorkspaceId mWorkspace;
+  uint32_t mWeight = 1;
+  double mCost = 1;        // prompt tokens + expected output tokens
+  uint32_t mPrompt = 0;    // prompt tokens
+  bool mStreamed = false;  // tokens are seen as they come
+  MonoTime mDeadline{ 0 }; // online: latest start; batch: end of the job
+  Duration mWindow;        // batch: the job's whole window
+};
+
+struct RunningWork
+{
+  Work mWork;
+  MonoTime mStarted;
+  MonoTime mLastToken;  // time of the newest token or piece
+  uint32_t mTokens = 0; // tokens or pieces so far
+  bool mSlowNoted = false; // the wait for its first token was counted once
+};
+
+} // namespace caraway
