--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "caraway/admission/grantor.h"
 #include "caraway/base/absl_view.h"
+#include "caraway/consensus/replica_codec.h"
 #include "caraway/control/step.h"
 
 namespace caraway {
@@ -145,13 +146,15 @@
     }
     std::optional<Proposal> proposal =
       TakeProposal(aStep, entry.mIndex, entry.mTerm);
-    control.mAppliedTerm = entry.mTerm;
     if (entry.mKind == LogEntryKind::eCommand) {
       ApplyCommandEntry(aStep, entry, std::move(proposal));
     } else {
       control.mState.mApplied = entry.mIndex;
       if (entry.mKind == LogEntryKind::eMembership) {
-        control.mAppliedReplicas = ReplicasOf(control.mRaft);
+        absl::StatusOr<ReplicaSet> replicas = DecodeReplicaSet(entry.mPayload);
+        if (replicas.ok()) {
+          control.mAppliedReplicas = *std::move(replicas);
+        }
       }
       if (proposal) {
         AnswerProposal(aStep, proposal->mWaiting, {});
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -147,7 +147,6 @@
   control.mSettings = aSettings;
   control.mState = *std::move(state);
   control.mState.mApplied = aRecovered.mSnapshot.mIndex;
-  control.mAppliedTerm = aRecovered.mSnapshot.mTerm;
   control.mAppliedReplicas = aRecovered.mSnapshot.mIndex.IsNone()
                                ? aSettings.mInitialReplicas
                                : aRecovered.mSnapshot.mReplicas;
@@ -186,6 +185,7 @@
   if (changed || NextPollDue(aControl.mPolls) <= aNow) {
     AnswerDuePolls(step);
   }
+  CheckDisk(step);
   FinishStop(step);
 }
 
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -116,7 +116,6 @@
   ControlSettings mSettings;
   Raft mRaft;
   ControlState mState;
-  Term mAppliedTerm;           // term of the entry at mState.mApplied
   ReplicaSet mAppliedReplicas; // replica set as of mState.mApplied
   ConfigPolls mPolls;
   Leadership mLeadership;
--- a/caraway/control/raft_glue.cpp
+++ b/caraway/control/raft_glue.cpp
@@ -17,16 +17,18 @@
 }
 
 void
-TakeSnapshot(ControlStep& aStep)
+TakeSnapshot(ControlStep& aStep, const SnapshotMark& aMark)
 {
   Control& control = aStep.mControl;
-  SnapshotMark mark;
-  mark.mIndex = control.mState.mApplied;
-  mark.mTerm = control.mAppliedTerm;
-  mark.mReplicas = control.mAppliedReplicas;
-  control.mSaving = mark;
+  if (aMark.mIndex != control.mState.mApplied) {
+    Fail(aStep,
+         "the snapshot asked for is not of the applied state; report "
+         "this as a fault of the program");
+    return;
+  }
+  control.mSaving = aMark;
   aStep.mOut.emplace_back(
-    SaveSnapshot{ mark, EncodeControlState(control.mState) });
+    SaveSnapshot{ aMark, EncodeControlState(control.mState) });
 }
 
 void
@@ -40,7 +42,7 @@
       } else if constexpr (std::is_same_v<T, RaftApply>) {
         ApplyEntries(aStep, aOne.mEntries);
       } else if constexpr (std::is_same_v<T, RaftTakeSnapshot>) {
-        TakeSnapshot(aStep);
+        TakeSnapshot(aStep, aOne.mMark);
       } else if constexpr (std::is_same_v<T, RaftRoleChanged>) {
         ++aStep.mControl.mCounters.mLeaderChanges;
         Log(aStep,
@@ -73,7 +75,6 @@
   }
   control.mState = *std::move(state);
   control.mState.mApplied = aEvent.mMark.mIndex;
-  control.mAppliedTerm = aEvent.mMark.mTerm;
   control.mAppliedReplicas = aEvent.mMark.mReplicas;
   return true;
 }
@@ -131,7 +132,8 @@
 void
 HandleRaftEvent(ControlStep& aStep, const SnapshotPartStored& aEvent)
 {
-  if (aEvent.mOk && aEvent.mReply.mInstalled && !InstallState(aStep, aEvent)) {
+  if (aEvent.mOk && !aEvent.mMark.mIndex.IsNone() &&
+      !InstallState(aStep, aEvent)) {
     return;
   }
   RaftSnapshotPartStored(aStep.mControl.mRaft,
@@ -141,6 +143,19 @@
                          aEvent.mMark,
                          aEvent.mOk,
                          aStep.mRaft);
+  if (!aEvent.mOk) {
+    Fail(aStep, "a snapshot could not be stored; free or replace the disk");
+  }
+}
+
+void
+CheckDisk(ControlStep& aStep)
+{
+  if (!aStep.mControl.mHalted && LostItsDisk(aStep.mControl.mRaft)) {
+    Fail(aStep,
+         "the group knows this replica with another data folder; start it "
+         "under a new replica id and add it");
+  }
 }
 
 } // namespace caraway
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -54,6 +54,9 @@
 // control.cpp parts.
 void
 RunRaftActions(ControlStep& aStep); // raft_glue.cpp
+// Halts a replica whose vote is bound to a data folder that it lost.
+void
+CheckDisk(ControlStep& aStep);
 void
 HandleRaftEvent(ControlStep& aStep, const LogWritten& aEvent);
 void
--- /dev/null
+++ b/tests/control_replicas_test.cpp
@@ -0,0 +1,293 @@
+// Three replicas with members: leases, elections, cut-off leaders, withdrawal.
+#define BOOST_TEST_MODULE control_replicas
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+#include <nlohmann/json.hpp>
+
+#include "tests/control_link.h"
+
+using namespace caraway;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string kContract = R"({"rate":10,"burst":20})";
+
+struct ThreeReplicas
+{
+  ControlLink mLink{ 3 };
+  std::deque<LinkHolder> mHolders;
+
+  ThreeReplicas()
+  {
+    mLink.StartAll();
+    BOOST_REQUIRE(mLink.AwaitLeader());
+  }
+
+  LinkHolder& Join(const std::string& aZone)
+  {
+    mHolders.push_back(MakeHolder(mLink, mHolders.size(), aZone));
+    mHolders.back().mFetchFrom = mHolders.size() % 3;
+    mHolders.back().Begin();
+    return mHolders.back();
+  }
+
+  uint64_t Put(const std::string& aWorkspace)
+  {
+    const auto response =
+      mLink.Write("PUT", "/admin/contracts/" + aWorkspace, kContract);
+    BOOST_REQUIRE(response.mStatus == 200);
+    return Json::parse(response.mBody)["revision"];
+  }
+
+  bool InForce(uint64_t aRevision)
+  {
+    const auto response =
+      mLink.Call(mLink.Leader().value(),
+                 "GET",
+                 "/admin/inforce?revision=" + std::to_string(aRevision));
+    return response.mStatus == 200 &&
+           Json::parse(response.mBody)["in_force"].get<bool>();
+  }
+
+  Revision RevisionAt(size_t aReplica)
+  {
+    return mLink.mReplicas[aReplica].mControl->mState.mConfig.mView.mRevision;
+  }
+};
+
+} // namespace
+
+// A resent Register must not end the session that the first one began.
+BOOST_FIXTURE_TEST_CASE(register_is_idempotent_per_incarnation, ThreeReplicas)
+{
+  LinkHolder& holder = Join("z1");
+  mLink.Run(Seconds(2));
+  const Epoch epoch = holder.mEpoch;
+  BOOST_TEST(!epoch.IsNone());
+  holder.Send(Register{ holder.mMember, 1 });
+  mLink.Run(Millis(100));
+  BOOST_TEST((holder.mEpoch == epoch));
+  // A new process of the same instance ends the old session, and a late
+  // duplicate of the old process must not end the new one.
+  const Member old = holder.mMember;
+  holder.mMember.mIncarnation = 99;
+  holder.mEpoch = {};
+  holder.Send(Register{ holder.mMember, 1 });
+  mLink.Run(Millis(100));
+  BOOST_TEST((holder.mEpoch > epoch));
+  const Epoch fresh = holder.mEpoch;
+  holder.Send(Register{ old, 1 });
+  mLink.Run(Millis(100));
+  const auto& members = mLink.LeaderControl().mState.mConfig.mView.mMembers;
+  BOOST_TEST((members.at(old.mInstance).mEpoch == fresh));
+}
+
+BOOST_FIXTURE_TEST_CASE(silent_holder_delays_in_force_by_its_lease,
+                        ThreeReplicas)
+{
+  Join("z1");
+  Join("z1");
+  LinkHolder& silent = Join("z1");
+  mLink.Run(Seconds(3));
+  silent.mSilent = true;
+  // A last renewal may be on its way.
+  const MonoTime freed = GrantorLeaseEnd(mLink.mNow + mLink.mDelay, Seconds(3));
+  const uint64_t revision = Put("lindholt");
+  mLink.Run(Seconds(1));
+  BOOST_TEST(!InForce(revision));
+  BOOST_TEST((silent.mLeaseEnd > mLink.mNow));
+  mLink.RunUntil(silent.mLeaseEnd);
+  BOOST_TEST(!InForce(revision)); // the grantor frees it after the holder
+  mLink.RunUntil(freed);
+  BOOST_TEST(InForce(revision));
+  mLink.Run(Seconds(3));
+  const auto& members = mLink.LeaderControl().mState.mConfig.mView.mMembers;
+  BOOST_TEST(!members.contains(silent.mMember.mInstance));
+  BOOST_TEST(members.size() == 2u);
+}
+
+BOOST_FIXTURE_TEST_CASE(withdrawn_key_and_zone_out_reach_every_holder,
+                        ThreeReplicas)
+{
+  for (int at = 0; at < 6; ++at) {
+    Join("z" + std::to_string(at % 3));
+  }
+  mLink.Run(Seconds(3));
+  Put("lindholt");
+  const Json key = Json::parse(
+    mLink.Write("POST", "/admin/keys", R"({"workspace":"lindholt"})").mBody);
+  const KeyId id(key["id"].get<std::string>());
+  mLink.Write("DELETE", "/admin/keys/" + id.mValue);
+  const Json out =
+    Json::parse(mLink.Write("POST", "/admin/zones/z1/out").mBody);
+  mLink.Run(Seconds(2));
+  BOOST_TEST(InForce(out["revision"]));
+  for (const LinkHolder& holder : mHolders) {
+    BOOST_TEST(holder.mView.mKeys.at(id).mWithdrawn);
+    BOOST_TEST(!ZoneInService(holder.mView, ZoneId("z1")));
+  }
+}
+
+// An old leader that does not know of its successor must serve nothing.
+BOOST_FIXTURE_TEST_CASE(cut_off_leader_serves_nothing, ThreeReplicas)
+{
+  LinkHolder& holder = Join("z1");
+  mLink.Run(Seconds(2));
+  const size_t old = mLink.Leader().value();
+  mLink.mCut.insert(ControlLink::AddressOf(old));
+  mLink.Run(Millis(520));
+  const HttpResponse read = mLink.Call(old, "GET", "/admin/contracts");
+  BOOST_TEST((read.mStatus == 503 || read.mStatus == 421));
+  std::vector<ControlAction> actions;
+  Renew renew;
+  renew.mInstance = holder.mMember.mInstance;
+  renew.mEpoch = holder.mEpoch;
+  StepControl(*mLink.mReplicas[old].mControl,
+              mLink.mNow,
+              1000,
+              MessageReceived{ holder.mMember.mAddress, renew },
+              actions);
+  for (const ControlAction& action : actions) {
+    const auto* send = std::get_if<SendMessage>(&action);
+    BOOST_TEST(
+      (send == nullptr || !std::holds_alternative<RenewReply>(send->mMessage)));
+  }
+  BOOST_REQUIRE(mLink.AwaitLeader());
+  BOOST_TEST(mLink.Leader().value() != old);
+  const uint64_t revision = Put("lindholt");
+  mLink.mCut.clear();
+  mLink.Run(Seconds(2));
+  BOOST_TEST(RevisionAt(old).mValue == revision);
+}
+
+// A write that a cut-off leader took must not be confirmed, and a resend at the
+// new leader must work.
+BOOST_FIXTURE_TEST_CASE(unconfirmed_write_is_reported_as_unknown, ThreeReplicas)
+{
+  const size_t old = mLink.Leader().value();
+  mLink.mCut.insert(ControlLink::AddressOf(old));
+  const HttpCallId call = mLink.Ask(old,
+                                    "PUT",
+                                    "/admin/contracts/w",
+                                    kContract,
+                                    { { "X-Operation-Id", "lost" } });
+  mLink.Run(Seconds(3));
+  BOOST_REQUIRE(mLink.mResponses.contains(call));
+  BOOST_TEST(mLink.mResponses[call].mStatus == 503);
+  const Json error = Json::parse(mLink.mResponses[call].mBody)["error"];
+  BOOST_TEST(error["outcome"] == "unknown");
+  BOOST_REQUIRE(mLink.AwaitLeader());
+  BOOST_TEST(
+    mLink.Write("PUT", "/admin/contracts/w", kContract, "lost").mStatus == 200);
+  mLink.mCut.clear();
+  mLink.Run(Seconds(2));
+  BOOST_TEST((RevisionAt(0) == RevisionAt(1)));
+  BOOST_TEST((RevisionAt(1) == RevisionAt(2)));
+}
+
+BOOST_FIXTURE_TEST_CASE(follower_names_the_leader, ThreeReplicas)
+{
+  const size_t leader = mLink.Leader().value();
+  const HttpResponse response =
+    mLink.Call((leader + 1) % 3, "GET", "/admin/status");
+  BOOST_TEST(response.mStatus == 421);
+  BOOST_TEST(Json::parse(response.mBody)["leader"] ==
+             ControlLink::AddressOf(leader).mValue);
+}
+
+// If the leader's own contact was lost, most members look lost. They must be
+// given time to come back.
+BOOST_FIXTURE_TEST_CASE(wave_of_lost_members_is_held_back, ThreeReplicas)
+{
+  for (int at = 0; at < 6; ++at) {
+    Join("z" + std::to_string(at % 3));
+  }
+  mLink.Run(Seconds(3));
+  for (LinkHolder& holder : mHolders) {
+    holder.mSilent = true;
+  }
+  mLink.Run(Seconds(7));
+  const auto& view = mLink.LeaderControl().mState.mConfig.mView;
+  BOOST_TEST(view.mMembers.size() == 6u);
+  for (int at = 0; at < 5; ++at) {
+    mHolders[static_cast<size_t>(at)].mSilent = false;
+  }
+  mLink.Run(Seconds(4));
+  BOOST_TEST(view.mMembers.size() == 5u);
+  for (const LinkHolder& holder : mHolders) {
+    BOOST_TEST(holder.mRegistrations == 1u);
+  }
+}
+
+// Leases and sessions outlive a change of leader, and a second one right after.
+BOOST_FIXTURE_TEST_CASE(sessions_survive_changes_of_leader, ThreeReplicas)
+{
+  for (int at = 0; at < 4; ++at) {
+    Join("z1");
+  }
+  mLink.Run(Seconds(3));
+  uint64_t revision = Put("lindholt");
+  for (int round = 0; round < 3; ++round) {
+    const size_t killed = mLink.Leader().value();
+    mLink.Kill(killed);
+    const MonoTime at = mLink.mNow;
+    BOOST_REQUIRE(mLink.AwaitLeader(Seconds(2)));
+    BOOST_TEST((mLink.mNow - at <= Seconds(2)));
+    const auto next = Put("ws-" + std::to_string(round));
+    BOOST_TEST(next > revision);
+    revision = next;
+    mLink.Start(killed);
+    mLink.Run(Seconds(5));
+    BOOST_TEST(InForce(revision));
+    BOOST_TEST(RevisionAt(killed).mValue == revision);
+  }
+  for (const LinkHolder& holder : mHolders) {
+    BOOST_TEST(holder.mRegistrations == 1u);
+  }
+}
+
+// A replica that missed more than the log keeps is brought up by a snapshot.
+BOOST_AUTO_TEST_CASE(lagging_replica_gets_a_snapshot_and_serves_it)
+{
+  ControlLink link(3);
+  for (LinkReplica& replica : link.mReplicas) {
+    replica.mSettings.mRaft.mSnapshotEvery = 50;
+    replica.mSettings.mRaft.mTailEntries = 10;
+  }
+  link.StartAll();
+  BOOST_REQUIRE(link.AwaitLeader());
+  const size_t behind = (link.Leader().value() + 1) % 3;
+  link.Kill(behind);
+  for (int round = 0; round < 200; ++round) {
+    BOOST_REQUIRE(
+      link
+        .Write("PUT", "/admin/contracts/ws-" + std::to_string(round), kContract)
+        .mStatus == 200);
+  }
+  link.Start(behind);
+  link.Run(Seconds(3));
+  const Control& control = *link.mReplicas[behind].mControl;
+  BOOST_TEST(control.mState.mConfig.mView.mContracts.size() == 200u);
+  BOOST_TEST(control.mState.mConfig.mView.mRevision.mValue == 200u);
+  BOOST_TEST(!link.mReplicas[behind].mHalted);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_member_and_stopping_replica, ThreeReplicas)
+{
+  LinkHolder& holder = Join("z1");
+  mLink.Run(Seconds(2));
+  holder.Send(Leave{ holder.mMember.mInstance, holder.mEpoch });
+  holder.mSilent = true;
+  mLink.Run(Millis(100));
+  BOOST_TEST(mLink.LeaderControl().mState.mConfig.mView.mMembers.empty());
+  const uint64_t revision = Put("lindholt");
+  BOOST_TEST(InForce(revision)); // nobody holds a lease any more
+  const size_t leader = mLink.Leader().value();
+  mLink.Post(leader, mLink.mNow, StopRequested{});
+  mLink.Run(Millis(50));
+  BOOST_TEST(mLink.mReplicas[leader].mStopped);
+  BOOST_TEST(mLink.Call(leader, "GET", "/readyz").mStatus == 503);
+}
