Add the control daemon and the fleet driver with its oracle

Cause: parts were merged side by side and clashed in four type names; promises over the whole had no check. Change: renamed the clashing types; caraway-control on the data folder; a driver that steps whole roles over lossy links, and an oracle on what callers were told and targets executed.

--- a/caraway/consensus/raft.h
+++ b/caraway/consensus/raft.h
@@ -125,6 +125,7 @@
 // call RaftSnapshotPartStored. On mAllDone the state machine loads it first.
 struct RaftStoreSnapshotPart
 {
+  ReplicaId mFrom; // the leader that sent it, to be named in the result
   SnapshotPart mPart;
 };
 
--- a/caraway/consensus/raft_snapshot.cpp
+++ b/caraway/consensus/raft_snapshot.cpp
@@ -161,7 +161,7 @@
       aRaft.mStoring = true;
       aRaft.mInstalling = aPart.mAllDone;
       aRaft.mStoringSentAt = aPart.mSentAt;
-      aOut.emplace_back(RaftStoreSnapshotPart{ aPart });
+      aOut.emplace_back(RaftStoreSnapshotPart{ aMessage.mFrom, aPart });
       return;
     }
   }
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -43,7 +43,7 @@
   EntrySettings mSettings;
   uint64_t mIncarnation = 0;
   Random mRandom;
-  Session mSession;
+  EntrySession mSession;
   ConfigFetcher mFetcher;
   DrainState mDrain;
   ConfigView mConfig;
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -23,7 +23,7 @@
 void
 TryNextReplica(EntryStep& aStep, Duration aPause)
 {
-  Session& session = aStep.mEntry.mSession;
+  EntrySession& session = aStep.mEntry.mSession;
   const std::vector<PeerAddress>& replicas = aStep.mEntry.mSettings.mControl;
   session.mConfirmed = {};
   if (replicas.empty()) {
@@ -78,7 +78,7 @@
 void
 Confirm(EntryStep& aStep, const PeerAddress& aFrom)
 {
-  Session& session = aStep.mEntry.mSession;
+  EntrySession& session = aStep.mEntry.mSession;
   if (session.mConfirmed == aFrom) {
     return;
   }
@@ -113,7 +113,7 @@
 void
 TickSession(EntryStep& aStep)
 {
-  Session& session = aStep.mEntry.mSession;
+  EntrySession& session = aStep.mEntry.mSession;
   if (aStep.mEntry.mDrain.mStopped || session.mLeader.Empty()) {
     return;
   }
@@ -141,7 +141,7 @@
 MonoTime
 SessionWakeup(const Entry& aEntry)
 {
-  const Session& session = aEntry.mSession;
+  const EntrySession& session = aEntry.mSession;
   if (aEntry.mDrain.mStopped || session.mLeader.Empty()) {
     return kNever;
   }
@@ -179,7 +179,7 @@
                  const RenewReply& aReply)
 {
   Entry& entry = aStep.mEntry;
-  Session& session = entry.mSession;
+  EntrySession& session = entry.mSession;
   if (aReply.mInstance != entry.mSettings.mInstance ||
       session.mEpoch.IsNone() || aReply.mEpoch != session.mEpoch) {
     return;
@@ -212,7 +212,7 @@
                 const PeerAddress& aFrom,
                 const NotLeader& aReply)
 {
-  Session& session = aStep.mEntry.mSession;
+  EntrySession& session = aStep.mEntry.mSession;
   if (aFrom != session.mLeader) {
     return; // an answer to an earlier choice
   }
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -11,7 +11,7 @@
 
 constexpr MonoTime kLongAgo{ -kNever.mMicros };
 
-struct Session
+struct EntrySession
 {
   Epoch mEpoch;           // none while registering
   size_t mReplica = 0;    // index of mLeader in the settings, or beyond
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -175,7 +175,7 @@
   }
   auto [place, fresh] =
     aLedger.mNodes.try_emplace({ aRequest.mNode, aRequest.mNodeEpoch });
-  NodeSession& session = place->second;
+  LeaseHolder& session = place->second;
   if (!fresh && aRequest.mSequence <= session.mSequence) {
     // A late copy of an older ask must lease nothing: nobody waits for it.
     if (aRequest.mSequence == session.mSequence) {
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -23,7 +23,6 @@
 // A line travels to a node inside one frame of 1 MiB, which needs some room for
 // the message around it.
 constexpr uint64_t kMaxLineBytes = (uint64_t{ 1 } << 20) - 16384;
-constexpr uint64_t kMaxPartBytes = 256 * 1024;
 constexpr uint64_t kMaxFileParts = 16384; // 64 KiB each in a file of 1 GiB
 // An output line is read back in one reply of 256 KiB.
 constexpr uint64_t kMaxResultBytes = 256 * 1024 - 1;
@@ -160,7 +159,7 @@
   auto operator<=>(const LeaseRef&) const = default;
 };
 
-struct NodeSession
+struct LeaseHolder
 {
   uint64_t mSequence = 0; // newest ask
   LeaseRef mAnswer;       // what it got; job empty if nothing
@@ -188,7 +187,7 @@
   Duration mResultRetention = Seconds(30 * 86400);
   Duration mClaimRetention = Seconds(86400);
   std::map<WorkspaceId, LedgerWorkspace> mWorkspaces;
-  std::map<std::pair<InstanceId, Epoch>, NodeSession> mNodes;
+  std::map<std::pair<InstanceId, Epoch>, LeaseHolder> mNodes;
   std::map<InstanceId, EndedSession> mEnded;
   // Claims of entries that may still complete them.
   std::map<std::pair<InstanceId, Epoch>,
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -305,7 +305,7 @@
 
 template<class Archive>
 void
-serialize(Archive& aArchive, NodeSession& aValue)
+serialize(Archive& aArchive, LeaseHolder& aValue)
 {
   aArchive(aValue.mSequence, aValue.mAnswer, aValue.mLeases);
 }
--- a/caraway/node/node_dispatch.cpp
+++ b/caraway/node/node_dispatch.cpp
@@ -81,8 +81,7 @@
   work.mWeight = std::max<uint32_t>(1, dispatch.mWeight);
   work.mPrompt = dispatch.mPromptTokens;
   work.mCost = std::max<double>(
-    1.0,
-    static_cast<double>(dispatch.mPromptTokens) + dispatch.mOutputTokens);
+    1.0, static_cast<double>(dispatch.mPromptTokens) + dispatch.mOutputTokens);
   work.mStreamed = dispatch.mStream && !dispatch.mModel.Empty();
   work.mDeadline = aNow + dispatch.mDeadline;
   return work;
@@ -131,7 +130,7 @@
   const ErrorKind reason = KeyWithdrawn(aNode, aDispatch.mKey)
                              ? ErrorKind::eWithdrawn
                              : RefusalReason(aNode, aNow);
-  Admission admission;
+  Offer admission;
   if (reason != ErrorKind::eNone) {
     admission.mVerdict = Verdict::eRefused;
     admission.mKind = reason;
--- /dev/null
+++ b/caraway/runtime/control_host.cpp
@@ -0,0 +1,211 @@
+// The control role on the event loop.
+
+#include "caraway/runtime/control_host.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/base/visitor.h"
+#include "caraway/runtime/logging.h"
+
+namespace caraway {
+
+ControlHost::ControlHost(Loop& aLoop,
+                         const ControlSettings& aSettings,
+                         const std::string& aDataFolder,
+                         const PeerSettings& aPeer,
+                         const HttpServerSettings& aHttp)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mPath(aDataFolder)
+  , mPeers(aLoop, aPeer)
+  , mHttp(aLoop, aHttp)
+  , mPump(aLoop,
+          { [this](MonoTime aNow,
+                   const ControlEvent& aEvent,
+                   std::vector<ControlAction>& aOut) {
+             StepControl(*mControl, aNow, mLoop.UnixSeconds(), aEvent, aOut);
+           },
+            [this](ControlAction& aAction) { CarryOut(aAction); },
+            [this] { return NextWakeup(*mControl); },
+            [this] { SyncWrites(); } })
+{
+}
+
+absl::Status
+ControlHost::Start()
+{
+  auto folder = DataFolder::Open(mPath);
+  if (!folder.ok()) {
+    return folder.status();
+  }
+  mFolder = std::move(*folder);
+  if (auto status = mPeers.Listen(); !status.ok()) {
+    return status;
+  }
+  if (auto status = mHttp.Listen(); !status.ok()) {
+    return status;
+  }
+  mSettings.mAddress = mPeers.Address();
+  RaftRecovered recovered = mFolder->Recovered();
+  const std::string entries = absl::StrCat(recovered.mEntries.size());
+  const std::string snapshot = absl::StrCat(recovered.mSnapshot.mIndex.mValue);
+  auto control = MakeControl(mSettings,
+                             std::move(recovered),
+                             mFolder->RecoveredState(),
+                             mLoop.Now(),
+                             mLoop.UnixSeconds());
+  if (!control.ok()) {
+    return control.status();
+  }
+  mControl = std::make_unique<Control>(std::move(*control));
+  mPeers.mOnMessage.connect(
+    [this](const PeerAddress& aFrom, const Message& aMessage) {
+      mPump.Post(MessageReceived{ aFrom, aMessage });
+    });
+  mPeers.mOnPeerLost.connect(
+    [this](const PeerAddress& aPeer) { mPump.Post(PeerLost{ aPeer }); });
+  mHttp.mOnRequest.connect(
+    [this](const HttpRequest& aRequest) { mPump.Post(aRequest); });
+  mHttp.mOnClosed.connect(
+    [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
+  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
+  mLoop.mOnReload.connect([this] {
+    mPeers.ReloadTls().IgnoreError();
+    mHttp.ReloadTls().IgnoreError();
+  });
+  WriteLog(LogLevel::eInfo,
+           "listening",
+           { { "peer", mPeers.Address().mValue },
+             { "http", mHttp.Address() },
+             { "replica", absl::StrCat(mSettings.mReplica.mValue) },
+             { "recovered_entries", entries },
+             { "snapshot_index", snapshot } });
+  mPump.Post(Wakeup{});
+  return absl::OkStatus();
+}
+
+void
+ControlHost::Fail(const std::string& aReason)
+{
+  if (mFailed) {
+    return;
+  }
+  mFailed = true;
+  WriteLog(LogLevel::eError, "replica_halted", { { "reason", aReason } });
+  mLoop.Exit();
+}
+
+void
+ControlHost::Check(const absl::Status& aStatus)
+{
+  if (!aStatus.ok()) {
+    Fail(std::string(aStatus.message()));
+  }
+}
+
+void
+ControlHost::Write(const RaftWrite& aWrite)
+{
+  const absl::Status status = mFolder->Append(aWrite);
+  if (!status.ok()) {
+    Check(status);
+    mPump.Post(LogWritten{ aWrite.mWrite, false });
+    return;
+  }
+  mUnsynced.push_back(aWrite.mWrite);
+}
+
+void
+ControlHost::SyncWrites()
+{
+  if (mUnsynced.empty()) {
+    return;
+  }
+  const absl::Status status = mFolder->Sync();
+  Check(status);
+  for (const uint64_t write : std::exchange(mUnsynced, {})) {
+    mPump.Post(LogWritten{ write, status.ok() });
+  }
+}
+
+void
+ControlHost::Save(const SaveSnapshot& aSave)
+{
+  const absl::Status status = mFolder->SaveSnapshot(aSave.mMark, aSave.mState);
+  Check(status);
+  mPump.Post(SnapshotSaved{ aSave.mMark.mIndex, status.ok() });
+}
+
+void
+ControlHost::ReadPart(const RaftReadSnapshotPart& aRead)
+{
+  auto part = mFolder->ReadSnapshotPart(aRead.mFile, aRead.mOffset);
+  SnapshotPartRead read;
+  read.mTo = aRead.mTo;
+  read.mOk = part.ok();
+  if (part.ok()) {
+    read.mPart = std::move(*part);
+  }
+  mPump.Post(std::move(read));
+}
+
+void
+ControlHost::StorePart(const RaftStoreSnapshotPart& aStore)
+{
+  auto stored = mFolder->StoreSnapshotPart(aStore.mPart);
+  Check(stored.status());
+  SnapshotPartStored event;
+  event.mFrom = aStore.mFrom;
+  event.mOk = stored.ok();
+  if (stored.ok()) {
+    event.mReply = std::move(stored->mReply);
+    event.mMark = std::move(stored->mMark);
+    event.mState = std::move(stored->mState);
+  }
+  mPump.Post(std::move(event));
+}
+
+void
+ControlHost::Read(const ReadBlob& aRead)
+{
+  auto bytes = mFolder->ReadBlob(aRead.mName, aRead.mOffset, aRead.mLength);
+  mPump.Post(
+    BlobRead{ aRead.mRead, bytes.ok(), bytes.ok() ? *bytes : std::string() });
+}
+
+void
+ControlHost::CarryOut(ControlAction& aAction)
+{
+  std::visit(
+    Visitor{
+      [this](const SendMessage& aSend) {
+        // A failed disk must not let a message out that depends on it.
+        if (!mFailed) {
+          mPeers.Send(aSend.mTo, aSend.mMessage);
+        }
+      },
+      [this](const HttpResponse& aResponse) { mHttp.Respond(aResponse); },
+      [this](const HttpBegin& aBegin) { mHttp.Begin(aBegin); },
+      [this](const HttpChunk& aChunk) { mHttp.Chunk(aChunk); },
+      [this](const HttpEnd& aEnd) { mHttp.End(aEnd); },
+      [this](const HttpAbort& aAbort) { mHttp.Abort(aAbort); },
+      [this](const RaftWrite& aWrite) { Write(aWrite); },
+      [this](const RaftReadSnapshotPart& aRead) { ReadPart(aRead); },
+      [this](const RaftStoreSnapshotPart& aStore) { StorePart(aStore); },
+      [this](const SaveSnapshot& aSave) { Save(aSave); },
+      [this](const WriteBlob& aWrite) {
+        Check(mFolder->WriteBlob(aWrite.mName, aWrite.mOffset, aWrite.mBytes));
+      },
+      [this](const RemoveBlob& aRemove) {
+        Check(mFolder->RemoveBlob(aRemove.mName));
+      },
+      [this](const ReadBlob& aRead) { Read(aRead); },
+      [](const DecisionLog& aDecision) { WriteLog(aDecision); },
+      [this](const Halt& aHalt) { Fail(aHalt.mReason); },
+      [this](const Stopped&) { mLoop.Exit(); },
+    },
+    aAction);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/runtime/control_host.h
@@ -0,0 +1,56 @@
+#pragma once
+// Runs the control role on the event loop, with its data folder.
+
+#include <string>
+
+#include "caraway/control/control.h"
+#include "caraway/runtime/data_folder.h"
+#include "caraway/runtime/http_server.h"
+#include "caraway/runtime/peer_transport.h"
+#include "caraway/runtime/role_pump.h"
+
+namespace caraway {
+
+class ControlHost
+{
+public:
+  ControlHost(Loop& aLoop,
+              const ControlSettings& aSettings,
+              const std::string& aDataFolder,
+              const PeerSettings& aPeer,
+              const HttpServerSettings& aHttp);
+
+  // Recovers the data folder, binds the listeners and starts the role.
+  absl::Status Start();
+
+  const HttpServer& Http() const { return mHttp; }
+
+private:
+  void CarryOut(ControlAction& aAction);
+  void Write(const RaftWrite& aWrite);
+  void Save(const SaveSnapshot& aSave);
+  void ReadPart(const RaftReadSnapshotPart& aRead);
+  void StorePart(const RaftStoreSnapshotPart& aStore);
+  void Read(const ReadBlob& aRead);
+
+  // One sync covers all writes of a turn.
+  void SyncWrites();
+
+  // The replica stops at once: nothing that depends on the disk may be
+  // acknowledged any more.
+  void Fail(const std::string& aReason);
+  void Check(const absl::Status& aStatus);
+
+  Loop& mLoop;
+  ControlSettings mSettings;
+  std::string mPath;
+  std::unique_ptr<DataFolder> mFolder;
+  PeerTransport mPeers;
+  HttpServer mHttp; // operators
+  std::unique_ptr<Control> mControl;
+  std::vector<uint64_t> mUnsynced; // numbers of writes appended, not yet synced
+  bool mFailed = false;
+  RolePump<ControlEvent, ControlAction> mPump;
+};
+
+} // namespace caraway
--- a/caraway/scheduling/batch_cap.h
+++ b/caraway/scheduling/batch_cap.h
@@ -12,11 +12,11 @@
 
 struct BatchCap
 {
-  double mValue = 1;         // calls in total
-  Duration mUnloaded;        // shortest usual time between tokens, 0 = unknown
-  SampleWindow mTokenGaps;   // since the last judgement
-  MonoTime mJudgedAt{ 0 };   // last judgement
-  bool mReached = false;     // the cap was used up since then
+  double mValue = 1;       // calls in total
+  Duration mUnloaded;      // shortest usual time between tokens, 0 = unknown
+  SampleWindow mTokenGaps; // since the last judgement
+  MonoTime mJudgedAt{ 0 }; // last judgement
+  bool mReached = false;   // the cap was used up since then
 };
 
 void
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -42,12 +42,12 @@
   BatchCap mBatchCap;
   BurstTracker mBursts;
   ServiceRate mRate;
-  FairQueue mOnline;                            // waiting online work
+  FairQueue mOnline;                             // waiting online work
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
-  std::map<WorkId, Work> mWaiting;              // online and batch
-  std::set<std::pair<MonoTime, WorkId>> mBatch; // waiting batch, by deadline
-  std::map<WorkId, RunningWork> mRunning;       // in the order of arrival
-  uint32_t mRunningOnline = 0;                  // of mRunning
+  std::map<WorkId, Work> mWaiting;               // online and batch
+  std::set<std::pair<MonoTime, WorkId>> mBatch;  // waiting batch, by deadline
+  std::map<WorkId, RunningWork> mRunning;        // in the order of arrival
+  uint32_t mRunningOnline = 0;                   // of mRunning
   uint32_t mForeign = 0; // calls at the target that this node did not start
   bool mHeld = true;     // nothing starts: the target's state is unknown
 };
@@ -61,7 +61,7 @@
   eRefused, // mKind says why
 };
 
-struct Admission
+struct Offer
 {
   Verdict mVerdict = Verdict::eQueued;
   ErrorKind mKind = ErrorKind::eNone;
@@ -73,7 +73,7 @@
 // Queues online work or refuses it. Work that cannot start before its deadline
 // at the measured rate is refused at once. When the queue is full, the newest
 // work of the workspace with the largest backlog per weight goes.
-Admission
+Offer
 OfferOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork);
 
 void
--- a/caraway/scheduling/work.h
+++ b/caraway/scheduling/work.h
@@ -33,8 +33,8 @@
 {
   Work mWork;
   MonoTime mStarted;
-  MonoTime mLastToken;  // time of the newest token or piece
-  uint32_t mTokens = 0; // tokens or pieces so far
+  MonoTime mLastToken;     // time of the newest token or piece
+  uint32_t mTokens = 0;    // tokens or pieces so far
   bool mSlowNoted = false; // the wait for its first token was counted once
 };
 
--- /dev/null
+++ b/fuzz/fleet/fleet_internal.h
@@ -0,0 +1,72 @@
+#pragma once
+// Functions that the files of the fleet driver share.
+
+#include <deque>
+
+#include "fuzz/fleet/fleet.h"
+
+namespace caraway::fleet {
+
+MonoTime
+LocalTime(const LocalClock& aClock, MonoTime aNow);
+
+void
+Enqueue(Fleet& aFleet,
+        MonoTime aAt,
+        const PeerAddress& aTo,
+        const PeerAddress& aFrom,
+        std::variant<Message, PeerLost, LogWritten, SnapshotSaved> aWhat);
+
+void
+StepAt(Fleet& aFleet, const PeerAddress& aAddress, const EntryEvent& aEvent);
+void
+StepAt(Fleet& aFleet, const PeerAddress& aAddress, const NodeEvent& aEvent);
+void
+StepAt(Fleet& aFleet, const PeerAddress& aAddress, const ControlEvent& aEvent);
+
+void
+CarryOutControl(Fleet& aFleet,
+                const PeerAddress& aAddress,
+                ControlProcess& aProcess,
+                ControlAction& aAction,
+                std::deque<ControlEvent>& aEvents);
+
+// Answers of an entry to a caller.
+void
+AnswerBegan(Fleet& aFleet,
+            EntryProcess& aProcess,
+            HttpCallId aCall,
+            int aStatus);
+void
+AnswerBytes(Fleet& aFleet,
+            EntryProcess& aProcess,
+            HttpCallId aCall,
+            const std::string& aBytes);
+void
+AnswerEnded(Fleet& aFleet,
+            EntryProcess& aProcess,
+            HttpCallId aCall,
+            bool aWhole);
+
+// The process has ended: its callers lose their connections, its peers learn
+// it.
+void
+LoseEntry(Fleet& aFleet, const PeerAddress& aAddress, EntryProcess& aProcess);
+void
+LoseNode(Fleet& aFleet, const PeerAddress& aAddress, NodeProcess& aProcess);
+
+// Announcements and answers of a node's target that are due.
+void
+AdvanceTargetOf(Fleet& aFleet,
+                const PeerAddress& aAddress,
+                NodeProcess& aProcess);
+
+// Starts a role anew.
+void
+BootControl(Fleet& aFleet, ControlProcess& aProcess);
+void
+BootEntry(Fleet& aFleet, EntryProcess& aProcess);
+void
+BootNode(Fleet& aFleet, NodeProcess& aProcess);
+
+} // namespace caraway::fleet
