--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -115,8 +115,14 @@
             std::vector<RaftAction>& aOut)
 {
   if (aRaft.mFailed || aMessage.mGroup != aRaft.mGroup ||
-      aMessage.mTo != aRaft.mSelf || aMessage.mFrom == aRaft.mSelf ||
-      !IsTrustedSender(aRaft, aMessage) || !AcceptsFresh(aRaft, aMessage)) {
+      aMessage.mTo != aRaft.mSelf || aMessage.mFrom == aRaft.mSelf) {
+    return;
+  }
+  if (!IsTrustedSender(aRaft, aMessage)) {
+    aRaft.mOtherDisks.insert(aMessage.mFrom);
+    return;
+  }
+  if (!AcceptsFresh(aRaft, aMessage)) {
     return;
   }
   std::visit(Receiver{ aRaft, aNow, aMessage, aOut }, aMessage.mBody);
@@ -229,6 +235,18 @@
   return aRaft.mLostDisk;
 }
 
+std::vector<ReplicaId>
+ReplicasWithLostDisk(const Raft& aRaft)
+{
+  std::vector<ReplicaId> lost;
+  for (const ReplicaId id : aRaft.mOtherDisks) {
+    if (IsVoter(aRaft, id)) {
+      lost.push_back(id);
+    }
+  }
+  return lost;
+}
+
 bool
 HasFailed(const Raft& aRaft)
 {
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -106,6 +106,11 @@
 bool
 LostItsDisk(const Raft& aRaft);
 
+// Voters that answer from a data folder other than the one that holds their
+// vote. They count as lost; replace them by replicas with new ids.
+std::vector<ReplicaId>
+ReplicasWithLostDisk(const Raft& aRaft);
+
 // True after a failed write; the replica does nothing more.
 bool
 HasFailed(const Raft& aRaft);
--- a/caraway/consensus/raft_election.cpp
+++ b/caraway/consensus/raft_election.cpp
@@ -82,6 +82,19 @@
   }
 }
 
+// A replica whose removal is in its log still stands while that may be
+// uncommitted: it may be the only one whose log is long enough to win. Where it
+// was committed, the others follow a leader and don't answer.
+bool
+MayStand(const Raft& aRaft)
+{
+  return std::any_of(
+    aRaft.mReplicas.begin(), aRaft.mReplicas.end(), [&](const auto& aRecord) {
+      const Replica* self = FindReplica(aRecord.mReplicas, aRaft.mSelf);
+      return self != nullptr && self->mVoter;
+    });
+}
+
 void
 StartVote(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
 {
@@ -137,12 +150,12 @@
 StartPreVote(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
 {
   ResetElectionTimer(aRaft, aNow);
-  if (!IsVoter(aRaft, aRaft.mSelf) || aRaft.mInstalling || aRaft.mLostDisk) {
+  if (!MayStand(aRaft) || aRaft.mInstalling || aRaft.mLostDisk) {
     return;
   }
   BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
   aRaft.mRole = RaftRole::ePreCandidate;
-  aRaft.mVotes[aRaft.mSelf] = aRaft.mDisk;
+  aRaft.mVotes[aRaft.mSelf] = aRaft.mDisk; // not counted unless a voter
   if (HasEnoughVotes(aRaft)) {
     StartVote(aRaft, aNow, aOut);
   } else {
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -106,7 +106,8 @@
 
   // Leader.
   std::map<ReplicaId, RaftPeer> mPeers;
-  LogIndex mTermStart; // first entry of this term
+  std::set<ReplicaId> mOtherDisks; // voters that answer from another folder
+  LogIndex mTermStart;             // first entry of this term
   MonoTime mHeartbeatDue;
 
   // Snapshots.
--- /dev/null
+++ b/tests/consensus_raft_test.cpp
@@ -0,0 +1,205 @@
+// Rules of single replicas: group commit, membership changes, bounded memory.
+#define BOOST_TEST_MODULE consensus_raft
+#include <boost/test/unit_test.hpp>
+
+#include "fuzz/consensus_world.h"
+
+using namespace caraway;
+
+namespace {
+
+// A group of one whose writes the test completes by hand.
+struct Single
+{
+  MonoTime mNow{ 1000 };
+  Raft mRaft;
+  std::vector<RaftAction> mOut;
+
+  explicit Single(const RaftSettings& aSettings = {})
+    : mRaft(MakeRaft(aSettings,
+                     GroupId(0),
+                     ReplicaId(1),
+                     {},
+                     MakeReplicaSet(1),
+                     1,
+                     mNow))
+  {
+    RaftWakeup(mRaft, mNow, mOut);
+    Written(); // the own vote
+    Written(); // the first entries
+  }
+
+  absl::StatusOr<LogIndex> Propose(std::string aPayload)
+  {
+    return RaftPropose(
+      mRaft, mNow, LogEntryKind::eCommand, std::move(aPayload), mOut);
+  }
+
+  // Takes the writes out of the actions.
+  std::vector<RaftWrite> Writes()
+  {
+    std::vector<RaftWrite> writes;
+    for (const RaftAction& action : mOut) {
+      if (const auto* write = std::get_if<RaftWrite>(&action)) {
+        writes.push_back(*write);
+      }
+    }
+    mOut.clear();
+    return writes;
+  }
+
+  void Written(bool aOk = true)
+  {
+    for (const RaftWrite& write : Writes()) {
+      RaftWritten(mRaft, mNow, write.mWrite, aOk, mOut);
+    }
+  }
+};
+
+WorldNode&
+WaitForLeader(World& aWorld)
+{
+  BOOST_REQUIRE_GE(
+    aWorld.RunUntil(20000000, [&] { return aWorld.Leader() != nullptr; }), 0);
+  return *aWorld.Leader();
+}
+
+} // namespace
+
+// Guards against one sync per entry: what comes during a write goes into the
+// next one together.
+BOOST_AUTO_TEST_CASE(entries_share_a_write)
+{
+  Single single;
+  BOOST_REQUIRE(IsLeader(single.mRaft));
+  for (int entry = 0; entry < 100; ++entry) {
+    BOOST_REQUIRE(single.Propose("x").ok());
+  }
+  const std::vector<RaftWrite> first = single.Writes();
+  BOOST_REQUIRE_EQUAL(first.size(), 1u);
+  BOOST_TEST(first[0].mAppend.size() == 1u);
+  RaftWritten(single.mRaft, single.mNow, first[0].mWrite, true, single.mOut);
+  const std::vector<RaftWrite> second = single.Writes();
+  BOOST_REQUIRE_EQUAL(second.size(), 1u);
+  BOOST_TEST(second[0].mAppend.size() == 99u);
+}
+
+// Guards against a commit before the leader's own sync.
+BOOST_AUTO_TEST_CASE(own_entry_counts_after_its_sync)
+{
+  Single single;
+  const auto index = single.Propose("x");
+  BOOST_REQUIRE(index.ok());
+  BOOST_TEST((CommitIndex(single.mRaft) < *index));
+  single.Written();
+  BOOST_TEST((CommitIndex(single.mRaft) == *index));
+}
+
+// Guards against a replica that goes on after a failed write.
+BOOST_AUTO_TEST_CASE(failed_write_ends_service)
+{
+  Single single;
+  BOOST_REQUIRE(single.Propose("x").ok());
+  single.Written(false);
+  BOOST_TEST(HasFailed(single.mRaft));
+  BOOST_TEST(!IsLeader(single.mRaft));
+  BOOST_TEST(!HoldsLeaderLease(single.mRaft, single.mNow));
+  BOOST_TEST((KindOf(single.Propose("y").status()) == ErrorKind::eNotLeader));
+}
+
+// Guards against memory that grows with entries that cannot commit.
+BOOST_AUTO_TEST_CASE(pending_bytes_are_bounded)
+{
+  RaftSettings settings;
+  settings.mMaxPendingBytes = 1000;
+  Single single(settings);
+  BOOST_TEST(single.Propose(std::string(900, 'x')).ok());
+  BOOST_TEST((KindOf(single.Propose(std::string(200, 'x')).status()) ==
+              ErrorKind::eOverloaded));
+  single.Written();
+  BOOST_TEST(single.Propose(std::string(200, 'x')).ok());
+}
+
+// Guards against a log in memory that is never cut.
+BOOST_AUTO_TEST_CASE(log_in_memory_is_bounded)
+{
+  RaftSettings settings;
+  settings.mSnapshotEvery = 50;
+  settings.mTailEntries = 10;
+  Single single(settings);
+  size_t most = 0;
+  for (int entry = 0; entry < 1000; ++entry) {
+    BOOST_REQUIRE(single.Propose("x").ok());
+    for (const RaftWrite& write : single.Writes()) {
+      RaftWritten(single.mRaft, single.mNow, write.mWrite, true, single.mOut);
+    }
+    for (const RaftAction& action : std::vector(single.mOut)) {
+      if (const auto* take = std::get_if<RaftTakeSnapshot>(&action)) {
+        RaftSnapshotTaken(
+          single.mRaft, single.mNow, take->mMark, true, single.mOut);
+      }
+    }
+    most = std::max(most, single.mRaft.mLog.mEntries.size());
+  }
+  BOOST_TEST(most <= 61u);
+}
+
+// Guards against changes that could split the group into two majorities.
+BOOST_AUTO_TEST_CASE(unsafe_changes_are_refused)
+{
+  auto world = MakeWorld(1, 3);
+  WorldNode& leader = WaitForLeader(*world);
+  const ReplicaSet now = ReplicasOf(*leader.mRaft);
+  const auto kind = [&](const ReplicaSet& aSet) {
+    return KindOf(world->Change(leader, aSet));
+  };
+  ReplicaSet two = now;
+  two.mReplicas.resize(1);
+  BOOST_TEST((kind(two) == ErrorKind::eInvalidArgument));
+  ReplicaSet voter = now;
+  voter.mReplicas.push_back({ ReplicaId(4), "new", true, 0 });
+  BOOST_TEST((kind(voter) == ErrorKind::eInvalidArgument));
+  BOOST_TEST((kind(now) == ErrorKind::eInvalidArgument));
+  ReplicaSet learner = voter;
+  learner.mReplicas.back().mVoter = false;
+  BOOST_TEST((kind(learner) == ErrorKind::eNone));
+  // The change before is not committed yet.
+  BOOST_TEST((kind(now) == ErrorKind::eUnavailable));
+  world->Run(100000);
+  // The learner never answered.
+  BOOST_TEST((kind(voter) == ErrorKind::eUnavailable));
+}
+
+// Guards against a removed leader that stays, and against a group that cannot
+// go on without it.
+BOOST_AUTO_TEST_CASE(leader_removes_itself)
+{
+  auto world = MakeWorld(4, 3);
+  WorldNode& leader = WaitForLeader(*world);
+  ReplicaSet set = ReplicasOf(*leader.mRaft);
+  std::erase_if(set.mReplicas, [&](const Replica& aReplica) {
+    return aReplica.mId == leader.mId;
+  });
+  BOOST_REQUIRE(world->Change(leader, set).ok());
+  world->Run(100000);
+  BOOST_TEST(!IsLeader(*leader.mRaft));
+  WorldNode& next = WaitForLeader(*world);
+  BOOST_TEST((next.mId != leader.mId));
+  world->Run(5000000);
+  BOOST_TEST(IsLeader(*next.mRaft));
+}
+
+// Guards against a returning replica that drives up the term of a sound group.
+BOOST_AUTO_TEST_CASE(returning_replica_does_not_disturb)
+{
+  auto world = MakeWorld(6, 3);
+  WorldNode& leader = WaitForLeader(*world);
+  const Term term = TermOf(*leader.mRaft);
+  const ReplicaId other(leader.mId.mValue % 3 + 1);
+  world->CutOff(other);
+  world->Run(20000000);
+  world->mCut.clear();
+  world->Run(5000000);
+  BOOST_TEST(IsLeader(*leader.mRaft));
+  BOOST_TEST((TermOf(*leader.mRaft) == term));
+}
--- /dev/null
+++ b/tests/runtime_data_folder_test.cpp
@@ -0,0 +1,413 @@
+// The data folder on a real file system. Each test says which loss or damage it
+// guards against.
+#define BOOST_TEST_MODULE runtime_data_folder
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <sys/resource.h>
+
+#include "caraway/base/error.h"
+#include "caraway/consensus/log_codec.h"
+#include "caraway/runtime/data_folder.h"
+
+using namespace caraway;
+namespace fs = std::filesystem;
+
+namespace {
+
+// A folder that is removed at the end of the test.
+struct TemporaryFolder
+{
+  std::string mPath;
+
+  TemporaryFolder()
+  {
+    std::string path = (fs::temp_directory_path() / "caraway-XXXXXX").string();
+    BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
+    mPath = path;
+  }
+  ~TemporaryFolder() { fs::remove_all(mPath); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+};
+
+std::unique_ptr<DataFolder>
+MustOpen(const std::string& aPath, const DataFolderSettings& aSettings = {})
+{
+  auto folder = DataFolder::Open(aPath, aSettings);
+  BOOST_REQUIRE_MESSAGE(folder.ok(), folder.status().ToString());
+  return *std::move(folder);
+}
+
+RaftWrite
+WriteOf(uint64_t aIndex, uint64_t aTerm)
+{
+  RaftWrite write;
+  write.mHard = HardState{ Term(aTerm), ReplicaId(2) };
+  LogEntry entry;
+  entry.mIndex = LogIndex(aIndex);
+  entry.mTerm = Term(aTerm);
+  entry.mPayload = std::string(100, 'p');
+  write.mAppend.push_back(entry);
+  return write;
+}
+
+void
+AppendRange(DataFolder& aFolder, uint64_t aFrom, uint64_t aTo, uint64_t aTerm)
+{
+  for (uint64_t index = aFrom; index <= aTo; ++index) {
+    BOOST_REQUIRE(aFolder.Append(WriteOf(index, aTerm)).ok());
+    BOOST_REQUIRE(aFolder.Sync().ok());
+  }
+}
+
+SnapshotMark
+MarkOf(uint64_t aIndex, uint64_t aTerm)
+{
+  return { LogIndex(aIndex), Term(aTerm), {} };
+}
+
+std::vector<fs::path>
+FilesLike(const std::string& aPath, const std::string& aPrefix)
+{
+  std::vector<fs::path> found;
+  for (const auto& file : fs::directory_iterator(aPath)) {
+    if (file.path().filename().string().starts_with(aPrefix)) {
+      found.push_back(file.path());
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+void
+FlipByte(const fs::path& aFile, uint64_t aOffset)
+{
+  std::fstream file(aFile, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekg(static_cast<std::streamoff>(aOffset));
+  const int byte = file.get();
+  file.seekp(static_cast<std::streamoff>(aOffset));
+  file.put(static_cast<char>(byte ^ 0x20));
+}
+
+// Sends the newest snapshot of one folder to another one. aDisturb is called
+// before each piece and may return true to lose it.
+SnapshotMark
+Transfer(DataFolder& aFrom,
+         std::unique_ptr<DataFolder>& aTo,
+         const std::function<bool(const SnapshotPart&)>& aDisturb)
+{
+  std::string file;
+  uint64_t offset = 0;
+  for (int piece = 0; piece < 1000; ++piece) {
+    auto part = aFrom.ReadSnapshotPart(file, offset);
+    BOOST_REQUIRE_MESSAGE(part.ok(), part.status().ToString());
+    if (aDisturb(*part)) {
+      continue;
+    }
+    auto stored = aTo->StoreSnapshotPart(*part);
+    BOOST_REQUIRE_MESSAGE(stored.ok(), stored.status().ToString());
+    if (stored->mReply.mInstalled) {
+      BOOST_TEST(stored->mState == "the state");
+      return stored->mMark;
+    }
+    file = stored->mReply.mFile;
+    offset = stored->mReply.mNextOffset;
+  }
+  BOOST_FAIL("the transfer does not end");
+  return {};
+}
+
+} // namespace
+
+// Guards against loss of the log, the vote or the folder's identity.
+BOOST_AUTO_TEST_CASE(reopening_finds_what_was_synced)
+{
+  TemporaryFolder place;
+  uint64_t disk = 0;
+  {
+    auto folder = MustOpen(place.mPath);
+    disk = folder->Recovered().mDisk;
+    AppendRange(*folder, 1, 5, 3);
+    RaftWrite replace = WriteOf(4, 4);
+    replace.mTruncateFrom = LogIndex(4);
+    BOOST_REQUIRE(folder->Append(replace).ok());
+    BOOST_REQUIRE(folder->Sync().ok());
+  }
+  const RaftRecovered recovered = MustOpen(place.mPath)->Recovered();
+  BOOST_TEST(disk != 0u);
+  BOOST_TEST(recovered.mDisk == disk);
+  BOOST_TEST(recovered.mHard.mTerm.mValue == 4u);
+  BOOST_TEST(recovered.mHard.mVotedFor.mValue == 2u);
+  BOOST_REQUIRE_EQUAL(recovered.mEntries.size(), 4u);
+  BOOST_TEST(recovered.mEntries[3].mTerm.mValue == 4u);
+}
+
+// Guards against two processes that write the same log.
+BOOST_AUTO_TEST_CASE(folder_is_locked)
+{
+  TemporaryFolder place;
+  auto folder = MustOpen(place.mPath);
+  BOOST_TEST(
+    (KindOf(DataFolder::Open(place.mPath).status()) == ErrorKind::eConflict));
+  folder.reset();
+  MustOpen(place.mPath);
+}
+
+// Guards against a replica that cannot start after a power loss in a write, and
+// against one that appends after the torn bytes.
+BOOST_AUTO_TEST_CASE(torn_tail_is_cut_and_the_log_goes_on)
+{
+  for (uint64_t lost = 1; lost < 150; lost += 7) {
+    TemporaryFolder place;
+    {
+      AppendRange(*MustOpen(place.mPath), 1, 3, 1);
+    }
+    const fs::path segment = FilesLike(place.mPath, "log-").back();
+    fs::resize_file(segment, fs::file_size(segment) - lost);
+    {
+      auto folder = MustOpen(place.mPath);
+      BOOST_TEST(folder->Recovered().mEntries.size() == 2u);
+      AppendRange(*folder, 3, 4, 2);
+    }
+    BOOST_TEST(MustOpen(place.mPath)->Recovered().mEntries.size() == 4u);
+  }
+}
+
+// Guards against a segment of which only the beginning reached the disk.
+BOOST_AUTO_TEST_CASE(torn_new_segment_keeps_the_vote)
+{
+  TemporaryFolder place;
+  DataFolderSettings settings;
+  settings.mSegmentBytes = 300;
+  {
+    AppendRange(*MustOpen(place.mPath, settings), 1, 3, 7);
+  }
+  const auto segments = FilesLike(place.mPath, "log-");
+  BOOST_REQUIRE(segments.size() >= 2u);
+  for (uint64_t length : { 40, 32, 10, 0 }) {
+    fs::resize_file(FilesLike(place.mPath, "log-").back(), length);
+    const RaftRecovered recovered =
+      MustOpen(place.mPath, settings)->Recovered();
+    BOOST_TEST(recovered.mHard.mTerm.mValue == 7u);
+    BOOST_TEST(!recovered.mEntries.empty());
+  }
+}
+
+// Guards against a replica that forgets acknowledged entries because of a
+// damaged disk.
+BOOST_AUTO_TEST_CASE(damage_before_the_tail_is_refused)
+{
+  TemporaryFolder place;
+  {
+    AppendRange(*MustOpen(place.mPath), 1, 5, 1);
+  }
+  const fs::path segment = FilesLike(place.mPath, "log-").front();
+  FlipByte(segment, 300);
+  const absl::Status status = DataFolder::Open(place.mPath).status();
+  BOOST_TEST((KindOf(status) == ErrorKind::eCorruptData));
+  const std::string text(status.message());
+  BOOST_TEST(text.find(segment.filename().string()) != std::string::npos);
+  BOOST_TEST(text.find("offset") != std::string::npos);
+  FlipByte(segment, 300);
+  BOOST_TEST(MustOpen(place.mPath)->Recovered().mEntries.size() == 5u);
+}
+
+// Guards against a vote or log lost together with its file.
+BOOST_AUTO_TEST_CASE(missing_files_are_refused)
+{
+  DataFolderSettings settings;
+  settings.mSegmentBytes = 300;
+  for (const char* victim : { "log-", "meta" }) {
+    TemporaryFolder place;
+    {
+      AppendRange(*MustOpen(place.mPath, settings), 1, 8, 1);
+    }
+    const auto files = FilesLike(place.mPath, victim);
+    fs::remove(files[files.size() / 2]);
+    BOOST_TEST((KindOf(DataFolder::Open(place.mPath).status()) ==
+                ErrorKind::eCorruptData));
+  }
+  TemporaryFolder place;
+  {
+    AppendRange(*MustOpen(place.mPath), 1, 2, 1);
+  }
+  fs::remove(FilesLike(place.mPath, "log-").front());
+  BOOST_TEST((KindOf(DataFolder::Open(place.mPath).status()) ==
+              ErrorKind::eCorruptData));
+}
+
+// Guards against a log that grows for ever, and against entries lost with the
+// segments that a snapshot covers.
+BOOST_AUTO_TEST_CASE(snapshot_replaces_the_covered_log)
+{
+  TemporaryFolder place;
+  DataFolderSettings settings;
+  settings.mSegmentBytes = 500;
+  {
+    auto folder = MustOpen(place.mPath, settings);
+    AppendRange(*folder, 1, 40, 2);
+    const size_t before = FilesLike(place.mPath, "log-").size();
+    BOOST_REQUIRE(folder->SaveSnapshot(MarkOf(37, 2), "the state").ok());
+    BOOST_TEST(before > 10u);
+    BOOST_TEST(FilesLike(place.mPath, "log-").size() <= 4u);
+    AppendRange(*folder, 41, 42, 2);
+    BOOST_REQUIRE(folder->SaveSnapshot(MarkOf(38, 2), "newer").ok());
+    BOOST_TEST(FilesLike(place.mPath, "snap-").size() == 1u);
+  }
+  auto folder = MustOpen(place.mPath, settings);
+  const RaftRecovered recovered = folder->Recovered();
+  BOOST_TEST(folder->RecoveredState() == "newer");
+  BOOST_TEST(recovered.mSnapshot.mIndex.mValue == 38u);
+  BOOST_REQUIRE_EQUAL(recovered.mEntries.size(), 4u);
+  BOOST_TEST(recovered.mEntries[0].mIndex.mValue == 39u);
+  BOOST_TEST(recovered.mHard.mTerm.mValue == 2u);
+  // The next snapshot still knows that the log continues it.
+  BOOST_REQUIRE(folder->SaveSnapshot(MarkOf(41, 2), "third").ok());
+  folder.reset();
+  BOOST_TEST(MustOpen(place.mPath)->Recovered().mEntries.size() == 1u);
+}
+
+// Guards against entries of an overtaken leader that come back behind an
+// installed snapshot, also when the power fails right after its rename.
+BOOST_AUTO_TEST_CASE(conflicting_log_does_not_survive_a_snapshot)
+{
+  TemporaryFolder place;
+  {
+    AppendRange(*MustOpen(place.mPath), 1, 12, 1);
+  }
+  std::ofstream(place.mPath + "/snap-00000000000000000010", std::ios::binary)
+    << EncodeSnapshotFile(MarkOf(10, 2), "the state");
+  {
+    auto folder = MustOpen(place.mPath);
+    BOOST_TEST(folder->Recovered().mEntries.empty());
+    AppendRange(*folder, 11, 11, 3);
+  }
+  const RaftRecovered recovered = MustOpen(place.mPath)->Recovered();
+  BOOST_REQUIRE_EQUAL(recovered.mEntries.size(), 1u);
+  BOOST_TEST(recovered.mEntries[0].mTerm.mValue == 3u);
+}
+
+// Guards against a replica that serves a damaged state.
+BOOST_AUTO_TEST_CASE(damaged_snapshot_is_refused)
+{
+  TemporaryFolder place;
+  {
+    auto folder = MustOpen(place.mPath);
+    AppendRange(*folder, 1, 3, 1);
+    BOOST_REQUIRE(folder->SaveSnapshot(MarkOf(2, 1), "the state").ok());
+  }
+  FlipByte(FilesLike(place.mPath, "snap-").front(), 50);
+  BOOST_TEST((KindOf(DataFolder::Open(place.mPath).status()) ==
+              ErrorKind::eCorruptData));
+}
+
+// Guards against a transfer that loses or mixes pieces: every third one is
+// lost, every second one doubled, and the receiver restarts once.
+BOOST_AUTO_TEST_CASE(transfer_survives_loss_doubling_and_restart)
+{
+  TemporaryFolder one;
+  TemporaryFolder two;
+  DataFolderSettings settings;
+  settings.mPartBytes = 10;
+  auto from = MustOpen(one.mPath, settings);
+  AppendRange(*from, 1, 5, 2);
+  const std::string data = "0123456789abcdefghijklmnopq";
+  BOOST_REQUIRE(from->WriteBlob("batch_1.data", 0, data).ok());
+  BOOST_REQUIRE(from->WriteBlob("batch_1.index", 0, "").ok());
+  BOOST_REQUIRE(from->WriteBlob("file-2", 5, data).ok());
+  BOOST_REQUIRE(from->SaveSnapshot(MarkOf(4, 2), "the state").ok());
+
+  auto to = MustOpen(two.mPath, settings);
+  AppendRange(*to, 1, 9, 1); // of an overtaken leader
+  BOOST_REQUIRE(to->WriteBlob("file-0", 0, "removed long ago").ok());
+  int count = 0;
+  bool restarted = false;
+  const SnapshotMark mark = Transfer(*from, to, [&](const SnapshotPart& aPart) {
+    ++count;
+    if (aPart.mFile == "file-2" && !std::exchange(restarted, true)) {
+      to.reset();
+      to = MustOpen(two.mPath, settings);
+    }
+    if (count % 2 == 0 && !aPart.mAllDone) {
+      BOOST_REQUIRE(to->StoreSnapshotPart(aPart).ok());
+    }
+    return count % 3 == 0;
+  });
+  BOOST_TEST(restarted);
+  BOOST_TEST(mark.mIndex.mValue == 4u);
+  BOOST_TEST(*to->ReadBlob("batch_1.data", 0, 100) == data);
+  BOOST_TEST(*to->ReadBlob("batch_1.index", 0, 100) == "");
+  BOOST_TEST(*to->ReadBlob("file-2", 5, 100) == data);
+  BOOST_TEST(
+    (KindOf(to->ReadBlob("file-0", 0, 1).status()) == ErrorKind::eNotFound));
+  AppendRange(*to, 5, 6, 2);
+  to.reset();
+  const RaftRecovered recovered = MustOpen(two.mPath)->Recovered();
+  BOOST_TEST(recovered.mSnapshot.mIndex.mValue == 4u);
+  BOOST_TEST(recovered.mEntries.size() == 2u);
+}
+
+// Guards against names that leave the folder, and against running out of
+// descriptors.
+BOOST_AUTO_TEST_CASE(blob_names_and_descriptors)
+{
+  TemporaryFolder place;
+  DataFolderSettings settings;
+  settings.mMaxOpenBlobs = 4;
+  auto folder = MustOpen(place.mPath, settings);
+  for (const char* name :
+       { "", ".", "..", "../meta", "a/b", ".hidden", "state", "a\nb" }) {
+    BOOST_TEST(
+      (KindOf(folder->WriteBlob(name, 0, "x")) == ErrorKind::eInvalidArgument));
+    BOOST_TEST(!folder->ReadBlob(name, 0, 1).ok());
+    BOOST_TEST(!folder->RemoveBlob(name).ok());
+  }
+  const auto open = [] {
+    return std::distance(fs::directory_iterator("/proc/self/fd"),
+                         fs::directory_iterator());
+  };
+  const auto before = open();
+  for (int number = 0; number < 50; ++number) {
+    const std::string name = "file-" + std::to_string(number);
+    BOOST_REQUIRE(folder->WriteBlob(name, 0, name).ok());
+  }
+  BOOST_TEST(open() - before <= 4);
+  BOOST_TEST(*folder->ReadBlob("file-7", 0, 100) == "file-7");
+  BOOST_TEST(folder->RemoveBlob("file-7").ok());
+  BOOST_TEST(folder->RemoveBlob("file-7").ok());
+  BOOST_TEST(!folder->ReadBlob("file-7", 0, 100).ok());
+}
+
+// Guards against a replica that goes on after a failed write. The limit on file
+// sizes stands in for a full disk.
+BOOST_AUTO_TEST_CASE(failed_write_is_final)
+{
+  TemporaryFolder place;
+  auto folder = MustOpen(place.mPath);
+  AppendRange(*folder, 1, 3, 1);
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit old = {};
+  ::getrlimit(RLIMIT_FSIZE, &old);
+  rlimit low = old;
+  low.rlim_cur = 1000;
+  BOOST_REQUIRE(::setrlimit(RLIMIT_FSIZE, &low) == 0);
+  absl::Status status;
+  uint64_t index = 4;
+  while (status.ok() && index < 100) {
+    status = folder->Append(WriteOf(index++, 1));
+  }
+  ::setrlimit(RLIMIT_FSIZE, &old);
+  BOOST_TEST((KindOf(status) == ErrorKind::eDiskFailed));
+  BOOST_TEST(
+    (KindOf(folder->Append(WriteOf(index, 1))) == ErrorKind::eDiskFailed));
+  BOOST_TEST((KindOf(folder->Sync()) == ErrorKind::eDiskFailed));
+  BOOST_TEST((KindOf(folder->SaveSnapshot(MarkOf(2, 1), "s")) ==
+              ErrorKind::eDiskFailed));
+  folder.reset();
+  BOOST_TEST(MustOpen(place.mPath)->Recovered().mEntries.size() >= 3u);
+}
