--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -258,9 +258,12 @@
   }
   aState.mRecovered = *std::move(recovered);
   const SnapshotMark& mark = aState.mSnapshot;
+  if (mark.mIndex.IsNone()) {
+    return absl::OkStatus();
+  }
   if (!aState.mRecovered.mEntries.empty()) {
     aState.mTermRuns.emplace(mark.mIndex, mark.mTerm);
-  } else if (!mark.mIndex.IsNone() && !aState.mLast.IsNone()) {
+  } else if (!aState.mLast.IsNone()) {
     // What is left of the log must not stand before the next entries.
     return ClearLog(aState);
   }
