--- a/fuzz/consensus_world.h
+++ b/fuzz/consensus_world.h
@@ -355,7 +355,7 @@
       }
       reply.mNextOffset = aNode.mIncomingState.size();
     }
-    const ReplicaId from = mRaftSender(aNode);
+    const ReplicaId from = SenderOfPart(aNode);
     Later(aNode, mSyncTime, [this, &aNode, from, reply, mark](auto& aOut) {
       RaftSnapshotPartStored(
         *aNode.mRaft, Local(aNode), from, reply, mark, true, aOut);
@@ -363,7 +363,7 @@
   }
 
   // The leader that this replica follows sent the piece.
-  static ReplicaId mRaftSender(const WorldNode& aNode)
+  static ReplicaId SenderOfPart(const WorldNode& aNode)
   {
     return LeaderOf(*aNode.mRaft);
   }
