--- /dev/null
+++ b/tests/data_folder_fixture.h
@@ -0,0 +1,83 @@
+#pragma once
+// Helpers of the data folder tests: temporary folders, writes and file lists.
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "caraway/runtime/data_folder.h"
+
+namespace caraway {
+
+namespace fs = std::filesystem;
+
+// A folder that is removed at the end of the test.
+struct TemporaryFolder
+{
+  std::string mPath;
+
+  TemporaryFolder()
+  {
+    std::string path = (fs::temp_directory_path() / "caraway-XXXXXX").string();
+    BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
+    mPath = path;
+  }
+  ~TemporaryFolder() { fs::remove_all(mPath); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+};
+
+inline std::unique_ptr<DataFolder>
+MustOpen(const std::string& aPath, const DataFolderSettings& aSettings = {})
+{
+  auto folder = DataFolder::Open(aPath, aSettings);
+  BOOST_REQUIRE_MESSAGE(folder.ok(), folder.status().ToString());
+  return *std::move(folder);
+}
+
+inline RaftWrite
+WriteOf(uint64_t aIndex, uint64_t aTerm)
+{
+  RaftWrite write;
+  write.mHard = HardState{ Term(aTerm), ReplicaId(2) };
+  LogEntry entry;
+  entry.mIndex = LogIndex(aIndex);
+  entry.mTerm = Term(aTerm);
+  entry.mPayload = std::string(100, 'p');
+  write.mAppend.push_back(entry);
+  return write;
+}
+
+inline void
+AppendRange(DataFolder& aFolder, uint64_t aFrom, uint64_t aTo, uint64_t aTerm)
+{
+  for (uint64_t index = aFrom; index <= aTo; ++index) {
+    BOOST_REQUIRE(aFolder.Append(WriteOf(index, aTerm)).ok());
+    BOOST_REQUIRE(aFolder.Sync().ok());
+  }
+}
+
+inline SnapshotMark
+MarkOf(uint64_t aIndex, uint64_t aTerm)
+{
+  return { LogIndex(aIndex), Term(aTerm), {} };
+}
+
+inline std::vector<fs::path>
+FilesLike(const std::string& aPath, const std::string& aPrefix)
+{
+  std::vector<fs::path> found;
+  for (const auto& file : fs::directory_iterator(aPath)) {
+    if (file.path().filename().string().starts_with(aPrefix)) {
+      found.push_back(file.path());
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+} // namespace caraway
--- a/tests/runtime_data_folder_test.cpp
+++ b/tests/runtime_data_folder_test.cpp
@@ -4,86 +4,19 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
+#include <functional>
 
 #include <sys/resource.h>
 
 #include "caraway/base/error.h"
 #include "caraway/consensus/log_codec.h"
-#include "caraway/runtime/data_folder.h"
+#include "tests/data_folder_fixture.h"
 
 using namespace caraway;
-namespace fs = std::filesystem;
 
 namespace {
 
-// A folder that is removed at the end of the test.
-struct TemporaryFolder
-{
-  std::string mPath;
-
-  TemporaryFolder()
-  {
-    std::string path = (fs::temp_directory_path() / "caraway-XXXXXX").string();
-    BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
-    mPath = path;
-  }
-  ~TemporaryFolder() { fs::remove_all(mPath); }
-  TemporaryFolder(const TemporaryFolder&) = delete;
-  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-};
-
-std::unique_ptr<DataFolder>
-MustOpen(const std::string& aPath, const DataFolderSettings& aSettings = {})
-{
-  auto folder = DataFolder::Open(aPath, aSettings);
-  BOOST_REQUIRE_MESSAGE(folder.ok(), folder.status().ToString());
-  return *std::move(folder);
-}
-
-RaftWrite
-WriteOf(uint64_t aIndex, uint64_t aTerm)
-{
-  RaftWrite write;
-  write.mHard = HardState{ Term(aTerm), ReplicaId(2) };
-  LogEntry entry;
-  entry.mIndex = LogIndex(aIndex);
-  entry.mTerm = Term(aTerm);
-  entry.mPayload = std::string(100, 'p');
-  write.mAppend.push_back(entry);
-  return write;
-}
-
-void
-AppendRange(DataFolder& aFolder, uint64_t aFrom, uint64_t aTo, uint64_t aTerm)
-{
-  for (uint64_t index = aFrom; index <= aTo; ++index) {
-    BOOST_REQUIRE(aFolder.Append(WriteOf(index, aTerm)).ok());
-    BOOST_REQUIRE(aFolder.Sync().ok());
-  }
-}
-
-SnapshotMark
-MarkOf(uint64_t aIndex, uint64_t aTerm)
-{
-  return { LogIndex(aIndex), Term(aTerm), {} };
-}
-
-std::vector<fs::path>
-FilesLike(const std::string& aPath, const std::string& aPrefix)
-{
-  std::vector<fs::path> found;
-  for (const auto& file : fs::directory_iterator(aPath)) {
-    if (file.path().filename().string().starts_with(aPrefix)) {
-      found.push_back(file.path());
-    }
-  }
-  std::sort(found.begin(), found.end());
-  return found;
-}
-
 void
 FlipByte(const fs::path& aFile, uint64_t aOffset)
 {
