--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -182,6 +182,11 @@
                      "this replica is not the leader",
                      "send the request to the leader");
   }
+  if (aPayload.size() > kMaxEntryBytes) {
+    return MakeError(ErrorKind::eTooLarge,
+                     "the entry is larger than 768 KiB",
+                     "split it into several commands");
+  }
   if (aRaft.mLog.mPendingBytes + aPayload.size() >
       aRaft.mSettings.mMaxPendingBytes) {
     return MakeError(ErrorKind::eOverloaded,
--- a/caraway/consensus/raft.h
+++ b/caraway/consensus/raft.h
@@ -21,6 +21,9 @@
 
 namespace caraway {
 
+// Payload of one entry; a message with one entry fits into a frame of 1 MiB.
+constexpr size_t kMaxEntryBytes = 768 * 1024;
+
 enum class RaftRole : uint8_t
 {
   eFollower,
--- a/tests/consensus_raft_test.cpp
+++ b/tests/consensus_raft_test.cpp
@@ -107,6 +107,16 @@
   BOOST_TEST((KindOf(single.Propose("y").status()) == ErrorKind::eNotLeader));
 }
 
+// Guards against an entry that no message can carry to the other replicas.
+BOOST_AUTO_TEST_CASE(oversized_entry_is_refused)
+{
+  Single single;
+  BOOST_TEST(single.Propose(std::string(kMaxEntryBytes, 'x')).ok());
+  BOOST_TEST(
+    (KindOf(single.Propose(std::string(kMaxEntryBytes + 1, 'x')).status()) ==
+     ErrorKind::eTooLarge));
+}
+
 // Guards against memory that grows with entries that cannot commit.
 BOOST_AUTO_TEST_CASE(pending_bytes_are_bounded)
 {
