--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -39,10 +39,12 @@
 bool
 ValidJob(const Job& aJob)
 {
-  return aJob.mStatus <= JobStatus::eExpired && aJob.mWeight >= 1 &&
+  const uint64_t finished = uint64_t{ aJob.mCompleted } + aJob.mFailed;
+  return finished <= aJob.mTotal &&
+         aJob.mDataBytes <= finished * (kMaxResultBytes + 1) &&
+         aJob.mStatus <= JobStatus::eExpired && aJob.mWeight >= 1 &&
          aJob.mTotal >= 1 && aJob.mTotal <= kMaxFileLines &&
-         ValidTimes({ aJob.mDeadline.mMicros, aJob.mWindow.mMicros }) &&
-         uint64_t{ aJob.mCompleted } + aJob.mFailed <= aJob.mTotal;
+         ValidTimes({ aJob.mDeadline.mMicros, aJob.mWindow.mMicros });
 }
 
 // Every item must be in exactly one place.
@@ -167,7 +169,12 @@
 bool
 ValidLedger(const Ledger& aLedger)
 {
-  return ValidTimes({ aLedger.mNow.mMicros,
+  const bool validEnded = std::all_of(
+    aLedger.mEnded.begin(), aLedger.mEnded.end(), [](const auto& aEntry) {
+      return ValidTimes({ aEntry.second.mAt.mMicros });
+    });
+  return validEnded &&
+         ValidTimes({ aLedger.mNow.mMicros,
                       aLedger.mPaceAt.mMicros,
                       aLedger.mResultRetention.mMicros,
                       aLedger.mClaimRetention.mMicros }) &&
