--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -181,9 +181,6 @@
   DropExpired(aTokens, aNow);
   aTokens.mHeld += std::max(0.0, aGiven.mTokens);
   aTokens.mEnds = HolderLeaseEnd({ aReply.mSentAt }, aReply.mLease);
-#ifdef CARAWAY_PLANTED_FAULT_grant_renewed_past_expiry
-  aTokens.mEnds = HolderLeaseEnd(aNow, aReply.mLease);
-#endif
   aTokens.mBrief = std::max(0.0, aGiven.mBrief);
   aTokens.mBriefSpent = 0;
   aTokens.mBriefEnds = HolderLeaseEnd({ aReply.mSentAt }, aReply.mBriefLease);
@@ -291,6 +288,12 @@
       return std::nullopt;
     }
     aHolder.mResendAt = aNow + kResendAfter;
+#ifdef CARAWAY_PLANTED_FAULT_grant_renewed_past_expiry
+    for (const GrantAsk& ask : aHolder.mInFlight->mAsks) {
+      HeldTokens& tokens = aHolder.mTokens[ask.mWorkspace];
+      tokens.mEnds = HolderLeaseEnd(aNow, Seconds(2));
+    }
+#endif
     return aHolder.mInFlight;
   }
   RefillUrgent(aHolder, aNow);
