Pay for tokens that a late report brings back into the books

A report that arrived after its lease had ended raised the outstanding amount without lowering the level, and the next report credited it.

--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -123,7 +123,9 @@
 }
 
 // Takes the report of an ask into the books. aFirst: the session's first report
-// after an election, so its tokens come from an earlier leader.
+// after an election, so its tokens come from an earlier leader. Otherwise more
+// held than known means that the report comes after the lease has ended here;
+// the level pays for these tokens, or they would be credited from nothing.
 void
 TakeReport(GrantBucket& aBucket,
            GrantHolding& aHolding,
@@ -132,10 +134,17 @@
 {
   const double held = WholeCount(aAsk.mHeld);
   const double spent = aAsk.mSpent - aHolding.mSpent;
+  const double dropped = aHolding.mAmount - held - spent;
   if (aFirst) {
     aBucket.mFirstHeld += held;
-  } else if (spent >= 0) {
-    aBucket.mLevel += std::max(0.0, aHolding.mAmount - held - spent);
+  } else if (held > aHolding.mAmount) {
+    const double paid = std::min(aBucket.mLevel, held - aHolding.mAmount);
+    aBucket.mLevel -= paid;
+    aHolding.mUnpaid += held - aHolding.mAmount - paid;
+  } else if (spent >= 0 && dropped > 0) {
+    const double unpaid = std::min(aHolding.mUnpaid, dropped);
+    aHolding.mUnpaid -= unpaid;
+    aBucket.mLevel += dropped - unpaid;
   }
   aBucket.mOutstanding += held - aHolding.mAmount;
   aBucket.mHeld += held - aHolding.mAmount;
@@ -339,7 +348,8 @@
 #endif
   session.mSequence = aRequest.mSequence;
   if (aRequest.mGrantor == aGrantor.mIncarnation) {
-    const bool first = aGrantor.mUnreported.erase(aRequest.mEpoch) > 0;
+    const bool reports = aGrantor.mUnreported.erase(aRequest.mEpoch) > 0;
+    const bool first = reports && !Known(aGrantor, aNow);
     for (const GrantAsk& ask : aRequest.mAsks) {
       auto contract = aConfig.mContracts.find(ask.mWorkspace);
       if (contract == aConfig.mContracts.end() || contract->second.mWithdrawn) {
--- a/caraway/admission/grantor_state.h
+++ b/caraway/admission/grantor_state.h
@@ -17,7 +17,10 @@
 // numbers, so that sums stay exact.
 struct GrantHolding
 {
-  double mAmount = 0;   // upper bound of its unspent tokens
+  double mAmount = 0; // upper bound of its unspent tokens
+  // Part of mAmount that the level has not paid for: a report that came after
+  // the lease had ended brings tokens back into the books. Never credited.
+  double mUnpaid = 0;
   MonoTime mEnds;       // they are gone from here on
   double mSpent = 0;    // running total of its last report
   double mWaiting = 0;  // wanted for requests on hold, not given yet
