--- /dev/null
+++ b/bench/scheduling_bench.cpp
@@ -0,0 +1,273 @@
+// What scheduling is worth: the real node with the engine model on a virtual
+// clock, all policies side by side. The same seed gives the same figures on
+// every run. Bounds come from docs/design.md section 16.
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <vector>
+
+#include "standins/node_world.h"
+
+using namespace caraway;
+
+namespace {
+
+int gMissed = 0;
+
+// The design size over its 700 workers: 5,400 requests/s, 1.6M tokens/s.
+constexpr double kRequestsPerSecond = 5400.0 / 700;
+constexpr uint32_t kOutputMean = 296;
+constexpr uint32_t kPromptMean = 400;
+constexpr Duration kWarmUp = Seconds(200); // ramp from a cold limit
+constexpr Duration kMeasured = Seconds(300);
+// Until then batch work warms the target up in every run, so that no run starts
+// with a backlog from the ramp.
+constexpr Duration kOnlineFrom = Seconds(150);
+
+void
+Report(const char* aName, double aValue, double aBound, bool aAtLeast)
+{
+  const bool met = aAtLeast ? aValue >= aBound : aValue <= aBound;
+  std::printf("%-44s %10.4f %s%9.4f %s\n",
+              aName,
+              aValue,
+              aAtLeast ? ">=" : "<=",
+              aBound,
+              met ? "ok" : "MISSED");
+  gMissed += met ? 0 : 1;
+}
+
+// Baselines and side figures have no bound.
+void
+Show(const char* aName, double aValue)
+{
+  std::printf("%-44s %10.4f %11s info\n", aName, aValue, "-");
+}
+
+// The bench's own load; nothing here is read back from the node.
+struct OnlineLoad
+{
+  double mRate = 0;           // requests/s
+  double mBurstEvery = 0;     // s, 0 = none
+  uint32_t mBurst = 0;        // requests at once
+  uint32_t mOutput = kOutputMean;
+  uint32_t mPrompt = kPromptMean;
+  WorkspaceId mWorkspace{ "w" };
+  Duration mDeadline = Seconds(60);
+};
+
+// Between a quarter and seven quarters of the mean.
+uint32_t
+Around(Random& aRandom, uint32_t aMean)
+{
+  return static_cast<uint32_t>(aMean * (0.25 + 1.5 * DrawUnit(aRandom)));
+}
+
+void
+AddLoad(NodeWorld& aWorld, const OnlineLoad& aLoad, uint64_t aSeed)
+{
+  Random random(aSeed);
+  const MonoTime end = aWorld.mNow + kWarmUp + kMeasured;
+  auto send = [&](MonoTime aAt) {
+    OnlineCall call;
+    call.mWorkspace = aLoad.mWorkspace;
+    call.mPrompt = Around(random, aLoad.mPrompt);
+    call.mOutput = Around(random, aLoad.mOutput);
+    call.mDeadline = aLoad.mDeadline;
+    At(aWorld, aAt, [&aWorld, call]() { SendOnline(aWorld, call); });
+  };
+  MonoTime at = aWorld.mNow + kOnlineFrom;
+  while (aLoad.mRate > 0 && at < end) {
+    const double gap = -std::log(1.0 - DrawUnit(random)) / aLoad.mRate;
+    at = at + Micros(static_cast<int64_t>(gap * 1e6));
+    send(at);
+  }
+  at = aWorld.mNow + kOnlineFrom + Seconds(2);
+  while (aLoad.mBurst > 0 && at < end) {
+    for (uint32_t n = 0; n < aLoad.mBurst; ++n) {
+      send(at + Millis(n));
+    }
+    at = at + Micros(static_cast<int64_t>(aLoad.mBurstEvery * 1e6));
+  }
+}
+
+double
+Quantile(std::vector<double> aValues, double aQuantile)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto rank =
+    static_cast<size_t>(aQuantile * static_cast<double>(aValues.size()));
+  return aValues[std::min(rank, aValues.size() - 1)];
+}
+
+struct Figures
+{
+  double mFirstP95 = 0; // s
+  double mFirstP99 = 0; // s
+  double mGapP95 = 0;   // s between tokens, mean of each call
+  double mOnlineTokens = 0; // per s
+  double mBatchTokens = 0;  // per s, of finished items
+  double mServed = 0;       // part of the requests answered
+  uint32_t mLimit = 0;
+  uint64_t mPreempted = 0;
+};
+
+Figures
+Run(const WorldSettings& aSettings, const std::vector<OnlineLoad>& aLoads)
+{
+  NodeWorld world;
+  InitWorld(world, aSettings);
+  world.mSettings.mBatch = true;
+  At(world, world.mNow + kOnlineFrom - Seconds(20), [&]() {
+    world.mSettings.mBatch = aSettings.mBatch;
+  });
+  uint64_t seed = aSettings.mSeed;
+  for (const OnlineLoad& load : aLoads) {
+    AddLoad(world, load, ++seed);
+  }
+  const MonoTime begin = world.mNow + kWarmUp;
+  RunUntil(world, begin);
+  const uint64_t batchBefore = world.mBatchTokens;
+  const uint64_t preemptedBefore = world.mPreempted;
+  RunUntil(world, begin + kMeasured);
+  Figures figures;
+  std::vector<double> firsts;
+  std::vector<double> gaps;
+  double tokens = 0;
+  double offered = 0;
+  double done = 0;
+  // The last 30 s are left out, since their calls may still run.
+  const MonoTime last = begin + kMeasured - Seconds(30);
+  for (const auto& [id, record] : world.mOnline) {
+    if (record.mSent < begin || record.mSent >= last) {
+      continue;
+    }
+    ++offered;
+    done += record.mDone ? 1 : 0;
+    tokens += record.mDone ? record.mCall.mOutput : 0;
+    if (record.mParts > 0) {
+      firsts.push_back((record.mFirst - record.mSent).Seconds());
+    }
+    if (record.mParts > 2) {
+      gaps.push_back((record.mLast - record.mFirst).Seconds() /
+                     (record.mParts - 1));
+    }
+  }
+  figures.mFirstP95 = Quantile(firsts, 0.95);
+  figures.mFirstP99 = Quantile(firsts, 0.99);
+  figures.mGapP95 = Quantile(gaps, 0.95);
+  figures.mOnlineTokens = tokens / (last - begin).Seconds();
+  figures.mBatchTokens =
+    static_cast<double>(world.mBatchTokens - batchBefore) /
+    kMeasured.Seconds();
+  figures.mServed = offered > 0 ? done / offered : 1;
+  figures.mLimit = world.mNode.mScheduler.mLimit.mValue;
+  figures.mPreempted = world.mPreempted - preemptedBefore;
+  return figures;
+}
+
+const char*
+PolicyName(SchedulePolicy aPolicy)
+{
+  switch (aPolicy) {
+    case SchedulePolicy::eOnlineFirst:
+      return "online_first";
+    case SchedulePolicy::eFirstCome:
+      return "first_come";
+    case SchedulePolicy::eFixedSplit:
+      return "fixed_split";
+  }
+  return "?";
+}
+
+void
+ShowFigures(const std::string& aName, const Figures& aFigures)
+{
+  Show((aName + ".first_token_p99_s").c_str(), aFigures.mFirstP99);
+  Show((aName + ".between_tokens_p95_s").c_str(), aFigures.mGapP95);
+  Show((aName + ".online_tokens_per_s").c_str(), aFigures.mOnlineTokens);
+  Show((aName + ".batch_tokens_per_s").c_str(), aFigures.mBatchTokens);
+  Show((aName + ".online_served").c_str(), aFigures.mServed);
+  Show((aName + ".preempted").c_str(),
+       static_cast<double>(aFigures.mPreempted));
+  Show((aName + ".limit").c_str(), aFigures.mLimit);
+}
+
+// Online at half of the design load with bursts, with and without batch work
+// that would fill the engine many times over.
+void
+BenchMixed(SchedulePolicy aPolicy, bool aResume, uint32_t aBatchOutput)
+{
+  OnlineLoad online;
+  online.mRate = kRequestsPerSecond / 2;
+  online.mBurstEvery = 10;
+  online.mBurst = 8;
+  WorldSettings settings;
+  settings.mSeed = 11;
+  settings.mPolicy = aPolicy;
+  settings.mCanResume = aResume;
+  settings.mBatchOutput = aBatchOutput;
+  const Figures alone = Run(settings, { online });
+  settings.mBatch = true;
+  const Figures mixed = Run(settings, { online });
+  const Figures batch = Run(settings, {});
+  // What online leaves: the part of the engine that online does not use, at
+  // the throughput of this batch work. Online and batch items of 300 tokens
+  // cost the same per token.
+  settings.mBatchOutput = 300;
+  const Figures usual = aBatchOutput == 300 ? batch : Run(settings, {});
+  const double left = batch.mBatchTokens *
+                      (1 - mixed.mOnlineTokens / usual.mBatchTokens);
+  const std::string name = std::string("mixed.") + PolicyName(aPolicy) +
+                           (aResume ? ".resume" : "") + ".batch" +
+                           std::to_string(aBatchOutput);
+  ShowFigures(name + ".online_alone", alone);
+  ShowFigures(name + ".both", mixed);
+  ShowFigures(name + ".batch_alone", batch);
+  const double harm = mixed.mFirstP99 / alone.mFirstP99;
+  const double use = mixed.mBatchTokens / left;
+  const std::string harmName = name + ".harm_p99";
+  const std::string useName = name + ".batch_use";
+  if (aPolicy == SchedulePolicy::eOnlineFirst) {
+    Report(harmName.c_str(), harm, 1.10, false);
+    Report(useName.c_str(), use, 0.95, true);
+  } else {
+    Show(harmName.c_str(), harm);
+    Show(useName.c_str(), use);
+  }
+}
+
+void
+BenchDesignLoad()
+{
+  OnlineLoad online;
+  online.mRate = kRequestsPerSecond;
+  WorldSettings settings;
+  settings.mSeed = 21;
+  const Figures figures = Run(settings, { online });
+  ShowFigures("design_load", figures);
+  Report("design_load.first_token_p95_s", figures.mFirstP95, 0.75, false);
+  Report("design_load.between_tokens_p95_s", figures.mGapP95, 0.074, false);
+  Report("design_load.served", figures.mServed, 0.999, true);
+}
+
+} // namespace
+
+int
+main()
+{
+  BenchDesignLoad();
+  for (const uint32_t output : { 300U, 60U }) {
+    BenchMixed(SchedulePolicy::eOnlineFirst, false, output);
+  }
+  BenchMixed(SchedulePolicy::eOnlineFirst, true, 300);
+  BenchMixed(SchedulePolicy::eFirstCome, false, 300);
+  BenchMixed(SchedulePolicy::eFixedSplit, false, 300);
+  return gMissed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/caraway/scheduling/batch_cap.cpp
+++ b/caraway/scheduling/batch_cap.cpp
@@ -10,8 +10,38 @@
 
 constexpr Duration kJudgeEvery = Seconds(1);
 constexpr size_t kEnoughSamples = 32;
-constexpr double kStep = 0.04;
-constexpr double kFastStep = 0.5;
+constexpr uint32_t kStepDivisor = 25;    // 4%
+constexpr uint32_t kFastStepDivisor = 2; // a half
+
+Duration
+Bound(const BatchCap& aCap, Duration aTokenGoal)
+{
+  return std::min(aTokenGoal * 3 / 4,
+                  std::max(aCap.mUnloaded * 2, Millis(1)));
+}
+
+void
+Judge(BatchCap& aCap, Duration aTokenGoal)
+{
+  const Duration median = SampleQuantile(aCap.mTokenGaps, 0.5);
+  // The unloaded time may rise slowly, so that one lucky second does not bind
+  // the cap for ever.
+  aCap.mUnloaded = aCap.mUnloaded.mMicros == 0
+                     ? median
+                     : std::min(median, aCap.mUnloaded * 1001 / 1000);
+  const Duration bound = Bound(aCap, aTokenGoal);
+  if (median > bound) {
+    const uint32_t base = std::min(aCap.mValue, aCap.mMost);
+    aCap.mValue = std::max<uint32_t>(1, base - (base / kStepDivisor + 1));
+    return;
+  }
+  const bool unbounded = aCap.mValue == BatchCap().mValue;
+  if (!unbounded && aCap.mMost >= aCap.mValue) {
+    const bool far = median * 4 < bound * 3;
+    aCap.mValue +=
+      aCap.mValue / (far ? kFastStepDivisor : kStepDivisor) + 1;
+  }
+}
 
 } // namespace
 
@@ -25,35 +55,18 @@
 JudgeBatchCap(BatchCap& aCap,
               MonoTime aNow,
               Duration aTokenGoal,
-              uint32_t aLimit)
+              uint32_t aRunning)
 {
-  const auto limit = static_cast<double>(aLimit);
-  aCap.mValue = std::clamp(aCap.mValue, 1.0, limit);
+  aCap.mMost = std::max(aCap.mMost, aRunning);
   if (aNow - aCap.mJudgedAt < kJudgeEvery) {
     return;
   }
   aCap.mJudgedAt = aNow;
-  if (aCap.mTokenGaps.mMicros.size() < kEnoughSamples) {
-    // No tokens are seen (calls without streaming): the limit alone decides.
-    aCap.mValue = std::min(limit, aCap.mValue * (1 + kFastStep) + 1);
-    return;
-  }
-  const Duration median = SampleQuantile(aCap.mTokenGaps, 0.5);
-  // The unloaded time may rise slowly, so that one lucky second does not bind
-  // the cap for ever.
-  aCap.mUnloaded = aCap.mUnloaded.mMicros == 0
-                     ? median
-                     : std::min(median, aCap.mUnloaded * 1001 / 1000);
-  const Duration bound =
-    std::min(aTokenGoal * 3 / 4, std::max(aCap.mUnloaded * 2, Millis(1)));
-  if (median > bound) {
-    aCap.mValue = std::max(1.0, aCap.mValue * (1 - kStep));
-  } else if (aCap.mReached) {
-    // Far from the bound the cap follows the limit quickly.
-    const double step = median * 4 < bound * 3 ? kFastStep : kStep;
-    aCap.mValue = std::min(limit, aCap.mValue * (1 + step) + 1);
+  // Without tokens (calls that do not stream) the limit alone decides.
+  if (aCap.mTokenGaps.mMicros.size() >= kEnoughSamples) {
+    Judge(aCap, aTokenGoal);
   }
-  aCap.mReached = false;
+  aCap.mMost = aRunning;
   ClearSamples(aCap.mTokenGaps);
 }
 
--- a/caraway/scheduling/batch_cap.h
+++ b/caraway/scheduling/batch_cap.h
@@ -6,29 +6,31 @@
 // For a target whose time between tokens grows linearly, throughput divided by
 // latency is largest at twice the unloaded time, so that is the bound.
 
+#include <limits>
+
 #include "caraway/scheduling/sample_window.h"
 
 namespace caraway {
 
 struct BatchCap
 {
-  double mValue = 1;         // calls in total
-  Duration mUnloaded;        // shortest usual time between tokens, 0 = unknown
-  SampleWindow mTokenGaps;   // since the last judgement
-  MonoTime mJudgedAt{ 0 };   // last judgement
-  bool mReached = false;     // the cap was used up since then
+  uint32_t mValue = std::numeric_limits<uint32_t>::max(); // calls in total
+  Duration mUnloaded;      // shortest usual time between tokens, 0 = unknown
+  SampleWindow mTokenGaps; // since the last judgement
+  MonoTime mJudgedAt{ 0 }; // last judgement
+  uint32_t mMost = 0;      // most calls that ran since then
 };
 
 void
 RecordBatchGap(BatchCap& aCap, Duration aGap);
 
-// Judges the samples once a second: up while the median time between tokens is
-// within bounds, by 4% near the bound and by half far from it; down by 4% when
-// over.
+// Judges the samples once a second: down by 4% when the median time between
+// tokens is over the bound; up while within it and the cap is used, by 4% near
+// the bound and by half far from it.
 void
 JudgeBatchCap(BatchCap& aCap,
               MonoTime aNow,
               Duration aTokenGoal,
-              uint32_t aLimit);
+              uint32_t aRunning);
 
 } // namespace caraway
--- a/caraway/scheduling/concurrency_limit.cpp
+++ b/caraway/scheduling/concurrency_limit.cpp
@@ -167,6 +167,16 @@
   return aLimit.mGood >= aLimit.mValue ? EndRound(aLimit) : LimitChange::eNone;
 }
 
+LimitChange
+RecordProgress(ConcurrencyLimit& aLimit, bool aFull)
+{
+  if (aLimit.mRamping || !aFull || aLimit.mSaysCold) {
+    return LimitChange::eNone;
+  }
+  ++aLimit.mGood;
+  return aLimit.mGood >= aLimit.mValue ? EndRound(aLimit) : LimitChange::eNone;
+}
+
 LimitChange
 RecordBroken(ConcurrencyLimit& aLimit)
 {
--- a/caraway/scheduling/concurrency_limit.h
+++ b/caraway/scheduling/concurrency_limit.h
@@ -67,6 +67,12 @@
 LimitChange
 RecordCompletion(ConcurrencyLimit& aLimit, bool aGood, bool aFull);
 
+// A piece of a stream (32 tokens) came at a full limit. After the ramp it
+// counts like a completion: streams of half a minute would otherwise let the
+// limit grow by one in many seconds only.
+LimitChange
+RecordProgress(ConcurrencyLimit& aLimit, bool aFull);
+
 // A broken or refused connection, or "503 busy": indicates a cold target.
 LimitChange
 RecordBroken(ConcurrencyLimit& aLimit);
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
+constexpr uint32_t kPieceTokens = 32; // of a stream, see RecordProgress
+
 // Nearly full counts as full for the growth of the limit.
 bool
 LimitUsed(const Scheduler& aScheduler)
 {
-  return Occupied(aScheduler) * 4 >= aScheduler.mLimit.mValue * 3;
+  // A fixed split of the limit never uses more than half for one kind.
+  const uint32_t share =
+    aScheduler.mSettings.mPolicy == SchedulePolicy::eFixedSplit ? 2 : 1;
+  return Occupied(aScheduler) * 4 * share >= aScheduler.mLimit.mValue * 3;
 }
 
 bool
@@ -174,7 +179,12 @@
       aScheduler.mLimit, since, running.mWork.mPrompt, Within(aScheduler));
   }
   RecordBatchGap(aScheduler.mBatchCap, since);
-  return RecordTokenGap(aScheduler.mLimit, since, Within(aScheduler));
+  const LimitChange change =
+    RecordTokenGap(aScheduler.mLimit, since, Within(aScheduler));
+  if (change == LimitChange::eNone && running.mTokens % kPieceTokens == 0) {
+    return RecordProgress(aScheduler.mLimit, LimitUsed(aScheduler));
+  }
+  return change;
 }
 
 LimitChange
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -111,7 +111,7 @@
 {
   const uint32_t limit = aScheduler.mLimit.mValue;
   const uint32_t free = limit - Headroom(aScheduler.mBursts, aNow, limit);
-  return std::min(free, static_cast<uint32_t>(aScheduler.mBatchCap.mValue));
+  return std::min(free, aScheduler.mBatchCap.mValue);
 }
 
 void
@@ -121,7 +121,6 @@
   Awaiting awaiting = CountAwaiting(aScheduler);
   while (!aScheduler.mBatch.empty()) {
     if (Occupied(aScheduler) >= bound) {
-      aScheduler.mBatchCap.mReached = true;
       return;
     }
     // An online prompt that the engine reads now is not slowed by new ones.
@@ -176,7 +175,7 @@
   }
   while (!aScheduler.mBatch.empty() &&
          aScheduler.mRunning.size() - aScheduler.mRunningOnline <
-           limit - online) {
+           std::max<uint32_t>(1, limit - online)) {
     const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
     Start(aScheduler, aNow, work, aSteps);
   }
@@ -204,7 +203,7 @@
   JudgeBatchCap(aScheduler.mBatchCap,
                 aNow,
                 aScheduler.mSettings.mLimit.mTokenGoal,
-                aScheduler.mLimit.mValue);
+                Occupied(aScheduler));
   if (aScheduler.mHeld) {
     return;
   }
