--- a/caraway/scheduling/batch_cap.cpp
+++ b/caraway/scheduling/batch_cap.cpp
@@ -11,13 +11,13 @@
 constexpr Duration kJudgeEvery = Seconds(1);
 constexpr size_t kEnoughSamples = 32;
 constexpr uint32_t kStepDivisor = 25;    // 4%
-constexpr uint32_t kFastStepDivisor = 2; // a half
+constexpr uint32_t kFastStepDivisor = 8;
 
 Duration
 Bound(const BatchCap& aCap, Duration aTokenGoal)
 {
   return std::min(aTokenGoal * 3 / 4,
-                  std::max(aCap.mUnloaded * 3 / 2, Millis(1)));
+                  std::max(aCap.mUnloaded * 7 / 4, Millis(1)));
 }
 
 void
@@ -28,7 +28,7 @@
   // the cap for ever.
   aCap.mUnloaded = aCap.mUnloaded.mMicros == 0
                      ? median
-                     : std::min(median, aCap.mUnloaded * 1001 / 1000);
+                     : std::min(median, aCap.mUnloaded * 10001 / 10000);
   const Duration bound = Bound(aCap, aTokenGoal);
   const Duration slowest = SampleQuantile(aCap.mTokenGaps, 0.95);
   if (median > bound || slowest > aTokenGoal * 3 / 4) {
--- a/caraway/scheduling/batch_cap.h
+++ b/caraway/scheduling/batch_cap.h
@@ -3,7 +3,7 @@
 //
 // The concurrency limit is bounded by the latency goals; batch work stops
 // earlier, at the point where more calls cost latency and bring no throughput.
-// The bound is one and a half times the unloaded time between tokens, and three
+// The bound is one and three quarters of the unloaded time between tokens, and three
 // quarters of the goal for 95 of 100 of them, so that batch work alone never
 // makes the limit shrink.
 
@@ -27,7 +27,7 @@
 
 // Judges the samples once a second: down by 4% when the median time between
 // tokens is over the bound; up while within it and the cap is used, by 4% near
-// the bound and by half far from it.
+// the bound and by an eighth far from it.
 void
 JudgeBatchCap(BatchCap& aCap,
               MonoTime aNow,
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A gap sample is the mean of this many gaps: one step that also reads a long
+// prompt delays one token of every call at once and says little.
+constexpr uint32_t kGapTokens = 8;
 constexpr uint32_t kPieceTokens = 32; // of a stream, see RecordProgress
 
 // Nearly full counts as full for the growth of the limit.
@@ -175,13 +178,19 @@
     return LimitChange::eNone;
   }
   if (first) {
+    running.mSampled = aNow;
     return RecordFirstToken(
       aScheduler.mLimit, since, running.mWork.mPrompt, Within(aScheduler));
   }
-  RecordBatchGap(aScheduler.mBatchCap, since);
+  if (running.mTokens % kGapTokens != 1) {
+    return LimitChange::eNone;
+  }
+  const Duration gap = (aNow - running.mSampled) / kGapTokens;
+  running.mSampled = aNow;
+  RecordBatchGap(aScheduler.mBatchCap, gap);
   const LimitChange change =
-    RecordTokenGap(aScheduler.mLimit, since, Within(aScheduler));
-  if (change == LimitChange::eNone && running.mTokens % kPieceTokens == 0) {
+    RecordTokenGap(aScheduler.mLimit, gap, Within(aScheduler));
+  if (change == LimitChange::eNone && running.mTokens % kPieceTokens == 1) {
     return RecordProgress(aScheduler.mLimit, LimitUsed(aScheduler));
   }
   return change;
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -11,6 +11,7 @@
 // Batch prompts read by the engine at one time while online work is about. An
 // online prompt waits behind them, and two keep the engine's reading busy.
 constexpr uint32_t kBatchPrompts = 1;
+constexpr uint32_t kYieldDivisor = 16; // of the batch cap
 constexpr uint32_t kNearShareDivisor = 10; // of the limit, near their deadline
 
 using Steps = std::vector<ScheduleStep>;
@@ -135,6 +136,17 @@
   }
 }
 
+// Calls up to which batch work need not give way: a little above the batch cap,
+// so that small bursts cost no batch work, but never above the limit. Beyond
+// the cap every call slows all others.
+uint32_t
+YieldBound(const Scheduler& aScheduler)
+{
+  const uint32_t cap = aScheduler.mBatchCap.mValue;
+  const uint32_t limit = aScheduler.mLimit.mValue;
+  return cap >= limit ? limit : std::min(limit, cap + cap / kYieldDivisor);
+}
+
 void
 ScheduleOnlineFirst(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
@@ -144,8 +156,9 @@
          PreemptOne(aScheduler, aNow, aSteps)) {
   }
   while (aScheduler.mOnline.mSize > 0) {
-    if (Occupied(aScheduler) >= limit &&
-        !PreemptOne(aScheduler, aNow, aSteps)) {
+    const bool crowded = Occupied(aScheduler) >= YieldBound(aScheduler);
+    const bool freed = crowded && PreemptOne(aScheduler, aNow, aSteps);
+    if (Occupied(aScheduler) >= limit && !freed) {
       return;
     }
     if (Occupied(aScheduler) < limit) {
--- a/caraway/scheduling/work.h
+++ b/caraway/scheduling/work.h
@@ -35,6 +35,7 @@
   MonoTime mStarted;
   MonoTime mLastToken;  // time of the newest token or piece
   uint32_t mTokens = 0; // tokens or pieces so far
+  MonoTime mSampled;    // time of the token that ended the last gap sample
   bool mSlowNoted = false; // the wait for its first token was counted once
 };
 
--- /dev/null
+++ b/tests/node_batch_test.cpp
@@ -0,0 +1,216 @@
+// Guards against batch items that are lost, run after their lease ended, or
+// stand in the way of online work.
+#define BOOST_TEST_MODULE node_batch
+#include <boost/test/unit_test.hpp>
+
+#include "caraway/node/batch_line.h"
+#include "tests/node_fixture.h"
+
+using namespace caraway;
+
+namespace {
+
+// A ready node with a limit of four and two items running.
+void
+StartTwoItems(NodeFixture& aNode, const std::string& aCapabilities = "{}")
+{
+  aNode.MakeReady(aCapabilities);
+  BOOST_REQUIRE(aNode.mNode.mBatch.mLeasing);
+  aNode.LeaseItemsOut(2);
+  BOOST_REQUIRE_EQUAL(aNode.Started().size(), 2u);
+}
+
+void
+Stream(NodeFixture& aNode, TargetCallId aCall, const char* aText)
+{
+  aNode.Give(TargetCallBegan{
+    aCall, 200, { { "Content-Type", "text/event-stream" } } });
+  aNode.Give(TargetCallBytes{
+    aCall,
+    std::string(R"(data: {"id":"x","choices":[{"delta":{"content":")") +
+      aText + "\"}}]}\n\n" });
+}
+
+std::vector<ItemResult>
+ResultsAfterGrouping(NodeFixture& aNode)
+{
+  aNode.Wait(Millis(100));
+  const auto sent = aNode.Sent<ItemResults>();
+  BOOST_REQUIRE_EQUAL(sent.size(), 1u);
+  return sent[0].mResults;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(lease_request_is_resent_under_one_sequence)
+{
+  NodeFixture node(4);
+  node.MakeReady();
+  node.Wait(Millis(500));
+  BOOST_REQUIRE_EQUAL(node.Sent<LeaseItems>().size(), 1u);
+  BOOST_TEST(node.Sent<LeaseItems>()[0].mSequence == 1u);
+  node.LeaseItemsOut(2);
+  BOOST_TEST(node.Started().size() == 2u);
+  node.LeaseItemsOut(2, 1); // the doubled answer brings nothing
+  BOOST_TEST(node.Started().empty());
+}
+
+BOOST_AUTO_TEST_CASE(results_are_resent_until_acknowledged)
+{
+  NodeFixture node(4);
+  StartTwoItems(node);
+  const TargetCallId id = node.Started()[0].mCall;
+  Stream(node, id, "he");
+  node.Give(TargetCallBytes{
+    id, "data: {\"choices\":[{\"delta\":{\"content\":\"y\"}}]}\n\nda" });
+  node.Give(TargetCallBytes{ id, "ta: [DONE]\n\n" }); // cut anywhere
+  node.Give(TargetCallEnded{ id });
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 1u);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::eDone));
+  BOOST_TEST(results[0].mBody.find("\"content\":\"hey\"") !=
+             std::string::npos);
+  BOOST_TEST(results[0].mBody.find("\"custom_id\":\"c0\"") !=
+             std::string::npos);
+  node.Wait(Millis(500));
+  BOOST_REQUIRE_EQUAL(node.Sent<ItemResults>().size(), 1u);
+  ItemResultsAck ack;
+  ack.mNodeEpoch = Epoch(7);
+  ack.mSequence = node.Sent<ItemResults>()[0].mSequence;
+  node.Hear(kTestControl, ack);
+  node.Wait(Seconds(1));
+  BOOST_TEST(node.Sent<ItemResults>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(stale_ack_and_revocation_cancel_what_is_left)
+{
+  NodeFixture node(4);
+  StartTwoItems(node);
+  const auto started = node.Started();
+  node.Answer(started[0].mCall, "{}", 400);
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::ePermanent));
+  ItemResultsAck ack;
+  ack.mNodeEpoch = Epoch(7);
+  ack.mSequence = 1;
+  ack.mStale = true;
+  node.Hear(kTestControl, ack);
+  BOOST_REQUIRE_EQUAL(node.Actions<CancelTargetCall>().size(), 1u);
+  BOOST_TEST(
+    (node.Actions<CancelTargetCall>()[0].mCall == started[1].mCall));
+  NodeFixture other(4);
+  StartTwoItems(other);
+  other.Hear(kTestControl, ItemsRevoked{ {}, JobId("batch_1") });
+  BOOST_TEST(other.Actions<CancelTargetCall>().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(verdicts_follow_the_answer)
+{
+  for (const auto& [status, verdict] :
+       std::vector<std::pair<int, ItemVerdict>>{
+         { 200, ItemVerdict::eDone },
+         { 404, ItemVerdict::ePermanent },
+         { 408, ItemVerdict::eRetryable },
+         { 409, ItemVerdict::eRetryable },
+         { 429, ItemVerdict::eRetryable },
+         { 500, ItemVerdict::eRetryable } }) {
+    NodeFixture node(4);
+    StartTwoItems(node);
+    node.Answer(node.Started()[0].mCall, "{}", status);
+    BOOST_TEST((ResultsAfterGrouping(node)[0].mVerdict == verdict));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(cut_stream_is_no_answer)
+{
+  NodeFixture node(4);
+  StartTwoItems(node);
+  const TargetCallId id = node.Started()[0].mCall;
+  Stream(node, id, "half");
+  node.Give(TargetCallEnded{ id });
+  BOOST_TEST(
+    (ResultsAfterGrouping(node)[0].mVerdict == ItemVerdict::eRetryable));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_line_fails_for_good_without_a_call)
+{
+  BatchTask task;
+  BOOST_TEST(!ParseBatchLine("not json", "/v1/completions").ok());
+  BOOST_TEST(!ParseBatchLine(R"({"url":"/v1/completions"})",
+                             "/v1/completions")
+                .ok());
+  BOOST_TEST(!ParseBatchLine(R"({"url":"/other","body":{}})",
+                             "/v1/completions")
+                .ok());
+  NodeFixture node(4);
+  node.MakeReady();
+  ItemBatch batch;
+  batch.mNodeEpoch = Epoch(7);
+  batch.mSequence = 1;
+  batch.mJob = JobId("batch_1");
+  batch.mToken = FencingToken(50);
+  batch.mItems = { { 3, "{" } };
+  node.Hear(kTestControl, batch);
+  BOOST_TEST(node.Started().empty());
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::ePermanent));
+  BOOST_TEST(results[0].mIndex == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(online_call_takes_the_place_of_batch_in_the_same_step)
+{
+  NodeFixture node(2);
+  StartTwoItems(node, R"({"resume":true})");
+  const auto items = node.Started();
+  Stream(node, items[0].mCall, "a");
+  Stream(node, items[0].mCall, "b");
+  Stream(node, items[1].mCall, "c");
+  node.Hear(kTestEntry, node.Call("r1"));
+  BOOST_REQUIRE_EQUAL(node.Actions<CancelTargetCall>().size(), 1u);
+  BOOST_TEST((node.Actions<CancelTargetCall>()[0].mCall ==
+              items[1].mCall)); // least progress
+  const auto started = node.Started();
+  BOOST_REQUIRE_EQUAL(started.size(), 1u);
+  BOOST_TEST(HeaderValue(started[0].mHeaders, "X-Request-Id") == "r1");
+  // When the call is done, the item goes on from its partial text.
+  node.Answer(started[0].mCall, "x");
+  const auto resumed = node.Started();
+  BOOST_REQUIRE_EQUAL(resumed.size(), 1u);
+  BOOST_TEST(HeaderValue(resumed[0].mHeaders, "X-Resume-Tokens") == "1");
+  BOOST_TEST(resumed[0].mBody.find("\"resume_from\":\"c\"") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(drain_returns_waiting_items_and_finishes_running_ones)
+{
+  NodeFixture node(2);
+  node.MakeReady();
+  node.LeaseItemsOut(5);
+  BOOST_REQUIRE_EQUAL(node.Started().size(), 2u);
+  node.Give(StopRequested{});
+  BOOST_TEST(node.Actions<CancelTargetCall>().empty());
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 3u);
+  for (const ItemResult& result : results) {
+    BOOST_TEST((result.mVerdict == ItemVerdict::eReturned));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(new_session_drops_the_items_of_the_old_one)
+{
+  NodeFixture node(2);
+  StartTwoItems(node);
+  node.Registered(9);
+  BOOST_TEST(node.Actions<CancelTargetCall>().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_counts_no_attempt)
+{
+  NodeFixture node(2);
+  StartTwoItems(node);
+  const TargetCallId id = node.Started()[0].mCall;
+  node.Give(TargetCallFailed{ id, Outcome::eNotRun, "connect refused" });
+  node.Wait(Millis(200));
+  BOOST_TEST(node.Sent<ItemResults>().empty());
+  BOOST_TEST(node.mNode.mBatch.mTasks.size() == 2u);
+}
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -184,13 +184,14 @@
   }
 
   // Answers the outstanding LeaseItems with items of one job.
-  void LeaseItemsOut(uint32_t aCount, uint64_t aToken = 50)
+  void LeaseItemsOut(uint32_t aCount, uint64_t aSequence = 0)
   {
     ItemBatch batch;
     batch.mNodeEpoch = mNode.mSession.mEpoch;
-    batch.mSequence = mNode.mBatch.mLeaseSequence;
+    batch.mSequence =
+      aSequence != 0 ? aSequence : mNode.mBatch.mLeaseSequence;
     batch.mJob = JobId("batch_1");
-    batch.mToken = FencingToken(aToken);
+    batch.mToken = FencingToken(50);
     batch.mWorkspace = WorkspaceId("night");
     batch.mModel = ModelId("m");
     batch.mEndpoint = "/v1/chat/completions";
