--- a/bench/scheduling_bench.cpp
+++ b/bench/scheduling_bench.cpp
@@ -240,6 +240,28 @@
   Show((aName + ".limit").c_str(), aFigures.mLimit);
 }
 
+// The engine's best throughput with this batch work alone, over fixed numbers
+// of calls. No part of the scheduler but the bound on calls takes part in it.
+double
+Capacity(uint32_t aBatchOutput)
+{
+  static std::map<uint32_t, double> sKnown;
+  auto [known, fresh] = sKnown.try_emplace(aBatchOutput, 0.0);
+  for (const uint32_t calls : { 72U, 84U, 96U, 108U }) {
+    if (!fresh) {
+      break;
+    }
+    WorldSettings settings;
+    settings.mSeed = 11;
+    settings.mPolicy = SchedulePolicy::eFirstCome;
+    settings.mBatch = true;
+    settings.mBatchOutput = aBatchOutput;
+    settings.mMaxLimit = calls;
+    known->second = std::max(known->second, Run(settings, {}).mBatchTokens);
+  }
+  return known->second;
+}
+
 // Online at half of the design load with bursts, with and without batch work
 // that would fill the engine many times over.
 void
@@ -257,20 +279,17 @@
   const Figures alone = Run(settings, { online });
   settings.mBatch = true;
   const Figures mixed = Run(settings, { online });
-  const Figures batch = Run(settings, {});
   // What online leaves: the part of the engine that online does not use, at
   // the throughput of this batch work. Online and batch items of 300 tokens
   // cost the same per token.
-  settings.mBatchOutput = 300;
-  const Figures usual = aBatchOutput == 300 ? batch : Run(settings, {});
-  const double left = batch.mBatchTokens *
-                      (1 - mixed.mOnlineTokens / usual.mBatchTokens);
+  const double left = Capacity(aBatchOutput) *
+                      (1 - mixed.mOnlineTokens / Capacity(300));
   const std::string name = std::string("mixed.") + PolicyName(aPolicy) +
                            (aResume ? ".resume" : "") + ".batch" +
                            std::to_string(aBatchOutput);
   ShowFigures(name + ".online_alone", alone);
   ShowFigures(name + ".both", mixed);
-  ShowFigures(name + ".batch_alone", batch);
+  Show((name + ".capacity_left").c_str(), left);
   const double harm = mixed.mFirstP99 / alone.mFirstP99;
   const double use = mixed.mBatchTokens / left;
   const std::string harmName = name + ".harm_p99";
--- a/caraway/node/node_answers.cpp
+++ b/caraway/node/node_answers.cpp
@@ -62,7 +62,7 @@
   if (aLast) {
     part.mRunning = RunningCalls(aNode);
     part.mQueued = QueuedCalls(aNode);
-    part.mLimit = aNode.mScheduler.mLimit.mValue;
+    part.mLimit = CallLimit(aNode.mScheduler);
   }
   const size_t kept = aBytes.size() + kPartOverhead;
   aCall.mKeptBytes += kept;
--- a/caraway/node/node_calls.cpp
+++ b/caraway/node/node_calls.cpp
@@ -158,7 +158,7 @@
   refusal.mRetryAfter = aRetryAfter;
   refusal.mRunning = RunningCalls(aNode);
   refusal.mQueued = QueuedCalls(aNode);
-  refusal.mLimit = aNode.mScheduler.mLimit.mValue;
+  refusal.mLimit = CallLimit(aNode.mScheduler);
   ++aNode.mCounters.mRefused;
   DecisionLog log;
   log.mEvent = "refuse";
--- a/caraway/node/node_dispatch.cpp
+++ b/caraway/node/node_dispatch.cpp
@@ -26,7 +26,7 @@
   refusal.mMessage = std::string(aMessage);
   refusal.mRunning = RunningCalls(aNode);
   refusal.mQueued = QueuedCalls(aNode);
-  refusal.mLimit = aNode.mScheduler.mLimit.mValue;
+  refusal.mLimit = CallLimit(aNode.mScheduler);
   ++aNode.mCounters.mRefused;
   DecisionLog log;
   log.mEvent = "refuse";
--- a/caraway/node/node_reports.cpp
+++ b/caraway/node/node_reports.cpp
@@ -50,7 +50,7 @@
     return;
   }
   const uint32_t load = RunningCalls(aNode) + QueuedCalls(aNode);
-  const uint32_t limit = aNode.mScheduler.mLimit.mValue;
+  const uint32_t limit = CallLimit(aNode.mScheduler);
   const Duration gap =
     kGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
   const bool changed = Changed(load, reports.mLastLoad) ||
--- a/caraway/node/node_schedule.cpp
+++ b/caraway/node/node_schedule.cpp
@@ -25,7 +25,7 @@
   log.mExtra = {
     { "running", std::to_string(RunningCalls(aNode)) },
     { "queued", std::to_string(QueuedCalls(aNode)) },
-    { "limit", std::to_string(aNode.mScheduler.mLimit.mValue) },
+    { "limit", std::to_string(CallLimit(aNode.mScheduler)) },
   };
   aOut.emplace_back(std::move(log));
 }
@@ -92,7 +92,7 @@
                "allow more time",
                ExpectedWait(aNode.mScheduler.mRate,
                             aNode.mScheduler.mOnline.mBacklog,
-                            aNode.mScheduler.mLimit.mValue),
+                            CallLimit(aNode.mScheduler)),
                aOut);
   }
 }
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -91,7 +91,7 @@
   renew.mSentAt = aNow.mMicros;
   renew.mTarget = TargetNow(aNode);
   renew.mRunning = RunningCalls(aNode);
-  renew.mLimit = aNode.mScheduler.mLimit.mValue;
+  renew.mLimit = CallLimit(aNode.mScheduler);
   renew.mDraining = IsDraining(aNode);
   session.mRenewAt = aNow + kAnswerWait;
   SendToLeader(aNode, std::move(renew), aOut);
--- a/caraway/scheduling/batch_cap.cpp
+++ b/caraway/scheduling/batch_cap.cpp
@@ -17,7 +17,7 @@
 Bound(const BatchCap& aCap, Duration aTokenGoal)
 {
   return std::min(aTokenGoal * 3 / 4,
-                  std::max(aCap.mUnloaded * 7 / 4, Millis(1)));
+                  std::max(aCap.mUnloaded * 2, Millis(1)));
 }
 
 void
@@ -37,7 +37,7 @@
     return;
   }
   const bool unbounded = aCap.mValue == BatchCap().mValue;
-  if (!unbounded && aCap.mMost >= aCap.mValue) {
+  if (!unbounded && aCap.mMost * 8 >= aCap.mValue * 7) { // headroom is free
     const bool far = median * 4 < bound * 3;
     aCap.mValue +=
       aCap.mValue / (far ? kFastStepDivisor : kStepDivisor) + 1;
--- /dev/null
+++ b/caraway/scheduling/knee.cpp
@@ -0,0 +1,83 @@
+// The number of calls beyond which more calls bring no more throughput.
+
+#include "caraway/scheduling/knee.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kJudgeEvery = Seconds(1);
+constexpr uint64_t kEnoughTokens = 64;
+constexpr double kPerDoubling = 8;
+constexpr double kSmoothing = 0.3;
+constexpr double kWorse = 0.97;
+constexpr double kFade = 0.999; // per second, so that old rates lose weight
+
+size_t
+BucketOf(double aCalls)
+{
+  const double place = std::max(0.0, std::log2(aCalls) * kPerDoubling);
+  return std::min(kKneeBuckets - 1, static_cast<size_t>(place));
+}
+
+uint32_t
+UpperEdge(size_t aBucket)
+{
+  const double edge =
+    std::exp2(static_cast<double>(aBucket + 1) / kPerDoubling);
+  return static_cast<uint32_t>(std::max(1.0, std::floor(edge)));
+}
+
+void
+Judge(Knee& aKnee, double aCalls, double aRate)
+{
+  const size_t present = BucketOf(aCalls);
+  for (double& rate : aKnee.mRates) {
+    rate *= kFade;
+  }
+  double& known = aKnee.mRates[present];
+  known = known == 0 ? aRate : known + kSmoothing * (aRate - known);
+  const auto best = std::max_element(
+    aKnee.mRates.begin(),
+    aKnee.mRates.begin() + static_cast<std::ptrdiff_t>(present) + 1);
+  const auto place = static_cast<size_t>(best - aKnee.mRates.begin());
+  if (place < present && known < kWorse * *best) {
+    aKnee.mBound = UpperEdge(place);
+  } else if (aKnee.mBound != Knee().mBound &&
+             aCalls * kPerDoubling >= aKnee.mBound * (kPerDoubling - 1)) {
+    ++aKnee.mBound;
+  }
+}
+
+} // namespace
+
+void
+RecordKneeToken(Knee& aKnee, uint32_t aRunning)
+{
+  ++aKnee.mTokens;
+  aKnee.mCallSum += aRunning;
+}
+
+void
+JudgeKnee(Knee& aKnee, MonoTime aNow)
+{
+  const Duration span = aNow - aKnee.mSince;
+  if (span < kJudgeEvery) {
+    return;
+  }
+  // After a pause the time between two events is no measurement.
+  if (aKnee.mTokens >= kEnoughTokens && span < kJudgeEvery * 2) {
+    const auto tokens = static_cast<double>(aKnee.mTokens);
+    Judge(aKnee,
+          static_cast<double>(aKnee.mCallSum) / tokens,
+          tokens / span.Seconds());
+  }
+  aKnee.mSince = aNow;
+  aKnee.mTokens = 0;
+  aKnee.mCallSum = 0;
+}
+
+} // namespace caraway
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -40,7 +40,7 @@
   const bool yields = aScheduler.mSettings.mPolicy ==
                       SchedulePolicy::eOnlineFirst;
   return (yields ? foreignAndOnline : Occupied(aScheduler)) <
-         aScheduler.mLimit.mValue;
+         CallLimit(aScheduler);
 }
 
 Work
@@ -83,6 +83,15 @@
   return scheduler;
 }
 
+uint32_t
+CallLimit(const Scheduler& aScheduler)
+{
+  // The baselines are bound by the goals alone.
+  return aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst
+           ? std::min(aScheduler.mLimit.mValue, aScheduler.mKnee.mBound)
+           : aScheduler.mLimit.mValue;
+}
+
 uint32_t
 Occupied(const Scheduler& aScheduler)
 {
@@ -95,7 +104,7 @@
 {
   Admission admission;
   RecordArrival(aScheduler.mBursts, aNow);
-  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t limit = CallLimit(aScheduler);
   const uint32_t places =
     aScheduler.mSettings.mPolicy == SchedulePolicy::eFixedSplit
       ? std::max<uint32_t>(1, limit / 2)
@@ -177,6 +186,7 @@
   if (!running.mWork.mStreamed) {
     return LimitChange::eNone;
   }
+  RecordKneeToken(aScheduler.mKnee, Occupied(aScheduler));
   if (first) {
     running.mSampled = aNow;
     return RecordFirstToken(
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -17,6 +17,7 @@
 #include "caraway/scheduling/burst_tracker.h"
 #include "caraway/scheduling/concurrency_limit.h"
 #include "caraway/scheduling/fair_queue.h"
+#include "caraway/scheduling/knee.h"
 #include "caraway/scheduling/service_rate.h"
 
 namespace caraway {
@@ -41,6 +42,7 @@
   ConcurrencyLimit mLimit;
   BatchCap mBatchCap;
   BurstTracker mBursts;
+  Knee mKnee;
   ServiceRate mRate;
   FairQueue mOnline;                            // waiting online work
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
@@ -137,6 +139,11 @@
 LimitChange
 CheckSilence(Scheduler& aScheduler, MonoTime aNow);
 
+// Calls that may run at once: the limit that the goals allow, or fewer if more
+// would lower the throughput.
+uint32_t
+CallLimit(const Scheduler& aScheduler);
+
 // Calls at the target, this node's and others.
 uint32_t
 Occupied(const Scheduler& aScheduler);
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -11,7 +11,6 @@
 // Batch prompts read by the engine at one time while online work is about. An
 // online prompt waits behind them, and two keep the engine's reading busy.
 constexpr uint32_t kBatchPrompts = 1;
-constexpr uint32_t kYieldDivisor = 16; // of the batch cap
 constexpr uint32_t kNearShareDivisor = 10; // of the limit, near their deadline
 
 using Steps = std::vector<ScheduleStep>;
@@ -106,13 +105,21 @@
   return count;
 }
 
-// Calls in total up to which batch work may be added.
+// Calls in total above which batch work gives way to online work. Beyond the
+// batch cap every call slows all others.
+uint32_t
+YieldBound(const Scheduler& aScheduler)
+{
+  return std::min(CallLimit(aScheduler), aScheduler.mBatchCap.mValue);
+}
+
+// Calls in total up to which batch work may be added. The headroom below the
+// other bound takes in small bursts without stopping batch work.
 uint32_t
 BatchBound(const Scheduler& aScheduler, MonoTime aNow)
 {
-  const uint32_t limit = aScheduler.mLimit.mValue;
-  const uint32_t free = limit - Headroom(aScheduler.mBursts, aNow, limit);
-  return std::min(free, aScheduler.mBatchCap.mValue);
+  const uint32_t bound = YieldBound(aScheduler);
+  return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
 
 void
@@ -136,21 +143,10 @@
   }
 }
 
-// Calls up to which batch work need not give way: a little above the batch cap,
-// so that small bursts cost no batch work, but never above the limit. Beyond
-// the cap every call slows all others.
-uint32_t
-YieldBound(const Scheduler& aScheduler)
-{
-  const uint32_t cap = aScheduler.mBatchCap.mValue;
-  const uint32_t limit = aScheduler.mLimit.mValue;
-  return cap >= limit ? limit : std::min(limit, cap + cap / kYieldDivisor);
-}
-
 void
 ScheduleOnlineFirst(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
-  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t limit = CallLimit(aScheduler);
   // A cold target bears few calls: batch work above the limit goes at once.
   while (aScheduler.mLimit.mRamping && Occupied(aScheduler) > limit &&
          PreemptOne(aScheduler, aNow, aSteps)) {
@@ -217,6 +213,10 @@
                 aNow,
                 aScheduler.mSettings.mLimit.mTokenGoal,
                 Occupied(aScheduler));
+  if (aScheduler.mLimit.mRamping) {
+    aScheduler.mKnee = Knee(); // rates of a cold target say nothing of a warm one
+  }
+  JudgeKnee(aScheduler.mKnee, aNow);
   if (aScheduler.mHeld) {
     return;
   }
