--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -8,11 +8,19 @@
 
 namespace {
 
+// A gap sample is the mean of this many gaps: one step that also reads a long
+// prompt delays one token of every call at once and says little.
+constexpr uint32_t kGapTokens = 8;
+constexpr uint32_t kPieceTokens = 32; // of a stream, see RecordProgress
+
 // Nearly full counts as full for the growth of the limit.
 bool
 LimitUsed(const Scheduler& aScheduler)
 {
-  return Occupied(aScheduler) * 4 >= aScheduler.mLimit.mValue * 3;
+  // A fixed split of the limit never uses more than half for one kind.
+  const uint32_t share =
+    aScheduler.mSettings.mPolicy == SchedulePolicy::eFixedSplit ? 2 : 1;
+  return Occupied(aScheduler) * 4 * share >= aScheduler.mLimit.mValue * 3;
 }
 
 bool
@@ -32,7 +40,7 @@
   const bool yields =
     aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst;
   return (yields ? foreignAndOnline : Occupied(aScheduler)) <
-         aScheduler.mLimit.mValue;
+         CallLimit(aScheduler);
 }
 
 Work
@@ -75,6 +83,15 @@
   return scheduler;
 }
 
+uint32_t
+CallLimit(const Scheduler& aScheduler)
+{
+  // The baselines are bound by the goals alone.
+  return aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst
+           ? std::min(aScheduler.mLimit.mValue, aScheduler.mKnee.mBound)
+           : aScheduler.mLimit.mValue;
+}
+
 uint32_t
 Occupied(const Scheduler& aScheduler)
 {
@@ -87,7 +104,7 @@
 {
   Offer admission;
   RecordArrival(aScheduler.mBursts, aNow);
-  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t limit = CallLimit(aScheduler);
   const uint32_t places =
     aScheduler.mSettings.mPolicy == SchedulePolicy::eFixedSplit
       ? std::max<uint32_t>(1, limit / 2)
@@ -167,12 +184,24 @@
   if (!running.mWork.mStreamed) {
     return LimitChange::eNone;
   }
+  RecordKneeToken(aScheduler.mKnee, Occupied(aScheduler));
   if (first) {
+    running.mSampled = aNow;
     return RecordFirstToken(
       aScheduler.mLimit, since, running.mWork.mPrompt, Within(aScheduler));
   }
-  RecordBatchGap(aScheduler.mBatchCap, since);
-  return RecordTokenGap(aScheduler.mLimit, since, Within(aScheduler));
+  if (running.mTokens % kGapTokens != 1) {
+    return LimitChange::eNone;
+  }
+  const Duration gap = (aNow - running.mSampled) / kGapTokens;
+  running.mSampled = aNow;
+  RecordBatchGap(aScheduler.mBatchCap, gap);
+  const LimitChange change =
+    RecordTokenGap(aScheduler.mLimit, gap, Within(aScheduler));
+  if (change == LimitChange::eNone && running.mTokens % kPieceTokens == 1) {
+    return RecordProgress(aScheduler.mLimit, LimitUsed(aScheduler));
+  }
+  return change;
 }
 
 LimitChange
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -10,7 +10,7 @@
 
 // Batch prompts read by the engine at one time while online work is about. An
 // online prompt waits behind them, and two keep the engine's reading busy.
-constexpr uint32_t kBatchPrompts = 2;
+constexpr uint32_t kBatchPrompts = 1;
 constexpr uint32_t kNearShareDivisor = 10; // of the limit, near their deadline
 
 using Steps = std::vector<ScheduleStep>;
@@ -105,13 +105,21 @@
   return count;
 }
 
-// Calls in total up to which batch work may be added.
+// Calls in total above which batch work gives way to online work. Beyond the
+// batch cap every call slows all others.
+uint32_t
+YieldBound(const Scheduler& aScheduler)
+{
+  return std::min(CallLimit(aScheduler), aScheduler.mBatchCap.mValue);
+}
+
+// Calls in total up to which batch work may be added. The headroom below the
+// other bound takes in small bursts without stopping batch work.
 uint32_t
 BatchBound(const Scheduler& aScheduler, MonoTime aNow)
 {
-  const uint32_t limit = aScheduler.mLimit.mValue;
-  const uint32_t free = limit - Headroom(aScheduler.mBursts, aNow, limit);
-  return std::min(free, static_cast<uint32_t>(aScheduler.mBatchCap.mValue));
+  const uint32_t bound = YieldBound(aScheduler);
+  return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
 
 void
@@ -121,7 +129,6 @@
   Awaiting awaiting = CountAwaiting(aScheduler);
   while (!aScheduler.mBatch.empty()) {
     if (Occupied(aScheduler) >= bound) {
-      aScheduler.mBatchCap.mReached = true;
       return;
     }
     // An online prompt that the engine reads now is not slowed by new ones.
@@ -139,14 +146,15 @@
 void
 ScheduleOnlineFirst(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
-  const uint32_t limit = aScheduler.mLimit.mValue;
+  const uint32_t limit = CallLimit(aScheduler);
   // A cold target bears few calls: batch work above the limit goes at once.
   while (aScheduler.mLimit.mRamping && Occupied(aScheduler) > limit &&
          PreemptOne(aScheduler, aNow, aSteps)) {
   }
   while (aScheduler.mOnline.mSize > 0) {
-    if (Occupied(aScheduler) >= limit &&
-        !PreemptOne(aScheduler, aNow, aSteps)) {
+    const bool crowded = Occupied(aScheduler) >= YieldBound(aScheduler);
+    const bool freed = crowded && PreemptOne(aScheduler, aNow, aSteps);
+    if (Occupied(aScheduler) >= limit && !freed) {
       return;
     }
     if (Occupied(aScheduler) < limit) {
@@ -176,7 +184,7 @@
   }
   while (!aScheduler.mBatch.empty() &&
          aScheduler.mRunning.size() - aScheduler.mRunningOnline <
-           limit - online) {
+           std::max<uint32_t>(1, limit - online)) {
     const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
     Start(aScheduler, aNow, work, aSteps);
   }
@@ -204,7 +212,11 @@
   JudgeBatchCap(aScheduler.mBatchCap,
                 aNow,
                 aScheduler.mSettings.mLimit.mTokenGoal,
-                aScheduler.mLimit.mValue);
+                Occupied(aScheduler));
+  if (aScheduler.mLimit.mRamping) {
+    aScheduler.mKnee = Knee(); // rates of a cold target say nothing of a warm one
+  }
+  JudgeKnee(aScheduler.mKnee, aNow);
   if (aScheduler.mHeld) {
     return;
   }
