Fill leased items and file pieces from blobs

Output files leave out items without a result. Input that cannot be read while its job is in progress halts the replica, so that another one serves. kMaxPartBytes stood in two headers and moves to call_messages.h.

--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -80,7 +80,7 @@
   if (!leadership.mStarted) {
     return;
   }
-  for (const EndedSession& ended : aOutcome.mEnded) {
+  for (const FinishedSession& ended : aOutcome.mEnded) {
     SessionEnded(leadership.mSessions,
                  aStep.mNow,
                  ended.mInstance,
--- a/caraway/control/blob_fetch.cpp
+++ b/caraway/control/blob_fetch.cpp
@@ -2,6 +2,8 @@
 
 #include "caraway/control/blob_fetch.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -70,13 +72,12 @@
   size_t at = 0;
   for (size_t range = read.mFirst; range < read.mFirst + read.mCount; ++range) {
     FetchedRange& part = fetch.mRanges[range];
-    if (!aRead.mOk || at + part.mRange.mLength > aRead.mBytes.size()) {
-      fetch.mFailed = true;
-      break;
-    }
+    // Shorter at the end of the blob, empty beyond it.
+    at = std::min(at, aRead.mBytes.size());
     part.mBytes = aRead.mBytes.substr(at, part.mRange.mLength);
     at += part.mRange.mLength;
   }
+  fetch.mFailed = fetch.mFailed || !aRead.mOk;
   if (--fetch.mOpenReads > 0) {
     return std::nullopt;
   }
--- a/caraway/control/blob_fetch.h
+++ b/caraway/control/blob_fetch.h
@@ -36,7 +36,7 @@
 struct FetchedRange
 {
   BlobRange mRange;
-  std::string mBytes;
+  std::string mBytes; // shorter than the range at the end of the blob
 };
 
 struct BlobFetch
@@ -46,7 +46,6 @@
   std::vector<FetchedRange> mRanges;
   size_t mOpenReads = 0;
   bool mFailed = false;
-  MonoTime mStarted;
 };
 
 // One ReadBlob covers the ranges [mFirst, mFirst + mCount).
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -85,7 +85,7 @@
                                   ItemBatch,
                                   ItemResultsAck>;
 
-struct EndedSession
+struct FinishedSession
 {
   InstanceId mInstance;
   Epoch mEpoch;
@@ -96,7 +96,7 @@
 {
   CommandReply mReply;
   std::vector<LedgerEffect> mEffects;
-  std::vector<EndedSession> mEnded;
+  std::vector<FinishedSession> mEnded;
 };
 
 CommandOutcome
--- a/caraway/control/item_bodies.cpp
+++ b/caraway/control/item_bodies.cpp
@@ -1,6 +1,7 @@
 // Filling leased items and file pieces with bytes read from blobs.
 
-#include "caraway/base/absl_view.h"
+#include <algorithm>
+
 #include "caraway/control/step.h"
 #include "caraway/ledger/ledger.h"
 
@@ -8,8 +9,7 @@
 
 namespace {
 
-// Bodies of one ItemBatch; a frame holds 1 MiB.
-constexpr size_t kMaxBatchBytes = 768 * 1024;
+constexpr Duration kAskAgain = Seconds(1);
 
 // Reports items back to the ledger on behalf of the node, because it does not
 // get them. Without this they would stay leased until its session ends.
@@ -31,21 +31,44 @@
   (void)Propose(aStep, std::move(results), {});
 }
 
+// The input could not be read. If the job has ended meanwhile, its blobs may be
+// gone; the node asks again. Otherwise the disk has lost durable data, and
+// another replica has to serve.
 void
-HandBackAll(ControlStep& aStep, const ItemBodies& aBodies)
+FailItems(ControlStep& aStep, const ItemBodies& aBodies)
 {
-  std::vector<ItemResult> results;
-  for (const BatchItem& item : aBodies.mBatch.mItems) {
-    results.push_back(
-      { item.mIndex, ItemVerdict::eRetryable, 0, "the input is unreadable" });
+  const ItemBatch& batch = aBodies.mBatch;
+  const bool inProgress = ItemIndexRecord(aStep.mControl.mState.mLedger,
+                                          batch.mJob,
+                                          batch.mItems.front().mIndex)
+                            .ok();
+  if (inProgress) {
+    aStep.mControl.mHalted = true;
+    aStep.mOut.emplace_back(
+      Halt{ "the input of " + batch.mJob.mValue +
+            " cannot be read; replace the disk and add this replica under a "
+            "new id" });
+    return;
   }
-  Log(aStep,
-      "read_items",
-      aBodies.mBatch.mJob.mValue,
-      "the input could not be read; check the disk of this replica");
-  HandBack(aStep, aBodies, std::move(results));
+  ItemBatch none;
+  none.mGroup = batch.mGroup;
+  none.mNodeEpoch = batch.mNodeEpoch;
+  none.mSequence = batch.mSequence;
+  none.mRetryAfter = kAskAgain;
+  Send(aStep, aBodies.mTo, std::move(none));
 }
 
+bool
+IsWhole(const BlobFetch& aFetch)
+{
+  return std::all_of(
+    aFetch.mRanges.begin(), aFetch.mRanges.end(), [](const auto& aRange) {
+      return aRange.mBytes.size() == aRange.mRange.mLength;
+    });
+}
+
+// The ledger bounds a lease so that its lines fit into a frame; what does not
+// fit all the same goes back.
 void
 FinishItems(ControlStep& aStep, ItemBodies aBodies, BlobFetch& aFetch)
 {
@@ -55,12 +78,7 @@
   for (size_t at = 0; at < aBodies.mBatch.mItems.size(); ++at) {
     BatchItem& item = aBodies.mBatch.mItems[at];
     std::string& body = aFetch.mRanges[at].mBytes;
-    if (body.size() > kMaxBatchBytes) {
-      back.push_back({ item.mIndex,
-                       ItemVerdict::ePermanent,
-                       0,
-                       "the input line is larger than 768 KiB; shorten it" });
-    } else if (bytes + body.size() > kMaxBatchBytes) {
+    if (bytes + body.size() > kMaxLineBytes) {
       back.push_back({ item.mIndex, ItemVerdict::eReturned, 0, {} });
     } else {
       bytes += body.size();
@@ -89,6 +107,7 @@
 void
 FailPiece(ControlStep& aStep, FilePiece aPiece)
 {
+  Log(aStep, "read_file", "failed", "a blob could not be read");
   aPiece.mReply.mBody =
     CallFailed{ ErrorKind::eUnavailable,
                 "the file could not be read; try again later" };
@@ -98,8 +117,8 @@
 void
 FailFetch(ControlStep& aStep, FetchPurpose aPurpose)
 {
-  if (auto* bodies = std::get_if<ItemBodies>(&aPurpose)) {
-    HandBackAll(aStep, *bodies);
+  if (const auto* bodies = std::get_if<ItemBodies>(&aPurpose)) {
+    FailItems(aStep, *bodies);
   } else {
     FailPiece(aStep, std::move(std::get<FilePiece>(aPurpose)));
   }
@@ -121,21 +140,36 @@
   }
 }
 
-// The index records are read; goes on with the data they name.
+// The index records are read; goes on with the data they name. An ended job may
+// have items without a result; their records are empty and are left out.
 void
 ReadData(ControlStep& aStep, BlobFetch aFetch)
 {
+  auto* piece = std::get_if<FilePiece>(&aFetch.mPurpose);
   std::vector<BlobRange> ranges;
-  for (const FetchedRange& record : aFetch.mRanges) {
+  std::vector<uint32_t> items;
+  for (size_t at = 0; at < aFetch.mRanges.size(); ++at) {
+    const FetchedRange& record = aFetch.mRanges[at];
     absl::StatusOr<BlobRange> range = DataRange(record.mRange, record.mBytes);
-    if (!range.ok()) {
+    if (range.ok()) {
+      ranges.push_back(*std::move(range));
+      if (piece != nullptr) {
+        items.push_back(piece->mItems[at]);
+      }
+    } else if (piece == nullptr ||
+               KindOf(range.status()) != ErrorKind::eNotFound) {
       FailFetch(aStep, std::move(aFetch.mPurpose));
       return;
     }
-    ranges.push_back(*std::move(range));
   }
-  if (auto* piece = std::get_if<FilePiece>(&aFetch.mPurpose)) {
+  if (piece != nullptr) {
+    piece->mItems = std::move(items);
     CutPiece(*piece, ranges);
+    if (ranges.empty()) {
+      BlobFetch none;
+      FinishPiece(aStep, std::move(*piece), none);
+      return;
+    }
   }
   StartReads(aStep, std::move(aFetch.mPurpose), false, ranges);
 }
@@ -169,7 +203,7 @@
 {
   if (aBatch.mItems.empty()) {
     if (aBatch.mRetryAfter <= Duration{}) {
-      aBatch.mRetryAfter = Seconds(1);
+      aBatch.mRetryAfter = kAskAgain;
     }
     Send(aStep, aTo, std::move(aBatch));
     return;
@@ -180,7 +214,7 @@
     absl::StatusOr<BlobRange> record = ItemIndexRecord(
       aStep.mControl.mState.mLedger, bodies.mBatch.mJob, item.mIndex);
     if (!record.ok()) {
-      HandBackAll(aStep, bodies);
+      FailItems(aStep, bodies);
       return;
     }
     records.push_back(*std::move(record));
@@ -197,7 +231,7 @@
   if (!fetch || !MayServe(aStep)) {
     return;
   }
-  if (fetch->mFailed) {
+  if (fetch->mFailed || (!fetch->mIndexes && !IsWhole(*fetch))) {
     FailFetch(aStep, std::move(fetch->mPurpose));
   } else if (fetch->mIndexes) {
     ReadData(aStep, *std::move(fetch));
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -18,7 +18,7 @@
 constexpr size_t kResultsPerCommandBytes = 512 * 1024;
 
 // A single result above this does not fit into a log entry.
-constexpr size_t kMaxResultBytes = 640 * 1024;
+constexpr size_t kMaxLoggedResult = 640 * 1024;
 
 const ConfigView&
 ViewOf(const ControlStep& aStep)
@@ -92,6 +92,18 @@
   return std::nullopt;
 }
 
+// True if the file that the call reads has content.
+bool
+HasBytes(const ControlStep& aStep, const ControlCall& aCall)
+{
+  ControlCall describe = aCall;
+  describe.mBody = DescribeFile{ std::get<ReadFile>(aCall.mBody).mFile };
+  const CallReplyBody described =
+    ReadCall(aStep.mControl.mState.mLedger, LogicalNow(aStep), describe);
+  const auto* file = std::get_if<FileReply>(&described);
+  return file != nullptr && file->mFile.mBytes > 0;
+}
+
 void
 ReadFilePiece(ControlStep& aStep,
               const PeerAddress& aFrom,
@@ -103,7 +115,8 @@
     Reply(aStep, aFrom, aCall, FailedBy(plan.status()));
     return;
   }
-  if (plan->mRanges.empty()) {
+  // The blobs of a job without any result don't exist.
+  if (plan->mRanges.empty() || (!plan->mDirect && !HasBytes(aStep, aCall))) {
     Reply(
       aStep, aFrom, aCall, FileBytesReply{ {}, plan->mNextOffset, plan->mEnd });
     return;
@@ -148,7 +161,7 @@
       bytes = 0;
     }
     commands.back().mResults.push_back(result);
-    if (result.mBody.size() > kMaxResultBytes) {
+    if (result.mBody.size() > kMaxLoggedResult) {
       ItemResult& stored = commands.back().mResults.back();
       stored.mVerdict = ItemVerdict::ePermanent;
       stored.mBody = "the response is larger than 640 KiB; ask for a shorter "
--- a/caraway/control/status_page.cpp
+++ b/caraway/control/status_page.cpp
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr size_t kJobsShown = 100;
+
 Json
 ReplicasJson(const Control& aControl)
 {
@@ -78,6 +80,31 @@
   return list;
 }
 
+// Counts of batch jobs, and the first ones that will miss their deadlines.
+void
+AddJobs(const Ledger& aLedger, Json& aJson)
+{
+  uint64_t running = 0;
+  uint64_t atRisk = 0;
+  Json list = Json::array();
+  for (const auto& [workspace, space] : aLedger.mWorkspaces) {
+    running += space.mWork.size();
+    for (const auto& [job, work] : space.mWork) {
+      if (!work.mAtRisk) {
+        continue;
+      }
+      ++atRisk;
+      if (list.size() < kJobsShown) {
+        list.push_back(
+          { { "workspace", workspace.mValue }, { "job", job.mValue } });
+      }
+    }
+  }
+  aJson["jobs_running"] = running;
+  aJson["jobs_at_risk_count"] = atRisk;
+  aJson["jobs_at_risk"] = std::move(list);
+}
+
 } // namespace
 
 std::string
@@ -97,6 +124,7 @@
   json["zones"] = ZonesJson(view);
   json["contracts"] = view.mContracts.size();
   json["keys"] = view.mKeys.size();
+  AddJobs(control.mState.mLedger, json);
   json["members"] = Json::array();
   for (const auto& [instance, member] : view.mMembers) {
     json["members"].push_back(MemberJson(aStep, member));
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -23,7 +23,6 @@
 // A line travels to a node inside one frame of 1 MiB, which needs some room for
 // the message around it.
 constexpr uint64_t kMaxLineBytes = (uint64_t{ 1 } << 20) - 16384;
-constexpr uint64_t kMaxPartBytes = 256 * 1024;
 constexpr uint64_t kMaxFileParts = 16384; // 64 KiB each in a file of 1 GiB
 // An output line is read back in one reply of 256 KiB.
 constexpr uint64_t kMaxResultBytes = 256 * 1024 - 1;
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -14,6 +14,8 @@
 
 namespace caraway {
 
+constexpr size_t kMaxPartBytes = 256 * 1024; // body bytes of one piece
+
 struct FileInfo
 {
   FileId mId;
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -51,7 +51,6 @@
                              LoadOrderReply>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20;   // length of one encoded message
-constexpr size_t kMaxPartBytes = 256 * 1024; // body bytes of one piece
 
 // The message's type name, for logs and metrics.
 std::string_view
