--- a/caraway/control/config_polls.cpp
+++ b/caraway/control/config_polls.cpp
@@ -136,6 +136,7 @@
     return { Answer(aPolls, aNow, aHistory, aFrom, aFetch) };
   }
   aPolls.mPolls[aFrom] = { aFetch, aNow + kPollLength };
+  aPolls.mNextDue = std::min(aPolls.mNextDue, aNow + kPollLength);
   return {};
 }
 
@@ -143,9 +144,11 @@
 AnswerPolls(ConfigPolls& aPolls, MonoTime aNow, const ConfigHistory& aHistory)
 {
   std::vector<SendMessage> answers;
+  aPolls.mNextDue = kNever;
   for (auto poll = aPolls.mPolls.begin(); poll != aPolls.mPolls.end();) {
     const ConfigFetch& fetch = poll->second.mFetch;
     if (poll->second.mDue > aNow && !IsBehind(aHistory, fetch)) {
+      aPolls.mNextDue = std::min(aPolls.mNextDue, poll->second.mDue);
       ++poll;
       continue;
     }
@@ -161,11 +164,7 @@
 MonoTime
 NextPollDue(const ConfigPolls& aPolls)
 {
-  MonoTime due = kNever;
-  for (const auto& [from, poll] : aPolls.mPolls) {
-    due = std::min(due, poll.mDue);
-  }
-  return due;
+  return aPolls.mNextDue;
 }
 
 } // namespace caraway
--- a/caraway/control/config_polls.h
+++ b/caraway/control/config_polls.h
@@ -29,6 +29,7 @@
 {
   std::map<PeerAddress, ConfigPoll> mPolls; // one per holder
   std::map<ConfigScope, CachedSnapshot> mSnapshots;
+  MonoTime mNextDue = kNever;  // at or before the first due poll
   uint64_t mDeltas = 0;        // answers with changes, for metrics
   uint64_t mSnapshotParts = 0; // for metrics
 };
@@ -49,6 +50,7 @@
 std::vector<SendMessage>
 AnswerPolls(ConfigPolls& aPolls, MonoTime aNow, const ConfigHistory& aHistory);
 
+// May be too early, never too late.
 MonoTime
 NextPollDue(const ConfigPolls& aPolls);
 
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -50,7 +50,7 @@
                              LoadOrder,
                              LoadOrderReply>;
 
-constexpr size_t kMaxFrameBytes = 1 << 20;   // length of one encoded message
+constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
 // The message's type name, for logs and metrics.
 std::string_view
--- /dev/null
+++ b/tests/control_batch_test.cpp
@@ -0,0 +1,358 @@
+// Batch work through the role: files, leases with bodies, results, output, and
+// what becomes of items when a node or a leader is lost.
+#define BOOST_TEST_MODULE control_batch
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "caraway/control/blob_fetch.h"
+#include "tests/control_link.h"
+
+using namespace caraway;
+
+namespace {
+
+const WorkspaceId kWorkspace("lindholt");
+const ModelId kModel("tekst-model");
+
+// A registered process that keeps the answers it gets.
+struct Caller
+{
+  ControlLink& mLink;
+  Member mMember;
+  Epoch mEpoch;
+  std::vector<Message> mAnswers;
+
+  Caller(ControlLink& aLink, const std::string& aName, MemberRole aRole)
+    : mLink(aLink)
+  {
+    mMember.mInstance = InstanceId(aName);
+    mMember.mAddress = PeerAddress(aName + ":1");
+    mMember.mRole = aRole;
+    mMember.mIncarnation = 1;
+    mLink.mPeers[mMember.mAddress] = [this](const PeerAddress&,
+                                            const Message& aMessage) {
+      mAnswers.push_back(aMessage);
+    };
+    mEpoch = Ask<RegisterReply>(Register{ mMember, 0 }).mEpoch;
+    BOOST_REQUIRE(!mEpoch.IsNone());
+  }
+
+  void Send(Message aMessage)
+  {
+    mLink.SendFrom(mMember.mAddress,
+                   ControlLink::AddressOf(mLink.Leader().value()),
+                   std::move(aMessage));
+  }
+
+  template<class T>
+  const T* Find() const
+  {
+    for (const Message& message : mAnswers) {
+      if (const T* found = std::get_if<T>(&message)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  template<class T>
+  T Ask(Message aMessage)
+  {
+    mAnswers.clear();
+    Send(std::move(aMessage));
+    for (int round = 0; round < 50 && Find<T>() == nullptr; ++round) {
+      mLink.Run(Millis(5));
+    }
+    BOOST_REQUIRE(Find<T>() != nullptr);
+    return *Find<T>();
+  }
+
+  CallReplyBody Call(CallBody aBody)
+  {
+    static uint64_t sCall = 0;
+    ControlCall call;
+    call.mCall = ++sCall;
+    call.mEntry = mMember.mInstance;
+    call.mEntryEpoch = mEpoch;
+    call.mWorkspace = kWorkspace;
+    call.mBody = std::move(aBody);
+    ControlCallReply reply = Ask<ControlCallReply>(call);
+    BOOST_TEST(reply.mCall == call.mCall);
+    return reply.mBody;
+  }
+
+  LeaseItems LeaseOf(uint64_t aSequence, uint32_t aWanted) const
+  {
+    LeaseItems lease;
+    lease.mNode = mMember.mInstance;
+    lease.mNodeEpoch = mEpoch;
+    lease.mSequence = aSequence;
+    lease.mModels = { kModel };
+    lease.mWanted = aWanted;
+    return lease;
+  }
+
+  ItemResults ResultsOf(const ItemBatch& aBatch, uint64_t aSequence) const
+  {
+    ItemResults results;
+    results.mNode = mMember.mInstance;
+    results.mNodeEpoch = mEpoch;
+    results.mSequence = aSequence;
+    results.mJob = aBatch.mJob;
+    results.mToken = aBatch.mToken;
+    for (const BatchItem& item : aBatch.mItems) {
+      results.mResults.push_back(
+        { item.mIndex, ItemVerdict::eDone, 200, R"({"ok":1})" });
+    }
+    return results;
+  }
+};
+
+std::string
+LineOf(uint32_t aItem)
+{
+  return R"({"custom_id":"c)" + std::to_string(aItem) + R"(","body":{}})";
+}
+
+struct Batch
+{
+  ControlLink mLink{ 3 };
+  std::optional<Caller> mEntry;
+  std::optional<Caller> mNode;
+
+  Batch()
+  {
+    mLink.StartAll();
+    BOOST_REQUIRE(mLink.AwaitLeader());
+    BOOST_REQUIRE(mLink
+                    .Write("PUT",
+                           "/admin/contracts/lindholt",
+                           R"({"rate":1,"burst":1,"max_batch_items":1000})")
+                    .mStatus == 200);
+    mEntry.emplace(mLink, "entry-1", MemberRole::eEntry);
+    mNode.emplace(mLink, "node-1", MemberRole::eNode);
+  }
+
+  void Upload(const std::string& aFile, const std::string& aBytes)
+  {
+    for (size_t at = 0; at < aBytes.size(); at += kMaxPartBytes) {
+      const bool last = at + kMaxPartBytes >= aBytes.size();
+      const CallReplyBody reply =
+        mEntry->Call(PutFilePart{ FileId(aFile),
+                                  "in.jsonl",
+                                  "batch",
+                                  at,
+                                  aBytes.substr(at, kMaxPartBytes),
+                                  last });
+      BOOST_REQUIRE(std::holds_alternative<FileReply>(reply));
+    }
+  }
+
+  CallReplyBody Create(const std::string& aJob, const std::string& aFile)
+  {
+    CreateJob create;
+    create.mJob = JobId(aJob);
+    create.mInput = FileId(aFile);
+    create.mEndpoint = "/v1/chat/completions";
+    create.mModel = kModel;
+    create.mMaxItems = 1 << 30; // an entry with an old contract
+    return mEntry->Call(create);
+  }
+
+  void Start(uint32_t aItems)
+  {
+    std::string bytes;
+    for (uint32_t item = 0; item < aItems; ++item) {
+      bytes += LineOf(item) + "\n";
+    }
+    Upload("file-1", bytes);
+    BOOST_REQUIRE(
+      std::holds_alternative<JobReply>(Create("batch_1", "file-1")));
+  }
+
+  std::string ReadOutput()
+  {
+    std::string bytes;
+    ReadFile read{ FileId("file-output-batch_1"), 0 };
+    for (int part = 0; part < 100; ++part) {
+      const CallReplyBody reply = mEntry->Call(read);
+      BOOST_REQUIRE(std::holds_alternative<FileBytesReply>(reply));
+      const auto& piece = std::get<FileBytesReply>(reply);
+      BOOST_TEST(piece.mBytes.size() <= kMaxPartBytes);
+      bytes += piece.mBytes;
+      read.mOffset = piece.mNextOffset;
+      if (piece.mEnd) {
+        break;
+      }
+    }
+    return bytes;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(items_arrive_with_bodies_and_results_are_read, Batch)
+{
+  Start(100);
+  uint64_t sequence = 0;
+  uint32_t next = 0;
+  while (next < 100) {
+    const ItemBatch batch =
+      mNode->Ask<ItemBatch>(mNode->LeaseOf(++sequence, 40));
+    BOOST_REQUIRE(!batch.mItems.empty());
+    for (const BatchItem& item : batch.mItems) {
+      BOOST_TEST(item.mIndex == next++);
+      BOOST_TEST(item.mBody == LineOf(item.mIndex));
+    }
+    const auto ack =
+      mNode->Ask<ItemResultsAck>(mNode->ResultsOf(batch, sequence));
+    BOOST_TEST(!ack.mStale);
+  }
+  const std::string output = ReadOutput();
+  BOOST_TEST(std::count(output.begin(), output.end(), '\n') == 100);
+  const ItemBatch none = mNode->Ask<ItemBatch>(mNode->LeaseOf(++sequence, 40));
+  BOOST_TEST(none.mItems.empty());
+  BOOST_TEST((none.mRetryAfter > Duration{}));
+}
+
+// The answer to a lease was lost and all items are leased by now. Without the
+// same items again they would wait for the end of the session.
+BOOST_FIXTURE_TEST_CASE(resent_lease_gets_the_same_items, Batch)
+{
+  Start(10);
+  const ItemBatch first = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  BOOST_TEST(first.mItems.size() == 10u);
+  const ItemBatch again = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  BOOST_TEST((again.mToken == first.mToken));
+  BOOST_TEST(again.mItems.size() == 10u);
+  mLink.Kill(mLink.Leader().value());
+  BOOST_REQUIRE(mLink.AwaitLeader());
+  const ItemBatch later = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  BOOST_TEST((later.mToken == first.mToken));
+  BOOST_TEST(later.mItems.size() == 10u);
+}
+
+// An acknowledged result must survive the loss of the leader right after.
+BOOST_FIXTURE_TEST_CASE(acknowledged_results_survive_the_leader, Batch)
+{
+  Start(10);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  mNode->Ask<ItemResultsAck>(mNode->ResultsOf(batch, 1));
+  for (int round = 0; round < 2; ++round) {
+    const size_t killed = mLink.Leader().value();
+    mLink.Kill(killed);
+    BOOST_REQUIRE(mLink.AwaitLeader());
+    const std::string output = ReadOutput();
+    BOOST_TEST(std::count(output.begin(), output.end(), '\n') == 10);
+    mLink.Start(killed);
+    mLink.Run(Seconds(2));
+  }
+}
+
+// Both members stay silent: after lease and grace the items are free, and the
+// lost node's late results are refused.
+BOOST_FIXTURE_TEST_CASE(items_of_a_lost_node_are_leased_again, Batch)
+{
+  Start(10);
+  const ItemBatch lost = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  mLink.Run(Seconds(6));
+  Caller other(mLink, "node-2", MemberRole::eNode);
+  const ItemBatch taken = other.Ask<ItemBatch>(other.LeaseOf(1, 64));
+  BOOST_TEST(taken.mItems.size() == 10u);
+  const auto late = mNode->Ask<ItemResultsAck>(mNode->ResultsOf(lost, 1));
+  BOOST_TEST(late.mStale);
+  const auto reply = mNode->Ask<RenewReply>(mNode->LeaseOf(2, 64));
+  BOOST_TEST((reply.mVerdict == RenewVerdict::eUnknownSession));
+}
+
+BOOST_FIXTURE_TEST_CASE(cancelled_job_is_revoked_at_its_nodes, Batch)
+{
+  Start(10);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 4));
+  mNode->mAnswers.clear();
+  mEntry->Call(CancelJob{ JobId("batch_1") });
+  mLink.Run(Millis(20));
+  const auto* revoked = mNode->Find<ItemsRevoked>();
+  BOOST_REQUIRE(revoked != nullptr);
+  BOOST_TEST((revoked->mJob == batch.mJob));
+  BOOST_TEST(mNode->Ask<ItemResultsAck>(mNode->ResultsOf(batch, 1)).mStale);
+  // A job without any result has no blobs; its output is empty, not an error.
+  BOOST_TEST(ReadOutput().empty());
+}
+
+// A cancelled job keeps the results that were accepted, in item order.
+BOOST_FIXTURE_TEST_CASE(output_of_a_cancelled_job_skips_open_items, Batch)
+{
+  Start(300);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 20));
+  ItemResults results = mNode->ResultsOf(batch, 1);
+  std::erase_if(results.mResults, [](const ItemResult& aResult) {
+    return aResult.mIndex % 2 == 0;
+  });
+  BOOST_TEST(!mNode->Ask<ItemResultsAck>(results).mStale);
+  mEntry->Call(CancelJob{ JobId("batch_1") });
+  const std::string output = ReadOutput();
+  BOOST_TEST(std::count(output.begin(), output.end(), '\n') == 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(limits_follow_from_the_contract_of_control, Batch)
+{
+  std::string bytes;
+  for (int line = 0; line < 1001; ++line) {
+    bytes += "{}\n";
+  }
+  Upload("file-2", bytes);
+  const CallReplyBody refused = Create("batch_2", "file-2");
+  BOOST_REQUIRE(std::holds_alternative<CallFailed>(refused));
+  BOOST_TEST((std::get<CallFailed>(refused).mKind == ErrorKind::eTooLarge));
+  mLink.Write("DELETE", "/admin/contracts/lindholt");
+  const CallReplyBody ended = Create("batch_3", "file-2");
+  BOOST_REQUIRE(std::holds_alternative<CallFailed>(ended));
+  BOOST_TEST((std::get<CallFailed>(ended).mKind == ErrorKind::eNotPermitted));
+}
+
+// Input lines up to the ledger's limit must fit into the frames they travel in.
+BOOST_FIXTURE_TEST_CASE(longest_lines_fit_into_frames, Batch)
+{
+  const std::string line(kMaxLineBytes, 'x');
+  Upload("file-1", line + "\n" + line + "\n");
+  BOOST_REQUIRE(std::holds_alternative<JobReply>(Create("batch_1", "file-1")));
+  for (uint64_t sequence = 1; sequence <= 2; ++sequence) {
+    const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(sequence, 64));
+    BOOST_REQUIRE(batch.mItems.size() == 1u);
+    BOOST_TEST(batch.mItems[0].mBody.size() == line.size());
+    BOOST_TEST(EncodeMessage(batch).size() <= kMaxFrameBytes);
+  }
+}
+
+// Results of one message that exceed a log entry are split.
+BOOST_FIXTURE_TEST_CASE(large_results_are_split_over_log_entries, Batch)
+{
+  Start(8);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  ItemResults results = mNode->ResultsOf(batch, 1);
+  for (ItemResult& result : results.mResults) {
+    result.mBody = R"({"text":")" + std::string(120 * 1024, 'y') + R"("})";
+  }
+  BOOST_TEST(!mNode->Ask<ItemResultsAck>(results).mStale);
+  const std::string output = ReadOutput();
+  BOOST_TEST(std::count(output.begin(), output.end(), '\n') == 8);
+  BOOST_TEST(output.size() > 8u * 120 * 1024);
+}
+
+// A replica that cannot read durable input must stop, so that another serves.
+BOOST_FIXTURE_TEST_CASE(unreadable_input_halts_the_leader, Batch)
+{
+  Start(10);
+  const size_t leader = mLink.Leader().value();
+  for (auto& [name, blob] : mLink.mReplicas[leader].mDisk.mBlobs) {
+    blob.clear();
+  }
+  mNode->Send(mNode->LeaseOf(1, 64));
+  mLink.Run(Millis(50));
+  BOOST_TEST(mLink.mReplicas[leader].mHalted);
+  BOOST_REQUIRE(mLink.AwaitLeader());
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
+  BOOST_TEST(batch.mItems.size() == 10u);
+}
--- a/tests/control_link.h
+++ b/tests/control_link.h
@@ -257,13 +257,17 @@
   }
   void Do(size_t aReplica, ReadBlob& aRead)
   {
-    const std::string& blob = mReplicas[aReplica].mDisk.mBlobs[aRead.mName];
-    const bool ok = aRead.mOffset <= blob.size();
-    Post(aReplica,
-         mNow + mSync,
-         BlobRead{ aRead.mRead,
-                   ok,
-                   ok ? blob.substr(aRead.mOffset, aRead.mLength) : "" });
+    const auto& blobs = mReplicas[aReplica].mDisk.mBlobs;
+    const auto blob = blobs.find(aRead.mName);
+    BlobRead read{ aRead.mRead, blob != blobs.end(), {} };
+    if (read.mOk && aRead.mOffset < blob->second.size()) {
+      read.mBytes = blob->second.substr(aRead.mOffset, aRead.mLength);
+    }
+    Post(aReplica, mNow + mSync, std::move(read));
+  }
+  void Do(size_t aReplica, RemoveBlob& aRemove)
+  {
+    mReplicas[aReplica].mDisk.mBlobs.erase(aRemove.mName);
   }
   void Do(size_t aReplica, Halt&) { mReplicas[aReplica].mHalted = true; }
   void Do(size_t aReplica, Stopped&) { mReplicas[aReplica].mStopped = true; }
@@ -296,7 +300,7 @@
   {
     for (size_t at = 0; at < mReplicas.size(); ++at) {
       const auto& control = mReplicas[at].mControl;
-      if (control && control->mLeadership.mStarted &&
+      if (control && !control->mHalted && control->mLeadership.mStarted &&
           HoldsLeaderLease(control->mRaft, mNow)) {
         return at;
       }
