--- a/caraway/entry/control_calls.cpp
+++ b/caraway/entry/control_calls.cpp
@@ -45,13 +45,15 @@
   return number;
 }
 
-// The leader could not serve the call; it is sent again.
+// The leader could not serve the call; it is sent again. After a stale epoch
+// that happens under the next session.
 bool
 IsTransient(const CallReplyBody& aBody)
 {
   const auto* failed = std::get_if<CallFailed>(&aBody);
   return failed != nullptr && (failed->mKind == ErrorKind::eUnavailable ||
-                               failed->mKind == ErrorKind::eNotLeader);
+                               failed->mKind == ErrorKind::eNotLeader ||
+                               failed->mKind == ErrorKind::eStaleEpoch);
 }
 
 } // namespace
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "caraway/base/visitor.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/completion_request.h"
 #include "caraway/entry/control_calls.h"
@@ -304,14 +305,6 @@
   FailRequest(aStep, aRequest, std::move(error));
 }
 
-template<class... Ts>
-struct Overloaded : Ts...
-{
-  using Ts::operator()...;
-};
-template<class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 } // namespace
 
 void
@@ -362,7 +355,7 @@
                        const CallReplyBody& aBody)
 {
   std::visit(
-    Overloaded{
+    Visitor{
       [&](const CallFailed& aFailed) { TakeFailure(aStep, aRequest, aFailed); },
       [&](const CallDone&) { TakeDone(aStep, aRequest); },
       [&](const FileReply& aReply) { TakeFile(aStep, aRequest, aReply.mFile); },
