--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -125,10 +125,7 @@
   std::deque<uint64_t>& parked = aStep.mEntry.mParked;
   parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
                parked.end());
-  // Tokens may have come back from other requests meanwhile.
-  if (!TryOnce(aStep, aRequest, true)) {
-    RefuseRate(aStep, aRequest, Seconds(1));
-  }
+  RefuseRate(aStep, aRequest, Seconds(1));
 }
 
 void
--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -310,7 +310,6 @@
   aRequest.mSerial = serial;
   aRequest.mId = NewRequestId(entry.mRandom);
   aRequest.mReceivedAt = aStep.mNow;
-  aRequest.mTarget.mHeaders.emplace_back("X-Request-Id", aRequest.mId.mValue);
   entry.mByCall[aRequest.mCall] = serial;
   entry.mById[aRequest.mId] = serial;
   CallerRequest& accepted =
--- a/caraway/entry/claims.cpp
+++ b/caraway/entry/claims.cpp
@@ -104,6 +104,11 @@
       error.mRetryAfter = Seconds(1);
       break;
     case ClaimVerdict::eUnknown:
+      // If the claim is this request's own, of a session that has ended, it is
+      // free again; the ledger ignores a release by any other request.
+      CallControlInBackground(aStep,
+                              aRequest.mWorkspace,
+                              ReleaseClaim{ aRequest.mClaimKey, aRequest.mId });
       error = UnknownError();
       break;
     case ClaimVerdict::eMismatch:
--- a/caraway/entry/control_request.cpp
+++ b/caraway/entry/control_request.cpp
@@ -19,7 +19,7 @@
 using Json = nlohmann::json;
 
 constexpr uint64_t kMaxFileBytes = 512ULL << 20;
-constexpr uint64_t kMaxUploadBytes = 8ULL << 30;
+constexpr uint64_t kMaxUploadBytes = 1ULL << 30; // as in the ledger
 constexpr uint64_t kMaxUploadPartBytes = 64ULL << 20;
 constexpr size_t kMaxNameBytes = 256;
 constexpr size_t kMaxMetadataBytes = 16 * 1024;
@@ -119,7 +119,7 @@
   }
   aWork.mDeclared = bytes->get<uint64_t>();
   if (aWork.mDeclared > kMaxUploadBytes) {
-    return TooLarge("the upload is larger than 8 GiB",
+    return TooLarge("the upload is larger than 1 GiB",
                     "split the file into several");
   }
   aWork.mFile = NewFileId(aRandom);
--- a/caraway/entry/inquiry.cpp
+++ b/caraway/entry/inquiry.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kQueryInterval = Millis(300);
 constexpr Duration kSilence = Seconds(1);
 // An idempotent call goes elsewhere after this many unanswered queries; a
-// non-idempotent one is asked about until its deadline.
+// non-idempotent one is asked about until its deadline, or given up at a node
+// that control has removed.
 constexpr uint32_t kQueriesBeforeRetry = 3;
 
 CallerRequest*
@@ -96,6 +97,15 @@
   ScheduleRequest(aStep, aRequest);
 }
 
+// Control has removed the node or given it a new epoch. Its process may still
+// be at work, if only its session ended; a query finds out.
+bool
+IsGone(const Entry& aEntry, const Attempt& aAttempt)
+{
+  const Member* node = NodeOf(aEntry, aAttempt.mNode);
+  return node == nullptr || node->mEpoch != aAttempt.mNodeEpoch;
+}
+
 void
 NodeIsGone(EntryStep& aStep, CallerRequest& aRequest)
 {
@@ -205,8 +215,12 @@
     ScheduleRequest(aStep, aRequest);
     return;
   }
-  if (aRequest.mTarget.mIdempotent &&
-      attempt.mUnanswered >= kQueriesBeforeRetry) {
+  const bool silent = attempt.mUnanswered >= kQueriesBeforeRetry;
+  if (silent && IsGone(aStep.mEntry, attempt)) {
+    NodeIsGone(aStep, aRequest);
+    return;
+  }
+  if (silent && aRequest.mTarget.mIdempotent) {
     NoteTargetFailure(aStep, attempt);
     Send(aStep,
          attempt.mAddress,
@@ -250,10 +264,9 @@
 {
   for (uint64_t serial : RunningSerials(aStep.mEntry)) {
     CallerRequest& request = aStep.mEntry.mRequests.at(serial);
-    const Attempt& attempt = request.mAttempts.back();
-    const Member* node = NodeOf(aStep.mEntry, attempt.mNode);
-    if (node == nullptr || node->mEpoch != attempt.mNodeEpoch) {
-      NodeIsGone(aStep, request);
+    Attempt& attempt = request.mAttempts.back();
+    if (IsGone(aStep.mEntry, attempt) && attempt.mUnanswered == 0) {
+      SendQuery(aStep, request, attempt);
     }
   }
 }
--- a/caraway/entry/relay.h
+++ b/caraway/entry/relay.h
@@ -22,7 +22,8 @@
 void
 AttemptsPeerLost(EntryStep& aStep, const PeerAddress& aPeer);
 
-// Members changed: attempts at nodes that are gone or have started again fail.
+// Members changed: asks about attempts at nodes that are gone or have started
+// again. They fail once that is confirmed or nobody answers.
 void
 AttemptsTopologyChanged(EntryStep& aStep);
 
