--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -132,7 +132,7 @@
 SendGrantRequests(EntryStep& aStep)
 {
   Entry& entry = aStep.mEntry;
-  if (entry.mSession.mEpoch.IsNone() || entry.mDrain.mStopped) {
+  if (entry.mSession.mEpoch.IsNone()) {
     return;
   }
   if (auto request = NextGrantRequest(entry.mTokens, aStep.mNow)) {
--- a/caraway/entry/config_fetch.cpp
+++ b/caraway/entry/config_fetch.cpp
@@ -56,7 +56,7 @@
 {
   Entry& entry = aStep.mEntry;
   ConfigFetcher& fetcher = entry.mFetcher;
-  if (entry.mSettings.mControl.empty() || entry.mDrain.mStopped) {
+  if (entry.mSettings.mControl.empty()) {
     return;
   }
   if (aStep.mNow >= fetcher.mReplyBy) {
@@ -79,7 +79,7 @@
 FetchWakeup(const Entry& aEntry)
 {
   const ConfigFetcher& fetcher = aEntry.mFetcher;
-  if (aEntry.mSettings.mControl.empty() || aEntry.mDrain.mStopped) {
+  if (aEntry.mSettings.mControl.empty()) {
     return kNever;
   }
   return fetcher.mReplyBy != kNever ? fetcher.mReplyBy : fetcher.mNextFetch;
--- a/caraway/entry/drain.cpp
+++ b/caraway/entry/drain.cpp
@@ -63,7 +63,7 @@
 {
   Entry& entry = aStep.mEntry;
   DrainState& drain = entry.mDrain;
-  if (drain.mStopped || !RefusesNewWork(entry, aStep.mNow)) {
+  if (!RefusesNewWork(entry, aStep.mNow)) {
     return;
   }
   drain.mWoken = true;
@@ -73,8 +73,7 @@
   if (drain.mLeaveAt == kNever) {
     drain.mLeaveAt = aStep.mNow;
     drain.mNextLeave = aStep.mNow;
-  }
-  if (HasLeft(entry) || aStep.mNow >= drain.mLeaveAt + kLeaveLimit) {
+  } else if (HasLeft(entry) || aStep.mNow >= drain.mLeaveAt + kLeaveLimit) {
     Stop(aStep);
     return;
   }
@@ -90,7 +89,7 @@
 DrainWakeup(const Entry& aEntry)
 {
   const DrainState& drain = aEntry.mDrain;
-  if (drain.mStopped || drain.mSince == kNever) {
+  if (drain.mSince == kNever) {
     return kNever;
   }
   // While requests are in progress their own timers wake the entry.
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -185,13 +185,15 @@
 {
   EntryStep step{ aEntry, aNow, aOut };
   HandleEvent(step, aEvent);
-  TickRequests(step);
-  TickCalls(step);
-  TickFetch(step);
-  TickSession(step);
-  TickWatch(step);
-  SendGrantRequests(step);
-  TickDrain(step);
+  if (!aEntry.mDrain.mStopped) {
+    TickRequests(step);
+    TickCalls(step);
+    TickFetch(step);
+    TickSession(step);
+    TickWatch(step);
+    SendGrantRequests(step);
+    TickDrain(step);
+  }
   for (uint64_t serial : aEntry.mFinished) {
     aEntry.mRequests.erase(serial);
   }
@@ -201,13 +203,16 @@
 MonoTime
 NextWakeup(const Entry& aEntry)
 {
+  if (aEntry.mDrain.mStopped) {
+    return kNever;
+  }
   MonoTime next = std::min({ FirstDue(aEntry.mRequestTimers),
                              FirstDue(aEntry.mCallTimers),
                              SessionWakeup(aEntry),
                              FetchWakeup(aEntry),
                              aEntry.mNextWatch,
                              DrainWakeup(aEntry) });
-  if (!aEntry.mSession.mEpoch.IsNone() && !aEntry.mDrain.mStopped) {
+  if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
   }
   return next;
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -114,7 +114,7 @@
 TickSession(EntryStep& aStep)
 {
   Session& session = aStep.mEntry.mSession;
-  if (aStep.mEntry.mDrain.mStopped || session.mLeader.Empty()) {
+  if (session.mLeader.Empty()) {
     return;
   }
   if (aStep.mNow >= session.mReplyBy) {
@@ -142,7 +142,7 @@
 SessionWakeup(const Entry& aEntry)
 {
   const Session& session = aEntry.mSession;
-  if (aEntry.mDrain.mStopped || session.mLeader.Empty()) {
+  if (session.mLeader.Empty()) {
     return kNever;
   }
   return std::min({ session.mNextSend, session.mReplyBy, session.mResendAt });
--- /dev/null
+++ b/tests/entry_session_test.cpp
@@ -0,0 +1,280 @@
+// Guards against work accepted without a lease, a configuration that reverts,
+// keys and zones that stay in force, a lost leader, and stops that interrupt
+// requests.
+#define BOOST_TEST_MODULE entry_session
+#include <boost/test/unit_test.hpp>
+
+#include "entry_rig.h"
+
+using namespace caraway;
+
+namespace {
+
+struct OneNode : EntryRig
+{
+  OneNode()
+  {
+    AddNode("a1", 11);
+    mSent.clear();
+  }
+
+  std::string Ready()
+  {
+    return std::to_string(Status(HttpWith("GET", "/readyz", "", {})));
+  }
+
+  // The entry's own member record, as control distributes it.
+  void AddSelf()
+  {
+    Member self;
+    self.mInstance = InstanceId("entry-1");
+    self.mEpoch = Epoch(100);
+    Change(SetMember{ self });
+    mSent.clear();
+  }
+
+  void Redirect(const PeerAddress& aFrom, const char* aLeader)
+  {
+    Receive(aFrom, NotLeader{ PeerAddress(aLeader) });
+  }
+
+  // Where the last message of this type went.
+  template<class T>
+  std::string LastTo()
+  {
+    std::string to;
+    for (const auto& [peer, message] : mSent) {
+      if (std::holds_alternative<T>(message)) {
+        to = peer.mValue;
+      }
+    }
+    return to;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(session, OneNode)
+
+BOOST_AUTO_TEST_CASE(expired_lease_refuses_keyed_work_only)
+{
+  BOOST_TEST(Ready() == "200");
+  mLease = false;
+  // Counted from the send time of the last renewal, less 1% drift.
+  Advance(Millis(2960));
+  BOOST_TEST(Ready() == "200");
+  Advance(Millis(1000));
+  BOOST_TEST(Ready() == "503");
+  const uint64_t keyed = Chat();
+  BOOST_TEST(Status(keyed) == 503);
+  BOOST_TEST(ErrorField(keyed, "code") == "lease_expired");
+  BOOST_TEST(ErrorField(keyed, "outcome") == "not_run");
+  BOOST_TEST(!HeaderOf(keyed, "Retry-After").empty());
+  HttpWith("GET", "/open/x", "", {});
+  BOOST_TEST(OneDispatch().mWorkspace.Empty());
+  BOOST_TEST(Status(HttpWith("GET", "/healthz", "", {})) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(late_renewal_reply_does_not_lengthen_the_lease)
+{
+  mLease = false;
+  Advance(Seconds(2));
+  const MonoTime sent = mNow - Seconds(2);
+  Receive(kControl,
+          RenewReply{ InstanceId("entry-1"),
+                      Epoch(100),
+                      RenewVerdict::eGranted,
+                      Seconds(3),
+                      Revision(1),
+                      sent.mMicros });
+  Advance(Millis(980));
+  BOOST_TEST(Ready() == "503");
+}
+
+BOOST_AUTO_TEST_CASE(new_revision_is_renewed_at_once)
+{
+  Change(SetZoneService{ ZoneId("b"), false });
+  const auto renewals = Sent<Renew>();
+  BOOST_REQUIRE(renewals.size() == 1u);
+  BOOST_TEST(renewals[0].mRevision.mValue == mRevision);
+}
+
+BOOST_AUTO_TEST_CASE(configuration_never_goes_back)
+{
+  Change(WithdrawKey{ KeyId(TestKey('1').substr(0, 19)) });
+  ConfigSnapshotPart old;
+  old.mRevision = Revision(mRevision - 1);
+  old.mLast = true;
+  Receive(kControl, old);
+  ConfigDelta delta;
+  delta.mFrom = Revision(mRevision - 1);
+  delta.mTo = Revision(mRevision);
+  Receive(kControl, delta);
+  BOOST_TEST(mEntry.mConfig.mRevision.mValue == mRevision);
+  BOOST_TEST(Status(Chat()) == 401);
+}
+
+BOOST_AUTO_TEST_CASE(delta_with_a_gap_is_not_applied)
+{
+  ConfigDelta delta;
+  delta.mFrom = Revision(mRevision + 5);
+  delta.mTo = Revision(mRevision + 6);
+  Receive(kControl, delta);
+  BOOST_TEST(mEntry.mConfig.mRevision.mValue == mRevision);
+}
+
+BOOST_AUTO_TEST_CASE(snapshot_parts_are_collected_in_order)
+{
+  const std::vector<ConfigChange> changes =
+    SnapshotChanges(mEntry.mConfig, ConfigScope::eAll);
+  ConfigSnapshotPart first;
+  first.mRevision = Revision(mRevision + 10);
+  first.mChanges = { changes[0], changes[1] };
+  ConfigSnapshotPart second = first;
+  second.mOffset = 2;
+  second.mChanges = { changes.begin() + 2, changes.end() };
+  second.mLast = true;
+  Receive(kControl, second); // without the first: not applied
+  BOOST_TEST(mEntry.mConfig.mRevision.mValue == mRevision);
+  Receive(kControl, first);
+  Receive(kControl, first);
+  const auto fetches = Sent<ConfigFetch>();
+  BOOST_REQUIRE(!fetches.empty());
+  BOOST_TEST(fetches.back().mSnapshotOffset == 2u);
+  BOOST_TEST((fetches.back().mSnapshotRevision == first.mRevision));
+  Receive(kControl, second);
+  BOOST_TEST(mEntry.mConfig.mRevision.mValue == mRevision + 10);
+  BOOST_TEST(mEntry.mConfig.mKeys.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(silent_replica_is_replaced_for_fetching)
+{
+  mEntry.mSettings.mControl = { kControl, PeerAddress("control:2") };
+  Advance(Seconds(2));
+  BOOST_TEST(LastTo<ConfigFetch>() == "control:2");
+}
+
+BOOST_AUTO_TEST_CASE(redirect_is_followed_and_silence_tries_another)
+{
+  mEntry.mSettings.mControl = { kControl,
+                                PeerAddress("control:2"),
+                                PeerAddress("control:3") };
+  mLease = false;
+  Redirect(kControl, "control:3");
+  BOOST_TEST(LastTo<Renew>() == "control:3");
+  mSent.clear();
+  Advance(Millis(500));
+  BOOST_TEST(LastTo<Renew>() != "control:3");
+  BOOST_TEST(!LastTo<Renew>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(replicas_that_name_each_other_cause_no_storm)
+{
+  mEntry.mSettings.mControl = { kControl, PeerAddress("control:2") };
+  mLease = false;
+  for (int round = 0; round < 100; ++round) {
+    Redirect(kControl, "control:2");
+    Redirect(PeerAddress("control:2"), "control:1");
+    Advance(Millis(1));
+  }
+  BOOST_TEST(Sent<Renew>().size() <= 5u); // one per 50 ms and the first
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_key_ends_running_requests)
+{
+  const uint64_t stream = Chat(true);
+  Answer(OneDispatch(), 0, "data: 1\n\n", false);
+  const uint64_t booking = Http("POST", "/stock/7", "{}");
+  OneDispatch();
+  HttpWith("GET", "/open/x", "", {});
+  OneDispatch();
+  Change(WithdrawKey{ KeyId(TestKey('1').substr(0, 19)) });
+  BOOST_TEST(Sent<CancelRequest>().size() == 2u);
+  BOOST_TEST(mState[stream] == "aborted");
+  BOOST_TEST(mChunks[stream].find("withdrawn") != std::string::npos);
+  BOOST_TEST(Status(booking) == 403);
+  BOOST_TEST(ErrorField(booking, "outcome") == "unknown");
+  BOOST_TEST(mEntry.mRequests.size() == 1u); // the open one goes on
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_contract_ends_its_keys)
+{
+  const uint64_t call = Chat();
+  Change(WithdrawContract{ WorkspaceId("w") });
+  BOOST_TEST(Status(call) == 403);
+  BOOST_TEST(Status(Chat()) == 401);
+}
+
+BOOST_AUTO_TEST_CASE(zone_out_gets_no_new_work)
+{
+  AddNode("b1", 21);
+  Change(SetZoneService{ ZoneId("a"), false });
+  for (int request = 0; request < 20; ++request) {
+    Chat();
+    BOOST_TEST(OneDispatch().mNodeEpoch.mValue == 21u);
+  }
+  Change(SetTargetService{ TargetId("t-b1"), false });
+  const uint64_t none = Chat();
+  BOOST_TEST(Status(none) == 503);
+  BOOST_TEST(ErrorField(none, "outcome") == "not_run");
+  Change(SetZoneService{ ZoneId("a"), true });
+  Chat();
+  BOOST_TEST(OneDispatch().mNodeEpoch.mValue == 11u);
+}
+
+BOOST_AUTO_TEST_CASE(nodes_in_use_are_watched_again)
+{
+  Chat();
+  BOOST_TEST(Sent<Watch>().size() == 1u);
+  Advance(Seconds(9));
+  BOOST_TEST(Sent<Watch>().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(stop_finishes_what_runs_and_leaves)
+{
+  AddSelf();
+  const uint64_t before = Chat();
+  const Dispatch first = OneDispatch();
+  Step(StopRequested{});
+  BOOST_TEST(Ready() == "503");
+  BOOST_TEST(Sent<Renew>().back().mDraining);
+  const uint64_t during = Chat(); // the balancer has not moved on yet
+  const Dispatch second = OneDispatch();
+  Advance(Seconds(1));
+  Outcomes(first, AttemptState::eRunning);
+  Outcomes(second, AttemptState::eRunning);
+  Advance(Seconds(1));
+  const uint64_t after = Chat();
+  BOOST_TEST(ErrorField(after, "code") == "draining");
+  Answer(first, 0, "one", true);
+  BOOST_TEST(Sent<Leave>().empty());
+  Answer(second, 0, "two", true);
+  BOOST_TEST(mResponses[before].mBody + mResponses[during].mBody == "onetwo");
+  BOOST_TEST(Sent<Leave>().size() == 1u);
+  BOOST_TEST(!mStopped);
+  Receive(kControl,
+          RenewReply{ InstanceId("entry-1"),
+                      Epoch(100),
+                      RenewVerdict::eUnknownSession,
+                      {},
+                      Revision(1),
+                      0 });
+  BOOST_TEST(mStopped);
+  mSent.clear();
+  Advance(Seconds(5));
+  BOOST_TEST(mSent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stop_without_control_ends_after_five_seconds)
+{
+  mLease = false;
+  AddSelf();
+  Step(StopRequested{});
+  Advance(Millis(6900));
+  BOOST_TEST(!mStopped);
+  BOOST_TEST(Sent<Leave>().size() >= 9u);
+  Advance(Millis(200));
+  BOOST_TEST(mStopped);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
