--- a/caraway/routing/subset.cpp
+++ b/caraway/routing/subset.cpp
@@ -3,7 +3,7 @@
 #include "caraway/routing/subset.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 #include "caraway/routing/hash.h"
 
@@ -20,7 +20,8 @@
 {
   InstanceId mNode;
   uint64_t mScore = 0;
-  bool mHome = false;
+  bool mHome = false;     // taken before others
+  bool mRequired = false; // taken even beyond the size
 };
 
 std::vector<InstanceId>
@@ -41,25 +42,22 @@
   return entries;
 }
 
-// True if this entry is among the aHomes best entries for the target.
-bool
-IsHome(const SubsetInput& aInput,
-       const std::vector<InstanceId>& aEntries,
-       const InstanceId& aNode,
-       uint64_t aOwnScore,
-       uint64_t aHomes)
+// How many entries have a better score for the target, counted up to aLimit.
+uint64_t
+CountBetter(const SubsetInput& aInput,
+            const std::vector<InstanceId>& aEntries,
+            const InstanceId& aNode,
+            uint64_t aOwnScore,
+            uint64_t aLimit)
 {
   uint64_t better = 0;
   for (const InstanceId& entry : aEntries) {
-    if (entry != aInput.mSelf.mInstance &&
+    if (better < aLimit && entry != aInput.mSelf.mInstance &&
         RendezvousScore(entry.mValue, aNode.mValue) > aOwnScore) {
       ++better;
     }
-    if (better >= aHomes) {
-      return false;
-    }
   }
-  return true;
+  return better;
 }
 
 std::vector<Candidate>
@@ -79,20 +77,21 @@
   for (const InstanceId& node : aNodes) {
     const uint64_t score =
       RendezvousScore(aInput.mSelf.mInstance.mValue, node.mValue);
-    const bool home =
-      !aEntries.empty() && IsHome(aInput, aEntries, node, score, homes);
-    ranked.push_back({ node, score, home });
+    const uint64_t better =
+      aEntries.empty() ? homes
+                       : CountBetter(aInput, aEntries, node, score, homes);
+    ranked.push_back({ node, score, better < homes, better < kMinHomes });
   }
   std::sort(ranked.begin(),
             ranked.end(),
             [](const Candidate& aLeft, const Candidate& aRight) {
-              return std::pair(aLeft.mHome, aLeft.mScore) >
-                     std::pair(aRight.mHome, aRight.mScore);
+              return std::tuple(aLeft.mRequired, aLeft.mHome, aLeft.mScore) >
+                     std::tuple(aRight.mRequired, aRight.mHome, aRight.mScore);
             });
   return ranked;
 }
 
-// Takes all homes, and others up to aSlots in total.
+// Takes all required ones, and others up to aSlots in total.
 void
 Take(const std::vector<Candidate>& aRanked,
      size_t aSlots,
@@ -100,7 +99,7 @@
 {
   size_t taken = 0;
   for (const Candidate& candidate : aRanked) {
-    if (candidate.mHome || taken < aSlots) {
+    if (candidate.mRequired || taken < aSlots) {
       aOut.push_back(candidate.mNode);
       ++taken;
     }
