--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -125,17 +125,14 @@
   std::deque<uint64_t>& parked = aStep.mEntry.mParked;
   parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
                parked.end());
-  // Tokens may have come back from other requests meanwhile.
-  if (!TryOnce(aStep, aRequest, true)) {
-    RefuseRate(aStep, aRequest, Seconds(1));
-  }
+  RefuseRate(aStep, aRequest, Seconds(1));
 }
 
 void
 SendGrantRequests(EntryStep& aStep)
 {
   Entry& entry = aStep.mEntry;
-  if (entry.mSession.mEpoch.IsNone() || entry.mDrain.mStopped) {
+  if (entry.mSession.mEpoch.IsNone()) {
     return;
   }
   if (auto request = NextGrantRequest(entry.mTokens, aStep.mNow)) {
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -214,7 +214,8 @@
                 aScheduler.mSettings.mLimit.mTokenGoal,
                 Occupied(aScheduler));
   if (aScheduler.mLimit.mRamping) {
-    aScheduler.mKnee = Knee(); // rates of a cold target say nothing of a warm one
+    aScheduler.mKnee =
+      Knee(); // rates of a cold target say nothing of a warm one
   }
   JudgeKnee(aScheduler.mKnee, aNow);
   if (aScheduler.mHeld) {
