--- a/caraway/wire/raft_messages.h
+++ b/caraway/wire/raft_messages.h
@@ -65,7 +65,7 @@
   Term mTerm;
   LogIndex mLastIndex; // the snapshot covers the log up to here
   Term mLastTerm;
-  std::string mFile; // "state", or the name of a blob file
+  std::string mFile;  // "state", or the name of a blob file
   std::string mAfter; // with mOffset 0: the file before, empty: the first one
   uint64_t mOffset = 0;
   std::string mBytes; // at most 256 KiB
