--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -10,19 +10,19 @@
 #include <nlohmann/json.hpp>
 
 #include "caraway/config/operations.h"
-#include "tests/control_link.h"
+#include "tests/control_holder.h"
 
 using namespace caraway;
 
 namespace {
 
-bool sFailed = false;
+bool gFailed = false;
 
 void
 Report(const std::string& aName, double aValue, double aBound)
 {
   const bool ok = aBound <= 0 || aValue <= aBound;
-  sFailed = sFailed || !ok;
+  gFailed = gFailed || !ok;
   std::printf("%s %.4g %.4g %s\n",
               aName.c_str(),
               aValue,
@@ -205,5 +205,5 @@
   for (size_t holders : { 2, 50, 390, 1090 }) {
     MeasureInForce(holders);
   }
-  return sFailed ? 1 : 0;
+  return gFailed ? 1 : 0;
 }
--- a/tests/control_replicas_test.cpp
+++ b/tests/control_replicas_test.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "tests/control_link.h"
+#include "tests/control_holder.h"
 
 using namespace caraway;
 using Json = nlohmann::json;
