--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -303,8 +303,8 @@
       mResult.mHits += aTarget.mCached.contains(aCall.mPrefix) ? 1 : 0;
     }
     mSeen.insert(aCall.mPrefix);
-    // A target keeps a bounded number of prefixes; the oldest id stands for the
-    // one not used for longest.
+    // A target keeps a bounded number of prefixes. Small ids are the frequent
+    // ones, so the largest is the one that a target would drop.
     aTarget.mCached.insert(aCall.mPrefix);
     if (aTarget.mCached.size() > 200) {
       aTarget.mCached.erase(std::prev(aTarget.mCached.end()));
@@ -487,6 +487,7 @@
     }
   }
   std::vector<double> values;
+  values.reserve(counts.size());
   for (const auto& [node, count] : counts) {
     values.push_back(count);
   }
--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -366,7 +366,7 @@
 } // namespace
 
 void
-HandleHttpRequest(EntryStep& aStep, HttpRequest aHttp)
+HandleHttpRequest(EntryStep& aStep, const HttpRequest& aHttp)
 {
   ++aStep.mEntry.mMetrics.mRequests;
   if (ServeHealth(aStep, aHttp)) {
--- a/caraway/entry/caller_http.h
+++ b/caraway/entry/caller_http.h
@@ -6,7 +6,7 @@
 namespace caraway {
 
 void
-HandleHttpRequest(EntryStep& aStep, HttpRequest aHttp);
+HandleHttpRequest(EntryStep& aStep, const HttpRequest& aHttp);
 
 // The caller is gone: an idempotent call is cancelled, another goes on.
 void
--- a/caraway/entry/relay.cpp
+++ b/caraway/entry/relay.cpp
@@ -138,7 +138,7 @@
 // Keeps a part that came before its turn. Beyond the bound it is dropped; the
 // outcome query makes the node send it again.
 void
-KeepEarly(CallerRequest& aRequest, AnswerPart aPart)
+KeepEarly(CallerRequest& aRequest, const AnswerPart& aPart)
 {
   Answer& answer = aRequest.mAnswer;
   const size_t size = aPart.mBytes.size();
@@ -146,7 +146,7 @@
       answer.mEarlyBytes + size > kMaxEarlyBytes) {
     return;
   }
-  if (answer.mEarly.try_emplace(aPart.mPart, std::move(aPart)).second) {
+  if (answer.mEarly.try_emplace(aPart.mPart, aPart).second) {
     answer.mEarlyBytes += size;
   }
 }
@@ -170,7 +170,7 @@
     if (answer.mEarly.empty()) {
       attempt.mNextQuery = aStep.mNow + kGapWait;
     }
-    KeepEarly(*request, std::move(aPart));
+    KeepEarly(*request, aPart);
     ScheduleRequest(aStep, *request);
     return;
   }
--- a/caraway/routing/subset.h
+++ b/caraway/routing/subset.h
@@ -3,9 +3,10 @@
 //
 // Each target has home entries: those with the highest rendezvous scores among
 // the entries of its zone (of all zones if its own has none). An entry takes
-// the targets it is home to first and fills up by score, local zone first. Home
-// entries keep every target in use even when entries are few, and bound how far
-// the numbers of entries per target differ.
+// the targets it is home to first and fills up by score, local zone first. That
+// bounds how far the numbers of entries per target differ. The two best entries
+// of a target always take it, so that every target is in use even when entries
+// are few.
 
 #include <vector>
 
--- a/tests/entry_control_test.cpp
+++ b/tests/entry_control_test.cpp
@@ -229,7 +229,9 @@
     "POST",
     "/v1/uploads",
     R"({"filename":"in.jsonl","purpose":"batch","bytes":5,"mime_type":"x"})");
-  const auto [create, empty] = OneCall<PutFilePart>();
+  const auto firstPut = OneCall<PutFilePart>();
+  const ControlCall& create = firstPut.first;
+  const PutFilePart& empty = firstPut.second;
   BOOST_TEST(empty.mBytes.empty());
   BOOST_TEST(!empty.mLast);
   ReplyCall(create, FileOf(empty.mFile, 0));
