--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -8,6 +8,28 @@
 
 namespace caraway {
 
+namespace {
+
+// No other replica can have led since the snapshot. A set in the log that only
+// holds this replica is not enough: the leader that removed itself may still
+// hold its lease.
+bool
+WasAlwaysAlone(const Raft& aRaft)
+{
+  return std::all_of(
+    aRaft.mReplicas.begin(), aRaft.mReplicas.end(), [&](const auto& aRecord) {
+      const auto& replicas = aRecord.mReplicas.mReplicas;
+      return std::all_of(replicas.begin(),
+                         replicas.end(),
+                         [&](const Replica& aOne) {
+                           return !aOne.mVoter || aOne.mId == aRaft.mSelf;
+                         }) &&
+             FindReplica(aRecord.mReplicas, aRaft.mSelf) != nullptr;
+    });
+}
+
+} // namespace
+
 Raft
 MakeRaft(const RaftSettings& aSettings,
          GroupId aGroup,
@@ -38,7 +60,7 @@
   }
   raft.mWrittenTo = raft.mDurable = LastIndex(raft);
   OnReplicasChanged(raft, aNow);
-  if (VoterCount(raft) == 1 && IsVoter(raft, aSelf)) {
+  if (IsVoter(raft, aSelf) && WasAlwaysAlone(raft)) {
     raft.mElectionDue = raft.mStickyUntil = aNow;
   } else {
     // This replica may have answered a leader just before it stopped.
@@ -115,8 +137,14 @@
             std::vector<RaftAction>& aOut)
 {
   if (aRaft.mFailed || aMessage.mGroup != aRaft.mGroup ||
-      aMessage.mTo != aRaft.mSelf || aMessage.mFrom == aRaft.mSelf ||
-      !IsTrustedSender(aRaft, aMessage) || !AcceptsFresh(aRaft, aMessage)) {
+      aMessage.mTo != aRaft.mSelf || aMessage.mFrom == aRaft.mSelf) {
+    return;
+  }
+  if (!IsTrustedSender(aRaft, aMessage)) {
+    aRaft.mOtherDisks.insert(aMessage.mFrom);
+    return;
+  }
+  if (!AcceptsFresh(aRaft, aMessage)) {
     return;
   }
   std::visit(Receiver{ aRaft, aNow, aMessage, aOut }, aMessage.mBody);
@@ -154,6 +182,11 @@
                      "this replica is not the leader",
                      "send the request to the leader");
   }
+  if (aPayload.size() > kMaxEntryBytes) {
+    return MakeError(ErrorKind::eTooLarge,
+                     "the entry is larger than 768 KiB",
+                     "split it into several commands");
+  }
   if (aRaft.mLog.mPendingBytes + aPayload.size() >
       aRaft.mSettings.mMaxPendingBytes) {
     return MakeError(ErrorKind::eOverloaded,
@@ -229,6 +262,18 @@
   return aRaft.mLostDisk;
 }
 
+std::vector<ReplicaId>
+ReplicasWithLostDisk(const Raft& aRaft)
+{
+  std::vector<ReplicaId> lost;
+  for (const ReplicaId id : aRaft.mOtherDisks) {
+    if (IsVoter(aRaft, id)) {
+      lost.push_back(id);
+    }
+  }
+  return lost;
+}
+
 bool
 HasFailed(const Raft& aRaft)
 {
--- a/caraway/consensus/raft.h
+++ b/caraway/consensus/raft.h
@@ -21,6 +21,9 @@
 
 namespace caraway {
 
+// Payload of one entry; a message with one entry fits into a frame of 1 MiB.
+constexpr size_t kMaxEntryBytes = 768 * 1024;
+
 enum class RaftRole : uint8_t
 {
   eFollower,
@@ -125,6 +128,7 @@
 // call RaftSnapshotPartStored. On mAllDone the state machine loads it first.
 struct RaftStoreSnapshotPart
 {
+  ReplicaId mFrom; // the leader that sent it, to be named in the result
   SnapshotPart mPart;
 };
 
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -6,7 +6,10 @@
 
 namespace caraway {
 
-// aInitial is only used when nothing was recovered.
+// aInitial is only used when nothing was recovered. The first election needs
+// all of its replicas. A replica that joins an existing group must not be
+// listed in its own aInitial; otherwise it takes itself for one that lost its
+// disk.
 Raft
 MakeRaft(const RaftSettings& aSettings,
          GroupId aGroup,
@@ -106,6 +109,11 @@
 bool
 LostItsDisk(const Raft& aRaft);
 
+// Voters that answer from a data folder other than the one that holds their
+// vote. They count as lost; replace them by replicas with new ids.
+std::vector<ReplicaId>
+ReplicasWithLostDisk(const Raft& aRaft);
+
 // True after a failed write; the replica does nothing more.
 bool
 HasFailed(const Raft& aRaft);
--- a/caraway/node/node_answers.cpp
+++ b/caraway/node/node_answers.cpp
@@ -62,7 +62,7 @@
   if (aLast) {
     part.mRunning = RunningCalls(aNode);
     part.mQueued = QueuedCalls(aNode);
-    part.mLimit = aNode.mScheduler.mLimit.mValue;
+    part.mLimit = CallLimit(aNode.mScheduler);
   }
   const size_t kept = aBytes.size() + kPartOverhead;
   aCall.mKeptBytes += kept;
@@ -99,10 +99,8 @@
   if (aCall.mDispatch.mStream) {
     aCall.mEvents += CountEvents(aBytes);
   }
-  LogLimit(aNode,
-           NoteToken(aNode.mScheduler, aNow, aCall.mWork),
-           "goal missed",
-           aOut);
+  LogLimit(
+    aNode, NoteToken(aNode.mScheduler, aNow, aCall.mWork), "goal missed", aOut);
   for (size_t at = 0; at < aBytes.size(); at += kMaxPartBytes) {
     SendPart(aNode, aCall, aBytes.substr(at, kMaxPartBytes), false, aOut);
   }
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -91,7 +91,7 @@
   renew.mSentAt = aNow.mMicros;
   renew.mTarget = TargetNow(aNode);
   renew.mRunning = RunningCalls(aNode);
-  renew.mLimit = aNode.mScheduler.mLimit.mValue;
+  renew.mLimit = CallLimit(aNode.mScheduler);
   renew.mDraining = IsDraining(aNode);
   session.mRenewAt = aNow + kAnswerWait;
   SendToLeader(aNode, std::move(renew), aOut);
@@ -199,8 +199,7 @@
   } else {
     session.mLeader = aReply.mLeader;
   }
-  const MonoTime again =
-    std::max(aNow, session.mRedirectedAt + kRedirectPause);
+  const MonoTime again = std::max(aNow, session.mRedirectedAt + kRedirectPause);
   session.mRedirectedAt = again;
   session.mAskedAt = MonoTime{ 0 };
   session.mRegisterAt = std::min(session.mRegisterAt, again);
--- a/caraway/scheduling/concurrency_limit.cpp
+++ b/caraway/scheduling/concurrency_limit.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kQuantile = 0.95;
-constexpr size_t kEnoughGaps = 64;  // samples before a judgement on gaps
+constexpr size_t kEnoughGaps = 64;   // samples before a judgement on gaps
 constexpr size_t kEnoughFirsts = 20; // and on first tokens
 constexpr uint32_t kErrorsInRow = 3;
 constexpr double kSmoothing = 0.1; // weight of a new sample in the usual values
@@ -167,6 +167,16 @@
   return aLimit.mGood >= aLimit.mValue ? EndRound(aLimit) : LimitChange::eNone;
 }
 
+LimitChange
+RecordProgress(ConcurrencyLimit& aLimit, bool aFull)
+{
+  if (aLimit.mRamping || !aFull || aLimit.mSaysCold) {
+    return LimitChange::eNone;
+  }
+  ++aLimit.mGood;
+  return aLimit.mGood >= aLimit.mValue ? EndRound(aLimit) : LimitChange::eNone;
+}
+
 LimitChange
 RecordBroken(ConcurrencyLimit& aLimit)
 {
--- a/caraway/scheduling/concurrency_limit.h
+++ b/caraway/scheduling/concurrency_limit.h
@@ -31,13 +31,13 @@
 struct ConcurrencyLimit
 {
   LimitSettings mSettings;
-  uint32_t mValue = 1;       // between the cold and the largest value
-  bool mRamping = true;      // still doubling from the cold value
-  bool mSaysCold = false;    // the target's own report; holds the ramp
-  uint32_t mWarmValue = 0;   // last value that met the goals before turning cold
-  uint32_t mGood = 0;        // good completions at a full limit, this round
-  uint32_t mErrors = 0;      // server errors in a row
-  SampleWindow mTokenGaps;   // since the last change
+  uint32_t mValue = 1;     // between the cold and the largest value
+  bool mRamping = true;    // still doubling from the cold value
+  bool mSaysCold = false;  // the target's own report; holds the ramp
+  uint32_t mWarmValue = 0; // last value that met the goals before turning cold
+  uint32_t mGood = 0;      // good completions at a full limit, this round
+  uint32_t mErrors = 0;    // server errors in a row
+  SampleWindow mTokenGaps; // since the last change
   SampleWindow mFirstTokens; // since the last change
   double mFirstBase = 0;     // usual seconds to the first token, 0 = unknown
   double mPromptBase = 0;    // prompt tokens behind mFirstBase
@@ -67,6 +67,12 @@
 LimitChange
 RecordCompletion(ConcurrencyLimit& aLimit, bool aGood, bool aFull);
 
+// A piece of a stream (32 tokens) came at a full limit. After the ramp it
+// counts like a completion: streams of half a minute would otherwise let the
+// limit grow by one in many seconds only.
+LimitChange
+RecordProgress(ConcurrencyLimit& aLimit, bool aFull);
+
 // A broken or refused connection, or "503 busy": indicates a cold target.
 LimitChange
 RecordBroken(ConcurrencyLimit& aLimit);
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -17,6 +17,7 @@
 #include "caraway/scheduling/burst_tracker.h"
 #include "caraway/scheduling/concurrency_limit.h"
 #include "caraway/scheduling/fair_queue.h"
+#include "caraway/scheduling/knee.h"
 #include "caraway/scheduling/service_rate.h"
 
 namespace caraway {
@@ -41,13 +42,14 @@
   ConcurrencyLimit mLimit;
   BatchCap mBatchCap;
   BurstTracker mBursts;
+  Knee mKnee;
   ServiceRate mRate;
-  FairQueue mOnline;                            // waiting online work
+  FairQueue mOnline;                             // waiting online work
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
-  std::map<WorkId, Work> mWaiting;              // online and batch
-  std::set<std::pair<MonoTime, WorkId>> mBatch; // waiting batch, by deadline
-  std::map<WorkId, RunningWork> mRunning;       // in the order of arrival
-  uint32_t mRunningOnline = 0;                  // of mRunning
+  std::map<WorkId, Work> mWaiting;               // online and batch
+  std::set<std::pair<MonoTime, WorkId>> mBatch;  // waiting batch, by deadline
+  std::map<WorkId, RunningWork> mRunning;        // in the order of arrival
+  uint32_t mRunningOnline = 0;                   // of mRunning
   uint32_t mForeign = 0; // calls at the target that this node did not start
   bool mHeld = true;     // nothing starts: the target's state is unknown
 };
@@ -61,7 +63,7 @@
   eRefused, // mKind says why
 };
 
-struct Admission
+struct Offer
 {
   Verdict mVerdict = Verdict::eQueued;
   ErrorKind mKind = ErrorKind::eNone;
@@ -73,7 +75,7 @@
 // Queues online work or refuses it. Work that cannot start before its deadline
 // at the measured rate is refused at once. When the queue is full, the newest
 // work of the workspace with the largest backlog per weight goes.
-Admission
+Offer
 OfferOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork);
 
 void
@@ -137,6 +139,11 @@
 LimitChange
 CheckSilence(Scheduler& aScheduler, MonoTime aNow);
 
+// Calls that may run at once: the limit that the goals allow, or fewer if more
+// would lower the throughput.
+uint32_t
+CallLimit(const Scheduler& aScheduler);
+
 // Calls at the target, this node's and others.
 uint32_t
 Occupied(const Scheduler& aScheduler);
