--- /dev/null
+++ b/standins/caraway_standin_engine_main.cpp
@@ -0,0 +1,79 @@
+// caraway-standin-engine: stands in for a model engine in tests and the demo.
+
+#include <iostream>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "standins/announcer.h"
+#include "standins/engine_server.h"
+#include "standins/standin_settings.h"
+
+using namespace caraway;
+
+namespace {
+
+const std::string kUsage =
+  std::string(R"(caraway-standin-engine: stands in for a model engine.
+
+Usage:
+  caraway-standin-engine [options]
+  caraway-standin-engine (-h | --help)
+  caraway-standin-engine --version
+
+Every option can also be set as CARAWAY_STANDIN_NAME in the environment.
+
+Options:
+  --model=NAME         The model it has loaded.
+  --step-us=N          Time of one decoding step with one call [18000].
+  --bearable=N         Calls at once; above, everything slows badly [96].
+  --cold-bearable=N    Calls at once while cold; above, it falls over [1].
+  --cold-ms=N          Time from start to warm [10000].
+  --warm               Start warm.
+  --fencing            Refuse orders with an old fencing token.)") +
+  kStandinUsage;
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  SettingsReader reader(kUsage, "CARAWAY_STANDIN", aCount, aArguments);
+  const StandinSettings common = ReadStandinSettings(reader);
+  const std::string model = reader.Name("model");
+  EngineSettings engine;
+  engine.mSeed = common.mSeed;
+  engine.mStepBase = Micros(
+    static_cast<int64_t>(reader.Number("step-us", 18000, 100, 10000000)));
+  engine.mBearable =
+    static_cast<uint32_t>(reader.Number("bearable", 96, 1, 100000));
+  engine.mColdBearable =
+    static_cast<uint32_t>(reader.Number("cold-bearable", 1, 1, 100000));
+  engine.mColdFor =
+    reader.Milliseconds("cold-ms", engine.mColdFor, Millis(0), Seconds(3600));
+  engine.mChecksFencing = reader.Flag("fencing");
+  const bool warm = reader.Flag("warm");
+  reader.Finish();
+
+  Loop loop;
+  EngineServer server(loop, common.mHttp, engine, model, !warm);
+  if (const absl::Status status = server.Start(); !status.ok()) {
+    std::cerr << status.message() << '\n';
+    return 1;
+  }
+  const nlohmann::json body{ { "target", common.mTarget },
+                             { "kind", "engine" },
+                             { "url", "http://" + server.Address() },
+                             { "models", { model } },
+                             { "services", nlohmann::json::array() },
+                             { "start_id", std::to_string(getpid()) },
+                             { "capabilities",
+                               { { "resume", true },
+                                 { "cancel", true },
+                                 { "fencing", engine.mChecksFencing } } } };
+  Announcer announcer(loop, common.mNode, body.dump());
+  announcer.Start();
+  loop.mOnStop.connect([&loop] { loop.Exit(); });
+  loop.Run();
+  return 0;
+}
