--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -288,6 +288,7 @@
       return std::nullopt;
     }
     aHolder.mResendAt = aNow + kResendAfter;
+    aHolder.mLastSent = aNow;
 #ifdef CARAWAY_PLANTED_FAULT_grant_renewed_past_expiry
     for (const GrantAsk& ask : aHolder.mInFlight->mAsks) {
       HeldTokens& tokens = aHolder.mTokens[ask.mWorkspace];
--- a/fuzz/admission_world.h
+++ b/fuzz/admission_world.h
@@ -312,6 +312,8 @@
   member.mEpoch = entry.mEpoch;
   aWorld.mConfig.mMembers[entry.mName] = member;
   aWorld.mRegistered.insert(entry.mEpoch);
+  aWorld.mSentTimes.resize(aWorld.mEntries.size());
+  aWorld.mSentTimes[aEntry].clear(); // another process
   StartTokenHolder(
     entry.mHolder, entry.mClock.At(aWorld.mNow), entry.mName, entry.mEpoch);
   entry.mWakeAt = kNever.mMicros;
