--- a/caraway/admission/grantor.h
+++ b/caraway/admission/grantor.h
@@ -25,7 +25,8 @@
 // This replica became leader: no bucket has tokens, and every registered entry
 // may hold tokens until it reports or the shorter of both leases has run out.
 // aTerm (the Raft term) tells this leadership from all others; without it the
-// time of the election has to do.
+// time of the election has to do. Call it once the leader has applied the first
+// entry of its term, so that aConfig holds every session that ever got tokens.
 void
 StartGrantor(Grantor& aGrantor,
              MonoTime aNow,
--- a/caraway/ledger/internal.h
+++ b/caraway/ledger/internal.h
@@ -42,7 +42,7 @@
 }
 
 CallReplyBody
-Fail(ErrorKind aKind, std::string aWhat, std::string_view aRemedy);
+Fail(ErrorKind aKind, const std::string& aWhat, std::string_view aRemedy);
 
 const LedgerWorkspace*
 FindWorkspace(const Ledger& aLedger, const WorkspaceId& aWorkspace);
--- a/caraway/ledger/ledger.cpp
+++ b/caraway/ledger/ledger.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 CallReplyBody
-Fail(ErrorKind aKind, std::string aWhat, std::string_view aRemedy)
+Fail(ErrorKind aKind, const std::string& aWhat, std::string_view aRemedy)
 {
   const absl::Status status = MakeError(aKind, aWhat, aRemedy);
   return CallFailed{ aKind, std::string(StdView(status.message())) };
--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -94,12 +94,18 @@
 absl::StatusOr<BlobRange>
 ItemIndexRecord(const Ledger& aLedger, const JobId& aJob, uint32_t aItem);
 
-// The data range that an index record read from the blob names.
+// The data range that an index record read from the blob names. Results include
+// their newline, input lines do not. A record that is missing, cut short or
+// zero is an item without a result: eNotFound, to be skipped.
 absl::StatusOr<BlobRange>
 DataRange(const BlobRange& aIndex, std::string_view aRecord);
 
 // How to read a file for ReadFile: an input file is read straight from its data
 // blob; an output file item by item through its index, skipping items not done.
+// The done bitmap is freed when a job ends, so the plan of a cancelled or
+// expired job names all items and DataRange tells which have a result. The
+// caller stops when the lines read reach 256 KiB and goes on with the next
+// item.
 struct FileReadPlan
 {
   bool mDirect = false; // true: mRanges are data; false: index records
