--- a/bench/scheduling_bench.cpp
+++ b/bench/scheduling_bench.cpp
@@ -50,9 +50,9 @@
 // The bench's own load; nothing here is read back from the node.
 struct OnlineLoad
 {
-  double mRate = 0;           // requests/s
-  double mBurstEvery = 0;     // s, 0 = none
-  uint32_t mBurst = 0;        // requests at once
+  double mRate = 0;       // requests/s
+  double mBurstEvery = 0; // s, 0 = none
+  uint32_t mBurst = 0;    // requests at once
   uint32_t mOutput = kOutputMean;
   uint32_t mPrompt = kPromptMean;
   WorkspaceId mWorkspace{ "w" };
@@ -108,9 +108,9 @@
 
 struct Figures
 {
-  double mFirstP95 = 0; // s
-  double mFirstP99 = 0; // s
-  double mGapP95 = 0;   // s between tokens, mean of each call
+  double mFirstP95 = 0;     // s
+  double mFirstP99 = 0;     // s
+  double mGapP95 = 0;       // s between tokens, mean of each call
   double mOnlineTokens = 0; // per s
   double mBatchTokens = 0;  // per s, of finished items
   double mServed = 0;       // part of the requests answered
@@ -282,8 +282,8 @@
   // What online leaves: the part of the engine that online does not use, at
   // the throughput of this batch work. Online and batch items of 300 tokens
   // cost the same per token.
-  const double left = Capacity(aBatchOutput) *
-                      (1 - mixed.mOnlineTokens / Capacity(300));
+  const double left =
+    Capacity(aBatchOutput) * (1 - mixed.mOnlineTokens / Capacity(300));
   const std::string name = std::string("mixed.") + PolicyName(aPolicy) +
                            (aResume ? ".resume" : "") + ".batch" +
                            std::to_string(aBatchOutput);
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -45,9 +45,16 @@
   if (aUrl != "/v1/chat/completions" && aUrl != "/v1/completions") {
     return false;
   }
-  for (const char* field :
-       { "stream", "tools", "functions", "logprobs", "top_logprobs", "best_of",
-         "echo", "audio", "modalities", "stream_options" }) {
+  for (const char* field : { "stream",
+                             "tools",
+                             "functions",
+                             "logprobs",
+                             "top_logprobs",
+                             "best_of",
+                             "echo",
+                             "audio",
+                             "modalities",
+                             "stream_options" }) {
     if (aBody.contains(field)) {
       return false;
     }
@@ -191,8 +198,7 @@
   uint32_t events = 0;
   aTask.mPending.append(aBytes);
   size_t begin = 0;
-  for (size_t end = aTask.mPending.find('\n', begin);
-       end != std::string::npos;
+  for (size_t end = aTask.mPending.find('\n', begin); end != std::string::npos;
        end = aTask.mPending.find('\n', begin)) {
     std::string_view line(aTask.mPending.data() + begin, end - begin);
     begin = end + 1;
@@ -221,8 +227,7 @@
                   { "finish_reason",
                     aTask.mFinish.empty() ? Json() : Json(aTask.mFinish) } };
   if (chat) {
-    choice["message"] = { { "role", "assistant" },
-                          { "content", aTask.mText } };
+    choice["message"] = { { "role", "assistant" }, { "content", aTask.mText } };
   } else {
     choice["text"] = aTask.mText;
   }
--- a/caraway/node/batch_line.h
+++ b/caraway/node/batch_line.h
@@ -12,11 +12,11 @@
 struct BatchLine
 {
   std::string mCustomId;
-  std::string mUrl;           // path at the target
-  std::string mBody;          // request JSON
-  uint32_t mPrompt = 0;       // tokens, estimate
-  uint32_t mOutput = 0;       // tokens, estimate
-  bool mCanStream = false;    // one plain text answer, so it may be streamed
+  std::string mUrl;        // path at the target
+  std::string mBody;       // request JSON
+  uint32_t mPrompt = 0;    // tokens, estimate
+  uint32_t mOutput = 0;    // tokens, estimate
+  bool mCanStream = false; // one plain text answer, so it may be streamed
 };
 
 // Parses {"custom_id","method","url","body"}. The message of an error says
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -13,7 +13,8 @@
 constexpr Duration kTick = Seconds(1);
 // Three announcements missed, with half a second for delay.
 constexpr Duration kTargetSilence = Millis(3500);
-constexpr Duration kItemGrace = Seconds(2); // control leases items on after this
+constexpr Duration kItemGrace =
+  Seconds(2); // control leases items on after this
 // The HTTP client reports silence first; this is the backstop.
 constexpr Duration kSilenceGrace = Seconds(1);
 
@@ -66,10 +67,9 @@
     return;
   }
   NodeSession& session = aNode.mSession;
-  const PeerAddress leader =
-    session.mLeader.Empty()
-      ? control[session.mLeaderIndex % control.size()]
-      : session.mLeader;
+  const PeerAddress leader = session.mLeader.Empty()
+                               ? control[session.mLeaderIndex % control.size()]
+                               : session.mLeader;
   if (leader == aPeer) {
     session.mLeader = {};
     ++session.mLeaderIndex;
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr uint32_t kMaxChunk = 64;            // items of one lease
-constexpr double kAheadSeconds = 2;           // work kept ready
+constexpr uint32_t kMaxChunk = 64;  // items of one lease
+constexpr double kAheadSeconds = 2; // work kept ready
 constexpr Duration kResend = Millis(500);
 constexpr Duration kShortestPause = Millis(50);
 constexpr Duration kPollEvery = Millis(200);
@@ -27,8 +27,8 @@
   if (batch.mItemSeconds <= 0) {
     return 0;
   }
-  const auto running = static_cast<double>(
-    aNode.mScheduler.mRunning.size() - aNode.mScheduler.mRunningOnline);
+  const auto running = static_cast<double>(aNode.mScheduler.mRunning.size() -
+                                           aNode.mScheduler.mRunningOnline);
   return static_cast<uint32_t>(std::min<double>(
     kMaxChunk, std::ceil(running * kAheadSeconds / batch.mItemSeconds)));
 }
@@ -81,12 +81,12 @@
   auto line = ParseBatchLine(aItem.mBody, aLease.mEndpoint);
   if (!line.ok()) {
     ++aNode.mCounters.mItemsFailed;
-    AddResult(aNode,
-              aNow,
-              task,
-              ItemVerdict::ePermanent,
-              ErrorLine(
-                task, "invalid_line", StdView(line.status().message())));
+    AddResult(
+      aNode,
+      aNow,
+      task,
+      ItemVerdict::ePermanent,
+      ErrorLine(task, "invalid_line", StdView(line.status().message())));
     return;
   }
   task.mCustomId = line->mCustomId;
@@ -94,8 +94,8 @@
   task.mBody = line->mBody;
   task.mPrompt = line->mPrompt;
   task.mOutput = line->mOutput;
-  task.mStreamed = line->mCanStream && aNode.mTarget.mAnnounced.mInfo.mKind ==
-                                         TargetKind::eEngine;
+  task.mStreamed = line->mCanStream &&
+                   aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine;
   Work work;
   work.mId = task.mWork;
   work.mWorkspace = aLease.mWorkspace;
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -152,10 +152,8 @@
   } else if (aTask.mAnswer.size() <= kMaxAnswer) {
     aTask.mAnswer.append(aBytes);
   }
-  LogLimit(aNode,
-           NoteToken(aNode.mScheduler, aNow, aTask.mWork),
-           "goal missed",
-           aOut);
+  LogLimit(
+    aNode, NoteToken(aNode.mScheduler, aNow, aTask.mWork), "goal missed", aOut);
 }
 
 void
@@ -171,11 +169,10 @@
   if (!cut) {
     LearnItemTime(aNode, aNow, aWork);
   }
-  LogLimit(
-    aNode,
-    NoteEnd(aNode.mScheduler, aNow, aWork, EndingOf(task.mStatus), 0),
-    "item ended",
-    aOut);
+  LogLimit(aNode,
+           NoteEnd(aNode.mScheduler, aNow, aWork, EndingOf(task.mStatus), 0),
+           "item ended",
+           aOut);
   if (IsRetryable(task.mStatus) || cut) {
     EndTask(aNode,
             aNow,
@@ -185,13 +182,12 @@
     return;
   }
   if (task.mStatus >= 400) {
-    EndTask(aNode,
-            aNow,
-            aWork,
-            ItemVerdict::ePermanent,
-            ErrorLine(task,
-                      "http_" + std::to_string(task.mStatus),
-                      ErrorText(task)));
+    EndTask(
+      aNode,
+      aNow,
+      aWork,
+      ItemVerdict::ePermanent,
+      ErrorLine(task, "http_" + std::to_string(task.mStatus), ErrorText(task)));
     return;
   }
   const std::string answer =
@@ -223,8 +219,8 @@
   }
   BatchTask& task = found->second;
   auto running = aNode.mScheduler.mRunning.find(aWork);
-  const bool again = aOutcome == Outcome::eNotRun &&
-                     running != aNode.mScheduler.mRunning.end();
+  const bool again =
+    aOutcome == Outcome::eNotRun && running != aNode.mScheduler.mRunning.end();
   const Work work =
     running == aNode.mScheduler.mRunning.end() ? Work() : running->second.mWork;
   LogLimit(aNode,
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -72,18 +72,18 @@
 
 struct NodeBatch
 {
-  std::map<WorkId, BatchTask> mTasks;            // waiting and running
-  std::map<BatchLeaseKey, ResultGroup> mGroups;  // ready, not sent yet
-  std::map<uint64_t, PendingResults> mUnacked;   // by sequence
+  std::map<WorkId, BatchTask> mTasks;           // waiting and running
+  std::map<BatchLeaseKey, ResultGroup> mGroups; // ready, not sent yet
+  std::map<uint64_t, PendingResults> mUnacked;  // by sequence
   uint64_t mResultSequence = 0;
   uint64_t mLeaseSequence = 0;
-  bool mLeasing = false;        // a LeaseItems waits for its answer
-  uint32_t mLeaseWanted = 0;    // of the outstanding request
-  MonoTime mLeaseSendAt{ 0 };   // next (re)send of the outstanding request
-  MonoTime mAskAt{ 0 };         // no new request before this time
-  MonoTime mPollAt{ 0 };        // next look whether items are wanted
-  MonoTime mNoRoomSince{ 0 };   // waiting items found no room since, 0 = have
-  double mItemSeconds = 0;      // usual time of an item, 0 = unknown
+  bool mLeasing = false;      // a LeaseItems waits for its answer
+  uint32_t mLeaseWanted = 0;  // of the outstanding request
+  MonoTime mLeaseSendAt{ 0 }; // next (re)send of the outstanding request
+  MonoTime mAskAt{ 0 };       // no new request before this time
+  MonoTime mPollAt{ 0 };      // next look whether items are wanted
+  MonoTime mNoRoomSince{ 0 }; // waiting items found no room since, 0 = have
+  double mItemSeconds = 0;    // usual time of an item, 0 = unknown
 };
 
 } // namespace caraway
--- a/caraway/node/node_call.h
+++ b/caraway/node/node_call.h
@@ -31,15 +31,15 @@
   CallState mState = CallState::eQueued;
   TargetCallId mTargetCall; // while running
   MonoTime mArrived;
-  MonoTime mLastByte;           // of the target
-  MonoTime mEnded{ 0 };         // set once the state is final
-  int mStatus = 0;              // HTTP status of the target
-  Headers mHeaders;             // of the target, until part 0 is sent
+  MonoTime mLastByte;            // of the target
+  MonoTime mEnded{ 0 };          // set once the state is final
+  int mStatus = 0;               // HTTP status of the target
+  Headers mHeaders;              // of the target, until part 0 is sent
   std::deque<AnswerPart> mParts; // kept for resending
-  uint32_t mNextPart = 0;       // number of the next new part
-  uint32_t mEvents = 0;         // SSE events relayed: tokens
-  size_t mKeptBytes = 0;        // body bytes in mParts
-  Refusal mRefusal;             // once refused
+  uint32_t mNextPart = 0;        // number of the next new part
+  uint32_t mEvents = 0;          // SSE events relayed: tokens
+  size_t mKeptBytes = 0;         // body bytes in mParts
+  Refusal mRefusal;              // once refused
 };
 
 } // namespace caraway
--- a/caraway/node/node_calls_group.cpp
+++ b/caraway/node/node_calls_group.cpp
@@ -43,9 +43,8 @@
   });
   for (const AttemptKey& key : keys) {
     NodeCall& call = aNode.mCalls.at(key);
-    const Outcome outcome = call.mState == CallState::eQueued
-                              ? Outcome::eNotRun
-                              : Outcome::eUnknown;
+    const Outcome outcome =
+      call.mState == CallState::eQueued ? Outcome::eNotRun : Outcome::eUnknown;
     // The refusal is kept for an entry that only lost its connection and asks.
     RefuseCall(aNode,
                aNow,
--- a/caraway/node/node_config.cpp
+++ b/caraway/node/node_config.cpp
@@ -30,8 +30,7 @@
     if (!self) {
       const Epoch next(gone->mEpoch.mValue + 1);
       DropEntryCalls(aNode, aNow, {}, gone->mInstance, next, aOut);
-    } else if (gone->mEpoch == aNode.mSession.mEpoch &&
-               aNode.mSession.mLive) {
+    } else if (gone->mEpoch == aNode.mSession.mEpoch && aNode.mSession.mLive) {
       if (aNode.mStop == StopState::eLeaving) {
         aNode.mStop = StopState::eStopped;
       }
@@ -156,8 +155,7 @@
   // Members that the snapshot no longer contains.
   for (const auto& [instance, member] : before.mMembers) {
     if (!session.mView.mMembers.contains(instance)) {
-      FollowChange(
-        aNode, aNow, RemoveMember{ instance, member.mEpoch }, aOut);
+      FollowChange(aNode, aNow, RemoveMember{ instance, member.mEpoch }, aOut);
     }
   }
   AfterAnswer(aNode, aNow, true, aOut);
--- a/caraway/node/node_dispatch.cpp
+++ b/caraway/node/node_dispatch.cpp
@@ -81,8 +81,7 @@
   work.mWeight = std::max<uint32_t>(1, dispatch.mWeight);
   work.mPrompt = dispatch.mPromptTokens;
   work.mCost = std::max<double>(
-    1.0,
-    static_cast<double>(dispatch.mPromptTokens) + dispatch.mOutputTokens);
+    1.0, static_cast<double>(dispatch.mPromptTokens) + dispatch.mOutputTokens);
   work.mStreamed = dispatch.mStream && !dispatch.mModel.Empty();
   work.mDeadline = aNow + dispatch.mDeadline;
   return work;
--- a/caraway/node/node_http.cpp
+++ b/caraway/node/node_http.cpp
@@ -31,11 +31,11 @@
              int aStatus,
              NodeActions& aOut)
 {
-  Respond(aRequest,
-          aStatus,
-          AnnounceReply(aNode.mSettings.mInstance.mValue,
-                        StateName(aNode, aNow)),
-          aOut);
+  Respond(
+    aRequest,
+    aStatus,
+    AnnounceReply(aNode.mSettings.mInstance.mValue, StateName(aNode, aNow)),
+    aOut);
 }
 
 void
--- a/caraway/node/node_metrics.cpp
+++ b/caraway/node/node_metrics.cpp
@@ -10,16 +10,8 @@
 void
 Line(std::string& aText, const char* aName, const char* aType, double aValue)
 {
-  absl::StrAppend(&aText,
-                  "# TYPE ",
-                  aName,
-                  " ",
-                  aType,
-                  "\n",
-                  aName,
-                  " ",
-                  aValue,
-                  "\n");
+  absl::StrAppend(
+    &aText, "# TYPE ", aName, " ", aType, "\n", aName, " ", aValue, "\n");
 }
 
 void
--- a/caraway/node/node_orders.cpp
+++ b/caraway/node/node_orders.cpp
@@ -53,8 +53,7 @@
 InProgress(const Node& aNode, const LoadOrder& aOrder)
 {
   for (const auto& [id, info] : aNode.mTargetCalls) {
-    if (info.mUse == TargetUse::eOrder &&
-        info.mOrder.mToken == aOrder.mToken &&
+    if (info.mUse == TargetUse::eOrder && info.mOrder.mToken == aOrder.mToken &&
         info.mOrder.mSequence == aOrder.mSequence) {
       return true;
     }
--- a/caraway/node/node_reports.cpp
+++ b/caraway/node/node_reports.cpp
@@ -20,8 +20,7 @@
 bool
 Changed(uint32_t aNow, uint32_t aBefore)
 {
-  const uint32_t difference =
-    aNow > aBefore ? aNow - aBefore : aBefore - aNow;
+  const uint32_t difference = aNow > aBefore ? aNow - aBefore : aBefore - aNow;
   return difference * 5 > std::max<uint32_t>(aBefore, 1);
 }
 
@@ -32,8 +31,7 @@
 {
   auto& watchers = aNode.mReports.mWatchers;
   const bool known = watchers.contains(aWatch.mReportTo);
-  if (aWatch.mReportTo.Empty() ||
-      (!known && watchers.size() >= kMaxWatchers)) {
+  if (aWatch.mReportTo.Empty() || (!known && watchers.size() >= kMaxWatchers)) {
     return;
   }
   watchers[aWatch.mReportTo].mUntil = aNow + kWatchFor;
@@ -53,10 +51,9 @@
   const uint32_t limit = CallLimit(aNode.mScheduler);
   const Duration gap =
     kGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
-  const bool changed = Changed(load, reports.mLastLoad) ||
-                       Changed(limit, reports.mLastLimit);
-  if (aNow < reports.mNextAt &&
-      !(changed && aNow - reports.mLastAt >= gap)) {
+  const bool changed =
+    Changed(load, reports.mLastLoad) || Changed(limit, reports.mLastLimit);
+  if (aNow < reports.mNextAt && !(changed && aNow - reports.mLastAt >= gap)) {
     return;
   }
   reports.mNextAt = aNow + kReportEvery;
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -199,8 +199,7 @@
   } else {
     session.mLeader = aReply.mLeader;
   }
-  const MonoTime again =
-    std::max(aNow, session.mRedirectedAt + kRedirectPause);
+  const MonoTime again = std::max(aNow, session.mRedirectedAt + kRedirectPause);
   session.mRedirectedAt = again;
   session.mAskedAt = MonoTime{ 0 };
   session.mRegisterAt = std::min(session.mRegisterAt, again);
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -10,7 +10,6 @@
 
 namespace caraway {
 
-
 struct NodeSettings
 {
   InstanceId mInstance; // unique, from the settings
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -38,10 +38,10 @@
 struct NodeReports
 {
   std::map<PeerAddress, WatchState> mWatchers;
-  MonoTime mNextAt{ 0 };     // regular report
-  MonoTime mLastAt{ 0 };     // last report of any kind
-  uint32_t mLastLoad = 0;    // running + queued, as reported
-  uint32_t mLastLimit = 0;   // as reported
+  MonoTime mNextAt{ 0 };   // regular report
+  MonoTime mLastAt{ 0 };   // last report of any kind
+  uint32_t mLastLoad = 0;  // running + queued, as reported
+  uint32_t mLastLimit = 0; // as reported
 };
 
 enum class StopState : uint8_t
@@ -71,11 +71,11 @@
   FencingToken mOrderToken; // highest seen; older orders are refused
   std::map<std::pair<FencingToken, uint64_t>, LoadOrderReply> mOrderReplies;
   StopState mStop = StopState::eServing;
-  MonoTime mStopSince{ 0 };    // StopRequested
-  MonoTime mDrainKnown{ 0 };   // control acknowledged the drain, 0 = not yet
-  MonoTime mLeaveSince{ 0 };   // first Leave
-  MonoTime mLeaveAt{ 0 };      // next Leave
-  MonoTime mNextTick{ 0 };     // housekeeping, once a second
+  MonoTime mStopSince{ 0 };  // StopRequested
+  MonoTime mDrainKnown{ 0 }; // control acknowledged the drain, 0 = not yet
+  MonoTime mLeaveSince{ 0 }; // first Leave
+  MonoTime mLeaveAt{ 0 };    // next Leave
+  MonoTime mNextTick{ 0 };   // housekeeping, once a second
   NodeCounters mCounters;
 };
 
--- a/caraway/node/node_target.cpp
+++ b/caraway/node/node_target.cpp
@@ -52,8 +52,7 @@
   log.mEvent = "limit";
   log.mChoice = std::string(LimitChangeName(aChange));
   log.mReason = std::string(aReason);
-  log.mExtra = { { "limit",
-                   std::to_string(aNode.mScheduler.mLimit.mValue) },
+  log.mExtra = { { "limit", std::to_string(aNode.mScheduler.mLimit.mValue) },
                  { "running", std::to_string(RunningCalls(aNode)) } };
   aOut.emplace_back(std::move(log));
 }
@@ -67,8 +66,8 @@
   NodeTarget& target = aNode.mTarget;
   const bool restarted =
     !target.mPresent || target.mAnnounced.mStartId != aAnnouncement.mStartId;
-  const bool leaving = target.mLeaving &&
-                       target.mAnnounced.mStartId == aAnnouncement.mStartId;
+  const bool leaving =
+    target.mLeaving && target.mAnnounced.mStartId == aAnnouncement.mStartId;
   const bool changed = target.mAnnounced.mInfo != aAnnouncement.mInfo;
   target.mAnnounced = aAnnouncement;
   target.mPresent = true;
@@ -121,8 +120,7 @@
 {
   NodeTarget& target = aNode.mTarget;
   target.mOwnPeak = std::max(target.mOwnPeak, RunningCalls(aNode));
-  if (!target.mPresent || !target.mLoadCall.IsNone() ||
-      aNow < target.mLoadAt) {
+  if (!target.mPresent || !target.mLoadCall.IsNone() || aNow < target.mLoadAt) {
     return;
   }
   target.mLoadAt = aNow + kLoadEvery;
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -166,11 +166,10 @@
     case TargetUse::eOnline:
       if (NodeCall* call = CallOfWork(aNode, info.mWork)) {
         ++aNode.mCounters.mFailed;
-        LogLimit(
-          aNode,
-          NoteEnd(aNode.mScheduler, aNow, info.mWork, Ending::eBusy, 0),
-          "call broken",
-          aOut);
+        LogLimit(aNode,
+                 NoteEnd(aNode.mScheduler, aNow, info.mWork, Ending::eBusy, 0),
+                 "call broken",
+                 aOut);
         call->mTargetCall = {};
         RefuseCall(aNode,
                    aNow,
@@ -183,12 +182,10 @@
       }
       break;
     case TargetUse::eBatch:
-      FailTask(
-        aNode, aNow, info.mWork, aEvent.mOutcome, aEvent.mReason, aOut);
+      FailTask(aNode, aNow, info.mWork, aEvent.mOutcome, aEvent.mReason, aOut);
       break;
     case TargetUse::eLoad:
-      OnLoadAnswer(
-        aNode, aNow, aEvent.mOutcome != Outcome::eNotRun, aOut);
+      OnLoadAnswer(aNode, aNow, aEvent.mOutcome != Outcome::eNotRun, aOut);
       break;
     case TargetUse::eOrder:
       FinishOrder(aNode, info, false, "the target broke the call", aOut);
--- a/caraway/scheduling/batch_cap.cpp
+++ b/caraway/scheduling/batch_cap.cpp
@@ -10,14 +10,13 @@
 
 constexpr Duration kJudgeEvery = Seconds(1);
 constexpr size_t kEnoughSamples = 32;
-constexpr uint32_t kStepDivisor = 25;    // 4%
+constexpr uint32_t kStepDivisor = 25; // 4%
 constexpr uint32_t kFastStepDivisor = 8;
 
 Duration
 Bound(const BatchCap& aCap, Duration aTokenGoal)
 {
-  return std::min(aTokenGoal * 3 / 4,
-                  std::max(aCap.mUnloaded * 2, Millis(1)));
+  return std::min(aTokenGoal * 3 / 4, std::max(aCap.mUnloaded * 2, Millis(1)));
 }
 
 void
@@ -39,8 +38,7 @@
   const bool unbounded = aCap.mValue == BatchCap().mValue;
   if (!unbounded && aCap.mMost * 8 >= aCap.mValue * 7) { // headroom is free
     const bool far = median * 4 < bound * 3;
-    aCap.mValue +=
-      aCap.mValue / (far ? kFastStepDivisor : kStepDivisor) + 1;
+    aCap.mValue += aCap.mValue / (far ? kFastStepDivisor : kStepDivisor) + 1;
   }
 }
 
--- a/caraway/scheduling/concurrency_limit.cpp
+++ b/caraway/scheduling/concurrency_limit.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kQuantile = 0.95;
-constexpr size_t kEnoughGaps = 64;  // samples before a judgement on gaps
+constexpr size_t kEnoughGaps = 64;   // samples before a judgement on gaps
 constexpr size_t kEnoughFirsts = 20; // and on first tokens
 constexpr uint32_t kErrorsInRow = 3;
 constexpr double kSmoothing = 0.1; // weight of a new sample in the usual values
--- a/caraway/scheduling/concurrency_limit.h
+++ b/caraway/scheduling/concurrency_limit.h
@@ -31,13 +31,13 @@
 struct ConcurrencyLimit
 {
   LimitSettings mSettings;
-  uint32_t mValue = 1;       // between the cold and the largest value
-  bool mRamping = true;      // still doubling from the cold value
-  bool mSaysCold = false;    // the target's own report; holds the ramp
-  uint32_t mWarmValue = 0;   // last value that met the goals before turning cold
-  uint32_t mGood = 0;        // good completions at a full limit, this round
-  uint32_t mErrors = 0;      // server errors in a row
-  SampleWindow mTokenGaps;   // since the last change
+  uint32_t mValue = 1;     // between the cold and the largest value
+  bool mRamping = true;    // still doubling from the cold value
+  bool mSaysCold = false;  // the target's own report; holds the ramp
+  uint32_t mWarmValue = 0; // last value that met the goals before turning cold
+  uint32_t mGood = 0;      // good completions at a full limit, this round
+  uint32_t mErrors = 0;    // server errors in a row
+  SampleWindow mTokenGaps; // since the last change
   SampleWindow mFirstTokens; // since the last change
   double mFirstBase = 0;     // usual seconds to the first token, 0 = unknown
   double mPromptBase = 0;    // prompt tokens behind mFirstBase
--- a/caraway/scheduling/fair_queue.cpp
+++ b/caraway/scheduling/fair_queue.cpp
@@ -119,8 +119,8 @@
   if (found == aQueue.mFlows.end()) {
     return;
   }
-  const double tag = found->second.mTag +
-                     aDifference / std::max<uint32_t>(1, aWeight);
+  const double tag =
+    found->second.mTag + aDifference / std::max<uint32_t>(1, aWeight);
   SetTag(aQueue, aWorkspace, found->second, std::max(0.0, tag));
 }
 
@@ -132,10 +132,9 @@
   auto found = aQueue.mFlows.find(aWorkspace);
   const double own =
     found == aQueue.mFlows.end() ? 0.0 : found->second.mBacklog;
-  const double tag =
-    found == aQueue.mFlows.end()
-      ? aQueue.mVirtualTime
-      : std::max(found->second.mTag, aQueue.mVirtualTime);
+  const double tag = found == aQueue.mFlows.end()
+                       ? aQueue.mVirtualTime
+                       : std::max(found->second.mTag, aQueue.mVirtualTime);
   const double weight = std::max<uint32_t>(1, aWeight);
   const double finish = tag + own / weight;
   double ahead = own;
@@ -180,8 +179,8 @@
 ForgetIdleFlows(FairQueue& aQueue)
 {
   for (auto flow = aQueue.mFlows.begin(); flow != aQueue.mFlows.end();) {
-    const bool idle = flow->second.mWork.empty() &&
-                      flow->second.mTag <= aQueue.mVirtualTime;
+    const bool idle =
+      flow->second.mWork.empty() && flow->second.mTag <= aQueue.mVirtualTime;
     if (idle) {
       aQueue.mFlows.erase(flow++);
     } else {
--- a/caraway/scheduling/sample_window.cpp
+++ b/caraway/scheduling/sample_window.cpp
@@ -31,10 +31,9 @@
     return {};
   }
   std::vector<int64_t> sorted = aWindow.mMicros;
-  const size_t rank =
-    std::min(sorted.size() - 1,
-             static_cast<size_t>(aQuantile *
-                                 static_cast<double>(sorted.size())));
+  const size_t rank = std::min(
+    sorted.size() - 1,
+    static_cast<size_t>(aQuantile * static_cast<double>(sorted.size())));
   const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(rank);
   std::nth_element(sorted.begin(), middle, sorted.end());
   return { *middle };
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -37,8 +37,8 @@
   }
   const uint32_t foreignAndOnline =
     aScheduler.mRunningOnline + aScheduler.mForeign;
-  const bool yields = aScheduler.mSettings.mPolicy ==
-                      SchedulePolicy::eOnlineFirst;
+  const bool yields =
+    aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst;
   return (yields ? foreignAndOnline : Occupied(aScheduler)) <
          CallLimit(aScheduler);
 }
@@ -166,8 +166,7 @@
   const Work work = TakeWaiting(aScheduler, aWork);
   const bool fair =
     aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst;
-  RemoveFair(
-    aScheduler.mOnline, fair ? work.mWorkspace : WorkspaceId(), aWork);
+  RemoveFair(aScheduler.mOnline, fair ? work.mWorkspace : WorkspaceId(), aWork);
   return true;
 }
 
@@ -180,8 +179,7 @@
   }
   RunningWork& running = found->second;
   const bool first = running.mTokens++ == 0;
-  const Duration since =
-    aNow - (first ? running.mStarted : running.mLastToken);
+  const Duration since = aNow - (first ? running.mStarted : running.mLastToken);
   running.mLastToken = aNow;
   if (!running.mWork.mStreamed) {
     return LimitChange::eNone;
@@ -264,8 +262,7 @@
   }
   for (auto& [id, running] : aScheduler.mRunning) {
     const bool silent =
-      running.mWork.mStreamed && running.mTokens == 0 &&
-      !running.mSlowNoted &&
+      running.mWork.mStreamed && running.mTokens == 0 && !running.mSlowNoted &&
       aNow - running.mStarted >
         ColdThreshold(aScheduler.mLimit, running.mWork.mPrompt);
     if (silent) {
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -44,12 +44,12 @@
   BurstTracker mBursts;
   Knee mKnee;
   ServiceRate mRate;
-  FairQueue mOnline;                            // waiting online work
+  FairQueue mOnline;                             // waiting online work
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
-  std::map<WorkId, Work> mWaiting;              // online and batch
-  std::set<std::pair<MonoTime, WorkId>> mBatch; // waiting batch, by deadline
-  std::map<WorkId, RunningWork> mRunning;       // in the order of arrival
-  uint32_t mRunningOnline = 0;                  // of mRunning
+  std::map<WorkId, Work> mWaiting;               // online and batch
+  std::set<std::pair<MonoTime, WorkId>> mBatch;  // waiting batch, by deadline
+  std::map<WorkId, RunningWork> mRunning;        // in the order of arrival
+  uint32_t mRunningOnline = 0;                   // of mRunning
   uint32_t mForeign = 0; // calls at the target that this node did not start
   bool mHeld = true;     // nothing starts: the target's state is unknown
 };
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -50,12 +50,12 @@
       near.push_back(&running);
     }
   }
-  std::sort(near.begin(), near.end(), [](const auto* aLeft, const auto* aRight) {
-    return LessProgress(*aRight, *aLeft);
-  });
-  near.resize(
-    std::min<size_t>(near.size(),
-                     aScheduler.mLimit.mValue / kNearShareDivisor));
+  std::sort(
+    near.begin(), near.end(), [](const auto* aLeft, const auto* aRight) {
+      return LessProgress(*aRight, *aLeft);
+    });
+  near.resize(std::min<size_t>(near.size(),
+                               aScheduler.mLimit.mValue / kNearShareDivisor));
   std::set<WorkId> kept;
   for (const RunningWork* running : near) {
     kept.insert(running->mWork.mId);
@@ -214,7 +214,8 @@
                 aScheduler.mSettings.mLimit.mTokenGoal,
                 Occupied(aScheduler));
   if (aScheduler.mLimit.mRamping) {
-    aScheduler.mKnee = Knee(); // rates of a cold target say nothing of a warm one
+    aScheduler.mKnee =
+      Knee(); // rates of a cold target say nothing of a warm one
   }
   JudgeKnee(aScheduler.mKnee, aNow);
   if (aScheduler.mHeld) {
--- a/caraway/scheduling/service_rate.cpp
+++ b/caraway/scheduling/service_rate.cpp
@@ -30,8 +30,8 @@
   if (aRate.mSeconds == 0 || aRate.mCost <= 0) {
     return {};
   }
-  const double perSecond = std::max<uint32_t>(1, aPlaces) * aRate.mCost /
-                           aRate.mSeconds;
+  const double perSecond =
+    std::max<uint32_t>(1, aPlaces) * aRate.mCost / aRate.mSeconds;
   return { static_cast<int64_t>(aCostAhead / perSecond * 1e6) };
 }
 
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -47,9 +47,10 @@
     return false;
   }
   auto& cache = aEngine.mCache;
-  auto found = std::find_if(cache.begin(), cache.end(), [&](const auto& aEntry) {
-    return aEntry.first == aCall.mPrefix;
-  });
+  auto found =
+    std::find_if(cache.begin(), cache.end(), [&](const auto& aEntry) {
+      return aEntry.first == aCall.mPrefix;
+    });
   if (found != cache.end()) {
     cache.splice(cache.begin(), cache, found);
     return true;
@@ -57,8 +58,7 @@
   cache.emplace_front(aCall.mPrefix, aCall.mPrefixTokens);
   aEngine.mCached += aCall.mPrefixTokens;
   TellCacheEvent(aEngine, aNow, aCall.mPrefix, true);
-  while (aEngine.mCached > aEngine.mSettings.mCacheTokens &&
-         cache.size() > 1) {
+  while (aEngine.mCached > aEngine.mSettings.mCacheTokens && cache.size() > 1) {
     aEngine.mCached -= cache.back().second;
     TellCacheEvent(aEngine, aNow, cache.back().first, false);
     cache.pop_back();
@@ -141,10 +141,8 @@
     if (!running.mInStep) {
       continue;
     }
-    aOut.push_back({ now,
-                     running.mCall.mId,
-                     EngineOutputKind::eToken,
-                     running.mGenerated });
+    aOut.push_back(
+      { now, running.mCall.mId, EngineOutputKind::eToken, running.mGenerated });
     ++running.mGenerated;
     ++aEngine.mTokens;
     if (running.mGenerated >= running.mCall.mOutput) {
@@ -199,8 +197,7 @@
   running.mToRead += aCall.mResumed;
   running.mToRead = std::max(1.0, running.mToRead);
   aEngine.mRunning.push_back(running);
-  const bool above =
-    aEngine.mRunning.size() > aEngine.mSettings.mColdBearable;
+  const bool above = aEngine.mRunning.size() > aEngine.mSettings.mColdBearable;
   if (IsCold(aEngine, aNow) && above) {
     ++aEngine.mAboveBearable;
     aEngine.mFalling = true;
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -20,32 +20,32 @@
 struct EngineSettings
 {
   uint64_t mSeed = 1;
-  Duration mStepBase = Millis(18);       // one step with few calls
-  Duration mStepPerCall = Micros(100);   // added per call in the step
-  uint32_t mBearable = 96;               // calls; above, everything slows badly
+  Duration mStepBase = Millis(18);     // one step with few calls
+  Duration mStepPerCall = Micros(100); // added per call in the step
+  uint32_t mBearable = 96;             // calls; above, everything slows badly
   Duration mPrefillPerToken = Micros(40); // reading a prompt
-  uint32_t mPrefillPerStep = 1024;       // prompt tokens read in one step
-  double mCachedCost = 0.1;              // of a prefix that is in the cache
-  uint64_t mCacheTokens = 200000;        // memory of the prefix cache
-  uint32_t mColdBearable = 1;            // calls while cold; more: falls over
-  Duration mColdFor = Seconds(10);       // until warm
-  double mColdSlowdown = 2;              // of each step while cold
-  Duration mDownFor = Seconds(2);        // after falling over
-  Duration mReportLag = Millis(500);     // of load reports
+  uint32_t mPrefillPerStep = 1024;        // prompt tokens read in one step
+  double mCachedCost = 0.1;               // of a prefix that is in the cache
+  uint64_t mCacheTokens = 200000;         // memory of the prefix cache
+  uint32_t mColdBearable = 1;             // calls while cold; more: falls over
+  Duration mColdFor = Seconds(10);        // until warm
+  double mColdSlowdown = 2;               // of each step while cold
+  Duration mDownFor = Seconds(2);         // after falling over
+  Duration mReportLag = Millis(500);      // of load reports
   Duration mCacheEventLag = Millis(300);
-  double mCacheEventLoss = 0.05;         // part of the cache events never told
-  double mJitter = 0.05;                 // of each step, either way
-  bool mChecksFencing = false;           // refuses orders with an old token
+  double mCacheEventLoss = 0.05; // part of the cache events never told
+  double mJitter = 0.05;         // of each step, either way
+  bool mChecksFencing = false;   // refuses orders with an old token
 };
 
 struct EngineCall
 {
-  uint64_t mId = 0;            // of the caller, unique among running calls
-  uint32_t mPrompt = 0;        // tokens
-  uint32_t mOutput = 1;        // tokens to generate in all
-  uint32_t mResumed = 0;       // of them already generated
-  uint64_t mPrefix = 0;        // hash of a shared prefix, 0 = none
-  uint32_t mPrefixTokens = 0;  // its length
+  uint64_t mId = 0;           // of the caller, unique among running calls
+  uint32_t mPrompt = 0;       // tokens
+  uint32_t mOutput = 1;       // tokens to generate in all
+  uint32_t mResumed = 0;      // of them already generated
+  uint64_t mPrefix = 0;       // hash of a shared prefix, 0 = none
+  uint32_t mPrefixTokens = 0; // its length
 };
 
 enum class EngineOutputKind : uint8_t
@@ -94,17 +94,17 @@
   bool mStepping = false;
   MonoTime mStepEnd{ 0 };
   MonoTime mWarmAt{ 0 };
-  MonoTime mUpAt{ 0 };                // refuses connections until then
-  bool mFalling = false;              // breaks at the end of this step
-  std::list<std::pair<uint64_t, uint32_t>> mCache; // prefix, newest first
-  uint64_t mCached = 0;                            // tokens in mCache
-  std::deque<CacheEvent> mCacheEvents;             // not told yet
+  MonoTime mUpAt{ 0 };   // refuses connections until then
+  bool mFalling = false; // breaks at the end of this step
+  std::list<std::pair<uint64_t, uint32_t>> mCache;      // prefix, newest first
+  uint64_t mCached = 0;                                 // tokens in mCache
+  std::deque<CacheEvent> mCacheEvents;                  // not told yet
   std::deque<std::pair<MonoTime, EngineLoad>> mHistory; // for lagging reports
-  uint64_t mOrderToken = 0;           // newest seen
-  std::vector<std::string> mModels;   // loaded
-  uint64_t mAboveBearable = 0;        // calls admitted above what it bears cold
+  uint64_t mOrderToken = 0;                             // newest seen
+  std::vector<std::string> mModels;                     // loaded
+  uint64_t mAboveBearable = 0; // calls admitted above what it bears cold
   uint64_t mFalls = 0;
-  uint64_t mTokens = 0;               // generated
+  uint64_t mTokens = 0; // generated
 };
 
 EngineModel
--- a/standins/node_world.cpp
+++ b/standins/node_world.cpp
@@ -191,14 +191,14 @@
   const TargetCallId id(aOutput.mCall);
   if (!aWorld.mBegan[aOutput.mCall]) {
     aWorld.mBegan[aOutput.mCall] = true;
-    Give(aWorld,
-         TargetCallBegan{ id, 200, { { "Content-Type", "text/event-stream" } } });
+    Give(
+      aWorld,
+      TargetCallBegan{ id, 200, { { "Content-Type", "text/event-stream" } } });
   }
   if (aOutput.mKind == EngineOutputKind::eToken) {
     Give(aWorld,
          TargetCallBytes{
-           id,
-           "data: {\"choices\":[{\"delta\":{\"content\":\"t \"}}]}\n\n" });
+           id, "data: {\"choices\":[{\"delta\":{\"content\":\"t \"}}]}\n\n" });
     return;
   }
   aWorld.mOutputs.erase(aOutput.mCall);
@@ -218,14 +218,13 @@
   if (!aWorld.mAnnouncing || aWorld.mNow < aWorld.mEngine.mUpAt) {
     return;
   }
-  const Json body = {
-    { "target", "engine-1" },
-    { "kind", "engine" },
-    { "url", "http://127.0.0.1:9000" },
-    { "models", { "m" } },
-    { "start_id", std::to_string(aWorld.mEngine.mStart) },
-    { "capabilities", { { "resume", aWorld.mSettings.mCanResume } } }
-  };
+  const Json body = { { "target", "engine-1" },
+                      { "kind", "engine" },
+                      { "url", "http://127.0.0.1:9000" },
+                      { "models", { "m" } },
+                      { "start_id", std::to_string(aWorld.mEngine.mStart) },
+                      { "capabilities",
+                        { { "resume", aWorld.mSettings.mCanResume } } } };
   HttpRequest request;
   request.mMethod = "POST";
   request.mPath = "/announce";
@@ -315,7 +314,8 @@
       aWorld.mEvents.empty() ? kNever : aWorld.mEvents.begin()->first;
     const MonoTime step = NextEngineStep(aWorld.mEngine);
     const MonoTime wake = NextWakeup(aWorld.mNode);
-    const MonoTime next = std::max(aWorld.mNow, std::min({ event, step, wake }));
+    const MonoTime next =
+      std::max(aWorld.mNow, std::min({ event, step, wake }));
     if (next > aEnd) {
       aWorld.mNow = aEnd;
       return;
--- a/standins/node_world.h
+++ b/standins/node_world.h
@@ -48,12 +48,11 @@
   uint32_t mMaxLimit = 256;
   uint32_t mBatchOutput = 300; // tokens of each batch item
   uint32_t mBatchPrompt = 400;
-  bool mBatch = false;              // unlimited batch work is on offer
+  bool mBatch = false; // unlimited batch work is on offer
   Duration mBatchLeft = Seconds(86400);
   Duration mBatchWindow = Seconds(86400);
 };
 
-
 struct NodeWorld
 {
   WorldSettings mSettings;
@@ -62,13 +61,13 @@
   EngineModel mEngine;
   std::multimap<MonoTime, std::function<void()>> mEvents;
   std::map<RequestId, OnlineRecord> mOnline;
-  std::map<uint64_t, uint32_t> mOutputs;  // running target calls: tokens asked
-  std::map<uint64_t, bool> mBegan;        // status line was sent
+  std::map<uint64_t, uint32_t> mOutputs; // running target calls: tokens asked
+  std::map<uint64_t, bool> mBegan;       // status line was sent
   uint64_t mNextRequest = 1;
   uint64_t mNextSequence = 1;
   uint64_t mNextEpoch = 10;
   uint64_t mNextIndex = 0;
-  uint64_t mBatchTokens = 0;  // generated for batch items that were finished
+  uint64_t mBatchTokens = 0; // generated for batch items that were finished
   uint64_t mBatchDone = 0;
   uint64_t mBatchFailed = 0;
   uint64_t mPreempted = 0;
--- a/standins/service_model.cpp
+++ b/standins/service_model.cpp
@@ -28,8 +28,8 @@
   ServiceAnswer answer;
   const double jitter =
     1.0 + settings.mJitter * (2 * DrawUnit(aService.mRandom) - 1);
-  answer.mAfter = Micros(static_cast<int64_t>(
-    static_cast<double>(settings.mTime.mMicros) * jitter));
+  answer.mAfter = Micros(
+    static_cast<int64_t>(static_cast<double>(settings.mTime.mMicros) * jitter));
   answer.mBroken = DrawUnit(aService.mRandom) < settings.mFailure;
   answer.mBody = "{\"method\":\"" + aMethod +
                  "\",\"executions\":" + std::to_string(times) +
--- a/standins/service_model.h
+++ b/standins/service_model.h
@@ -14,9 +14,9 @@
 struct ServiceSettings
 {
   uint64_t mSeed = 1;
-  Duration mTime = Millis(5);   // of one execution
-  double mJitter = 0.5;         // either way
-  double mFailure = 0;          // part that breaks after it has run
+  Duration mTime = Millis(5); // of one execution
+  double mJitter = 0.5;       // either way
+  double mFailure = 0;        // part that breaks after it has run
 };
 
 struct ServiceModel
--- a/tests/node_batch_test.cpp
+++ b/tests/node_batch_test.cpp
@@ -23,12 +23,12 @@
 void
 Stream(NodeFixture& aNode, TargetCallId aCall, const char* aText)
 {
-  aNode.Give(TargetCallBegan{
-    aCall, 200, { { "Content-Type", "text/event-stream" } } });
+  aNode.Give(
+    TargetCallBegan{ aCall, 200, { { "Content-Type", "text/event-stream" } } });
   aNode.Give(TargetCallBytes{
     aCall,
-    std::string(R"(data: {"id":"x","choices":[{"delta":{"content":")") +
-      aText + "\"}}]}\n\n" });
+    std::string(R"(data: {"id":"x","choices":[{"delta":{"content":")") + aText +
+      "\"}}]}\n\n" });
 }
 
 std::vector<ItemResult>
@@ -68,8 +68,7 @@
   const auto results = ResultsAfterGrouping(node);
   BOOST_REQUIRE_EQUAL(results.size(), 1u);
   BOOST_TEST((results[0].mVerdict == ItemVerdict::eDone));
-  BOOST_TEST(results[0].mBody.find("\"content\":\"hey\"") !=
-             std::string::npos);
+  BOOST_TEST(results[0].mBody.find("\"content\":\"hey\"") != std::string::npos);
   BOOST_TEST(results[0].mBody.find("\"custom_id\":\"c0\"") !=
              std::string::npos);
   node.Wait(Millis(500));
@@ -96,8 +95,7 @@
   ack.mStale = true;
   node.Hear(kTestControl, ack);
   BOOST_REQUIRE_EQUAL(node.Actions<CancelTargetCall>().size(), 1u);
-  BOOST_TEST(
-    (node.Actions<CancelTargetCall>()[0].mCall == started[1].mCall));
+  BOOST_TEST((node.Actions<CancelTargetCall>()[0].mCall == started[1].mCall));
   NodeFixture other(4);
   StartTwoItems(other);
   other.Hear(kTestControl, ItemsRevoked{ {}, JobId("batch_1") });
@@ -106,8 +104,7 @@
 
 BOOST_AUTO_TEST_CASE(verdicts_follow_the_answer)
 {
-  for (const auto& [status, verdict] :
-       std::vector<std::pair<int, ItemVerdict>>{
+  for (const auto& [status, verdict] : std::vector<std::pair<int, ItemVerdict>>{
          { 200, ItemVerdict::eDone },
          { 404, ItemVerdict::ePermanent },
          { 408, ItemVerdict::eRetryable },
@@ -136,12 +133,10 @@
 {
   BatchTask task;
   BOOST_TEST(!ParseBatchLine("not json", "/v1/completions").ok());
-  BOOST_TEST(!ParseBatchLine(R"({"url":"/v1/completions"})",
-                             "/v1/completions")
-                .ok());
-  BOOST_TEST(!ParseBatchLine(R"({"url":"/other","body":{}})",
-                             "/v1/completions")
-                .ok());
+  BOOST_TEST(
+    !ParseBatchLine(R"({"url":"/v1/completions"})", "/v1/completions").ok());
+  BOOST_TEST(
+    !ParseBatchLine(R"({"url":"/other","body":{}})", "/v1/completions").ok());
   NodeFixture node(4);
   node.MakeReady();
   ItemBatch batch;
--- a/tests/node_dispatch_test.cpp
+++ b/tests/node_dispatch_test.cpp
@@ -98,8 +98,7 @@
   query.mSequence = late.mSequence;
   node.Hear(kTestEntry, query);
   BOOST_REQUIRE_EQUAL(node.Sent<OutcomeReply>().size(), 1u);
-  BOOST_TEST(
-    (node.Sent<OutcomeReply>()[0].mState == AttemptState::eNeverSeen));
+  BOOST_TEST((node.Sent<OutcomeReply>()[0].mState == AttemptState::eNeverSeen));
   BOOST_TEST(node.Run(late).IsNone()); // "not run" has to stay true
   query.mNodeEpoch = Epoch(6);
   node.Hear(kTestEntry, query);
@@ -123,8 +122,7 @@
   query.mNodeEpoch = call.mNodeEpoch;
   query.mNextPart = 1;
   node.Hear(kTestEntry, query);
-  BOOST_TEST(
-    (node.Sent<OutcomeReply>()[0].mState == AttemptState::eAnswered));
+  BOOST_TEST((node.Sent<OutcomeReply>()[0].mState == AttemptState::eAnswered));
   const auto parts = node.Sent<AnswerPart>();
   BOOST_REQUIRE_EQUAL(parts.size(), 2u);
   BOOST_TEST(parts[0].mBytes == "b");
@@ -139,8 +137,7 @@
   const TargetCallId id = node.Run(call);
   node.Hear(kTestEntry, CancelRequest{ call.mRequest, 1, call.mNodeEpoch });
   BOOST_REQUIRE_EQUAL(node.Actions<CancelTargetCall>().size(), 1u);
-  BOOST_TEST(
-    (node.Actions<CancelTargetCall>()[0].mCall == id));
+  BOOST_TEST((node.Actions<CancelTargetCall>()[0].mCall == id));
   BOOST_TEST(node.Sent<Refusal>().empty()); // nothing more is answered
   const Dispatch late = node.Call("r2");
   node.Hear(kTestEntry, CancelRequest{ late.mRequest, 1, late.mNodeEpoch });
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -188,8 +188,7 @@
   {
     ItemBatch batch;
     batch.mNodeEpoch = mNode.mSession.mEpoch;
-    batch.mSequence =
-      aSequence != 0 ? aSequence : mNode.mBatch.mLeaseSequence;
+    batch.mSequence = aSequence != 0 ? aSequence : mNode.mBatch.mLeaseSequence;
     batch.mJob = JobId("batch_1");
     batch.mToken = FencingToken(50);
     batch.mWorkspace = WorkspaceId("night");
--- a/tests/node_service_test.cpp
+++ b/tests/node_service_test.cpp
@@ -1,6 +1,6 @@
 // Guards against work taken by a node that must refuse it: without a lease, out
-// of service, draining, with a withdrawn key; and against a stop that interrupts
-// calls or loses the session.
+// of service, draining, with a withdrawn key; and against a stop that
+// interrupts calls or loses the session.
 #define BOOST_TEST_MODULE node_service
 #include <boost/test/unit_test.hpp>
 
@@ -75,8 +75,8 @@
   // leader are asked at most every 50 ms.
   node.Hear(kTestControl2, NotLeader{ PeerAddress("127.0.0.1:9") });
   BOOST_REQUIRE_EQUAL(node.Sent<Register>().size(), 1u);
-  BOOST_TEST((node.Actions<SendMessage>().back().mTo ==
-              PeerAddress("127.0.0.1:9")));
+  BOOST_TEST(
+    (node.Actions<SendMessage>().back().mTo == PeerAddress("127.0.0.1:9")));
   node.Hear(kTestControl2, NotLeader{ kTestControl });
   BOOST_TEST(node.Sent<Register>().empty());
   node.Wait(Millis(50));
@@ -95,8 +95,7 @@
   BOOST_TEST(node.Sent<Refusal>().empty());
   node.Wait(Millis(1));
   BOOST_REQUIRE_EQUAL(node.Sent<Refusal>().size(), 1u);
-  BOOST_TEST(
-    (node.Sent<Refusal>()[0].mKind == ErrorKind::eLeaseExpired));
+  BOOST_TEST((node.Sent<Refusal>()[0].mKind == ErrorKind::eLeaseExpired));
   BOOST_TEST((KindOfRefusal(node, "new") == ErrorKind::eLeaseExpired));
   node.GrantLease();
   BOOST_TEST(node.mNode.mScheduler.mRunning.size() == 1u); // went on
--- a/tests/scheduling_policy_test.cpp
+++ b/tests/scheduling_policy_test.cpp
@@ -118,8 +118,8 @@
   // Another workspace does not stand behind this one's backlog.
   Work other = Online(4, "b", 10);
   other.mDeadline = late.mDeadline;
-  BOOST_TEST((OfferOnline(scheduler, kStart, other).mVerdict ==
-              Verdict::eQueued));
+  BOOST_TEST(
+    (OfferOnline(scheduler, kStart, other).mVerdict == Verdict::eQueued));
   const auto steps = Decide(scheduler, kStart + Seconds(21));
   BOOST_REQUIRE_EQUAL(steps.size(), 1u);
   BOOST_TEST((steps[0].mKind == StepKind::eExpire));
@@ -200,23 +200,23 @@
     RecordFirstToken(limit, Millis(200), 100, true);
   }
   limit.mValue = 40;
-  BOOST_TEST((RecordFirstToken(limit, Millis(790), 100, true) ==
-              LimitChange::eNone));
+  BOOST_TEST(
+    (RecordFirstToken(limit, Millis(790), 100, true) == LimitChange::eNone));
   BOOST_TEST((RecordFirstToken(limit, Millis(1200), 100, true) ==
               LimitChange::eTurnedCold));
   limit.mValue = 40; // a prompt of five times the length may take that long
-  BOOST_TEST((RecordFirstToken(limit, Millis(1200), 500, true) ==
-              LimitChange::eNone));
+  BOOST_TEST(
+    (RecordFirstToken(limit, Millis(1200), 500, true) == LimitChange::eNone));
   Scheduler scheduler = Warm(1);
   scheduler.mLimit = limit;
   Work work = Online(1, "a", 10);
   work.mStreamed = true;
   OfferOnline(scheduler, kStart, work);
   Decide(scheduler);
-  BOOST_TEST((CheckSilence(scheduler, kStart + Millis(700)) ==
-              LimitChange::eNone));
-  BOOST_TEST((CheckSilence(scheduler, kStart + Seconds(2)) ==
-              LimitChange::eTurnedCold));
+  BOOST_TEST(
+    (CheckSilence(scheduler, kStart + Millis(700)) == LimitChange::eNone));
+  BOOST_TEST(
+    (CheckSilence(scheduler, kStart + Seconds(2)) == LimitChange::eTurnedCold));
 }
 
 BOOST_AUTO_TEST_CASE(more_calls_without_more_tokens_bind_the_calls)
