--- a/caraway/scheduling/batch_cap.cpp
+++ b/caraway/scheduling/batch_cap.cpp
@@ -16,8 +16,7 @@
 Duration
 Bound(const BatchCap& aCap, Duration aTokenGoal)
 {
-  return std::min(aTokenGoal * 3 / 4,
-                  std::max(aCap.mUnloaded * 8 / 5, Millis(1)));
+  return std::min(aTokenGoal * 3 / 4, std::max(aCap.mUnloaded * 2, Millis(1)));
 }
 
 void
--- a/caraway/scheduling/batch_cap.h
+++ b/caraway/scheduling/batch_cap.h
@@ -3,7 +3,7 @@
 //
 // The concurrency limit is bounded by the latency goals; batch work stops
 // earlier, at the point where more calls cost latency and bring no throughput.
-// The bound is 1.6 times the unloaded time between tokens, and three
+// The bound is twice the unloaded time between tokens, and three
 // quarters of the goal for 95 of 100 of them, so that batch work alone never
 // makes the limit shrink.
 
--- a/caraway/scheduling/knee.cpp
+++ b/caraway/scheduling/knee.cpp
@@ -14,8 +14,7 @@
 constexpr double kPerDoubling = 8;
 constexpr double kSmoothing = 0.3;
 constexpr double kWorse = 0.97;
-constexpr double kFade = 0.995; // per second; the kind of work changes
-constexpr uint32_t kGrowthDivisor = 16;
+constexpr double kFade = 0.999; // per second, so that old rates lose weight
 
 size_t
 BucketOf(double aCalls)
@@ -49,7 +48,7 @@
     aKnee.mBound = UpperEdge(place);
   } else if (aKnee.mBound != Knee().mBound &&
              aCalls * kPerDoubling >= aKnee.mBound * (kPerDoubling - 1)) {
-    aKnee.mBound += aKnee.mBound / kGrowthDivisor + 1;
+    ++aKnee.mBound;
   }
 }
 
--- a/caraway/scheduling/knee.h
+++ b/caraway/scheduling/knee.h
@@ -29,7 +29,7 @@
 RecordKneeToken(Knee& aKnee, uint32_t aRunning);
 
 // Judges once a second. Falls back to the best known number of calls when the
-// present number gives 3% less, and tries a sixteenth more otherwise.
+// present number gives 3% less, and tries one more each second otherwise.
 void
 JudgeKnee(Knee& aKnee, MonoTime aNow);
 
