--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -156,9 +156,16 @@
   };
   for (const auto& [id, contract] : aView.mContracts) {
     add(SetContract{ contract });
+    if (contract.mWithdrawn) {
+      add(WithdrawContract{ id });
+    }
   }
+  // Holders that get no keys need the withdrawals, to cancel what still runs.
   for (const auto& [id, key] : aView.mKeys) {
     add(CreateKey{ key });
+    if (key.mWithdrawn) {
+      add(WithdrawKey{ id });
+    }
   }
   for (const auto& [id, route] : aView.mRoutes) {
     add(SetRoute{ route });
--- a/fuzz/fleet/stub_target.cpp
+++ b/fuzz/fleet/stub_target.cpp
@@ -33,8 +33,11 @@
   if (aPiece + 1 == kStreamPieces) {
     return "data: [DONE]\n\n";
   }
-  return absl::StrCat(
-    R"(data: {"marker":")", aMarker, R"(","piece":)", aPiece, "}\n\n");
+  return absl::StrCat(R"(data: {"choices":[{"index":0,"text":")",
+                      aMarker,
+                      " ",
+                      aPiece,
+                      "\"}]}\n\n");
 }
 
 std::string
--- a/tests/config_view_test.cpp
+++ b/tests/config_view_test.cpp
@@ -75,6 +75,24 @@
   BOOST_TEST(copy.mKeys.contains(KeyId("k")));
 }
 
+// A node that catches up by a snapshot must still cancel the work of withdrawn
+// keys.
+BOOST_AUTO_TEST_CASE(node_snapshot_carries_withdrawals)
+{
+  ConfigView view;
+  ApplyChange(view, At(1, CreateKey{ Key("live") }));
+  ApplyChange(view, At(2, CreateKey{ Key("gone") }));
+  ApplyChange(view, At(3, WithdrawKey{ KeyId("gone") }));
+  ConfigView node;
+  BOOST_REQUIRE(ApplySnapshot(node,
+                              view.mRevision,
+                              SnapshotChanges(view, ConfigScope::eNodeOnly))
+                  .ok());
+  BOOST_REQUIRE(node.mKeys.contains(KeyId("gone")));
+  BOOST_TEST(node.mKeys.at(KeyId("gone")).mWithdrawn);
+  BOOST_TEST(!node.mKeys.contains(KeyId("live")));
+}
+
 BOOST_AUTO_TEST_CASE(old_epoch_cannot_remove_a_restarted_member)
 {
   ConfigView view;
