Add caraway-load, the load and experiment tool

The demo shows that each path works, but gives no latency under a steady load and no service per workspace. caraway-load sends seeded or recorded arrivals open-loop (online, streams, service calls with and without Idempotency-Key, several workspaces), counts latency from the intended send time, checks each answer and writes a table, JSON and an HTML report with inline SVG plots.

--- /dev/null
+++ b/tools/load_batch.h
@@ -0,0 +1,50 @@
+#pragma once
+// One batch job beside the online load: uploads it, submits it and follows it.
+
+#include <functional>
+#include <string>
+
+#include "caraway/runtime/http_fetch.h"
+#include "tools/load_result.h"
+
+namespace caraway {
+
+struct LoadBatchSettings
+{
+  std::string mEntry; // http://IP:PORT
+  std::string mKey;
+  std::string mAuthority;
+  std::string mModel;
+  uint64_t mItems = 0;
+};
+
+class LoadBatch
+{
+public:
+  // Appends to the batch samples of aResult and keeps its batch state.
+  LoadBatch(Loop& aLoop,
+            const LoadBatchSettings& aSettings,
+            LoadResult& aResult);
+
+  void Start();
+  bool Finished() const { return mFinished; }
+
+private:
+  using Next = std::function<void(const std::string& aBody)>;
+
+  // Fails the job unless the answer is a success.
+  void Ask(FetchRequest aRequest, Next aNext);
+  void Submit(const std::string& aFile);
+  void Poll();
+  void OnJob(const std::string& aBody);
+
+  Loop& mLoop;
+  LoadBatchSettings mSettings;
+  LoadResult& mResult;
+  MonoTime mStart;
+  Timer mTimer;
+  std::string mJob;
+  bool mFinished = false;
+};
+
+} // namespace caraway
--- /dev/null
+++ b/tools/load_report.cpp
@@ -0,0 +1,264 @@
+// The report of a load run: one HTML file with inline SVG plots.
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_replace.h"
+#include "tools/load_result.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr double kWidth = 900;
+constexpr double kHeight = 260;
+constexpr double kLeft = 60;
+constexpr double kTop = 20;
+constexpr double kBottom = 30;
+constexpr size_t kBuckets = 60; // points of a line over the whole run
+constexpr const char* kColours[] = {
+  "#1b6ca8", "#c8553d", "#3a7d44", "#8e5572",
+  "#b8860b", "#4a4e69", "#0f8b8d", "#a23b72"
+};
+
+struct Line
+{
+  std::string mName;
+  std::vector<std::pair<double, double>> mPoints; // seconds, value
+};
+
+std::string
+Escape(const std::string& aText)
+{
+  return absl::StrReplaceAll(
+    aText,
+    { { "&", "&amp;" }, { "<", "&lt;" }, { ">", "&gt;" }, { "\"", "&quot;" } });
+}
+
+double
+RunSeconds(const LoadResult& aResult)
+{
+  return std::max(0.001, aResult.mLength.Seconds());
+}
+
+size_t
+BucketOf(const LoadResult& aResult, Duration aAt)
+{
+  const double part = aAt.Seconds() / RunSeconds(aResult);
+  return std::min(kBuckets - 1,
+                  static_cast<size_t>(std::max(0.0, part) * kBuckets));
+}
+
+double
+BucketMiddle(const LoadResult& aResult, size_t aBucket)
+{
+  return (static_cast<double>(aBucket) + 0.5) * RunSeconds(aResult) / kBuckets;
+}
+
+std::string
+Marks(const LoadResult& aResult)
+{
+  std::string svg;
+  for (const LoadMark& mark : aResult.mMarks) {
+    const double part = mark.mAt.Seconds() / RunSeconds(aResult);
+    if (part > 1) {
+      continue;
+    }
+    const double x = kLeft + part * (kWidth - kLeft);
+    absl::StrAppendFormat(
+      &svg,
+      "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"%.0f\" y2=\"%.0f\" stroke=\"#900\" "
+      "stroke-dasharray=\"4 3\"/><text x=\"%.1f\" y=\"%.0f\" "
+      "fill=\"#900\">%s</text>\n",
+      x,
+      x,
+      kTop,
+      kHeight - kBottom,
+      x + 3,
+      kTop + 10,
+      Escape(mark.mText));
+  }
+  return svg;
+}
+
+std::string
+Axes(double aSeconds, double aTop)
+{
+  std::string svg;
+  constexpr int kTicks = 4;
+  for (int tick = 0; tick <= kTicks; ++tick) {
+    const double part = static_cast<double>(tick) / kTicks;
+    const double x = kLeft + part * (kWidth - kLeft);
+    const double y = kHeight - kBottom - part * (kHeight - kBottom - kTop);
+    absl::StrAppendFormat(
+      &svg,
+      "<line x1=\"%.0f\" x2=\"%.0f\" y1=\"%.1f\" y2=\"%.1f\" "
+      "stroke=\"#ddd\"/><text x=\"%.0f\" y=\"%.1f\" "
+      "text-anchor=\"end\">%.4g</text><text x=\"%.1f\" y=\"%.0f\" "
+      "text-anchor=\"%s\">%.3g s</text>\n",
+      kLeft,
+      kWidth,
+      y,
+      y,
+      kLeft - 6,
+      y + 4,
+      part * aTop,
+      x,
+      kHeight - kBottom + 16,
+      tick == kTicks ? "end" : "middle",
+      part * aSeconds);
+  }
+  return svg;
+}
+
+std::string
+Plot(const LoadResult& aResult,
+     const std::string& aTitle,
+     const std::vector<Line>& aLines)
+{
+  double top = 0;
+  for (const Line& line : aLines) {
+    for (const auto& [at, value] : line.mPoints) {
+      top = std::max(top, value);
+    }
+  }
+  top = top > 0 ? top * 1.05 : 1;
+  const double seconds = RunSeconds(aResult);
+  std::string legend;
+  std::string svg = absl::StrFormat(
+    "<svg viewBox=\"0 0 %.0f %.0f\" role=\"img\">\n", kWidth, kHeight);
+  absl::StrAppend(&svg, Axes(seconds, top));
+  for (size_t index = 0; index < aLines.size(); ++index) {
+    const char* colour = kColours[index % std::size(kColours)];
+    absl::StrAppend(&legend,
+                    "<span style=\"color:",
+                    colour,
+                    "\">&#9632; ",
+                    Escape(aLines[index].mName),
+                    "</span> ");
+    std::string points;
+    for (const auto& [at, value] : aLines[index].mPoints) {
+      absl::StrAppendFormat(
+        &points,
+        "%.1f,%.1f ",
+        kLeft + std::min(1.0, at / seconds) * (kWidth - kLeft),
+        kHeight - kBottom - value / top * (kHeight - kBottom - kTop));
+    }
+    absl::StrAppend(&svg,
+                    "<polyline fill=\"none\" stroke-width=\"1.6\" stroke=\"",
+                    colour,
+                    "\" points=\"",
+                    points,
+                    "\"/>\n");
+  }
+  return absl::StrCat("<h2>",
+                      Escape(aTitle),
+                      "</h2>\n<p>",
+                      legend,
+                      "</p>\n",
+                      svg,
+                      Marks(aResult),
+                      "</svg>\n");
+}
+
+// The 95th percentile in each bucket of the intended send times.
+std::vector<Line>
+LatencyLines(const LoadResult& aResult, bool aFirst)
+{
+  std::map<LoadKind, std::map<size_t, std::vector<double>>> values;
+  for (const LoadRecord& record : aResult.mRecords) {
+    const LoadKind kind = record.mArrival.mKind;
+    if (record.mOutcome != LoadOutcome::eOk ||
+        (aFirst && kind != LoadKind::eStream)) {
+      continue;
+    }
+    values[kind][BucketOf(aResult, record.mArrival.mAt)].push_back(
+      (aFirst ? record.mFirst : record.mTotal).Seconds() * 1000);
+  }
+  std::vector<Line> lines;
+  for (auto& [kind, buckets] : values) {
+    Line line{ LoadKindName(kind), {} };
+    for (auto& [bucket, samples] : buckets) {
+      std::sort(samples.begin(), samples.end());
+      const auto rank = static_cast<size_t>(
+        std::ceil(0.95 * static_cast<double>(samples.size())));
+      line.mPoints.emplace_back(BucketMiddle(aResult, bucket),
+                                samples[rank - 1]);
+    }
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+// Right answers a second, by the time at which they ended.
+std::vector<Line>
+ServiceLines(const LoadResult& aResult)
+{
+  std::vector<std::vector<double>> counts(aResult.mWorkspaces.size(),
+                                          std::vector<double>(kBuckets, 0));
+  for (const LoadRecord& record : aResult.mRecords) {
+    if (record.mOutcome == LoadOutcome::eOk) {
+      const Duration end = record.mArrival.mAt + record.mTotal;
+      counts[record.mArrival.mWorkspace][BucketOf(aResult, end)] += 1;
+    }
+  }
+  std::vector<Line> lines;
+  const double width = RunSeconds(aResult) / kBuckets;
+  for (size_t index = 0; index < counts.size(); ++index) {
+    Line line{ aResult.mWorkspaces[index], {} };
+    for (size_t bucket = 0; bucket < kBuckets; ++bucket) {
+      line.mPoints.emplace_back(BucketMiddle(aResult, bucket),
+                                counts[index][bucket] / width);
+    }
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+Line
+BatchLine(const LoadResult& aResult)
+{
+  Line line{ "items done", {} };
+  for (const BatchSample& sample : aResult.mBatch) {
+    line.mPoints.emplace_back(sample.mAt.Seconds(),
+                              static_cast<double>(sample.mDone));
+  }
+  return line;
+}
+
+} // namespace
+
+std::string
+LoadHtml(const LoadResult& aResult)
+{
+  std::string html = absl::StrCat(
+    "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+    "<title>caraway-load</title>\n<style>body{font:14px sans-serif;"
+    "max-width:60rem;margin:2rem auto;padding:0 1rem}svg{width:100%}"
+    "svg text{font-size:11px;fill:#555}pre{overflow-x:auto}"
+    "</style></head><body>\n<h1>caraway-load</h1>\n<p>Arrivals: ",
+    Escape(aResult.mArrivals),
+    ", seed ",
+    aResult.mSeed,
+    ". Latency counts from the intended send time.</p>\n<pre>",
+    Escape(LoadTable(aResult)),
+    "</pre>\n");
+  absl::StrAppend(
+    &html,
+    Plot(aResult, "Latency by kind, p95, ms", LatencyLines(aResult, false)),
+    Plot(
+      aResult, "First token of streams, p95, ms", LatencyLines(aResult, true)),
+    Plot(aResult,
+         "Service by workspace, answers a second",
+         ServiceLines(aResult)));
+  if (!aResult.mBatch.empty()) {
+    absl::StrAppend(
+      &html, Plot(aResult, "Batch progress, items", { BatchLine(aResult) }));
+  }
+  return html + "</body></html>";
+}
+
+} // namespace caraway
