--- a/tools/caraway_load_main.cpp
+++ b/tools/caraway_load_main.cpp
@@ -55,9 +55,12 @@
                     WriteFile(settings.mJsonFile, LoadJson(result));
   const bool html = settings.mHtmlFile.empty() ||
                     WriteFile(settings.mHtmlFile, LoadHtml(result));
-  const bool wrong = std::any_of(
-    result.mRecords.begin(), result.mRecords.end(), [](const auto& aRecord) {
-      return aRecord.mOutcome == LoadOutcome::eWrong;
-    });
-  return json && html && !wrong ? 0 : 1;
+  const auto anyIs = [&](LoadOutcome aOutcome) {
+    return std::any_of(
+      result.mRecords.begin(), result.mRecords.end(), [&](const auto& aRecord) {
+        return aRecord.mOutcome == aOutcome;
+      });
+  };
+  const bool good = anyIs(LoadOutcome::eOk) && !anyIs(LoadOutcome::eWrong);
+  return json && html && good ? 0 : 1;
 }
--- a/tools/experiments/zone_out.sh
+++ b/tools/experiments/zone_out.sh
@@ -3,7 +3,9 @@
 # beside it, while one availability zone is taken out and brought back. Writes
 # result.json and report.html to the output folder.
 #
-#   tools/experiments/zone_out.sh BUILD_FOLDER OUTPUT_FOLDER [SEED] [SECONDS] [RATE]
+#   tools/experiments/zone_out.sh BUILD_FOLDER OUTPUT_FOLDER [SEED] [SECONDS] [RATE] [FLAG]...
+#
+# Each FLAG is given to caraway-load.
 set -u
 build=$(cd "$1" && pwd)
 mkdir -p "$2" && out=$(cd "$2" && pwd)
@@ -86,7 +88,7 @@
   --workspaces="large:$data/large:4,small:$data/small" --seed="$seed" --rate="$rate" \
   --seconds="$seconds" --count=100000 --check-seed=7 --batch-items=2000 --batch-workspace=large \
   --mark="$((out_at * 1000)):zone vest-b out" --mark="$((in_at * 1000)):zone vest-b in" \
-  --json="$out/result.json" --html="$out/report.html" &
+  --json="$out/result.json" --html="$out/report.html" "${@:6}" &
 load=$!
 pids+=("$load")
 sleep "$out_at"
--- a/tools/load_settings.cpp
+++ b/tools/load_settings.cpp
@@ -64,8 +64,8 @@
   -h --help             Show this help.
   --version             Show the version.
 
-Exit codes: 0 all answers belonged to their requests; 1 at least one was wrong, or a
-file could not be written; 2 wrong flags or settings.
+Exit codes: 0 no answer was wrong and at least one was right; 1 an answer was wrong,
+none was right, or a file could not be written; 2 wrong flags or settings.
 )";
 
 namespace {
