--- /dev/null
+++ b/examples/admission_grants.cpp
@@ -0,0 +1,78 @@
+// Rate limiting over several processes with the admission module: one grantor
+// and three holders in one process, with a simulated clock. A workspace with
+// 100 requests/s and a burst of 50 is offered 600 requests/s over all holders
+// for 10 s. The program fails if more than rate x time + burst is admitted, or
+// if less than 90% of the rate gets through.
+
+#include <cstdio>
+#include <vector>
+
+#include "caraway/admission/grantor.h"
+#include "caraway/admission/token_holder.h"
+
+using namespace caraway;
+
+int
+main()
+{
+  constexpr int kHolders = 3;
+  constexpr int kMillis = 10000;
+  Contract contract;
+  contract.mWorkspace = WorkspaceId("north");
+  contract.mRate = 100;
+  contract.mBurst = 50;
+  ConfigView config;
+  config.mContracts[contract.mWorkspace] = contract;
+
+  // A new leader treats tokens of its predecessor as outstanding until the
+  // leases have run out, so the clock goes on by 10 s before the first request.
+  MonoTime now{ Seconds(100).mMicros };
+  Grantor grantor;
+  StartGrantor(grantor, now, config, Seconds(2), Seconds(3), Term(1));
+  now = now + Seconds(10);
+  std::vector<TokenHolder> holders(kHolders);
+  for (int n = 0; n < kHolders; ++n) {
+    StartTokenHolder(
+      holders[n], now, InstanceId("entry-" + std::to_string(n)), Epoch(1 + n));
+  }
+
+  int admitted = 0;
+  int refused = 0;
+  std::vector<int> waiting(kHolders); // requests on hold for a token
+  for (int millis = 0; millis < kMillis; ++millis) {
+    now = now + Millis(1);
+    for (int n = 0; n < kHolders; ++n) {
+      TokenHolder& holder = holders[n];
+      if (millis % 5 == n) { // one request every 5 ms at each holder
+        const Admission admission = TryAdmit(holder, now, contract, false);
+        admitted += admission.mVerdict == AdmitVerdict::eAdmitted ? 1 : 0;
+        refused += admission.mVerdict == AdmitVerdict::eRefused ? 1 : 0;
+        waiting[n] += admission.mVerdict == AdmitVerdict::eAsk ? 1 : 0;
+      }
+      // Your transport carries the request to the leader and the reply back.
+      const std::optional<GrantRequest> request = NextGrantRequest(holder, now);
+      if (!request) {
+        continue;
+      }
+      HandleGrantReply(
+        holder, now, HandleGrantRequest(grantor, now, config, *request));
+      for (int left = waiting[n]; left > 0; --left) {
+        const Admission admission = TryAdmit(holder, now, contract, true);
+        if (admission.mVerdict == AdmitVerdict::eAsk) {
+          break;
+        }
+        admitted += admission.mVerdict == AdmitVerdict::eAdmitted ? 1 : 0;
+        refused += admission.mVerdict == AdmitVerdict::eRefused ? 1 : 0;
+        --waiting[n];
+      }
+    }
+  }
+  const double seconds = kMillis / 1000.0;
+  const double bound = contract.mRate * seconds + contract.mBurst;
+  std::printf(
+    "admitted %d, refused %d, bound %.0f\n", admitted, refused, bound);
+  const bool good =
+    admitted <= bound && admitted >= 0.9 * contract.mRate * seconds;
+  std::puts(good ? "ok" : "FAILED: admitted is out of bounds");
+  return good ? 0 : 1;
+}
