Generate fleet commands of all kinds and lengths; mend addresses and stream delay

Cause: fixed-length command lists shrank badly and hid faults. ParseSocketAddress took '80/path' for a port.

--- a/caraway/runtime/socket_address.cpp
+++ b/caraway/runtime/socket_address.cpp
@@ -24,7 +24,12 @@
     anyPort ? absl::StrCat(aText.substr(0, aText.size() - 1), "1") : aText;
   const int result = evutil_parse_sockaddr_port(
     text.c_str(), reinterpret_cast<sockaddr*>(&address.mStorage), &length);
-  if (result != 0 || aText.find(':') == std::string::npos) {
+  // libevent reads the port by atoi, which takes "80/path" for 80.
+  const size_t colon = aText.rfind(':');
+  const bool digits =
+    colon != std::string::npos && colon + 1 < aText.size() &&
+    aText.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+  if (result != 0 || !digits) {
     return MakeError(ErrorKind::eInvalidArgument,
                      absl::StrCat("'", aText, "' is not an address"),
                      "write it as IP:PORT, for example 127.0.0.1:7100");
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -43,6 +45,13 @@
   return EVHTTP_REQ_POST;
 }
 
+void
+SetNoDelay(evutil_socket_t aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 // Headers that belong to one connection are written anew for this one.
 bool
 IsConnectionHeader(const std::string& aName)
@@ -138,7 +147,9 @@
                           aStart.mPath.c_str()) != 0 &&
       !call.mClosed) {
     Fail(call, Outcome::eNotRun, "the connection could not be opened");
+    return;
   }
+  SetNoDelay(bufferevent_getfd(buffer));
 }
 
 void
--- a/fuzz/fleet/commands.cpp
+++ b/fuzz/fleet/commands.cpp
@@ -384,6 +384,11 @@
 CheckEnd(Run& aRun)
 {
   Fleet& fleet = aRun.mFleet;
+  // A process that was stopping gracefully exits meanwhile and is started
+  // again.
+  constexpr Duration kLongestStop = Seconds(15);
+  HealAll(fleet);
+  RunFor(fleet, kLongestStop);
   HealAll(fleet);
   for (uint32_t zone = 0; zone < 3; ++zone) {
     SetZone(aRun, zone, true);
--- a/fuzz/fleet_fuzz.cpp
+++ b/fuzz/fleet_fuzz.cpp
@@ -74,9 +74,9 @@
   const bool ok = rc::check("every promise holds", [&] {
     settings.mSeed = *rc::gen::arbitrary<uint64_t>();
     const auto commands =
-      *rc::gen::resize(rc::kNominalSize,
-                       rc::gen::container<std::vector<Command>>(
-                         kCommandsPerCase, AnyCommand(serving)));
+      *rc::gen::resize(static_cast<int>(kCommandsPerCase) * 2,
+                       rc::gen::container<std::vector<Command>>(rc::gen::resize(
+                         rc::kNominalSize, AnyCommand(serving))));
     std::string trace;
     const auto broken = RunCommands(settings, commands, &trace);
     if (!broken.empty()) {
--- a/tests/runtime_peer_transport_test.cpp
+++ b/tests/runtime_peer_transport_test.cpp
@@ -143,3 +143,15 @@
   BOOST_REQUIRE(names.size() == 1u);
   BOOST_TEST(names[0] == "LoadReport");
 }
+
+// libevent's parser stops at the first character that is no digit.
+BOOST_AUTO_TEST_CASE(addresses_with_text_behind_the_port_are_refused)
+{
+  BOOST_TEST(ParseSocketAddress("127.0.0.1:80").ok());
+  BOOST_TEST(ParseSocketAddress("127.0.0.1:0").ok());
+  BOOST_TEST(ParseSocketAddress("[::1]:80").ok());
+  BOOST_TEST(!ParseSocketAddress("127.0.0.1:80/path").ok());
+  BOOST_TEST(!ParseSocketAddress("127.0.0.1:80@10.0.0.1").ok());
+  BOOST_TEST(!ParseSocketAddress("127.0.0.1").ok());
+  BOOST_TEST(!ParseSocketAddress("127.0.0.1:").ok());
+}
--- a/tests/scheduling_policy_test.cpp
+++ b/tests/scheduling_policy_test.cpp
@@ -95,11 +95,10 @@
   for (uint64_t n = 1; n <= 3; ++n) {
     OfferOnline(scheduler, kStart, Online(n, "heavy", 100));
   }
-  const Admission light = OfferOnline(scheduler, kStart, Online(9, "light", 1));
+  const Offer light = OfferOnline(scheduler, kStart, Online(9, "light", 1));
   BOOST_TEST((light.mVerdict == Verdict::eQueued));
   BOOST_TEST((light.mEvicted == WorkId(3)));
-  const Admission heavy =
-    OfferOnline(scheduler, kStart, Online(10, "heavy", 1));
+  const Offer heavy = OfferOnline(scheduler, kStart, Online(10, "heavy", 1));
   BOOST_TEST((heavy.mKind == ErrorKind::eOverloaded));
 }
 
@@ -112,7 +111,7 @@
   OfferOnline(scheduler, kStart, Online(2, "a", 300));
   Work late = Online(3, "a", 10);
   late.mDeadline = kStart + Seconds(20); // about 40 s are ahead
-  const Admission refused = OfferOnline(scheduler, kStart, late);
+  const Offer refused = OfferOnline(scheduler, kStart, late);
   BOOST_TEST((refused.mKind == ErrorKind::eDeadlineTooShort));
   BOOST_TEST(refused.mRetryAfter.mMicros > 0);
   // Another workspace does not stand behind this one's backlog.
--- a/tools/operator_commands.cpp
+++ b/tools/operator_commands.cpp
@@ -49,6 +49,9 @@
                    "that a majority of replicas runs";
     if (result.mJson.empty()) {
       result.mJson = R"({"error":{"code":"unavailable"}})";
+    } else {
+      absl::StrAppend(
+        &result.mText, "; last answer: ", ErrorText(aAnswer.mBody));
     }
   } else if (aAnswer.mStatus >= 300) {
     result.mCode =
