--- /dev/null
+++ b/fuzz/decode/node_decode.cpp
@@ -0,0 +1,27 @@
+// What a target and a batch file send to a node.
+#include "caraway/node/announce.h"
+#include "caraway/node/batch_line.h"
+#include "fuzz/decode/decode.h"
+
+using namespace caraway;
+
+int
+LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aSize)
+{
+  const std::string input(reinterpret_cast<const char*>(aData), aSize);
+  (void)ParseAnnouncement(input);
+  (void)ParseLoad(input);
+  (void)ParseBatchLine(input, "/v1/chat/completions");
+
+  // A stream must give the same text however it is cut.
+  BatchTask whole;
+  (void)TakeStreamBytes(whole, input);
+  BatchTask cut;
+  for (const char byte : input) {
+    (void)TakeStreamBytes(cut, std::string_view(&byte, 1));
+  }
+  Require(whole.mText == cut.mText && whole.mStreamDone == cut.mStreamDone,
+          "cuts change a stream");
+  (void)StreamedAnswer(whole);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/decode/state_decode.cpp
@@ -0,0 +1,13 @@
+// The state that a snapshot holds.
+#include "caraway/control/command.h"
+#include "fuzz/decode/decode.h"
+
+using namespace caraway;
+
+int
+LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aSize)
+{
+  const std::string input(reinterpret_cast<const char*>(aData), aSize);
+  CheckRoundTrip(input, DecodeControlState, EncodeControlState);
+  return 0;
+}
