--- a/caraway/wire/bounded_archive.h
+++ b/caraway/wire/bounded_archive.h
@@ -54,6 +54,9 @@
     if (aSize > mInput.size()) {
       throw ArchiveError("input ends early");
     }
+    if (aSize == 0) {
+      return; // memcpy must not get the null storage of an empty container
+    }
     std::memcpy(aData, mInput.data(), aSize);
     mInput.remove_prefix(aSize);
   }
--- /dev/null
+++ b/tests/wire_bounded_archive_test.cpp
@@ -0,0 +1,23 @@
+// Guards against undefined behaviour for containers without elements, whose
+// storage is a null pointer. libFuzzer found it with the ledger's done bitmap
+// (fuzz/corpus/ledger/empty-bitmap).
+#define BOOST_TEST_MODULE wire_bounded_archive
+#include <boost/test/unit_test.hpp>
+
+#include <cereal/types/vector.hpp>
+
+#include "caraway/wire/bounded_archive.h"
+
+using namespace caraway;
+
+BOOST_AUTO_TEST_CASE(empty_vector_of_numbers_is_read)
+{
+  std::string bytes;
+  MemoryOutputArchive output(bytes);
+  output(std::vector<uint64_t>());
+  std::vector<uint64_t> read;
+  BoundedInputArchive input(bytes);
+  input(read);
+  BOOST_TEST(read.empty());
+  BOOST_TEST(input.BytesLeft() == 0u);
+}
