Hand batch items back after contact with control was lost

Ruled out: a lost result, since none had been sent, and the target, which had answered again. Change: the items are returned without counting an attempt.

--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -109,7 +109,9 @@
   aNode.mNextTick = aNow + kTick;
   const MonoTime leaseEnd = aNode.mSession.mLeaseEnd;
   if (leaseEnd.mMicros != 0 && aNow >= leaseEnd + kItemGrace) {
-    DropTasks(aNode, aNow, nullptr, nullptr, aOut);
+    // The session may outlive the lost contact, and the ledger would then wait
+    // for these items until it ends; so they are handed back.
+    HandBackTasks(aNode, aNow, aOut);
   }
   FailSilentCalls(aNode, aNow, aOut);
   ForgetOldAnswers(aNode, aNow);
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -214,6 +214,16 @@
   }
 }
 
+void
+HandBackTasks(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  for (const auto& [work, task] : aNode.mBatch.mTasks) {
+    ++aNode.mCounters.mItemsReturned;
+    AddResult(aNode, aNow, task, ItemVerdict::eReturned, {});
+  }
+  DropTasks(aNode, aNow, nullptr, nullptr, aOut);
+}
+
 void
 OnItemsRevoked(Node& aNode,
                MonoTime aNow,
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -219,6 +219,10 @@
           const JobId* aJob,
           const FencingToken* aToken,
           NodeActions& aOut);
+
+// Stops all items and returns them to the ledger without counting an attempt.
+void
+HandBackTasks(Node& aNode, MonoTime aNow, NodeActions& aOut);
 void
 ReturnWaitingItems(Node& aNode, MonoTime aNow, NodeActions& aOut);
 void
--- a/fuzz/fleet_fuzz.cpp
+++ b/fuzz/fleet_fuzz.cpp
@@ -62,7 +62,8 @@
   const size_t cases = std::max<size_t>(1, steps / kCommandsPerCase);
   const std::string parameters =
     "seed=" + seed + " max_success=" + std::to_string(cases) +
-    " max_size=" + std::to_string(kCommandsPerCase) + " verbose_progress=0";
+    " max_size=" + std::to_string(kCommandsPerCase) +
+    " noshrink=1 noshrink=1 verbose_progress=0";
   setenv("RC_PARAMS", parameters.c_str(), 1);
   std::cout << (serving ? "serving" : "fleet") << " seed " << seed << " steps "
             << steps << '\n';
