--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -53,8 +53,8 @@
 
 // A node that lost contact with control dropped its items without a word; the
 // session lived on, and the ledger waited for the items for ever.
-// The items have to be running when the lease ends, so the phase against the renewals
-// is varied.
+// The items have to be running when the lease ends, so the phase against the
+// renewals is varied.
 BOOST_AUTO_TEST_CASE(items_are_handed_back_after_lost_contact)
 {
   for (uint32_t phase = 0; phase < 1000; phase += 100) {
