Let online work go half above the throughput bound

Ruled out: the concurrency limit, which stood at 112 of 96 bearable calls. Change: only batch work is bound at the throughput bound; online work at 1.5 times it.

--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -87,9 +87,15 @@
 CallLimit(const Scheduler& aScheduler)
 {
   // The baselines are bound by the goals alone.
-  return aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst
-           ? std::min(aScheduler.mLimit.mValue, aScheduler.mKnee.mBound)
-           : aScheduler.mLimit.mValue;
+  if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+    return aScheduler.mLimit.mValue;
+  }
+  // The throughput bound is learned on a mix of work that changes. Online work
+  // may go half above it: waiting in the queue costs a first token more than a
+  // few slower steps do.
+  const uint64_t online = uint64_t{ aScheduler.mKnee.mBound } * 3 / 2;
+  return static_cast<uint32_t>(
+    std::min<uint64_t>(aScheduler.mLimit.mValue, online));
 }
 
 uint32_t
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -106,11 +106,14 @@
 }
 
 // Calls in total above which batch work gives way to online work. Beyond the
-// batch cap every call slows all others.
+// batch cap every call slows all others, and beyond the throughput bound it
+// brings nothing.
 uint32_t
 YieldBound(const Scheduler& aScheduler)
 {
-  return std::min(CallLimit(aScheduler), aScheduler.mBatchCap.mValue);
+  return std::min({ CallLimit(aScheduler),
+                    aScheduler.mBatchCap.mValue,
+                    aScheduler.mKnee.mBound });
 }
 
 // Calls in total up to which batch work may be added. The headroom below the
