End the batch jobs of a withdrawn contract; name the term to the grantor

Reported by reading. StartGrantor got no term, so holders could not tell two leaders' answers apart by it.

--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -33,9 +33,39 @@
     return IsCurrentSession(mState.mConfig.mView, aInstance, aEpoch);
   }
 
+  // The batch work of a workspace ends with its contract.
+  void CancelJobs(const WorkspaceId& aWorkspace)
+  {
+    const auto workspace = mState.mLedger.mWorkspaces.find(aWorkspace);
+    if (workspace == mState.mLedger.mWorkspaces.end()) {
+      return;
+    }
+    std::vector<JobId> running;
+    for (const auto& [job, work] : workspace->second.mWork) {
+      running.push_back(job);
+    }
+    for (const JobId& job : running) {
+      ControlCall cancel;
+      cancel.mWorkspace = aWorkspace;
+      cancel.mBody = CancelJob{ job };
+      ApplyCall(mState.mLedger,
+                mIndex,
+                mState.mLogical,
+                mCommand.mUnixSeconds,
+                cancel,
+                mOutcome.mEffects);
+    }
+  }
+
   void operator()(const ConfigOperation& aOperation)
   {
-    mOutcome.mReply = ApplyOperation(mState.mConfig, aOperation);
+    const OperationResult result = ApplyOperation(mState.mConfig, aOperation);
+    const auto* withdrawn = std::get_if<WithdrawContract>(&aOperation.mChange);
+    if (withdrawn != nullptr && result.mError == ErrorKind::eNone &&
+        !result.mRepeated) {
+      CancelJobs(withdrawn->mWorkspace);
+    }
+    mOutcome.mReply = result;
   }
 
   void operator()(const RegisterMember& aRegister)
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -50,7 +50,8 @@
                aStep.mNow,
                view,
                control.mSettings.mGrantLease,
-               control.mSettings.mConfigLease);
+               control.mSettings.mConfigLease,
+               TermOf(control.mRaft));
 }
 
 void
--- a/daemons/caraway_control_main.cpp
+++ b/daemons/caraway_control_main.cpp
@@ -32,7 +32,8 @@
   --data=FOLDER            Data folder; created if it does not exist.
   --replicas=LIST          First replica set, N=IP:PORT,N=IP:PORT,... (peer
                            addresses). Only read when the data folder is empty.
-                           Leave it out for a replica that is added later.
+                           For a replica that is added later, list the replicas
+                           that exist, without itself.
   --operator-token-file=FILE  File with the operators' token, at least 16 characters.
   --config-lease-ms=N      Configuration lease of entries and nodes [3000].
   --result-retention-h=N   Hours that results of finished jobs are kept [720].
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -5,6 +5,7 @@
 #define BOOST_TEST_MODULE fleet_faults
 #include <boost/test/unit_test.hpp>
 
+#include "fuzz/fleet/batches.h"
 #include "fuzz/fleet/commands.h"
 
 using namespace caraway::fleet;
@@ -162,3 +163,21 @@
              { { Kind::eCutOneWay, 0, 100 }, { Kind::eCutOneWay, 3, 100 } },
              Repeated(4, kTraffic) }));
 }
+
+// A withdrawn contract once left the running batch jobs of its workspace alone.
+BOOST_AUTO_TEST_CASE(withdrawn_contract_stops_batch_work)
+{
+  const auto fleet = StartFleet({});
+  for (auto& [address, node] : fleet->mNodes) {
+    node.mTarget.mServiceTime = caraway::Seconds(3);
+  }
+  const SubmittedJob job = SubmitJob(*fleet, 0, 40, false);
+  BOOST_REQUIRE(!job.mId.empty());
+  RunFor(*fleet, caraway::Seconds(1));
+  BOOST_REQUIRE(
+    Operate(*fleet, "DELETE", "/admin/contracts/acme", "").mStatus == 200);
+  RunFor(*fleet, caraway::Seconds(7));
+  const size_t before = fleet->mOracle.mExecutions.size();
+  RunFor(*fleet, caraway::Seconds(20));
+  BOOST_TEST(fleet->mOracle.mExecutions.size() == before);
+}
