--- a/caraway/runtime/peer_transport.h
+++ b/caraway/runtime/peer_transport.h
@@ -2,8 +2,9 @@
 // Messages between the system's processes over TCP, and hints over UDP.
 //
 // One connection per pair of processes carries both directions. The first frame
-// is the sender's advertised address. An idle connection carries an empty frame
-// every 500 ms; one without any byte for 2 s is closed. Sending is unreliable:
+// is the sender's advertised address. A connection in use carries at least an
+// empty frame every 800 ms, and one without any byte for 2 s is closed; without
+// messages for 2 s, both times are six times longer. Sending is unreliable:
 // messages queued on a connection that breaks are dropped, and roles resend by
 // timeout.
 
@@ -28,7 +29,7 @@
   std::string mListen;  // "ip:port" to bind; port 0 picks one
   PeerAddress mAddress; // advertised; empty: the bound address
   TlsFiles mTls;        // mutual; empty: plain TCP
-  Duration mHeartbeat = Millis(500);
+  Duration mHeartbeat = Millis(800);
   Duration mSilence = Seconds(2);
   size_t mMaxQueuedBytes = 32
                            << 20; // unsent on one connection; more are dropped
