Hand back items of an answer that is not waited for

Ruled out: the target and the results path, which were empty. Change: the node returns items of a lease it does not know, without an attempt.

--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -156,6 +156,53 @@
   SendLease(aNode, aNow, aOut);
 }
 
+namespace {
+
+// True while items or results under this lease are here.
+bool
+KnowsLease(const NodeBatch& aBatch, const ItemBatch& aItems)
+{
+  const auto isSame = [&](const JobId& aJob, FencingToken aToken) {
+    return aJob == aItems.mJob && aToken == aItems.mToken;
+  };
+  return aBatch.mGroups.contains({ aItems.mJob, aItems.mToken }) ||
+         std::any_of(aBatch.mTasks.begin(),
+                     aBatch.mTasks.end(),
+                     [&](const auto& aTask) {
+                       const BatchLease& lease = aTask.second.mLease;
+                       return isSame(lease.mJob, lease.mToken);
+                     }) ||
+         std::any_of(aBatch.mUnacked.begin(),
+                     aBatch.mUnacked.end(),
+                     [&](const auto& aResults) {
+                       const ItemResults& message = aResults.second.mMessage;
+                       return isSame(message.mJob, message.mToken);
+                     });
+}
+
+// A late copy of a LeaseItems can lease items although an earlier copy was
+// answered with none. The ledger counts them as held here, so they are handed
+// back. Items of a lease that is finished are refused by the ledger as stale.
+void
+HandBackUnasked(Node& aNode, MonoTime aNow, const ItemBatch& aItems)
+{
+  if (aItems.mJob.Empty() || aItems.mNodeEpoch != aNode.mSession.mEpoch ||
+      KnowsLease(aNode.mBatch, aItems)) {
+    return;
+  }
+  BatchTask returned;
+  returned.mLease.mJob = aItems.mJob;
+  returned.mLease.mToken = aItems.mToken;
+  returned.mLease.mNodeEpoch = aItems.mNodeEpoch;
+  for (const BatchItem& item : aItems.mItems) {
+    returned.mIndex = item.mIndex;
+    ++aNode.mCounters.mItemsReturned;
+    AddResult(aNode, aNow, returned, ItemVerdict::eReturned, {});
+  }
+}
+
+} // namespace
+
 void
 OnItemBatch(Node& aNode,
             MonoTime aNow,
@@ -165,7 +212,8 @@
   NodeBatch& batch = aNode.mBatch;
   if (!batch.mLeasing || aBatch.mNodeEpoch != aNode.mSession.mEpoch ||
       aBatch.mSequence != batch.mLeaseSequence) {
-    return; // doubled, or of an older session
+    HandBackUnasked(aNode, aNow, aBatch);
+    return;
   }
   batch.mLeasing = false;
   if (aBatch.mJob.Empty() || aBatch.mItems.empty()) {
--- a/tests/node_batch_test.cpp
+++ b/tests/node_batch_test.cpp
@@ -55,6 +55,26 @@
   BOOST_TEST(node.Started().empty());
 }
 
+// A late copy of the request leased items after the first had been answered
+// with none; the ledger then waited for them until the session ended.
+BOOST_AUTO_TEST_CASE(items_of_an_answer_not_waited_for_are_handed_back)
+{
+  NodeFixture node(4);
+  node.MakeReady();
+  ItemBatch none;
+  none.mNodeEpoch = node.mNode.mSession.mEpoch;
+  none.mSequence = node.mNode.mBatch.mLeaseSequence;
+  node.Hear(kTestControl, none);
+  node.Sent<ItemResults>();
+  node.LeaseItemsOut(2, none.mSequence);
+  BOOST_TEST(node.Started().empty());
+  const std::vector<ItemResult> results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 2u);
+  for (const ItemResult& result : results) {
+    BOOST_TEST((result.mVerdict == ItemVerdict::eReturned));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(results_are_resent_until_acknowledged)
 {
   NodeFixture node(4);
