--- /dev/null
+++ b/caraway/wire/serialize_control.h
@@ -0,0 +1,212 @@
+#pragma once
+// Internal: cereal functions of agreement, session and grant messages. Include
+// it only in codec .cpp files.
+
+#include "caraway/wire/messages.h"
+#include "caraway/wire/serialize_config.h"
+
+namespace caraway {
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LogEntry& aValue)
+{
+  aArchive(aValue.mIndex, aValue.mTerm, aValue.mKind, aValue.mPayload);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, VoteRequest& aValue)
+{
+  aArchive(aValue.mTerm, aValue.mPreVote, aValue.mLastIndex, aValue.mLastTerm);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, VoteReply& aValue)
+{
+  aArchive(aValue.mTerm, aValue.mPreVote, aValue.mGranted);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AppendRequest& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mPreviousIndex,
+           aValue.mPreviousTerm,
+           aValue.mEntries,
+           aValue.mCommit,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AppendReply& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mAccepted,
+           aValue.mMatch,
+           aValue.mNextHint,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SnapshotPart& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mLastIndex,
+           aValue.mLastTerm,
+           aValue.mFile,
+           aValue.mAfter,
+           aValue.mOffset,
+           aValue.mBytes,
+           aValue.mFileDone,
+           aValue.mAllDone,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SnapshotPartReply& aValue)
+{
+  aArchive(aValue.mTerm,
+           aValue.mLastIndex,
+           aValue.mFile,
+           aValue.mNextOffset,
+           aValue.mInstalled,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RaftMessage& aValue)
+{
+  aArchive(aValue.mGroup, aValue.mFrom, aValue.mTo, aValue.mDisk, aValue.mBody);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Register& aValue)
+{
+  aArchive(aValue.mMember, aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RegisterReply& aValue)
+{
+  aArchive(
+    aValue.mInstance, aValue.mIncarnation, aValue.mEpoch, aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Renew& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mRevision,
+           aValue.mSentAt,
+           aValue.mTarget,
+           aValue.mRunning,
+           aValue.mLimit,
+           aValue.mDraining);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RenewReply& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mVerdict,
+           aValue.mLease,
+           aValue.mRevision,
+           aValue.mSentAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, NotLeader& aValue)
+{
+  aArchive(aValue.mLeader);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigFetch& aValue)
+{
+  aArchive(aValue.mHeld,
+           aValue.mScope,
+           aValue.mSnapshotOffset,
+           aValue.mSnapshotRevision);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigDelta& aValue)
+{
+  aArchive(aValue.mFrom, aValue.mTo, aValue.mChanges);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigSnapshotPart& aValue)
+{
+  aArchive(aValue.mRevision, aValue.mOffset, aValue.mChanges, aValue.mLast);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Leave& aValue)
+{
+  aArchive(aValue.mInstance, aValue.mEpoch);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantAsk& aValue)
+{
+  aArchive(aValue.mWorkspace,
+           aValue.mSpent,
+           aValue.mHeld,
+           aValue.mWanted,
+           aValue.mWaiting);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantRequest& aValue)
+{
+  aArchive(aValue.mInstance,
+           aValue.mEpoch,
+           aValue.mSequence,
+           aValue.mSentAt,
+           aValue.mGrantor,
+           aValue.mAsks);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantGiven& aValue)
+{
+  aArchive(
+    aValue.mWorkspace, aValue.mTokens, aValue.mBrief, aValue.mRetryAfter);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GrantReply& aValue)
+{
+  aArchive(aValue.mEpoch,
+           aValue.mSequence,
+           aValue.mSentAt,
+           aValue.mGrantor,
+           aValue.mLease,
+           aValue.mBriefLease,
+           aValue.mGrants);
+}
+
+} // namespace caraway
