--- a/fuzz/fleet/commands.cpp
+++ b/fuzz/fleet/commands.cpp
@@ -87,12 +87,19 @@
 void
 SetTarget(Run& aRun, uint32_t aIndex, bool aIn)
 {
-  Operate(aRun.mFleet,
-          "POST",
-          absl::StrCat("/admin/targets/target-",
-                       1 + aIndex % aRun.mFleet.mNodes.size(),
-                       aIn ? "/in" : "/out"),
-          "");
+  const std::string target =
+    absl::StrCat("target-", 1 + aIndex % aRun.mFleet.mNodes.size());
+  if (aIn) {
+    aRun.mFleet.mOracle.mTargetOut.erase(TargetId(target));
+  }
+  const OperatorAnswer answer =
+    Operate(aRun.mFleet,
+            "POST",
+            absl::StrCat("/admin/targets/", target, aIn ? "/in" : "/out"),
+            "");
+  if (answer.mStatus == 200 && !aIn) {
+    aRun.mFleet.mOracle.mTargetOut[TargetId(target)] = aRun.mFleet.mNow;
+  }
 }
 
 void
--- a/fuzz/fleet/fleet.cpp
+++ b/fuzz/fleet/fleet.cpp
@@ -137,6 +137,7 @@
   execution.mMarker = MarkerIn(aCall.mBody);
   execution.mNode = aProcess.mSettings.mInstance;
   execution.mZone = aProcess.mSettings.mZone;
+  execution.mTarget = TargetId(aProcess.mTarget.mName);
   execution.mStarted = aFleet.mNow;
   for (const auto& [id, secret] : aFleet.mSecrets) {
     execution.mSawSecret |= absl::StrContains(aCall.mBody, secret);
--- a/fuzz/fleet/oracle.cpp
+++ b/fuzz/fleet/oracle.cpp
@@ -80,6 +80,7 @@
     Broken(aOracle, "I4: a target saw a key");
   }
   CheckOut(aOracle, aOracle.mZoneOut, aExecution.mZone, aExecution, "I7");
+  CheckOut(aOracle, aOracle.mTargetOut, aExecution.mTarget, aExecution, "I11");
   const auto [first, last] = aOracle.mByMarker.equal_range(aExecution.mMarker);
   if (first == last) {
     return; // a batch item
--- a/fuzz/fleet/stub_target.h
+++ b/fuzz/fleet/stub_target.h
@@ -16,6 +16,7 @@
   std::string mMarker; // from the body, unique per caller request or batch item
   InstanceId mNode;
   ZoneId mZone;
+  TargetId mTarget;
   MonoTime mStarted;
   bool mSawSecret = false; // a header or the body contained a caller's key
 };
