--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -3,245 +3,13 @@
 #define BOOST_TEST_MODULE ledger
 #include <boost/test/unit_test.hpp>
 
-#include <map>
-
-#include "caraway/base/random.h"
-#include "caraway/ledger/ledger.h"
-#include "caraway/ledger/ledger_state.h"
+#include "tests/ledger_fixture.h"
 
 using namespace caraway;
 
-namespace {
-
-const WorkspaceId kNorth("north");
-const WorkspaceId kSouth("south");
-const ModelId kModel("tekst-model");
-
-// A ledger with its blobs, as one replica keeps them.
-struct Replica
-{
-  Ledger mLedger;
-  uint64_t mIndex = 0;
-  MonoTime mNow;
-  std::map<std::string, std::string> mBlobs;
-  std::vector<LedgerEffect> mEffects; // of the last command
-};
-
-void
-WriteBlobs(Replica& aReplica)
-{
-  for (const LedgerEffect& effect : aReplica.mEffects) {
-    if (const auto* write = std::get_if<BlobWriteEffect>(&effect)) {
-      std::string& blob = aReplica.mBlobs[write->mName];
-      blob.resize(std::max(blob.size(), write->mOffset + write->mBytes.size()));
-      blob.replace(write->mOffset, write->mBytes.size(), write->mBytes);
-    } else if (const auto* gone = std::get_if<BlobRemoveEffect>(&effect)) {
-      aReplica.mBlobs.erase(gone->mName);
-    }
-  }
-}
-
-CallReplyBody
-Call(Replica& aReplica,
-     CallBody aBody,
-     const WorkspaceId& aWorkspace = kNorth,
-     Epoch aEpoch = Epoch(1))
-{
-  ControlCall call;
-  call.mWorkspace = aWorkspace;
-  call.mEntry = InstanceId("entry-1");
-  call.mEntryEpoch = aEpoch;
-  call.mBody = std::move(aBody);
-  aReplica.mEffects.clear();
-  auto reply = ApplyCall(aReplica.mLedger,
-                         LogIndex(++aReplica.mIndex),
-                         aReplica.mNow,
-                         1700000000,
-                         call,
-                         aReplica.mEffects);
-  WriteBlobs(aReplica);
-  return reply;
-}
-
-ErrorKind
-KindOfReply(const CallReplyBody& aReply)
-{
-  const auto* failed = std::get_if<CallFailed>(&aReply);
-  return failed == nullptr ? ErrorKind::eNone : failed->mKind;
-}
-
-PutFilePart
-Part(uint64_t aOffset,
-     std::string aBytes,
-     bool aLast,
-     std::string aId = "file-1")
-{
-  PutFilePart part;
-  part.mFile = FileId(std::move(aId));
-  part.mPurpose = "batch";
-  part.mOffset = aOffset;
-  part.mBytes = std::move(aBytes);
-  part.mLast = aLast;
-  return part;
-}
-
-CreateJob
-NewJob(std::string aId, std::string aKey = "", Duration aWindow = Seconds(3600))
-{
-  CreateJob create;
-  create.mJob = JobId(std::move(aId));
-  create.mKey = IdempotencyKey(std::move(aKey));
-  create.mInput = FileId("file-1");
-  create.mEndpoint = "/v1/chat/completions";
-  create.mWindow = aWindow;
-  create.mModel = kModel;
-  create.mMaxItems = 1000000;
-  return create;
-}
-
-void
-Upload(Replica& aReplica, int aLines, const WorkspaceId& aWorkspace = kNorth)
-{
-  std::string text;
-  for (int line = 0; line < aLines; ++line) {
-    text += "{\"n\":" + std::to_string(line) + "}\n";
-  }
-  BOOST_REQUIRE(KindOfReply(Call(aReplica, Part(0, text, true), aWorkspace)) ==
-                ErrorKind::eNone);
-}
-
-ItemBatch
-Lease(Replica& aReplica,
-      const std::string& aNode,
-      uint64_t aSequence,
-      uint32_t aWanted = 64,
-      uint64_t aEpoch = 10)
-{
-  LeaseItems ask;
-  ask.mNode = InstanceId(aNode);
-  ask.mNodeEpoch = Epoch(aEpoch);
-  ask.mSequence = aSequence;
-  ask.mModels = { kModel };
-  ask.mWanted = aWanted;
-  return ApplyLease(
-    aReplica.mLedger, LogIndex(++aReplica.mIndex), aReplica.mNow, ask);
-}
-
-ItemResultsAck
-Answer(Replica& aReplica,
-       const std::string& aNode,
-       const ItemBatch& aBatch,
-       ItemVerdict aVerdict = ItemVerdict::eDone,
-       uint64_t aEpoch = 10)
-{
-  ItemResults results;
-  results.mNode = InstanceId(aNode);
-  results.mNodeEpoch = Epoch(aEpoch);
-  results.mJob = aBatch.mJob;
-  results.mToken = aBatch.mToken;
-  for (const BatchItem& item : aBatch.mItems) {
-    const std::string body = "{\"answer\":" + std::to_string(item.mIndex) +
-                             ",\n\"by\":\"" + aNode + "\"}";
-    results.mResults.push_back(ItemResult{ item.mIndex, aVerdict, 200, body });
-  }
-  aReplica.mEffects.clear();
-  auto ack = ApplyResults(aReplica.mLedger,
-                          LogIndex(++aReplica.mIndex),
-                          aReplica.mNow,
-                          1700000001,
-                          results,
-                          aReplica.mEffects);
-  WriteBlobs(aReplica);
-  return ack;
-}
-
-void
-EndSession(Replica& aReplica,
-           const std::string& aInstance,
-           uint64_t aEpoch = 10)
-{
-  aReplica.mEffects.clear();
-  ApplySessionEnd(aReplica.mLedger,
-                  LogIndex(++aReplica.mIndex),
-                  aReplica.mNow,
-                  InstanceId(aInstance),
-                  Epoch(aEpoch),
-                  aReplica.mEffects);
-  WriteBlobs(aReplica);
-}
-
-void
-Tick(Replica& aReplica, MonoTime aNow)
-{
-  aReplica.mNow = aNow;
-  aReplica.mEffects.clear();
-  ApplyLedgerTick(aReplica.mLedger,
-                  LogIndex(++aReplica.mIndex),
-                  aNow,
-                  1700000002,
-                  Seconds(30 * 86400),
-                  Seconds(86400),
-                  aReplica.mEffects);
-  WriteBlobs(aReplica);
-}
-
-JobInfo
-Describe(const Replica& aReplica, const std::string& aJob)
-{
-  ControlCall call;
-  call.mWorkspace = kNorth;
-  call.mBody = DescribeJob{ JobId(aJob) };
-  auto reply = ReadCall(aReplica.mLedger, aReplica.mNow, call);
-  BOOST_REQUIRE(std::holds_alternative<JobReply>(reply));
-  return std::get<JobReply>(reply).mJob;
-}
-
-std::string
-ReadRange(const Replica& aReplica, const BlobRange& aRange)
-{
-  auto blob = aReplica.mBlobs.find(aRange.mName);
-  if (blob == aReplica.mBlobs.end() || aRange.mOffset >= blob->second.size()) {
-    return {};
-  }
-  return blob->second.substr(aRange.mOffset, aRange.mLength);
-}
-
-// The whole file as a caller reads it.
-std::string
-Content(const Replica& aReplica,
-        const FileId& aFile,
-        const WorkspaceId& aWorkspace = kNorth)
-{
-  std::string text;
-  ControlCall call;
-  call.mWorkspace = aWorkspace;
-  ReadFile read{ aFile, 0 };
-  while (true) {
-    call.mBody = read;
-    auto plan = PlanFileRead(aReplica.mLedger, call);
-    if (!plan.ok()) {
-      return "error " + std::string(ErrorKindName(KindOf(plan.status())));
-    }
-    for (const BlobRange& range : plan->mRanges) {
-      if (plan->mDirect) {
-        text += ReadRange(aReplica, range);
-      } else if (auto data = DataRange(range, ReadRange(aReplica, range));
-                 data.ok()) {
-        text += ReadRange(aReplica, *data);
-      }
-    }
-    if (plan->mEnd) {
-      return text;
-    }
-    read.mOffset = plan->mNextOffset;
-  }
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(resent_parts_are_harmless_and_changed_ones_conflict)
 {
-  Replica replica;
+  LedgerReplica replica;
   Call(replica, Part(0, "{\"a\"", false));
   Call(replica, Part(4, ":1}\n\n{}", true));
   BOOST_TEST(
@@ -259,7 +27,7 @@
 
 BOOST_AUTO_TEST_CASE(lines_across_parts_are_indexed)
 {
-  Replica replica;
+  LedgerReplica replica;
   Call(replica, Part(0, "{\"first\"", false));
   Call(replica, Part(8, ":1}\r\n  \r\n{\"sec", false));
   Call(replica, Part(22, "ond\":2}", true));
@@ -274,7 +42,7 @@
 
 BOOST_AUTO_TEST_CASE(too_long_a_line_fails_the_upload)
 {
-  Replica replica;
+  LedgerReplica replica;
   const std::string piece(kMaxPartBytes, 'x');
   CallReplyBody reply;
   for (uint64_t part = 0; part < 4; ++part) {
@@ -287,7 +55,7 @@
 
 BOOST_AUTO_TEST_CASE(workspaces_do_not_see_each_other)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 3);
   Call(replica, NewJob("batch_1"));
   BOOST_TEST(Content(replica, FileId("file-1"), kSouth) == "error not_found");
@@ -306,7 +74,7 @@
 
 BOOST_AUTO_TEST_CASE(same_key_gives_the_same_job)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 2);
   Call(replica, NewJob("batch_1", "order-7"));
   auto again = Call(replica, NewJob("batch_2", "order-7"));
@@ -319,7 +87,7 @@
 
 BOOST_AUTO_TEST_CASE(job_completes_and_results_are_read_in_item_order)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 3);
   Call(replica, NewJob("batch_1"));
   const ItemBatch first = Lease(replica, "node-1", 1, 2);
@@ -339,7 +107,7 @@
 
 BOOST_AUTO_TEST_CASE(resent_lease_asks_get_the_same_items)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 100);
   Call(replica, NewJob("batch_1"));
   const ItemBatch first = Lease(replica, "node-1", 5, 10);
@@ -353,7 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(stale_results_are_refused_after_the_session_ended)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 4);
   Call(replica, NewJob("batch_1"));
   const ItemBatch lost = Lease(replica, "node-1", 1);
@@ -371,7 +139,7 @@
 
 BOOST_AUTO_TEST_CASE(attempts_are_bounded_and_returns_do_not_count)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 1);
   Call(replica, NewJob("batch_1"));
   for (uint64_t round = 1; round <= 10; ++round) {
@@ -399,7 +167,7 @@
 
 BOOST_AUTO_TEST_CASE(cancel_and_expiry_are_final)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 2);
   Call(replica, NewJob("batch_1"));
   Call(replica, NewJob("batch_2", "", Seconds(60)));
@@ -421,7 +189,7 @@
 
 BOOST_AUTO_TEST_CASE(workspaces_share_leases_by_weight)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 4000);
   Upload(replica, 4000, kSouth);
   auto heavy = NewJob("batch_1");
@@ -439,7 +207,7 @@
 
 BOOST_AUTO_TEST_CASE(job_at_risk_is_shown_and_gains_share)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 4000);
   Upload(replica, 4000, kSouth);
   Call(replica, NewJob("batch_1", "", Seconds(100)));
@@ -461,7 +229,7 @@
 
 BOOST_AUTO_TEST_CASE(results_stay_for_the_retention_time)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 1);
   Call(replica, NewJob("batch_1", "order-1"));
   Answer(replica, "node-1", Lease(replica, "node-1", 1));
@@ -479,7 +247,7 @@
 
 BOOST_AUTO_TEST_CASE(claims_give_one_answer)
 {
-  Replica replica;
+  LedgerReplica replica;
   const IdempotencyKey key("book-1");
   auto verdict = [&](const char* aRequest, uint64_t aPrint = 5) {
     auto reply = Call(replica, Claim{ key, aPrint, RequestId(aRequest) });
@@ -505,7 +273,7 @@
 
 BOOST_AUTO_TEST_CASE(claims_of_lost_entries_are_unknown)
 {
-  Replica replica;
+  LedgerReplica replica;
   const IdempotencyKey key("book-1");
   Call(replica, Claim{ key, 5, RequestId("r1") });
   EndSession(replica, "entry-1", 1);
@@ -525,7 +293,7 @@
 
 BOOST_AUTO_TEST_CASE(claims_are_bounded)
 {
-  Replica replica;
+  LedgerReplica replica;
   for (size_t count = 0; count < kMaxClaims; ++count) {
     Call(replica,
          Claim{ IdempotencyKey(std::to_string(count)), 1, RequestId("r") });
@@ -536,7 +304,7 @@
 
 BOOST_AUTO_TEST_CASE(lists_are_paged)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 1);
   for (int job = 0; job < 5; ++job) {
     Call(replica, NewJob("batch_" + std::to_string(job)));
@@ -566,7 +334,7 @@
 
 BOOST_AUTO_TEST_CASE(changed_snapshots_are_refused_or_usable)
 {
-  Replica replica;
+  LedgerReplica replica;
   Upload(replica, 200);
   Call(replica, NewJob("batch_1", "key"));
   Lease(replica, "node-1", 1);
@@ -588,7 +356,7 @@
       continue;
     }
     ++accepted;
-    Replica other;
+    LedgerReplica other;
     other.mLedger = std::move(*decoded);
     other.mNow = replica.mNow;
     other.mIndex = replica.mIndex;
