Share the setting of TCP_NODELAY

Cause: peer transport, target client and HTTP server each set the option by themselves. Change: SetNoDelay in socket_address.h serves all three.

--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -8,8 +8,6 @@
 
 #include <event2/bufferevent_ssl.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
@@ -196,11 +194,7 @@
         "cannot listen on ", mSettings.mListen, ": ", std::strerror(errno)),
       "choose a free port and an address of this instance");
   }
-  // Accepted sockets inherit it. Without it, pieces of a stream wait for the
-  // acknowledgement of the piece before.
-  const int on = 1;
-  setsockopt(
-    evconnlistener_get_fd(listener), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  SetNoDelay(evconnlistener_get_fd(listener));
   evhttp_bind_listener(mHttp.get(), listener);
   mListener = listener;
   mAddress = BoundAddress(evconnlistener_get_fd(listener));
--- a/caraway/runtime/peer_transport.cpp
+++ b/caraway/runtime/peer_transport.cpp
@@ -8,8 +8,6 @@
 #include <vector>
 
 #include <event2/bufferevent_ssl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
@@ -34,13 +32,6 @@
     "choose a free port and an address of this instance");
 }
 
-void
-SetNoDelay(evutil_socket_t aSocket)
-{
-  const int on = 1;
-  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 } // namespace
 
 PeerTransport::PeerTransport(Loop& aLoop, PeerSettings aSettings)
--- a/caraway/runtime/socket_address.cpp
+++ b/caraway/runtime/socket_address.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <event2/util.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
@@ -69,4 +70,11 @@
   return FormatSocketAddress(reinterpret_cast<const sockaddr*>(&storage));
 }
 
+void
+SetNoDelay(int aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 } // namespace caraway
--- a/caraway/runtime/socket_address.h
+++ b/caraway/runtime/socket_address.h
@@ -29,4 +29,9 @@
 std::string
 BoundAddress(int aSocket);
 
+// Sends small pieces at once. A listener hands it on to accepted sockets.
+// Without it, a piece waits for the acknowledgement of the piece before.
+void
+SetNoDelay(int aSocket);
+
 } // namespace caraway
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -45,13 +43,6 @@
   return EVHTTP_REQ_POST;
 }
 
-void
-SetNoDelay(evutil_socket_t aSocket)
-{
-  const int on = 1;
-  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 // Headers that belong to one connection are written anew for this one.
 bool
 IsConnectionHeader(const std::string& aName)
