--- /dev/null
+++ b/caraway/base/event_stream.cpp
@@ -0,0 +1,102 @@
+// Framing of server-sent events.
+
+#include "caraway/base/event_stream.h"
+
+#include <algorithm>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "caraway/base/absl_view.h"
+
+namespace caraway {
+
+namespace {
+
+// One past the blank line that ends the last whole event; 0 if there is none.
+size_t
+EndOfWhole(std::string_view aBytes)
+{
+  const size_t plain = aBytes.rfind("\n\n");
+  const size_t carriage = aBytes.rfind("\r\n\r\n");
+  size_t end = 0;
+  if (plain != std::string_view::npos) {
+    end = plain + 2;
+  }
+  if (carriage != std::string_view::npos) {
+    end = std::max(end, carriage + 4);
+  }
+  return end;
+}
+
+// The value of a field line such as "id: 7", without the leading space.
+std::optional<std::string_view>
+FieldValue(std::string_view aLine, std::string_view aName)
+{
+  if (!aLine.starts_with(aName) || aLine.size() <= aName.size() ||
+      aLine[aName.size()] != ':') {
+    return std::nullopt;
+  }
+  aLine.remove_prefix(aName.size() + 1);
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  if (aLine.ends_with('\r')) {
+    aLine.remove_suffix(1);
+  }
+  return aLine;
+}
+
+template<class Take>
+void
+ForEachLine(std::string_view aBytes, Take aTake)
+{
+  while (!aBytes.empty()) {
+    const size_t end = aBytes.find('\n');
+    aTake(aBytes.substr(0, end));
+    aBytes.remove_prefix(end == std::string_view::npos ? aBytes.size()
+                                                       : end + 1);
+  }
+}
+
+} // namespace
+
+std::string
+TakeEvents(EventStream& aStream, std::string_view aBytes)
+{
+  aStream.mPending.append(aBytes);
+  const size_t end = EndOfWhole(aStream.mPending);
+  std::string whole = aStream.mPending.substr(0, end);
+  aStream.mPending.erase(0, end);
+  bool inEvent = false;
+  ForEachLine(whole, [&](std::string_view aLine) {
+    if (auto id = FieldValue(aLine, "id")) {
+      uint64_t number = 0;
+      if (absl::SimpleAtoi(AbslView(*id), &number)) {
+        aStream.mLast = number;
+      }
+    }
+    const bool blank = aLine.empty() || aLine == "\r";
+    aStream.mEvents += blank && inEvent ? 1 : 0;
+    inEvent = !blank;
+  });
+  return whole;
+}
+
+std::string
+EventData(std::string_view aEvents)
+{
+  std::string data;
+  bool first = true;
+  ForEachLine(aEvents, [&](std::string_view aLine) {
+    if (auto value = FieldValue(aLine, "data")) {
+      if (!first) {
+        data.push_back('\n');
+      }
+      first = false;
+      data.append(*value);
+    }
+  });
+  return data;
+}
+
+} // namespace caraway
--- a/caraway/config/change.h
+++ b/caraway/config/change.h
@@ -9,6 +9,8 @@
 #include "caraway/config/contract.h"
 #include "caraway/config/member.h"
 #include "caraway/config/route.h"
+#include "caraway/config/serving_plan.h"
+#include "caraway/config/target.h"
 
 namespace caraway {
 
@@ -67,6 +69,25 @@
   Epoch mEpoch; // removed only if this epoch is still the current one
 };
 
+// Replaces the serving plan and what follows from it: contracts and keys.
+struct SetPlan
+{
+  ServingPlan mPlan;
+};
+
+// Creates or replaces the record of a target.
+struct SetTarget
+{
+  Target mTarget;
+};
+
+// The target is gone.
+struct RemoveTarget
+{
+  TargetId mTarget;
+  int64_t mStartedAt = 0; // removed only if this start is the one recorded
+};
+
 using ConfigChange = std::variant<SetContract,
                                   WithdrawContract,
                                   CreateKey,
@@ -76,7 +97,10 @@
                                   SetZoneService,
                                   SetTargetService,
                                   SetMember,
-                                  RemoveMember>;
+                                  RemoveMember,
+                                  SetPlan,
+                                  SetTarget,
+                                  RemoveTarget>;
 
 // A change with its place in the order.
 struct RevisedChange
--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -10,6 +10,40 @@
 
 namespace {
 
+Contract
+ContractOf(const ServingPlan& aPlan, const PlanWorkspace& aWorkspace)
+{
+  Contract contract;
+  contract.mWorkspace = aWorkspace.mId;
+  contract.mRate = aWorkspace.mRate;
+  contract.mBurst = aWorkspace.mBurst;
+  for (const PlanRoute& route : aPlan.mRoutes) {
+    if (route.mKind == CallKind::eBatch) {
+      contract.mBatchWindow = route.mItemLifetime;
+    }
+  }
+  return contract;
+}
+
+// Workspaces that the former plan had and this one has not lose their contract.
+void
+ApplyPlan(ConfigView& aView, const ServingPlan& aPlan)
+{
+  if (aView.mPlan) {
+    for (const PlanWorkspace& former : aView.mPlan->mWorkspaces) {
+      aView.mContracts.erase(former.mId);
+    }
+  }
+  aView.mPlanKeys.clear();
+  for (const PlanWorkspace& workspace : aPlan.mWorkspaces) {
+    aView.mContracts[workspace.mId] = ContractOf(aPlan, workspace);
+    for (const KeyDigest& key : workspace.mKeys) {
+      aView.mPlanKeys[key] = workspace.mId;
+    }
+  }
+  aView.mPlan = std::make_shared<const ServingPlan>(aPlan);
+}
+
 void
 ApplyContent(ConfigView& aView, Revision aRevision, const ConfigChange& aChange)
 {
@@ -59,6 +93,17 @@
           aView.mMembers.erase(member);
         }
       },
+      [&](const SetPlan& aSet) { ApplyPlan(aView, aSet.mPlan); },
+      [&](const SetTarget& aSet) {
+        aView.mTargets[aSet.mTarget.mId] = aSet.mTarget;
+      },
+      [&](const RemoveTarget& aRemove) {
+        auto target = aView.mTargets.find(aRemove.mTarget);
+        if (target != aView.mTargets.end() &&
+            target->second.mStartedAt == aRemove.mStartedAt) {
+          aView.mTargets.erase(target);
+        }
+      },
     },
     aChange);
   aView.mObjectRevisions[ObjectName(aChange)] = aRevision;
@@ -131,6 +176,13 @@
       [](const RemoveMember& aRemove) {
         return absl::StrCat("member/", aRemove.mInstance.mValue);
       },
+      [](const SetPlan&) { return std::string("plan"); },
+      [](const SetTarget& aSet) {
+        return absl::StrCat("target-record/", aSet.mTarget.mId.mValue);
+      },
+      [](const RemoveTarget& aRemove) {
+        return absl::StrCat("target-record/", aRemove.mTarget.mValue);
+      },
     },
     aChange);
 }
@@ -142,7 +194,8 @@
     return true;
   }
   return !std::holds_alternative<SetContract>(aChange) &&
-         !std::holds_alternative<CreateKey>(aChange);
+         !std::holds_alternative<CreateKey>(aChange) &&
+         !std::holds_alternative<SetPlan>(aChange);
 }
 
 std::vector<ConfigChange>
@@ -154,7 +207,11 @@
       changes.push_back(std::move(aChange));
     }
   };
+  // Contracts of the plan are rebuilt from it.
   for (const auto& [id, contract] : aView.mContracts) {
+    if (aView.mPlan && PlanWorkspaceById(*aView.mPlan, id) != nullptr) {
+      continue;
+    }
     add(SetContract{ contract });
     if (contract.mWithdrawn) {
       add(WithdrawContract{ id });
@@ -179,6 +236,12 @@
   for (const auto& [id, member] : aView.mMembers) {
     add(SetMember{ member });
   }
+  if (aView.mPlan) {
+    add(SetPlan{ *aView.mPlan });
+  }
+  for (const auto& [id, target] : aView.mTargets) {
+    add(SetTarget{ target });
+  }
   return changes;
 }
 
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -3,6 +3,7 @@
 // Control's own state contains one, too.
 
 #include <map>
+#include <memory>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
@@ -14,7 +15,7 @@
 enum class ConfigScope : uint8_t
 {
   eAll,      // entries and control
-  eNodeOnly, // zones, targets, routes, members; keys only as withdrawals
+  eNodeOnly, // zones, targets, members, routes; keys only as withdrawals
 };
 
 struct ConfigView
@@ -26,6 +27,10 @@
   std::map<ZoneId, bool> mZoneInService;     // absent means in service
   std::map<TargetId, bool> mTargetInService; // absent means in service
   std::map<InstanceId, Member> mMembers;
+  std::map<TargetId, Target> mTargets;
+  std::shared_ptr<const ServingPlan> mPlan; // none before the first one
+  // Keys of mPlan. Contracts of its workspaces are in mContracts.
+  std::map<KeyDigest, WorkspaceId> mPlanKeys;
   // Object revisions, for the optimistic check of operator writes. Keyed
   // "contract/lindholt", "key/ck_...", "route/...", "zone/...", "target/...".
   std::map<std::string, Revision> mObjectRevisions;
--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -103,6 +103,22 @@
   }
 }
 
+// Nodes that found no work learn that there is some, so that an idle place does
+// not wait for their next question.
+void
+TellIdleNodes(ControlStep& aStep)
+{
+  constexpr size_t kMostTold = 32; // nodes at one time
+  auto& idle = aStep.mControl.mLeadership.mIdleNodes;
+  if (idle.empty() || aStep.mControl.mState.mLedger.mReady.empty()) {
+    return;
+  }
+  for (size_t told = 0; told < kMostTold && !idle.empty(); ++told) {
+    Send(aStep, *idle.begin(), WorkAvailable{});
+    idle.erase(idle.begin());
+  }
+}
+
 void
 ApplyCommandEntry(ControlStep& aStep,
                   const LogEntry& aEntry,
@@ -128,6 +144,7 @@
   if (aProposal) {
     AnswerProposal(aStep, aProposal->mWaiting, std::move(outcome.mReply));
   }
+  TellIdleNodes(aStep);
 }
 
 } // namespace
--- a/caraway/control/blob_fetch.h
+++ b/caraway/control/blob_fetch.h
@@ -29,6 +29,7 @@
   std::vector<uint32_t> mItems; // of index records; empty for direct reads
   uint64_t mNextOffset = 0;
   bool mEnd = false;
+  uint64_t mTotal = 0; // output files: items of the job
 };
 
 using FetchPurpose = std::variant<ItemBodies, FilePiece>;
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -118,8 +118,140 @@
     End(aEnd.mInstance, aEnd.mEpoch, false);
   }
 
+  void ApplyPlan(const ReplacePlan& aReplace)
+  {
+    const auto& held = mState.mConfig.mView.mPlan;
+    if (held && aReplace.mPlan.mVersion <= held->mVersion) {
+      return;
+    }
+    AppendChange(mState.mConfig, SetPlan{ aReplace.mPlan });
+    ApplyPlanToJobs(mState.mLedger,
+                    mIndex,
+                    mState.mLogical,
+                    mCommand.mUnixSeconds,
+                    aReplace.mPlan,
+                    mOutcome.mEffects);
+  }
+
+  void ApplyZone(const SetZone& aSet)
+  {
+    if (ZoneInService(mState.mConfig.mView, aSet.mZone) != aSet.mInService) {
+      AppendChange(mState.mConfig,
+                   SetZoneService{ aSet.mZone, aSet.mInService });
+    }
+  }
+
+  bool IsGone(const Target& aTarget) const
+  {
+    return std::any_of(mState.mGoneTargets.begin(),
+                       mState.mGoneTargets.end(),
+                       [&](const TargetGone& aGone) {
+                         return aGone.mTarget == aTarget.mId &&
+                                aGone.mStartedAt >= aTarget.mStartedAt;
+                       });
+  }
+
+  // The target that another one has replaced at its address.
+  void RemoveAt(const Target& aNewcomer)
+  {
+    std::vector<RemoveTarget> replaced;
+    for (const auto& [id, target] : mState.mConfig.mView.mTargets) {
+      if (target.mAddress == aNewcomer.mAddress && id != aNewcomer.mId) {
+        replaced.push_back({ id, target.mStartedAt });
+      }
+    }
+    for (RemoveTarget& remove : replaced) {
+      AppendChange(mState.mConfig, std::move(remove));
+    }
+  }
+
+  bool IsReplaced(const Target& aTarget) const
+  {
+    const auto& targets = mState.mConfig.mView.mTargets;
+    return std::any_of(
+      targets.begin(), targets.end(), [&](const auto& aEntry) {
+        return aEntry.second.mAddress == aTarget.mAddress &&
+               aEntry.first != aTarget.mId &&
+               aEntry.second.mStartedAt > aTarget.mStartedAt;
+      });
+  }
+
+  void ApplySeen(Target aTarget)
+  {
+    const auto& targets = mState.mConfig.mView.mTargets;
+    auto known = targets.find(aTarget.mId);
+    if (IsGone(aTarget) || IsReplaced(aTarget) ||
+        (known != targets.end() && IsLaterStart(known->second, aTarget))) {
+      return;
+    }
+    if (known != targets.end() &&
+        known->second.mStartedAt == aTarget.mStartedAt) {
+      // One start never comes back from leaving.
+      aTarget.mDraining = aTarget.mDraining || known->second.mDraining;
+      if (known->second == aTarget) {
+        return;
+      }
+    }
+    RemoveAt(aTarget);
+    AppendChange(mState.mConfig, SetTarget{ std::move(aTarget) });
+  }
+
+  void ApplyGone(const TargetGone& aGone)
+  {
+    constexpr size_t kKeptGone = 1000; // starts; late heartbeats are seconds old
+    mState.mGoneTargets.push_back(aGone);
+    while (mState.mGoneTargets.size() > kKeptGone) {
+      mState.mGoneTargets.pop_front();
+    }
+    RemoveRecord(aGone);
+  }
+
+  void RemoveRecord(const TargetGone& aGone)
+  {
+    const auto& targets = mState.mConfig.mView.mTargets;
+    auto known = targets.find(aGone.mTarget);
+    if (known != targets.end() &&
+        known->second.mStartedAt <= aGone.mStartedAt) {
+      AppendChange(mState.mConfig,
+                   RemoveTarget{ aGone.mTarget, known->second.mStartedAt });
+    }
+  }
+
+  // Calls of operators and targets, which concern no workspace.
+  bool ApplyConfigCall(const CallBody& aBody)
+  {
+    if (const auto* plan = std::get_if<ReplacePlan>(&aBody)) {
+      ApplyPlan(*plan);
+    } else if (const auto* zone = std::get_if<SetZone>(&aBody)) {
+      ApplyZone(*zone);
+    } else if (const auto* report = std::get_if<ReportTargets>(&aBody)) {
+      for (const Target& target : report->mSeen) {
+        ApplySeen(target);
+      }
+      for (const TargetGone& gone : report->mGone) {
+        ApplyGone(gone);
+      }
+    } else if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
+      mState.mRetiring.insert(retire->mInstance);
+    } else {
+      return false;
+    }
+    mOutcome.mReply = CallReplyBody(CallDone{});
+    return true;
+  }
+
+  void operator()(const RemoveTargets& aRemove)
+  {
+    for (const TargetGone& gone : aRemove.mTargets) {
+      RemoveRecord(gone);
+    }
+  }
+
   void operator()(const ControlCall& aCall)
   {
+    if (ApplyConfigCall(aCall.mBody)) {
+      return;
+    }
     if (!Current(aCall.mEntry, aCall.mEntryEpoch)) {
       mOutcome.mReply =
         CallReplyBody(CallFailed{ ErrorKind::eStaleEpoch,
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -4,6 +4,8 @@
 // Every replica applies the same commands in log order, so nothing here depends
 // on the clock, the settings or the order of a hash table.
 
+#include <deque>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -46,6 +48,12 @@
   Duration mClaimRetention;
 };
 
+// Targets whose heartbeats stayed away. They may come back.
+struct RemoveTargets
+{
+  std::vector<TargetGone> mTargets;
+};
+
 using CommandBody = std::variant<ConfigOperation,
                                  RegisterMember,
                                  UpdateMember,
@@ -53,7 +61,8 @@
                                  ControlCall,
                                  LeaseItems,
                                  ItemResults,
-                                 LedgerTick>;
+                                 LedgerTick,
+                                 RemoveTargets>;
 
 struct ControlCommand
 {
@@ -71,6 +80,10 @@
   // The incarnation that the present one of an instance replaced. A late
   // duplicate of its Register must not end the new session.
   std::map<InstanceId, uint64_t> mReplaced;
+  // Starts of targets that ended by their own word, oldest first. A heartbeat
+  // of such a start that comes late names no target.
+  std::deque<TargetGone> mGoneTargets;
+  std::set<InstanceId> mRetiring; // control replicas to be emptied
 };
 
 struct RegisterResult
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -55,6 +55,13 @@
   aArchive(aValue.mResultRetention, aValue.mClaimRetention);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveTargets& aValue)
+{
+  aArchive(aValue.mTargets);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCommand& aValue)
@@ -64,7 +71,7 @@
 
 namespace {
 
-constexpr uint32_t kStateVersion = 1;
+constexpr uint32_t kStateVersion = 2;
 
 // The durable state in the form that is stored. The configuration is stored as
 // the changes that rebuild it.
@@ -79,6 +86,8 @@
   std::deque<RevisedChange> mRecent;
   std::vector<std::pair<OperationId, OperationResult>> mOperations;
   std::map<InstanceId, uint64_t> mReplaced;
+  std::deque<TargetGone> mGoneTargets;
+  std::set<InstanceId> mRetiring;
   std::string mLedger;
 };
 
@@ -95,6 +104,8 @@
            aValue.mRecent,
            aValue.mOperations,
            aValue.mReplaced,
+           aValue.mGoneTargets,
+           aValue.mRetiring,
            aValue.mLedger);
 }
 
@@ -145,6 +156,8 @@
     stored.mOperations.emplace_back(id, config.mOperations.at(id));
   }
   stored.mReplaced = aState.mReplaced;
+  stored.mGoneTargets = aState.mGoneTargets;
+  stored.mRetiring = aState.mRetiring;
   stored.mLedger = EncodeLedger(aState.mLedger);
   return EncodeWith(stored);
 }
@@ -173,6 +186,8 @@
   state.mApplied = stored->mApplied;
   state.mLogical = stored->mLogical;
   state.mReplaced = std::move(stored->mReplaced);
+  state.mGoneTargets = std::move(stored->mGoneTargets);
+  state.mRetiring = std::move(stored->mRetiring);
   absl::Status restored = RestoreConfig(*stored, state.mConfig);
   if (!restored.ok()) {
     return restored;
--- /dev/null
+++ b/caraway/control/config_calls.cpp
@@ -0,0 +1,123 @@
+// Calls of operators and targets that entries hand on: serving plans, zones,
+// targets, retirement of replicas.
+
+#include "absl/strings/str_cat.h"
+#include "caraway/control/step.h"
+
+namespace caraway {
+
+namespace {
+
+CallFailed
+NoSuchInstance(const InstanceId& aInstance)
+{
+  return { ErrorKind::eNotFound,
+           absl::StrCat("no control replica runs on ",
+                        aInstance.mValue,
+                        "; check the name of the instance") };
+}
+
+CallReplyBody
+PlanHeld(const ControlStep& aStep)
+{
+  const auto& plan = aStep.mControl.mState.mConfig.mView.mPlan;
+  return plan ? PlanReply{ plan->mVersion, plan->mSource } : PlanReply{};
+}
+
+CallReplyBody
+RetirementOf(const ControlStep& aStep, const InstanceId& aInstance)
+{
+  const Control& control = aStep.mControl;
+  if (!control.mState.mRetiring.contains(aInstance)) {
+    return NoSuchInstance(aInstance);
+  }
+  return RetirementReply{ !ReplicaOfInstance(control, aInstance).has_value() };
+}
+
+std::optional<CallReplyBody>
+RefuseRetirement(const ControlStep& aStep, const InstanceId& aInstance)
+{
+  const Control& control = aStep.mControl;
+  if (control.mState.mRetiring.contains(aInstance)) {
+    return CallDone{};
+  }
+  if (!ReplicaOfInstance(control, aInstance)) {
+    return NoSuchInstance(aInstance);
+  }
+  if (!MayRetireInstance(aStep, aInstance)) {
+    return CallFailed{ ErrorKind::eConflict,
+                       "too few replicas would be left; add one first" };
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<CallReplyBody>
+AnswerConfigCall(ControlStep& aStep, const CallBody& aBody)
+{
+  const ConfigView& view = aStep.mControl.mState.mConfig.mView;
+  if (std::holds_alternative<ReadPlan>(aBody)) {
+    return PlanHeld(aStep);
+  }
+  if (const auto* describe = std::get_if<DescribeRetirement>(&aBody)) {
+    return RetirementOf(aStep, describe->mInstance);
+  }
+  if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
+    return RefuseRetirement(aStep, retire->mInstance);
+  }
+  if (const auto* replace = std::get_if<ReplacePlan>(&aBody)) {
+    if (view.mPlan && replace->mPlan.mVersion <= view.mPlan->mVersion) {
+      return CallDone{};
+    }
+    if (absl::Status status = CheckPlan(replace->mPlan); !status.ok()) {
+      return CallFailed{ ErrorKind::eInvalidArgument,
+                         std::string(status.message()) };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress&,
+              const TargetsHeard& aMessage)
+{
+  if (!MayServe(aStep)) {
+    return;
+  }
+  auto& heard = aStep.mControl.mLeadership.mTargetHeard;
+  for (const TargetId& target : aMessage.mTargets) {
+    heard[target] = aStep.mNow;
+  }
+}
+
+void
+RemoveSilentTargets(ControlStep& aStep)
+{
+  const Control& control = aStep.mControl;
+  auto& heard = aStep.mControl.mLeadership.mTargetHeard;
+  RemoveTargets remove;
+  for (const auto& [id, target] : control.mState.mConfig.mView.mTargets) {
+    // A target that is new here has just been heard of.
+    const MonoTime last = heard.try_emplace(id, aStep.mNow).first->second;
+    if (aStep.mNow - last >= control.mSettings.mTargetSilence) {
+      remove.mTargets.push_back({ id, target.mStartedAt });
+      heard[id] = aStep.mNow; // proposed again only after another silence
+      Log(aStep,
+          "remove_target",
+          id.mValue,
+          absl::StrCat("no heartbeat for ",
+                       control.mSettings.mTargetSilence.Millis(),
+                       " ms"));
+    }
+  }
+  std::erase_if(heard, [&](const auto& aHeard) {
+    return !control.mState.mConfig.mView.mTargets.contains(aHeard.first);
+  });
+  if (!remove.mTargets.empty()) {
+    (void)Propose(aStep, std::move(remove), {});
+  }
+}
+
+} // namespace caraway
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -43,7 +43,9 @@
   std::is_same_v<T, Renew> || std::is_same_v<T, ConfigFetch> ||
   std::is_same_v<T, Leave> || std::is_same_v<T, GrantRequest> ||
   std::is_same_v<T, LeaseItems> || std::is_same_v<T, ItemResults> ||
-  std::is_same_v<T, ControlCall>;
+  std::is_same_v<T, ControlCall> || std::is_same_v<T, ControlMap> ||
+  std::is_same_v<T, JoinGroup> || std::is_same_v<T, FoundGroup> ||
+  std::is_same_v<T, TargetsHeard>;
 
 struct EventHandler
 {
@@ -179,6 +181,7 @@
   RunRaftActions(step);
   UpdateLeadership(step);
   RunLeaderDuties(step);
+  TickDiscovery(step);
   RunRaftActions(step);
   UpdateLeadership(step);
   const bool changed = aControl.mState.mConfig.mView.mRevision != before;
@@ -200,6 +203,9 @@
   if (aControl.mLeadership.mStarted) {
     next = std::min(next, aControl.mLeadership.mNextScan);
   }
+  if (!aControl.mSettings.mSeeds.empty()) {
+    next = std::min(next, aControl.mDiscovery.mNextHello);
+  }
   if (aControl.mStopping && !aControl.mStopped) {
     next = std::min(next, aControl.mStopBy);
   }
--- a/caraway/control/control_io.h
+++ b/caraway/control/control_io.h
@@ -86,6 +86,11 @@
   std::string mReason;
 };
 
+// Action: this replica begins a group of its own. The data folder remembers it
+// before anything else happens.
+struct BeginGroup
+{};
+
 using ControlEvent = std::variant<Wakeup,
                                   MessageReceived,
                                   PeerLost,
@@ -113,6 +118,7 @@
                                    ReadBlob,
                                    DecisionLog,
                                    Halt,
+                                   BeginGroup,
                                    Stopped>;
 
 } // namespace caraway
--- a/caraway/control/control_settings.h
+++ b/caraway/control/control_settings.h
@@ -27,6 +27,15 @@
   Duration mGrantLease = Seconds(2);
   Duration mResultRetention = Seconds(30 * 24 * 3600);
   Duration mClaimRetention = Seconds(24 * 3600);
+  // A group that changes its own replicas (discovery.h). Without seeds,
+  // operators change it.
+  InstanceId mInstance;
+  ZoneId mZone;
+  std::vector<PeerAddress> mSeeds; // entries
+  bool mFirstStart = false;        // of the whole system, with an empty disk
+  size_t mWantedVoters = 3;
+  // A target whose heartbeats stay away for so long is removed.
+  Duration mTargetSilence = Seconds(5);
 };
 
 } // namespace caraway
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -14,6 +14,7 @@
 #include "caraway/control/command.h"
 #include "caraway/control/config_polls.h"
 #include "caraway/control/control_settings.h"
+#include "caraway/control/discovery.h"
 #include "caraway/membership/sessions.h"
 
 namespace caraway {
@@ -98,6 +99,10 @@
   MonoTime mNextScan;     // next look at lost members and ledger deadlines
   bool mTickOpen = false; // a ledger tick is proposed
   MonoTime mLastTick;
+  // Targets by the last heartbeat that an entry told of, and removals that are
+  // proposed.
+  std::map<TargetId, MonoTime> mTargetHeard;
+  std::set<PeerAddress> mIdleNodes; // asked for items when there were none
 };
 
 struct ControlCounters
@@ -118,6 +123,7 @@
   ControlState mState;
   ReplicaSet mAppliedReplicas; // replica set as of mState.mApplied
   ConfigPolls mPolls;
+  ControlDiscovery mDiscovery;
   Leadership mLeadership;
   BlobFetches mFetches;
   std::optional<SnapshotMark> mSaving; // snapshot being written
--- /dev/null
+++ b/caraway/control/discovery.cpp
@@ -0,0 +1,256 @@
+// Hellos to entries, joining a group, and the leader's care for the replicas.
+
+#include "caraway/control/discovery.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/control/step.h"
+#include "caraway/membership/replica_care.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kHelloEvery = Millis(500);
+constexpr Duration kRoundEvery = Seconds(2);
+// A voter that has not answered for longer than elections take is not counted
+// on, and its place goes to a learner.
+constexpr Duration kSilent = Seconds(2);
+constexpr Duration kLost = Seconds(4);
+// Joining replicas repeat their wish every half second.
+constexpr Duration kForgetJoining = Seconds(3);
+
+bool
+HasGroup(const Control& aControl)
+{
+  return !ReplicasOf(aControl.mRaft).mReplicas.empty();
+}
+
+void
+SayHello(ControlStep& aStep, bool aToAll)
+{
+  const Control& control = aStep.mControl;
+  ReplicaHello hello;
+  hello.mReplica = control.mSettings.mReplica;
+  hello.mInstance = control.mSettings.mInstance;
+  hello.mZone = control.mSettings.mZone;
+  hello.mInGroup = HasGroup(control);
+  hello.mFirstStart = control.mSettings.mFirstStart;
+  std::vector<PeerAddress> to = control.mSettings.mSeeds;
+  if (aToAll || to.empty()) {
+    to.insert(to.end(),
+              control.mDiscovery.mEntries.begin(),
+              control.mDiscovery.mEntries.end());
+    for (const auto& [id, member] : control.mState.mConfig.mView.mMembers) {
+      if (member.mRole == MemberRole::eEntry) {
+        to.push_back(member.mAddress);
+      }
+    }
+  }
+  std::sort(to.begin(), to.end());
+  to.erase(std::unique(to.begin(), to.end()), to.end());
+  for (const PeerAddress& entry : to) {
+    Send(aStep, entry, hello);
+  }
+}
+
+void
+AskToJoin(ControlStep& aStep)
+{
+  const Control& control = aStep.mControl;
+  if (IsLeader(control.mRaft)) {
+    return;
+  }
+  const JoinGroup join{ control.mSettings.mReplica,
+                        control.mSettings.mInstance,
+                        control.mSettings.mZone };
+  const PeerAddress leader = LeaderAddress(control);
+  if (!leader.Empty()) {
+    Send(aStep, leader, join);
+    return;
+  }
+  for (const PeerAddress& replica : control.mDiscovery.mReplicas) {
+    if (replica != control.mSettings.mAddress) {
+      Send(aStep, replica, join);
+    }
+  }
+}
+
+ReplicaCare
+CareFor(const ControlStep& aStep)
+{
+  const Control& control = aStep.mControl;
+  const ControlDiscovery& discovery = control.mDiscovery;
+  ReplicaCare care;
+  care.mSelf = control.mSettings.mReplica;
+  care.mWantedVoters = control.mSettings.mWantedVoters;
+  for (const Replica& replica : ReplicasOf(control.mRaft).mReplicas) {
+    ReplicaView view;
+    view.mId = replica.mId;
+    view.mAddress = replica.mAddress;
+    view.mVoter = replica.mVoter;
+    InstanceId instance;
+    if (replica.mId == care.mSelf) {
+      view.mZone = control.mSettings.mZone;
+      instance = control.mSettings.mInstance;
+    } else {
+      if (auto known = discovery.mKnown.find(replica.mId);
+          known != discovery.mKnown.end()) {
+        view.mZone = known->second.mZone;
+        instance = known->second.mInstance;
+      }
+      auto peer = control.mRaft.mPeers.find(replica.mId);
+      const Duration silence = peer == control.mRaft.mPeers.end()
+                                 ? Duration{}
+                                 : aStep.mNow - peer->second.mHeardAt;
+      view.mAlive = silence < kSilent;
+      view.mLost = silence >= kLost;
+    }
+    view.mRetiring = control.mState.mRetiring.contains(instance);
+    care.mReplicas.push_back(std::move(view));
+  }
+  for (const auto& [id, known] : discovery.mKnown) {
+    if (aStep.mNow - known.mHeardAt < kForgetJoining &&
+        !control.mState.mRetiring.contains(known.mInstance)) {
+      care.mJoining.push_back({ id, known.mAddress.mValue, known.mZone });
+    }
+  }
+  return care;
+}
+
+ReplicaSet
+AfterStep(const ReplicaSet& aSet, const ReplicaStep& aStep)
+{
+  ReplicaSet changed = aSet;
+  auto& replicas = changed.mReplicas;
+  switch (aStep.mKind) {
+    case ReplicaStepKind::eAdd:
+      replicas.push_back({ aStep.mId, aStep.mAddress, false });
+      break;
+    case ReplicaStepKind::ePromote:
+      for (Replica& replica : replicas) {
+        replica.mVoter = replica.mVoter || replica.mId == aStep.mId;
+      }
+      break;
+    case ReplicaStepKind::eRemove:
+      std::erase_if(replicas, [&](const Replica& aOne) {
+        return aOne.mId == aStep.mId;
+      });
+      break;
+  }
+  return changed;
+}
+
+const char*
+StepName(ReplicaStepKind aKind)
+{
+  switch (aKind) {
+    case ReplicaStepKind::eAdd:
+      return "add";
+    case ReplicaStepKind::ePromote:
+      return "promote";
+    case ReplicaStepKind::eRemove:
+      return "remove";
+  }
+  return "none";
+}
+
+} // namespace
+
+void
+HandleMessage(ControlStep& aStep, const PeerAddress&, const ControlMap& aMap)
+{
+  ControlDiscovery& discovery = aStep.mControl.mDiscovery;
+  discovery.mReplicas = aMap.mReplicas;
+  discovery.mEntries = aMap.mEntries;
+}
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const JoinGroup& aMessage)
+{
+  if (IsLeader(aStep.mControl.mRaft)) {
+    aStep.mControl.mDiscovery.mKnown[aMessage.mReplica] = {
+      aFrom, aMessage.mInstance, aMessage.mZone, aStep.mNow
+    };
+  }
+}
+
+void
+HandleMessage(ControlStep& aStep, const PeerAddress&, const FoundGroup&)
+{
+  const Control& control = aStep.mControl;
+  if (control.mSettings.mFirstStart && !HasGroup(control) &&
+      TermOf(control.mRaft).IsNone()) {
+    Log(aStep, "found_group", "founded", "an entry chose this replica");
+    aStep.mOut.emplace_back(BeginGroup{});
+  }
+}
+
+void
+TickDiscovery(ControlStep& aStep)
+{
+  Control& control = aStep.mControl;
+  if (control.mSettings.mSeeds.empty() ||
+      aStep.mNow < control.mDiscovery.mNextHello) {
+    return;
+  }
+  const bool round = aStep.mNow >= control.mDiscovery.mNextRound;
+  control.mDiscovery.mNextHello = aStep.mNow + kHelloEvery;
+  if (round) {
+    control.mDiscovery.mNextRound = aStep.mNow + kRoundEvery;
+  }
+  SayHello(aStep, round);
+  AskToJoin(aStep);
+}
+
+void
+CareForReplicas(ControlStep& aStep)
+{
+  Control& control = aStep.mControl;
+  if (control.mSettings.mSeeds.empty()) {
+    return;
+  }
+  for (const ReplicaStep& next : ReplicaSteps(CareFor(aStep))) {
+    const absl::StatusOr<LogIndex> index =
+      RaftChangeReplicas(control.mRaft,
+                         aStep.mNow,
+                         AfterStep(ReplicasOf(control.mRaft), next),
+                         aStep.mRaft);
+    if (index.ok()) {
+      Log(aStep,
+          "replica_change",
+          StepName(next.mKind),
+          absl::StrCat("replica ", next.mId.mValue, " ", next.mAddress));
+      return;
+    }
+  }
+}
+
+bool
+MayRetireInstance(const ControlStep& aStep, const InstanceId& aInstance)
+{
+  const std::optional<ReplicaId> id =
+    ReplicaOfInstance(aStep.mControl, aInstance);
+  return id && MayRetire(CareFor(aStep), *id);
+}
+
+std::optional<ReplicaId>
+ReplicaOfInstance(const Control& aControl, const InstanceId& aInstance)
+{
+  if (aInstance == aControl.mSettings.mInstance) {
+    return aControl.mSettings.mReplica;
+  }
+  for (const Replica& replica : ReplicasOf(aControl.mRaft).mReplicas) {
+    auto known = aControl.mDiscovery.mKnown.find(replica.mId);
+    if (known != aControl.mDiscovery.mKnown.end() &&
+        known->second.mInstance == aInstance) {
+      return replica.mId;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/control/discovery.h
@@ -0,0 +1,31 @@
+#pragma once
+// How a control replica finds entries, its group, and the names of the other
+// replicas.
+
+#include <map>
+#include <vector>
+
+#include "caraway/base/ids.h"
+#include "caraway/base/time.h"
+
+namespace caraway {
+
+struct KnownReplica
+{
+  PeerAddress mAddress;
+  InstanceId mInstance;
+  ZoneId mZone;
+  MonoTime mHeardAt;
+};
+
+struct ControlDiscovery
+{
+  std::vector<PeerAddress> mReplicas; // of the group, as entries say
+  std::vector<PeerAddress> mEntries;  // beyond the seeds
+  MonoTime mNextHello{ 0 };           // to the seeds, and a JoinGroup
+  MonoTime mNextRound{ 0 };           // to all entries
+  // On the leader: replicas by their own word, in and outside the group.
+  std::map<ReplicaId, KnownReplica> mKnown;
+};
+
+} // namespace caraway
--- a/caraway/control/item_bodies.cpp
+++ b/caraway/control/item_bodies.cpp
@@ -97,6 +97,7 @@
   FileBytesReply reply;
   reply.mNextOffset = aPiece.mNextOffset;
   reply.mEnd = aPiece.mEnd;
+  reply.mTotal = aPiece.mTotal;
   for (FetchedRange& range : aFetch.mRanges) {
     reply.mBytes += range.mBytes;
   }
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -44,6 +44,9 @@
   leadership.mNextScan = aStep.mNow + kScanEvery;
   leadership.mLastTick = aStep.mNow;
   const ConfigView& view = control.mState.mConfig.mView;
+  for (const auto& [id, target] : view.mTargets) {
+    leadership.mTargetHeard[id] = aStep.mNow;
+  }
   StartSessions(
     leadership.mSessions, aStep.mNow, control.mSettings.mConfigLease, view);
   StartGrantor(leadership.mGrantor,
@@ -119,6 +122,8 @@
   leadership.mNextScan = aStep.mNow + kScanEvery;
   if (MayServe(aStep)) {
     RemoveLostMembers(aStep);
+    RemoveSilentTargets(aStep);
+    CareForReplicas(aStep);
     ProposeTick(aStep);
   }
 }
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -117,8 +117,11 @@
   }
   // The blobs of a job without any result don't exist.
   if (plan->mRanges.empty() || (!plan->mDirect && !HasBytes(aStep, aCall))) {
-    Reply(
-      aStep, aFrom, aCall, FileBytesReply{ {}, plan->mNextOffset, plan->mEnd });
+    Reply(aStep,
+          aFrom,
+          aCall,
+          FileBytesReply{
+            {}, plan->mNextOffset, plan->mEnd, plan->mTotal });
     return;
   }
   FilePiece piece;
@@ -129,9 +132,36 @@
   piece.mItems = std::move(plan->mItems);
   piece.mNextOffset = plan->mNextOffset;
   piece.mEnd = plan->mEnd;
+  piece.mTotal = plan->mTotal;
   StartReads(aStep, std::move(piece), !plan->mDirect, plan->mRanges);
 }
 
+// The input line of one item.
+void
+ReadItemLine(ControlStep& aStep,
+             const PeerAddress& aFrom,
+             const ControlCall& aCall,
+             const ReadItem& aRead)
+{
+  const Ledger& ledger = aStep.mControl.mState.mLedger;
+  absl::StatusOr<uint32_t> item = ItemOfId(ledger, aCall.mWorkspace, aRead);
+  absl::StatusOr<BlobRange> record =
+    item.ok() ? ItemIndexRecord(ledger, aRead.mJob, *item)
+              : absl::StatusOr<BlobRange>(item.status());
+  if (!record.ok()) {
+    Reply(aStep, aFrom, aCall, FailedBy(record.status()));
+    return;
+  }
+  FilePiece piece;
+  piece.mTo = aFrom;
+  piece.mReply.mGroup = aCall.mGroup;
+  piece.mReply.mCall = aCall.mCall;
+  piece.mReply.mEntryEpoch = aCall.mEntryEpoch;
+  piece.mItems = { *item };
+  piece.mEnd = true;
+  StartReads(aStep, std::move(piece), true, { *record });
+}
+
 // Whether a lease must go through the log. Asking without work is answered
 // directly, but a resend must get the items of the first time.
 bool
@@ -190,6 +220,14 @@
     Reply(aStep, aFrom, aMessage, *failed);
     return;
   }
+  if (auto answer = AnswerConfigCall(aStep, aMessage.mBody)) {
+    Reply(aStep, aFrom, aMessage, *std::move(answer));
+    return;
+  }
+  if (const auto* item = std::get_if<ReadItem>(&aMessage.mBody)) {
+    ReadItemLine(aStep, aFrom, aMessage, *item);
+    return;
+  }
   if (std::holds_alternative<ReadFile>(aMessage.mBody)) {
     ReadFilePiece(aStep, aFrom, aMessage);
     return;
@@ -241,6 +279,7 @@
     none.mSequence = aMessage.mSequence;
     none.mRetryAfter = kNoWorkRetry;
     Send(aStep, aFrom, none);
+    aStep.mControl.mLeadership.mIdleNodes.insert(aFrom);
     return;
   }
   LeaseItems lease = aMessage;
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -2,6 +2,7 @@
 // Internal: the context of one step of the control role, and what its parts
 // share.
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,38 @@
               const PeerAddress& aFrom,
               const ItemResults& aMessage);
 
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const ControlMap& aMap); // discovery.cpp
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const JoinGroup& aMessage);
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const FoundGroup& aMessage);
+void
+TickDiscovery(ControlStep& aStep);
+void
+CareForReplicas(ControlStep& aStep);
+// The replica of the group that runs on the instance, if known.
+std::optional<ReplicaId>
+ReplicaOfInstance(const Control& aControl, const InstanceId& aInstance);
+bool
+MayRetireInstance(const ControlStep& aStep, const InstanceId& aInstance);
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const TargetsHeard& aMessage); // config_calls.cpp
+// Answers a call of an operator or target at once, if it needs no log entry.
+std::optional<CallReplyBody>
+AnswerConfigCall(ControlStep& aStep, const CallBody& aBody);
+void
+RemoveSilentTargets(ControlStep& aStep);
+
 void
 SendItemBatch(ControlStep& aStep,
               const PeerAddress& aTo,
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -8,7 +8,10 @@
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/claims.h"
 #include "caraway/entry/control_replies.h"
+#include "caraway/entry/direct.h"
+#include "caraway/entry/forward.h"
 #include "caraway/entry/outcome.h"
+#include "caraway/entry/session.h"
 
 namespace caraway {
 
@@ -36,7 +39,9 @@
 void
 StartWork(EntryStep& aStep, CallerRequest& aRequest)
 {
-  if (aRequest.mControl.mStep != ControlStep::eNone) {
+  if (IsDirect(aRequest.mDirect)) {
+    StartDirect(aStep, aRequest);
+  } else if (aRequest.mControl.mStep != ControlStep::eNone) {
     StartControlWork(aStep, aRequest);
   } else if (!aRequest.mClaimKey.Empty()) {
     StartClaim(aStep, aRequest);
@@ -54,9 +59,41 @@
   error.mKind = ErrorKind::eRateLimited;
   error.mMessage = "the workspace is above its rate";
   error.mRetryAfter = aRetryAfter;
+  error.mExactRetry = IsDirect(aRequest.mDirect);
   FailRequest(aStep, aRequest, std::move(error));
 }
 
+uint32_t
+EntriesKnown(const Entry& aEntry)
+{
+  uint32_t entries = 0;
+  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
+    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
+  }
+  return std::max<uint32_t>(1, entries);
+}
+
+// Control is out of reach, so no tokens come.
+void
+AdmitByShare(EntryStep& aStep,
+             CallerRequest& aRequest,
+             const Contract& aContract)
+{
+  Entry& entry = aStep.mEntry;
+  if (!TakeShare(
+        entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry))) {
+    RefuseRate(aStep, aRequest, Seconds(1));
+    return;
+  }
+  ++entry.mMetrics.mAdmitted;
+  LogAdmission(aStep,
+               aRequest,
+               LogLevel::eDebug,
+               "admitted",
+               "share of the rate, control is out of reach");
+  StartWork(aStep, aRequest);
+}
+
 // Returns false if the request is to wait.
 bool
 TryOnce(EntryStep& aStep, CallerRequest& aRequest, bool aAsked)
@@ -66,6 +103,10 @@
   if (contract == entry.mConfig.mContracts.end()) {
     return true; // the withdrawal has ended it, or will at once
   }
+  if (entry.mSettings.mServeWithoutLease && !LeaseHolds(entry, aStep.mNow)) {
+    AdmitByShare(aStep, aRequest, contract->second);
+    return true;
+  }
   const Admission admission =
     TryAdmit(entry.mTokens, aStep.mNow, contract->second, aAsked);
   switch (admission.mVerdict) {
@@ -90,7 +131,7 @@
 void
 AdmitRequest(EntryStep& aStep, CallerRequest& aRequest)
 {
-  if (aRequest.mKey.Empty()) { // open routes have no contract
+  if (!NeedsToken(aStep.mEntry, aRequest)) {
     StartWork(aStep, aRequest);
     return;
   }
--- a/caraway/entry/attempts.cpp
+++ b/caraway/entry/attempts.cpp
@@ -222,6 +222,9 @@
       !aRequest.mAttempts.back().mEnded) {
     due = std::min(due, aRequest.mAttempts.back().mNextQuery);
   }
+  if (aRequest.mPhase == RequestPhase::eDirect) {
+    due = std::min(due, aRequest.mDirect.mCheckAt);
+  }
   SetTimer(aStep.mEntry.mRequestTimers, aRequest.mSerial, due);
 }
 
--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -13,6 +13,7 @@
 #include "caraway/entry/control_request.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/entry.h"
+#include "caraway/entry/forward.h"
 #include "caraway/entry/header_filter.h"
 #include "caraway/entry/object_json.h"
 #include "caraway/entry/outcome.h"
@@ -77,7 +78,7 @@
   }
   if (aHttp.mPath == "/readyz") {
     const bool draining = aStep.mEntry.mDrain.mSince != kNever;
-    const bool ready = !draining && LeaseHolds(aStep.mEntry, aStep.mNow);
+    const bool ready = IsReady(aStep.mEntry, aStep.mNow);
     const char* body = ready      ? "ready\n"
                        : draining ? "draining\n"
                                   : "no configuration lease\n";
@@ -398,6 +399,9 @@
     case RequestPhase::eCompleting:
     case RequestPhase::eDone:
       break;
+    case RequestPhase::eOrder:
+      FinishRequest(aStep, request);
+      break;
     case RequestPhase::eControl:
       if (request.mControl.mStep == ControlStep::eCreateFile) {
         // Nobody knows the id of the unfinished file.
--- a/caraway/entry/control_calls.cpp
+++ b/caraway/entry/control_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "caraway/entry/claims.h"
 #include "caraway/entry/control_replies.h"
+#include "caraway/entry/orders.h"
 #include "caraway/entry/session.h"
 
 namespace caraway {
@@ -153,6 +154,9 @@
     case RequestPhase::eControl:
       HandleControlWorkReply(aStep, request->second, aReply.mBody);
       break;
+    case RequestPhase::eOrder:
+      HandleOrderReply(aStep, request->second, aReply.mBody);
+      break;
     default:
       break;
   }
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -375,7 +375,7 @@
       [&](const JobListReply& aReply) {
         ReplyJson(aStep, aRequest, JobListJson(aReply));
       },
-      [&](const ClaimReply&) {
+      [&](const auto&) {
         Fail(aStep,
              aRequest,
              ErrorKind::eUnavailable,
--- /dev/null
+++ b/caraway/entry/direct_internal.h
@@ -0,0 +1,62 @@
+#pragma once
+// Internal: what the files of the direct path share.
+
+#include <string>
+
+#include "caraway/base/error.h"
+#include "caraway/entry/direct.h"
+
+namespace caraway {
+
+// The request of a call to a target, if the call is its live attempt.
+CallerRequest*
+RequestOfTargetCall(Entry& aEntry, TargetCallId aCall);
+
+// Calls the target now. aSlotNode: the node that granted the slot.
+void
+CallTarget(EntryStep& aStep,
+           CallerRequest& aRequest,
+           const Target& aTarget,
+           const PeerAddress& aSlotNode);
+
+// The live attempt has failed: another target, or the end of the request.
+void
+DirectFailed(EntryStep& aStep,
+             CallerRequest& aRequest,
+             ErrorKind aKind,
+             const std::string& aMessage,
+             bool aNotRun);
+
+// Ends the live attempt: cancels its call, frees its slot.
+void
+CloseAttempt(EntryStep& aStep,
+             CallerRequest& aRequest,
+             SlotEnding aEnding,
+             bool aCancel);
+
+// Slots that are asked for: another look, and the end (direct_slots.cpp).
+void
+TickAsks(EntryStep& aStep, CallerRequest& aRequest);
+void
+EndAsks(EntryStep& aStep, CallerRequest& aRequest);
+
+// Refuses a request that no target has run.
+void
+RefuseDirect(EntryStep& aStep,
+             CallerRequest& aRequest,
+             ErrorKind aKind,
+             const std::string& aMessage,
+             Duration aRetryAfter);
+
+// The node beside a target, or nullptr.
+const Member*
+NodeBeside(const Entry& aEntry, const Target& aTarget);
+
+PlacementLoad&
+LoadOfTarget(EntryStep& aStep, const Target& aTarget);
+
+// True while new work may go to the target.
+bool
+TakesWork(const Entry& aEntry, const Target& aTarget);
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/direct_slots.cpp
@@ -0,0 +1,476 @@
+// Slots: which targets are asked, and what follows from the answers.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/entry/attempts.h"
+#include "caraway/entry/direct_internal.h"
+#include "caraway/entry/outcome.h"
+#include "caraway/entry/reply.h"
+#include "caraway/entry/targets.h"
+
+namespace caraway {
+
+namespace {
+
+// Nodes asked at once. With the first grant counting, two more queues come
+// close to one queue for all targets.
+constexpr size_t kMaxAsks = 3;
+// A node answers at once; beyond several round trips between zones another one
+// is asked.
+constexpr Duration kAskWait = Millis(40);
+// No node has answered: the target is called without a slot, since engines
+// admit in order of arrival by themselves.
+constexpr Duration kNodeSilence = Millis(150);
+// When no target can be used, the next heartbeats may change that.
+constexpr Duration kNoTargetRetry = Seconds(1);
+constexpr Duration kWatchEvery = Seconds(4);
+constexpr Duration kHeldEvery = Seconds(1);
+// A caller is not told to come back later than a third of the time it has
+// left, which is the most that callers honour.
+constexpr int64_t kRetryShare = 3;
+constexpr Duration kShortestRetry = Millis(100);
+
+std::vector<PlacementCandidate>
+CandidatesOf(const Entry& aEntry, const ServiceId& aService)
+{
+  std::vector<PlacementCandidate> candidates;
+  for (const auto& [id, target] : aEntry.mConfig.mTargets) {
+    if (target.mService == aService && TakesWork(aEntry, target)) {
+      candidates.push_back({ id, target.mZone, target.mSlots });
+    }
+  }
+  return candidates;
+}
+
+void
+ReleaseAsk(EntryStep& aStep, CallerRequest& aRequest, const SlotAsk& aAsk)
+{
+  if (aAsk.mState != AskState::eRefused) {
+    Send(aStep,
+         aAsk.mNode,
+         SlotRelease{ aRequest.mId, SlotEnding::eCancelled });
+  }
+  auto load = aStep.mEntry.mPlacement.find(aAsk.mTarget);
+  if (load != aStep.mEntry.mPlacement.end() && load->second.mOwn > 0) {
+    --load->second.mOwn;
+  }
+}
+
+void
+DropAsks(EntryStep& aStep, CallerRequest& aRequest)
+{
+  for (const SlotAsk& ask : aRequest.mDirect.mAsks) {
+    ReleaseAsk(aStep, aRequest, ask);
+  }
+  aRequest.mDirect.mAsks.clear();
+}
+
+void
+AskNode(EntryStep& aStep,
+        CallerRequest& aRequest,
+        const Target& aTarget,
+        const Member& aNode)
+{
+  const DirectCall& direct = aRequest.mDirect;
+  SlotRequest ask;
+  ask.mRequest = aRequest.mId;
+  ask.mWorkspace = aRequest.mWorkspace;
+  ask.mGoalIn = direct.mGoalAt - aStep.mNow;
+  ask.mWait = direct.mRefuseAt - aStep.mNow;
+  ask.mPromptTokens = aRequest.mTarget.mPromptTokens;
+  ask.mOutputTokens = aRequest.mTarget.mOutputTokens;
+  ++LoadOfTarget(aStep, aTarget).mOwn;
+  aRequest.mDirect.mAsks.push_back(
+    { aTarget.mId, aNode.mAddress, aStep.mNow, AskState::eSent, {} });
+  Send(aStep, aNode.mAddress, std::move(ask));
+}
+
+// Asks one more target. False if none is left.
+bool
+AskNext(EntryStep& aStep, CallerRequest& aRequest)
+{
+  Entry& entry = aStep.mEntry;
+  DirectCall& direct = aRequest.mDirect;
+  PlacementQuery query;
+  query.mRequest = aRequest.mId;
+  query.mWorkspace = aRequest.mWorkspace;
+  query.mLocalZone = entry.mSettings.mZone;
+  query.mExclude = direct.mTried;
+  for (const SlotAsk& ask : direct.mAsks) {
+    query.mExclude.push_back(ask.mTarget);
+  }
+  const std::vector<PlacementCandidate> candidates =
+    CandidatesOf(entry, direct.mService);
+  Placement placement = ChoosePlacement(
+    candidates, entry.mPlacement, query, aStep.mNow, entry.mRandom);
+  placement.mLog.mExtra.push_back(
+    { "revision", absl::StrCat(entry.mConfig.mRevision.mValue) });
+  aStep.mOut.emplace_back(std::move(placement.mLog));
+  if (!placement.mIndex) {
+    return false;
+  }
+  const Target& target =
+    entry.mConfig.mTargets.at(candidates[*placement.mIndex].mTarget);
+  if (const Member* node = NodeBeside(entry, target)) {
+    AskNode(aStep, aRequest, target, *node);
+  } else {
+    DropAsks(aStep, aRequest);
+    CallTarget(aStep, aRequest, target, {});
+  }
+  return true;
+}
+
+bool
+AllRefused(const DirectCall& aDirect)
+{
+  return std::all_of(
+    aDirect.mAsks.begin(), aDirect.mAsks.end(), [](const SlotAsk& aAsk) {
+      return aAsk.mState == AskState::eRefused;
+    });
+}
+
+Duration
+ShortestWait(const DirectCall& aDirect)
+{
+  Duration shortest = kNoTargetRetry;
+  for (const SlotAsk& ask : aDirect.mAsks) {
+    if (ask.mState != AskState::eSent) {
+      shortest = std::min(shortest, ask.mExpectedWait);
+    }
+  }
+  return shortest;
+}
+
+void
+RefuseBusy(EntryStep& aStep, CallerRequest& aRequest)
+{
+  RefuseDirect(aStep,
+               aRequest,
+               ErrorKind::eOverloaded,
+               "no target has a place in time",
+               ShortestWait(aRequest.mDirect));
+}
+
+// No answer came from any node for too long: calls the target that was asked
+// first. Returns false if that is not the case.
+bool
+CallWithoutSlot(EntryStep& aStep, CallerRequest& aRequest)
+{
+  const DirectCall& direct = aRequest.mDirect;
+  for (const SlotAsk& ask : direct.mAsks) {
+    if (ask.mState != AskState::eSent) {
+      return false;
+    }
+  }
+  const SlotAsk& first = direct.mAsks.front();
+  auto target = aStep.mEntry.mConfig.mTargets.find(first.mTarget);
+  if (aStep.mNow - first.mSentAt < kNodeSilence ||
+      target == aStep.mEntry.mConfig.mTargets.end()) {
+    return false;
+  }
+  DecisionLog log;
+  log.mLevel = LogLevel::eWarning;
+  log.mEvent = "slot";
+  log.mRequest = aRequest.mId;
+  log.mChoice = "without";
+  log.mReason = "no node answered";
+  log.mExtra = { { "target", first.mTarget.mValue },
+                 { "waited_ms",
+                   absl::StrCat((aStep.mNow - first.mSentAt).Millis()) } };
+  aStep.mOut.emplace_back(std::move(log));
+  const Target chosen = target->second;
+  DropAsks(aStep, aRequest);
+  CallTarget(aStep, aRequest, chosen, {});
+  return true;
+}
+
+SlotAsk*
+AskAt(CallerRequest& aRequest, const PeerAddress& aNode)
+{
+  for (SlotAsk& ask : aRequest.mDirect.mAsks) {
+    if (ask.mNode == aNode) {
+      return &ask;
+    }
+  }
+  return nullptr;
+}
+
+CallerRequest*
+WaitingRequest(Entry& aEntry, const RequestId& aId)
+{
+  auto serial = aEntry.mById.find(aId);
+  if (serial == aEntry.mById.end()) {
+    return nullptr;
+  }
+  CallerRequest& request = aEntry.mRequests.at(serial->second);
+  const bool waits =
+    request.mPhase == RequestPhase::eDirect &&
+    (request.mDirect.mAttempts.empty() ||
+     request.mDirect.mAttempts.back().mEnded);
+  return waits ? &request : nullptr;
+}
+
+} // namespace
+
+const Member*
+NodeBeside(const Entry& aEntry, const Target& aTarget)
+{
+  for (const auto& [instance, member] : aEntry.mConfig.mMembers) {
+    if (member.mRole == MemberRole::eNode && !member.mDraining &&
+        member.mTarget.mId == aTarget.mId) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+PlacementLoad&
+LoadOfTarget(EntryStep& aStep, const Target& aTarget)
+{
+  PlacementLoad& load = aStep.mEntry.mPlacement[aTarget.mId];
+  if (load.mStartedAt != aTarget.mStartedAt) {
+    const uint32_t own = load.mOwn;
+    load = {};
+    load.mOwn = own;
+    load.mStartedAt = aTarget.mStartedAt;
+  }
+  return load;
+}
+
+bool
+TakesWork(const Entry& aEntry, const Target& aTarget)
+{
+  return !aTarget.mDraining && ZoneInService(aEntry.mConfig, aTarget.mZone) &&
+         TargetInService(aEntry.mConfig, aTarget.mId) &&
+         !aEntry.mGoneTargets.contains({ aTarget.mId, aTarget.mStartedAt });
+}
+
+void
+StartDirect(EntryStep& aStep, CallerRequest& aRequest)
+{
+  DirectCall& direct = aRequest.mDirect;
+  aRequest.mPhase = RequestPhase::eDirect;
+  direct.mAsks.clear();
+  if (!AskNext(aStep, aRequest)) {
+    RefuseDirect(aStep,
+                 aRequest,
+                 ErrorKind::eUnavailable,
+                 "no target of the service can be used now",
+                 kNoTargetRetry);
+    return;
+  }
+  if (aRequest.mPhase == RequestPhase::eDirect) {
+    direct.mCheckAt = aStep.mNow + kAskWait;
+    ScheduleRequest(aStep, aRequest);
+  }
+}
+
+void
+TickAsks(EntryStep& aStep, CallerRequest& aRequest)
+{
+  DirectCall& direct = aRequest.mDirect;
+  if (aStep.mNow >= direct.mRefuseAt) {
+    RefuseBusy(aStep, aRequest);
+    return;
+  }
+  if (direct.mAsks.empty()) {
+    StartDirect(aStep, aRequest);
+    return;
+  }
+  if (CallWithoutSlot(aStep, aRequest)) {
+    return;
+  }
+  const SlotAsk& last = direct.mAsks.back();
+  if (last.mState == AskState::eSent && direct.mAsks.size() < kMaxAsks &&
+      aStep.mNow - last.mSentAt >= kAskWait) {
+    AskNext(aStep, aRequest);
+    if (aRequest.mPhase != RequestPhase::eDirect) {
+      return;
+    }
+  }
+  direct.mCheckAt = aStep.mNow + kAskWait;
+  ScheduleRequest(aStep, aRequest);
+}
+
+void
+EndAsks(EntryStep& aStep, CallerRequest& aRequest)
+{
+  DropAsks(aStep, aRequest);
+}
+
+void
+RefuseDirect(EntryStep& aStep,
+             CallerRequest& aRequest,
+             ErrorKind aKind,
+             const std::string& aMessage,
+             Duration aRetryAfter)
+{
+  CallerError error;
+  error.mKind = aKind;
+  error.mMessage = aMessage;
+  if (!DirectNotRun(aRequest)) {
+    // An earlier attempt may have run, so nothing may be promised.
+    error.mKind = ErrorKind::eTargetFailed;
+    FailRequest(aStep, aRequest, std::move(error));
+    return;
+  }
+  const Duration left = aRequest.mDeadline - aStep.mNow;
+  error.mRetryAfter = std::max(
+    kShortestRetry, std::min(aRetryAfter, left / kRetryShare));
+  error.mExactRetry = true;
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+void
+HandleSlotReply(EntryStep& aStep,
+                const PeerAddress& aFrom,
+                const SlotReply& aReply)
+{
+  Entry& entry = aStep.mEntry;
+  CallerRequest* request = WaitingRequest(entry, aReply.mRequest);
+  SlotAsk* ask = request == nullptr ? nullptr : AskAt(*request, aFrom);
+  if (ask == nullptr) {
+    if (aReply.mState == SlotState::eGranted) {
+      // Granted after the request went elsewhere or ended.
+      Send(aStep,
+           aFrom,
+           SlotRelease{ aReply.mRequest, SlotEnding::eCancelled });
+    }
+    return;
+  }
+  auto target = entry.mConfig.mTargets.find(ask->mTarget);
+  if (target != entry.mConfig.mTargets.end()) {
+    NoteLoadReport(LoadOfTarget(aStep, target->second),
+                   aStep.mNow,
+                   aReply.mRunning + aReply.mQueued,
+                   aReply.mBatch,
+                   aReply.mLimit);
+  }
+  ask->mExpectedWait = aReply.mExpectedWait;
+  if (aReply.mState == SlotState::eGranted) {
+    if (target == entry.mConfig.mTargets.end() ||
+        !TakesWork(entry, target->second)) {
+      DropAsks(aStep, *request);
+      StartDirect(aStep, *request);
+      return;
+    }
+    const Target chosen = target->second;
+    // Taken out first, so that it is not released with the others.
+    if (auto load = entry.mPlacement.find(ask->mTarget);
+        load != entry.mPlacement.end() && load->second.mOwn > 0) {
+      --load->second.mOwn;
+    }
+    request->mDirect.mAsks.erase(request->mDirect.mAsks.begin() +
+                                 (ask - request->mDirect.mAsks.data()));
+    DropAsks(aStep, *request);
+    CallTarget(aStep, *request, chosen, aFrom);
+    return;
+  }
+  const bool refused = aReply.mState == SlotState::eRefused;
+  ask->mState = refused ? AskState::eRefused : AskState::eQueued;
+  if (request->mDirect.mAsks.size() < kMaxAsks) {
+    AskNext(aStep, *request);
+  }
+  if (request->mPhase == RequestPhase::eDirect &&
+      !request->mDirect.mAsks.empty() && AllRefused(request->mDirect)) {
+    RefuseBusy(aStep, *request);
+  }
+}
+
+void
+DirectPeerLost(EntryStep& aStep, const PeerAddress& aPeer)
+{
+  Entry& entry = aStep.mEntry;
+  std::vector<uint64_t> waiting;
+  for (auto& [serial, request] : entry.mRequests) {
+    if (request.mPhase != RequestPhase::eDirect) {
+      continue;
+    }
+    for (DirectAttempt& attempt : request.mDirect.mAttempts) {
+      if (attempt.mSlotNode == aPeer) {
+        attempt.mSlotNode = {};
+      }
+    }
+    if (AskAt(request, aPeer) != nullptr) {
+      waiting.push_back(serial);
+    }
+  }
+  for (const uint64_t serial : waiting) {
+    CallerRequest& request = entry.mRequests.at(serial);
+    SlotAsk* ask = AskAt(request, aPeer);
+    if (ask == nullptr || request.mPhase != RequestPhase::eDirect) {
+      continue;
+    }
+    ask->mState = AskState::eRefused;
+    if (AllRefused(request.mDirect)) {
+      DropAsks(aStep, request);
+      StartDirect(aStep, request);
+    }
+  }
+}
+
+void
+TakeDirectLoad(EntryStep& aStep, const LoadReport& aReport)
+{
+  Entry& entry = aStep.mEntry;
+  const Member* node = NodeOf(entry, aReport.mNode);
+  if (node == nullptr || node->mEpoch != aReport.mNodeEpoch) {
+    return;
+  }
+  auto target = entry.mConfig.mTargets.find(node->mTarget.mId);
+  if (target != entry.mConfig.mTargets.end()) {
+    NoteLoadReport(LoadOfTarget(aStep, target->second),
+                   aStep.mNow,
+                   aReport.mRunning - aReport.mBatch + aReport.mQueued,
+                   aReport.mBatch,
+                   aReport.mLimit);
+  }
+}
+
+void
+TickDirectNodes(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  if (entry.mConfig.mTargets.empty() || aStep.mNow < entry.mNextHeld) {
+    return;
+  }
+  entry.mNextHeld = aStep.mNow + kHeldEvery;
+  const bool watch = aStep.mNow >= entry.mNextDirectWatch;
+  if (watch) {
+    entry.mNextDirectWatch = aStep.mNow + kWatchEvery;
+  }
+  std::map<PeerAddress, SlotsHeld> held;
+  for (const auto& [serial, request] : entry.mRequests) {
+    for (const DirectAttempt& attempt : request.mDirect.mAttempts) {
+      if (!attempt.mEnded && !attempt.mSlotNode.Empty()) {
+        held[attempt.mSlotNode].mRequests.push_back(request.mId);
+      }
+    }
+  }
+  for (const auto& [id, target] : entry.mConfig.mTargets) {
+    const Member* node = NodeBeside(entry, target);
+    if (node == nullptr) {
+      continue;
+    }
+    auto slots = held.find(node->mAddress);
+    if (slots != held.end()) {
+      Send(aStep, node->mAddress, std::move(slots->second));
+    }
+    if (watch) {
+      Send(aStep, node->mAddress, Watch{ entry.mSettings.mAddress });
+    }
+  }
+  std::erase_if(entry.mPlacement, [&](const auto& aLoad) {
+    return aLoad.second.mOwn == 0 &&
+           !entry.mConfig.mTargets.contains(aLoad.first);
+  });
+}
+
+MonoTime
+DirectWakeup(const Entry& aEntry)
+{
+  return aEntry.mConfig.mTargets.empty() ? kNever : aEntry.mNextHeld;
+}
+
+} // namespace caraway
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -11,10 +11,16 @@
 #include "caraway/entry/claims.h"
 #include "caraway/entry/config_fetch.h"
 #include "caraway/entry/control_calls.h"
+#include "caraway/entry/direct.h"
 #include "caraway/entry/drain.h"
+#include "caraway/entry/forward.h"
+#include "caraway/entry/orders.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/relay.h"
+#include "caraway/entry/rendezvous.h"
+#include "caraway/entry/reply.h"
 #include "caraway/entry/session.h"
+#include "caraway/entry/target_reports.h"
 #include "caraway/entry/targets.h"
 #include "caraway/routing/hash.h"
 
@@ -32,7 +38,9 @@
       return std::holds_alternative<SetMember>(aChange.mChange) ||
              std::holds_alternative<RemoveMember>(aChange.mChange) ||
              std::holds_alternative<SetZoneService>(aChange.mChange) ||
-             std::holds_alternative<SetTargetService>(aChange.mChange);
+             std::holds_alternative<SetTargetService>(aChange.mChange) ||
+             std::holds_alternative<SetTarget>(aChange.mChange) ||
+             std::holds_alternative<RemoveTarget>(aChange.mChange);
     });
 }
 
@@ -50,6 +58,7 @@
 void
 HandleLoadReport(EntryStep& aStep, const LoadReport& aReport)
 {
+  TakeDirectLoad(aStep, aReport);
   TakeLoad(aStep,
            aReport.mNode,
            aReport.mNodeEpoch,
@@ -89,6 +98,14 @@
     HandleRenewReply(aStep, from, *renewed);
   } else if (const auto* redirect = std::get_if<NotLeader>(&message)) {
     HandleNotLeader(aStep, from, *redirect);
+  } else if (const auto* slot = std::get_if<SlotReply>(&message)) {
+    HandleSlotReply(aStep, from, *slot);
+  } else if (const auto* hello = std::get_if<ReplicaHello>(&message)) {
+    HandleReplicaHello(aStep, from, *hello);
+  } else if (std::holds_alternative<ControlQuery>(message)) {
+    HandleControlQuery(aStep, from);
+  } else if (const auto* map = std::get_if<ControlMap>(&message)) {
+    HandleControlMap(aStep, *map);
   }
 }
 
@@ -100,6 +117,7 @@
   // Before attempts: what is sent anew must avoid this target.
   TargetPeerLost(aStep, aPeer);
   AttemptsPeerLost(aStep, aPeer);
+  DirectPeerLost(aStep, aPeer);
 }
 
 void
@@ -109,6 +127,10 @@
     HandleCompleted(aStep, aRequest);
     return;
   }
+  if (aRequest.mPhase == RequestPhase::eOrder) {
+    FailOrder(aStep, aRequest);
+    return;
+  }
   CallerError error;
   error.mKind = ErrorKind::eTimeout;
   error.mMessage = "the deadline passed";
@@ -131,6 +153,8 @@
       GiveUpParked(aStep, request);
     } else if (request.mPhase == RequestPhase::eRunning) {
       TickAttempt(aStep, request);
+    } else if (request.mPhase == RequestPhase::eDirect) {
+      TickDirect(aStep, request);
     } else {
       ScheduleRequest(aStep, request);
     }
@@ -150,6 +174,32 @@
     HandlePeerLost(aStep, lost->mPeer);
   } else if (std::holds_alternative<StopRequested>(aEvent)) {
     StartDrain(aStep);
+  } else if (const auto* forward = std::get_if<ForwardRequest>(&aEvent)) {
+    HandleForwardRequest(aStep, *forward);
+  } else if (const auto* order = std::get_if<ControlOrder>(&aEvent)) {
+    HandleControlOrder(aStep, *order);
+  } else if (const auto* job = std::get_if<JobSubmission>(&aEvent)) {
+    HandleJobSubmission(aStep, *job);
+  } else if (const auto* beat = std::get_if<TargetHeartbeat>(&aEvent)) {
+    HandleTargetHeartbeat(aStep, *beat);
+  } else if (const auto* leave = std::get_if<TargetFarewell>(&aEvent)) {
+    HandleTargetFarewell(aStep, *leave);
+  } else if (const auto* ready = std::get_if<ReadyQuery>(&aEvent)) {
+    ReplyNow(aStep,
+             ready->mCall,
+             IsReady(aStep.mEntry, aStep.mNow) ? 200 : 503,
+             {},
+             {});
+  } else if (const auto* sent = std::get_if<TargetCallSent>(&aEvent)) {
+    HandleTargetSent(aStep, *sent);
+  } else if (const auto* began = std::get_if<TargetCallBegan>(&aEvent)) {
+    HandleTargetBegan(aStep, *began);
+  } else if (const auto* bytes = std::get_if<TargetCallBytes>(&aEvent)) {
+    HandleTargetBytes(aStep, *bytes);
+  } else if (const auto* ended = std::get_if<TargetCallEnded>(&aEvent)) {
+    HandleTargetEnded(aStep, *ended);
+  } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
+    HandleTargetFailed(aStep, *failed);
   }
 }
 
@@ -192,6 +242,9 @@
     TickSession(step);
     TickWatch(step);
     SendGrantRequests(step);
+    TickRendezvous(step);
+    TickTargetReports(step);
+    TickDirectNodes(step);
     TickDrain(step);
   }
   for (uint64_t serial : aEntry.mFinished) {
@@ -211,6 +264,9 @@
                              SessionWakeup(aEntry),
                              FetchWakeup(aEntry),
                              aEntry.mNextWatch,
+                             RendezvousWakeup(aEntry),
+                             TargetReportsWakeup(aEntry),
+                             DirectWakeup(aEntry),
                              DrainWakeup(aEntry) });
   if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
--- a/caraway/entry/entry_io.h
+++ b/caraway/entry/entry_io.h
@@ -5,6 +5,8 @@
 
 #include "caraway/base/http.h"
 #include "caraway/base/role_io.h"
+#include "caraway/base/target_call.h"
+#include "caraway/entry/forward_request.h"
 
 namespace caraway {
 
@@ -13,7 +15,18 @@
                                 PeerLost,
                                 HttpRequest,
                                 HttpClosed,
-                                StopRequested>;
+                                StopRequested,
+                                ForwardRequest,
+                                ControlOrder,
+                                JobSubmission,
+                                TargetHeartbeat,
+                                TargetFarewell,
+                                ReadyQuery,
+                                TargetCallSent,
+                                TargetCallBegan,
+                                TargetCallBytes,
+                                TargetCallEnded,
+                                TargetCallFailed>;
 
 using EntryAction = std::variant<SendMessage,
                                  HttpResponse,
@@ -22,6 +35,10 @@
                                  HttpEnd,
                                  HttpAbort,
                                  DecisionLog,
-                                 Stopped>;
+                                 Stopped,
+                                 OrderReply,
+                                 ReadJobBody,
+                                 StartTargetCall,
+                                 CancelTargetCall>;
 
 } // namespace caraway
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -26,6 +26,12 @@
   double mRetryBudget = 0.1;    // retries per request
   uint32_t mMaxAttempts = 3;
   uint32_t mMaxActiveRequests = 4096; // more are refused
+  // Deployments without a list of control replicas: entries that know them.
+  std::vector<PeerAddress> mSeeds;
+  bool mFirstStart = false; // of the whole system
+  // Serves on with the configuration it has when control is away. Without it,
+  // keyed work is refused once the configuration lease has run out.
+  bool mServeWithoutLease = false;
 };
 
 } // namespace caraway
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -3,19 +3,24 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "caraway/admission/fallback_share.h"
 #include "caraway/admission/token_holder_state.h"
 #include "caraway/base/random.h"
 #include "caraway/config/config_view.h"
 #include "caraway/entry/entry_metrics.h"
 #include "caraway/entry/entry_settings.h"
+#include "caraway/entry/rendezvous_state.h"
 #include "caraway/entry/request_state.h"
 #include "caraway/entry/session_state.h"
+#include "caraway/entry/target_reports_state.h"
 #include "caraway/entry/timer_set.h"
 #include "caraway/routing/choose.h"
+#include "caraway/routing/placement.h"
 #include "caraway/routing/retry_budget.h"
 #include "caraway/routing/target_state.h"
 #include "caraway/wire/call_messages.h"
@@ -71,6 +76,20 @@
   RetryBudget mRetries;
   uint64_t mRoundRobin = 0;
   EntryMetrics mMetrics;
+
+  // Requests that this entry takes to targets itself.
+  PlacementLoads mPlacement;
+  absl::flat_hash_map<TargetCallId, uint64_t> mByTargetCall; // serials
+  uint64_t mNextTargetCall = 1;
+  MonoTime mNextHeld{ 0 };        // SlotsHeld to the nodes
+  MonoTime mNextDirectWatch{ 0 }; // Watch to the nodes
+  // Starts of targets that answered for another target or said farewell; the
+  // configuration follows.
+  std::set<std::pair<TargetId, int64_t>> mGoneTargets;
+  FallbackShares mFallback;
+
+  Rendezvous mRendezvous;
+  TargetReports mReports;
 };
 
 } // namespace caraway
--- a/caraway/entry/error_body.cpp
+++ b/caraway/entry/error_body.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/str_format.h"
+
 namespace caraway {
 
 namespace {
@@ -139,7 +141,10 @@
     const Duration wait =
       aError.mRetryAfter > Duration{} ? aError.mRetryAfter : kUsualRetryAfter;
     const int64_t seconds = (wait.mMicros + 999999) / 1000000;
-    headers.emplace_back("Retry-After", std::to_string(seconds));
+    headers.emplace_back("Retry-After",
+                         aError.mExactRetry
+                           ? absl::StrFormat("%.3f", wait.Seconds())
+                           : std::to_string(seconds));
   }
   if (status == 401) {
     headers.emplace_back("WWW-Authenticate", "Bearer");
--- a/caraway/entry/error_body.h
+++ b/caraway/entry/error_body.h
@@ -18,6 +18,8 @@
   Outcome mOutcome = Outcome::eNotRun;
   Duration mRetryAfter; // 0: no Retry-After, unless the kind always has one
   int mStatus = 0;      // 0: the usual one of the kind
+  bool mExactRetry = false; // Retry-After with milliseconds, for callers that
+                            // read fractions
 };
 
 int
--- /dev/null
+++ b/caraway/entry/forward.cpp
@@ -0,0 +1,192 @@
+// Intake of forwarded requests.
+
+#include "caraway/entry/forward.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/entry/admission_step.h"
+#include "caraway/entry/auth.h"
+#include "caraway/entry/drain.h"
+#include "caraway/entry/reply.h"
+#include "caraway/entry/session.h"
+
+namespace caraway {
+
+namespace {
+
+// A deadline below the route's time-out by more than delays explain is that of
+// a caller which comes back after a refusal.
+constexpr Duration kReturnMargin = Millis(30);
+
+std::optional<CallerError>
+Refusal(ErrorKind aKind, const char* aMessage)
+{
+  CallerError error;
+  error.mKind = aKind;
+  error.mMessage = aMessage;
+  error.mExactRetry = true;
+  return error;
+}
+
+std::optional<CallerError>
+CheckIntake(const EntryStep& aStep)
+{
+  const Entry& entry = aStep.mEntry;
+  if (RefusesNewWork(entry, aStep.mNow)) {
+    return Refusal(ErrorKind::eDraining, "this instance is leaving");
+  }
+  if (entry.mRequests.size() >= entry.mSettings.mMaxActiveRequests) {
+    return Refusal(ErrorKind::eOverloaded,
+                   "this instance has too many requests in progress");
+  }
+  if (!entry.mConfig.mPlan) {
+    return Refusal(ErrorKind::eUnavailable, "no configuration is known yet");
+  }
+  if (!entry.mSettings.mServeWithoutLease && !LeaseHolds(entry, aStep.mNow)) {
+    return Refusal(ErrorKind::eLeaseExpired,
+                   "this instance has lost contact with control");
+  }
+  return std::nullopt;
+}
+
+DirectCall
+DirectCallFor(const EntryStep& aStep,
+              const PlanRoute& aRoute,
+              const ForwardRequest& aRequest,
+              Random& aRandom)
+{
+  DirectCall direct;
+  direct.mRoute = aRoute.mId;
+  direct.mService = ChooseService(aRoute, DrawBelow(aRandom, 1U << 30));
+  direct.mKind = aRoute.mKind;
+  direct.mRepeatable = MayRepeat(aRoute);
+  direct.mMaxAttempts = std::max<uint32_t>(1, aRoute.mMaxAttempts);
+  direct.mHost = aRequest.mHost;
+  direct.mResumeAfter = aRequest.mResumeAfter;
+  direct.mLatencyGoal = aRoute.mLatencyGoal;
+  direct.mGapGoal = aRoute.mGapGoal;
+  direct.mGoalAt = aStep.mNow + aRoute.mLatencyGoal;
+  direct.mReturning = aRequest.mDeadline &&
+                      *aRequest.mDeadline + kReturnMargin < aRoute.mTimeout;
+  return direct;
+}
+
+std::optional<CallerError>
+TakeRequest(EntryStep& aStep, ForwardRequest& aHttp)
+{
+  Entry& entry = aStep.mEntry;
+  if (auto error = CheckIntake(aStep)) {
+    return error;
+  }
+  const PlanRoute* route =
+    FindPlanRoute(*entry.mConfig.mPlan, aHttp.mHost, aHttp.mPath);
+  if (route == nullptr) {
+    return Refusal(ErrorKind::eNotFound, "no route has this host and path");
+  }
+  if (route->mKind == CallKind::eBatch) {
+    aStep.mOut.emplace_back(ReadJobBody{ std::move(aHttp) });
+    return std::nullopt;
+  }
+  CallerRequest request;
+  if (!route->mOpen && !entry.mConfig.mPlan->mWorkspaces.empty()) {
+    absl::StatusOr<WorkspaceId> workspace =
+      WorkspaceOfKey(entry.mConfig, aHttp.mKey);
+    if (!workspace.ok()) {
+      return Refusal(ErrorKind::eUnauthenticated, "the key is unknown");
+    }
+    request.mWorkspace = *std::move(workspace);
+  }
+  const Duration patience =
+    std::min(aHttp.mDeadline.value_or(route->mTimeout), route->mTimeout);
+  request.mSerial = entry.mNextSerial++;
+  request.mId = aHttp.mId;
+  request.mCall = aHttp.mCall;
+  request.mReceivedAt = aStep.mNow;
+  request.mDeadline = aStep.mNow + patience;
+  request.mDirect = DirectCallFor(aStep, *route, aHttp, entry.mRandom);
+  request.mDirect.mRefuseAt = request.mDeadline;
+  TargetCall& call = request.mTarget;
+  call.mService = request.mDirect.mService;
+  call.mIdempotent = request.mDirect.mRepeatable;
+  call.mMethod = std::move(aHttp.mMethod);
+  call.mPath = aHttp.mQuery.empty() ? std::move(aHttp.mPath)
+                                    : aHttp.mPath + "?" + aHttp.mQuery;
+  call.mHeaders = std::move(aHttp.mHeaders);
+  call.mBody = std::move(aHttp.mBody);
+  call.mPromptTokens = aHttp.mPromptTokens;
+  call.mOutputTokens = aHttp.mOutputTokens;
+  entry.mByCall[request.mCall] = request.mSerial;
+  entry.mById[request.mId] = request.mSerial;
+  const uint64_t serial = request.mSerial;
+  CallerRequest& accepted =
+    entry.mRequests.emplace(serial, std::move(request)).first->second;
+  AdmitRequest(aStep, accepted);
+  return std::nullopt;
+}
+
+} // namespace
+
+absl::StatusOr<WorkspaceId>
+WorkspaceOfKey(const ConfigView& aConfig, const std::string& aKey)
+{
+  auto workspace = aConfig.mPlanKeys.find(DigestOfKey(aKey));
+  if (aKey.empty() || workspace == aConfig.mPlanKeys.end()) {
+    return MakeError(aConfig.mPlan ? ErrorKind::eUnauthenticated
+                                   : ErrorKind::eUnavailable,
+                     aConfig.mPlan ? "the key is unknown"
+                                   : "no configuration is known yet",
+                     "send a key of the workspace");
+  }
+  return workspace->second;
+}
+
+void
+HandleForwardRequest(EntryStep& aStep, ForwardRequest aRequest)
+{
+  ++aStep.mEntry.mMetrics.mRequests;
+  const HttpCallId call = aRequest.mCall;
+  const RequestId id = aRequest.mId;
+  if (auto error = TakeRequest(aStep, aRequest)) {
+    DecisionLog log;
+    log.mLevel = LogLevel::eWarning;
+    log.mEvent = "refuse";
+    log.mRequest = id;
+    log.mChoice = std::string(ErrorKindName(error->mKind));
+    log.mReason = error->mMessage;
+    log.mExtra = {
+      { "host", aRequest.mHost },
+      { "path", aRequest.mPath },
+      { "revision", absl::StrCat(aStep.mEntry.mConfig.mRevision.mValue) },
+      { "plan",
+        absl::StrCat(aStep.mEntry.mConfig.mPlan
+                       ? aStep.mEntry.mConfig.mPlan->mVersion
+                       : 0) }
+    };
+    aStep.mOut.emplace_back(std::move(log));
+    RefuseNow(aStep, call, *error);
+  }
+}
+
+bool
+NeedsToken(const Entry& aEntry, const CallerRequest& aRequest)
+{
+  if (!IsDirect(aRequest.mDirect)) {
+    return !aRequest.mKey.Empty();
+  }
+  auto contract = aEntry.mConfig.mContracts.find(aRequest.mWorkspace);
+  return contract != aEntry.mConfig.mContracts.end() &&
+         contract->second.mRate > 0;
+}
+
+bool
+IsReady(const Entry& aEntry, MonoTime aNow)
+{
+  if (aEntry.mDrain.mSince != kNever) {
+    return false;
+  }
+  return LeaseHolds(aEntry, aNow) ||
+         (aEntry.mSettings.mServeWithoutLease && aEntry.mConfig.mPlan);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/forward.h
@@ -0,0 +1,24 @@
+#pragma once
+// Intake of forwarded requests: route, key, limits.
+
+#include "absl/status/statusor.h"
+#include "caraway/entry/entry_step.h"
+
+namespace caraway {
+
+// The workspace that holds the key under the serving plan.
+absl::StatusOr<WorkspaceId>
+WorkspaceOfKey(const ConfigView& aConfig, const std::string& aKey);
+
+void
+HandleForwardRequest(EntryStep& aStep, ForwardRequest aRequest);
+
+// True if the request spends a token of its workspace's rate.
+bool
+NeedsToken(const Entry& aEntry, const CallerRequest& aRequest);
+
+// True while new connections are welcome.
+bool
+IsReady(const Entry& aEntry, MonoTime aNow);
+
+} // namespace caraway
--- a/caraway/entry/header_filter.cpp
+++ b/caraway/entry/header_filter.cpp
@@ -72,6 +72,17 @@
 
 } // namespace
 
+Headers
+HeadersWithout(const Headers& aHeaders, const std::vector<std::string>& aNames)
+{
+  Headers kept = Filter(aHeaders, false);
+  std::erase_if(kept, [&](const auto& aHeader) {
+    const std::string lower = absl::AsciiStrToLower(aHeader.first);
+    return std::find(aNames.begin(), aNames.end(), lower) != aNames.end();
+  });
+  return kept;
+}
+
 Headers
 HeadersForTarget(const Headers& aHeaders)
 {
--- /dev/null
+++ b/caraway/entry/orders.cpp
@@ -0,0 +1,251 @@
+// Orders: sending, steps, answers.
+
+#include "caraway/entry/orders.h"
+
+#include <algorithm>
+
+#include "caraway/base/visitor.h"
+#include "caraway/entry/attempts.h"
+#include "caraway/entry/auth.h"
+#include "caraway/entry/control_calls.h"
+#include "caraway/entry/forward.h"
+#include "caraway/entry/reply.h"
+
+namespace caraway {
+
+namespace {
+
+// Askers go elsewhere after a second without an answer, later for large
+// bodies.
+constexpr Duration kOrderPatience = Millis(2500);
+constexpr Duration kReportPatience = Millis(900);
+constexpr size_t kPartBytes = kMaxPartBytes;
+
+OrderTopic
+TopicOf(const CallBody& aBody)
+{
+  return std::visit(
+    Visitor{
+      [](const ReplacePlan&) { return OrderTopic::eReplacePlan; },
+      [](const ReadPlan&) { return OrderTopic::eReadPlan; },
+      [](const SetZone&) { return OrderTopic::eSetZone; },
+      [](const RetireReplica&) { return OrderTopic::eRetire; },
+      [](const DescribeRetirement&) { return OrderTopic::eRetirement; },
+      [](const ReadFile&) { return OrderTopic::eReadResults; },
+      [](const ReadItem&) { return OrderTopic::eReadItem; },
+      [](const CancelJob&) { return OrderTopic::eEndJob; },
+      [](const auto&) { return OrderTopic::eTargetReport; },
+    },
+    aBody);
+}
+
+void
+ReplyTo(EntryStep& aStep,
+        HttpCallId aCall,
+        OrderTopic aKind,
+        CallReplyBody aBody)
+{
+  if (!aCall.IsNone()) {
+    aStep.mOut.emplace_back(OrderReply{ aCall, aKind, std::move(aBody) });
+  }
+}
+
+CallerRequest&
+NewOrder(EntryStep& aStep,
+         HttpCallId aCall,
+         OrderTopic aKind,
+         Duration aPatience)
+{
+  Entry& entry = aStep.mEntry;
+  const uint64_t serial = entry.mNextSerial++;
+  CallerRequest& request = entry.mRequests[serial];
+  request.mSerial = serial;
+  request.mId = RequestId("order-" + std::to_string(serial));
+  request.mCall = aCall;
+  request.mCallerGone = aCall.IsNone();
+  request.mPhase = RequestPhase::eOrder;
+  request.mReceivedAt = aStep.mNow;
+  request.mDeadline = aStep.mNow + aPatience;
+  request.mOrder.mKind = aKind;
+  entry.mById[request.mId] = serial;
+  if (!aCall.IsNone()) {
+    entry.mByCall[aCall] = serial;
+  }
+  return request;
+}
+
+void
+Start(EntryStep& aStep, CallerRequest& aRequest, CallBody aBody)
+{
+  CallControl(aStep, aRequest, std::move(aBody));
+  ScheduleRequest(aStep, aRequest);
+}
+
+void
+EndOrder(EntryStep& aStep, CallerRequest& aRequest, CallReplyBody aBody)
+{
+  DecisionLog log;
+  log.mEvent = "order";
+  log.mRequest = aRequest.mId;
+  log.mWorkspace = aRequest.mWorkspace;
+  const auto* failed = std::get_if<CallFailed>(&aBody);
+  log.mLevel = failed != nullptr ? LogLevel::eWarning : LogLevel::eInfo;
+  log.mChoice =
+    failed != nullptr ? std::string(ErrorKindName(failed->mKind)) : "done";
+  log.mReason =
+    failed != nullptr ? failed->mMessage : aRequest.mOrder.mCreate.mJob.mValue;
+  log.mExtra = {
+    { "took_ms",
+      std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) }
+  };
+  aStep.mOut.emplace_back(std::move(log));
+  if (!aRequest.mCallerGone) {
+    ReplyTo(
+      aStep, aRequest.mCall, aRequest.mOrder.mKind, std::move(aBody));
+  }
+  FinishRequest(aStep, aRequest);
+}
+
+// Sends the next part of the input, or the job itself once all is stored.
+void
+NextStep(EntryStep& aStep, CallerRequest& aRequest)
+{
+  OrderWork& work = aRequest.mOrder;
+  if (work.mStored < work.mLines.size()) {
+    PutFilePart part;
+    part.mFile = work.mFile;
+    part.mName = work.mFile.mValue;
+    part.mPurpose = "batch";
+    part.mOffset = work.mStored;
+    part.mBytes = work.mLines.substr(work.mStored, kPartBytes);
+    part.mLast = work.mStored + part.mBytes.size() == work.mLines.size();
+    work.mStored += part.mBytes.size();
+    Start(aStep, aRequest, std::move(part));
+    return;
+  }
+  work.mMayHaveHappened = true;
+  Start(aStep, aRequest, work.mCreate);
+}
+
+CallFailed
+Failed(ErrorKind aKind, const char* aMessage)
+{
+  return { aKind, aMessage };
+}
+
+} // namespace
+
+void
+HandleControlOrder(EntryStep& aStep, const ControlOrder& aOrder)
+{
+  WorkspaceId workspace;
+  if (!aOrder.mHost.empty()) {
+    const absl::StatusOr<WorkspaceId> caller =
+      WorkspaceOfKey(aStep.mEntry.mConfig, aOrder.mKey);
+    if (!caller.ok()) {
+      ReplyTo(aStep,
+              aOrder.mCall,
+              TopicOf(aOrder.mBody),
+              CallFailed{ KindOf(caller.status()),
+                          std::string(caller.status().message()) });
+      return;
+    }
+    workspace = *caller;
+  }
+  CallerRequest& request = NewOrder(
+    aStep, aOrder.mCall, TopicOf(aOrder.mBody), kOrderPatience);
+  request.mWorkspace = workspace;
+  Start(aStep, request, aOrder.mBody);
+}
+
+void
+HandleJobSubmission(EntryStep& aStep, JobSubmission aSubmission)
+{
+  const ConfigView& config = aStep.mEntry.mConfig;
+  const absl::StatusOr<WorkspaceId> caller =
+    WorkspaceOfKey(config, aSubmission.mKey);
+  const PlanRoute* route =
+    config.mPlan == nullptr
+      ? nullptr
+      : FindPlanRoute(*config.mPlan, aSubmission.mHost, aSubmission.mPath);
+  if (config.mPlan == nullptr) {
+    ReplyTo(aStep,
+            aSubmission.mCall,
+            OrderTopic::eSubmitJob,
+            Failed(ErrorKind::eUnavailable, "no configuration is known yet"));
+    return;
+  }
+  if (route == nullptr || route->mKind != CallKind::eBatch) {
+    ReplyTo(aStep,
+            aSubmission.mCall,
+            OrderTopic::eSubmitJob,
+            Failed(ErrorKind::eNotFound, "no batch route has this path"));
+    return;
+  }
+  if (!caller.ok()) {
+    ReplyTo(aStep,
+            aSubmission.mCall,
+            OrderTopic::eSubmitJob,
+            CallFailed{ KindOf(caller.status()),
+                        std::string(caller.status().message()) });
+    return;
+  }
+  CallerRequest& request =
+    NewOrder(aStep,
+             aSubmission.mCall,
+             OrderTopic::eSubmitJob,
+             std::min(kOrderPatience, route->mTimeout));
+  request.mWorkspace = *caller;
+  OrderWork& work = request.mOrder;
+  work.mFile = FileId("file-" + aSubmission.mJob.mValue);
+  work.mLines = std::move(aSubmission.mLines);
+  CreateJob& create = work.mCreate;
+  create.mJob = aSubmission.mJob;
+  create.mInput = work.mFile;
+  create.mEndpoint = aSubmission.mHost;
+  create.mWindow = route->mItemLifetime;
+  create.mModel = ModelId(ChooseService(*route, 0).mValue);
+  create.mRoute = route->mId;
+  create.mItems = std::move(aSubmission.mItems);
+  create.mMaxWaitingTokens = route->mMaxWaitingTokens;
+  create.mMaxAttempts =
+    static_cast<uint8_t>(std::clamp<uint32_t>(route->mMaxAttempts, 1, 255));
+  NextStep(aStep, request);
+}
+
+void
+StartReport(EntryStep& aStep, HttpCallId aCall, ReportTargets aReport)
+{
+  Start(aStep,
+        NewOrder(aStep, aCall, OrderTopic::eTargetReport, kReportPatience),
+        std::move(aReport));
+}
+
+void
+HandleOrderReply(EntryStep& aStep,
+                 CallerRequest& aRequest,
+                 const CallReplyBody& aBody)
+{
+  const bool failed = std::holds_alternative<CallFailed>(aBody);
+  OrderWork& work = aRequest.mOrder;
+  const bool more = !work.mFile.Empty() && !work.mMayHaveHappened;
+  if (more && !failed) {
+    NextStep(aStep, aRequest);
+    return;
+  }
+  EndOrder(aStep, aRequest, aBody);
+}
+
+void
+FailOrder(EntryStep& aStep, CallerRequest& aRequest)
+{
+  EndOrder(aStep,
+           aRequest,
+           aRequest.mOrder.mMayHaveHappened
+             ? Failed(ErrorKind::eOutcomeUnknown,
+                      "control has not confirmed the job; send it again")
+             : Failed(ErrorKind::eUnavailable,
+                      "control does not answer; send it again"));
+}
+
+} // namespace caraway
--- a/caraway/entry/outcome.cpp
+++ b/caraway/entry/outcome.cpp
@@ -6,6 +6,7 @@
 
 #include "caraway/admission/token_holder.h"
 #include "caraway/entry/claims.h"
+#include "caraway/entry/direct.h"
 #include "caraway/entry/reply.h"
 
 namespace caraway {
@@ -46,7 +47,15 @@
   log.mWorkspace = aRequest.mWorkspace;
   log.mChoice = std::string(OutcomeName(aError.mOutcome));
   log.mReason = std::string(ErrorKindName(aError.mKind));
-  log.mExtra = { { "attempts", std::to_string(aRequest.mAttempts.size()) } };
+  log.mExtra = {
+    { "attempts",
+      std::to_string(aRequest.mAttempts.size() +
+                     aRequest.mDirect.mAttempts.size()) },
+    { "message", aError.mMessage },
+    { "age_ms",
+      std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) },
+    { "retry_after_ms", std::to_string(aError.mRetryAfter.Millis()) },
+  };
   aStep.mOut.emplace_back(std::move(log));
 }
 
@@ -59,7 +68,7 @@
     std::all_of(aRequest.mAttempts.begin(),
                 aRequest.mAttempts.end(),
                 [](const Attempt& aAttempt) { return aAttempt.mNotRun; });
-  return proven && !MayHaveChanged(aRequest) ? Outcome::eNotRun
+  return proven && DirectNotRun(aRequest) && !MayHaveChanged(aRequest) ? Outcome::eNotRun
                                              : Outcome::eUnknown;
 }
 
@@ -88,6 +97,9 @@
     }
     EndAttempt(aStep, attempt);
   }
+  if (IsDirect(aRequest.mDirect)) {
+    EndDirect(aStep, aRequest);
+  }
 }
 
 void
@@ -99,8 +111,8 @@
   if (aRequest.mPhase == RequestPhase::eDone) {
     return;
   }
-  aError.mOutcome = OutcomeOf(aRequest);
   EndAttempts(aStep, aRequest, aCancelAll || aRequest.mTarget.mIdempotent);
+  aError.mOutcome = OutcomeOf(aRequest);
   if (aError.mOutcome == Outcome::eNotRun && aRequest.mTokenTaken) {
     ReturnToken(aStep.mEntry.mTokens, aStep.mNow, aRequest.mWorkspace);
     ++aStep.mEntry.mMetrics.mReturned;
--- /dev/null
+++ b/caraway/entry/rendezvous.cpp
@@ -0,0 +1,170 @@
+// Control replicas: hellos, queries, the choice of the founder.
+
+#include "caraway/entry/rendezvous.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kQueryEvery = Millis(300);  // while no replica is known
+constexpr Duration kRefreshEvery = Seconds(5); // afterwards
+// Replicas say hello every half second. All instances start within a fraction
+// of a second, so after this every replica of the first start has been heard.
+constexpr Duration kFoundAfter = Millis(1200);
+constexpr Duration kForget = Seconds(6);
+
+bool
+IsFounder(const Entry& aEntry)
+{
+  return aEntry.mSettings.mFirstStart && !aEntry.mSettings.mSeeds.empty() &&
+         aEntry.mSettings.mSeeds.front() == aEntry.mSettings.mAddress;
+}
+
+std::vector<PeerAddress>
+GroupReplicas(const Entry& aEntry, MonoTime aNow)
+{
+  std::vector<PeerAddress> group;
+  for (const auto& [address, replica] : aEntry.mRendezvous.mReplicas) {
+    if (replica.mInGroup && aNow - replica.mHeardAt < kForget) {
+      group.push_back(address);
+    }
+  }
+  for (const auto& [address, toldAt] : aEntry.mRendezvous.mTold) {
+    if (aNow - toldAt < kForget &&
+        std::find(group.begin(), group.end(), address) == group.end()) {
+      group.push_back(address);
+    }
+  }
+  return group;
+}
+
+// Takes the replicas for sessions and fetches. An empty list changes nothing:
+// the former ones may come back.
+void
+UseReplicas(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  std::vector<PeerAddress> group = GroupReplicas(entry, aStep.mNow);
+  std::vector<PeerAddress>& control = entry.mSettings.mControl;
+  if (group.empty() || group == control) {
+    return;
+  }
+  DecisionLog log;
+  log.mEvent = "control_replicas";
+  log.mChoice = std::to_string(group.size());
+  log.mReason = "by their hellos";
+  aStep.mOut.emplace_back(std::move(log));
+  const bool first = control.empty();
+  control = std::move(group);
+  if (first) {
+    entry.mSession.mReplica = DrawBelow(entry.mRandom, control.size());
+    entry.mSession.mLeader = control[entry.mSession.mReplica];
+    entry.mSession.mNextSend = aStep.mNow;
+    entry.mFetcher.mReplica = DrawBelow(entry.mRandom, control.size());
+    entry.mFetcher.mNextFetch = aStep.mNow;
+  }
+}
+
+ControlMap
+MapOf(const EntryStep& aStep)
+{
+  ControlMap map;
+  map.mReplicas = GroupReplicas(aStep.mEntry, aStep.mNow);
+  map.mEntries.push_back(aStep.mEntry.mSettings.mAddress);
+  for (const auto& [id, member] : aStep.mEntry.mConfig.mMembers) {
+    if (member.mRole == MemberRole::eEntry) {
+      map.mEntries.push_back(member.mAddress);
+    }
+  }
+  return map;
+}
+
+// The founder is chosen once every replica had time to say hello, and only
+// while none of them is in a group.
+void
+ChooseFounder(EntryStep& aStep)
+{
+  Rendezvous& rendezvous = aStep.mEntry.mRendezvous;
+  const bool any = std::any_of(
+    rendezvous.mReplicas.begin(),
+    rendezvous.mReplicas.end(),
+    [](const auto& aEntry) { return aEntry.second.mInGroup; });
+  if (!IsFounder(aStep.mEntry) || any || rendezvous.mReplicas.empty() ||
+      aStep.mNow < rendezvous.mFirstHello + kFoundAfter) {
+    return;
+  }
+  for (const auto& [address, replica] : rendezvous.mReplicas) {
+    if (replica.mFirstStart) {
+      Send(aStep, address, FoundGroup{});
+      return;
+    }
+  }
+}
+
+} // namespace
+
+void
+HandleReplicaHello(EntryStep& aStep,
+                   const PeerAddress& aFrom,
+                   const ReplicaHello& aHello)
+{
+  Rendezvous& rendezvous = aStep.mEntry.mRendezvous;
+  if (rendezvous.mFirstHello == kNever) {
+    rendezvous.mFirstHello = aStep.mNow;
+  }
+  rendezvous.mReplicas[aFrom] = { aHello.mInGroup,
+                                  aHello.mFirstStart,
+                                  aStep.mNow };
+  UseReplicas(aStep);
+  ChooseFounder(aStep);
+  Send(aStep, aFrom, MapOf(aStep));
+}
+
+void
+HandleControlQuery(EntryStep& aStep, const PeerAddress& aFrom)
+{
+  Send(aStep, aFrom, MapOf(aStep));
+}
+
+void
+HandleControlMap(EntryStep& aStep, const ControlMap& aMap)
+{
+  for (const PeerAddress& replica : aMap.mReplicas) {
+    aStep.mEntry.mRendezvous.mTold[replica] = aStep.mNow;
+  }
+  UseReplicas(aStep);
+}
+
+void
+TickRendezvous(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  Rendezvous& rendezvous = entry.mRendezvous;
+  const std::vector<PeerAddress>& seeds = entry.mSettings.mSeeds;
+  if (seeds.empty() || aStep.mNow < rendezvous.mNextQuery) {
+    return;
+  }
+  std::erase_if(rendezvous.mTold, [&](const auto& aTold) {
+    return aStep.mNow - aTold.second >= kForget;
+  });
+  std::erase_if(rendezvous.mReplicas, [&](const auto& aReplica) {
+    return aStep.mNow - aReplica.second.mHeardAt >= kForget;
+  });
+  const bool known = !entry.mSettings.mControl.empty();
+  rendezvous.mNextQuery = aStep.mNow + (known ? kRefreshEvery : kQueryEvery);
+  const PeerAddress& seed = seeds[rendezvous.mNextSeed++ % seeds.size()];
+  if (seed != entry.mSettings.mAddress) {
+    Send(aStep, seed, ControlQuery{});
+  }
+}
+
+MonoTime
+RendezvousWakeup(const Entry& aEntry)
+{
+  return aEntry.mSettings.mSeeds.empty() ? kNever
+                                         : aEntry.mRendezvous.mNextQuery;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/rendezvous.h
@@ -0,0 +1,25 @@
+#pragma once
+// Finding the control replicas, and telling others where they are.
+//
+// Replicas say hello to entries. An entry that knows none asks the seeds. At
+// the first start of the whole system, the first seed chooses the replica that
+// begins the group; no other process ever does.
+
+#include "caraway/entry/entry_step.h"
+
+namespace caraway {
+
+void
+HandleReplicaHello(EntryStep& aStep,
+                   const PeerAddress& aFrom,
+                   const ReplicaHello& aHello);
+void
+HandleControlQuery(EntryStep& aStep, const PeerAddress& aFrom);
+void
+HandleControlMap(EntryStep& aStep, const ControlMap& aMap);
+void
+TickRendezvous(EntryStep& aStep);
+MonoTime
+RendezvousWakeup(const Entry& aEntry);
+
+} // namespace caraway
--- a/caraway/entry/reply.cpp
+++ b/caraway/entry/reply.cpp
@@ -32,6 +32,19 @@
 
 } // namespace
 
+namespace {
+
+// A leaving entry sends its callers elsewhere.
+void
+CloseWhenDraining(const EntryStep& aStep, Headers& aHeaders)
+{
+  if (aStep.mEntry.mDrain.mSince != kNever) {
+    aHeaders.emplace_back("Connection", "close");
+  }
+}
+
+} // namespace
+
 void
 ReplyNow(EntryStep& aStep,
          HttpCallId aCall,
@@ -39,6 +52,7 @@
          Headers aHeaders,
          std::string aBody)
 {
+  CloseWhenDraining(aStep, aHeaders);
   CountAnswer(aStep, aStatus);
   aStep.mOut.emplace_back(
     HttpResponse{ aCall, aStatus, std::move(aHeaders), std::move(aBody) });
@@ -82,6 +96,7 @@
   }
   CountAnswer(aStep, aStatus);
   aHeaders.emplace_back(kRequestIdHeader, aRequest.mId.mValue);
+  CloseWhenDraining(aStep, aHeaders);
   aStep.mOut.emplace_back(
     HttpBegin{ aRequest.mCall, aStatus, std::move(aHeaders) });
 }
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -8,6 +8,8 @@
 #include "caraway/base/error.h"
 #include "caraway/base/http.h"
 #include "caraway/entry/control_work.h"
+#include "caraway/entry/direct_state.h"
+#include "caraway/entry/order_work.h"
 #include "caraway/entry/session_state.h"
 #include "caraway/wire/dispatch_messages.h"
 
@@ -20,6 +22,8 @@
   eRunning,    // an attempt is out
   eCompleting, // the answer is whole; the claim is being completed
   eControl,    // files and batches: a control call is out
+  eDirect,     // this entry takes it to a target itself
+  eOrder,      // control answers it
   eDone,       // removed at the end of the step
 };
 
@@ -84,6 +88,8 @@
   bool mBegun = false; // HttpBegin was sent
   TargetCall mTarget;
   ControlWork mControl;
+  DirectCall mDirect;
+  OrderWork mOrder;
   IdempotencyKey mClaimKey; // empty: no claim
   uint64_t mFingerprint = 0;
   bool mClaimed = false;          // a Claim was sent and may be held
--- /dev/null
+++ b/caraway/entry/target_reports.cpp
@@ -0,0 +1,154 @@
+// Heartbeats and farewells of targets.
+
+#include "caraway/entry/target_reports.h"
+
+#include <algorithm>
+
+#include "caraway/entry/orders.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kTellEvery = Millis(500);
+constexpr Duration kReportAgain = Millis(500); // while control has not followed
+
+void
+Acknowledge(EntryStep& aStep, HttpCallId aCall)
+{
+  aStep.mOut.emplace_back(
+    OrderReply{ aCall, OrderTopic::eTargetReport, CallDone{} });
+}
+
+// True if control has to hear of it. Cold targets are told of once: the time
+// left runs down by itself.
+bool
+IsNews(const EntryStep& aStep, const Target& aTarget, const HeardTarget& aHeard)
+{
+  const auto& targets = aStep.mEntry.mConfig.mTargets;
+  auto known = targets.find(aTarget.mId);
+  if (known == targets.end()) {
+    return true;
+  }
+  const Target& held = known->second;
+  if (held.mStartedAt != aTarget.mStartedAt) {
+    return aTarget.mStartedAt > held.mStartedAt;
+  }
+  const bool turnedCold =
+    aTarget.mColdFor > Duration{} && aStep.mNow >= aHeard.mColdUntil;
+  return (aTarget.mDraining && !held.mDraining) || turnedCold ||
+         held.mAddress != aTarget.mAddress ||
+         held.mService != aTarget.mService || held.mZone != aTarget.mZone ||
+         held.mSlots != aTarget.mSlots;
+}
+
+void
+LogTarget(EntryStep& aStep, const Target& aTarget, const char* aChoice)
+{
+  DecisionLog log;
+  log.mEvent = "target_report";
+  log.mChoice = aChoice;
+  log.mReason = aTarget.mId.mValue;
+  log.mExtra = { { "service", aTarget.mService.mValue },
+                 { "address", aTarget.mAddress },
+                 { "zone", aTarget.mZone.mValue },
+                 { "started_at", std::to_string(aTarget.mStartedAt) },
+                 { "cold_ms", std::to_string(aTarget.mColdFor.Millis()) } };
+  aStep.mOut.emplace_back(std::move(log));
+}
+
+} // namespace
+
+void
+HandleTargetHeartbeat(EntryStep& aStep, const TargetHeartbeat& aHeartbeat)
+{
+  const Target& target = aHeartbeat.mTarget;
+  HeardTarget& heard = aStep.mEntry.mReports.mHeard[target.mId];
+  const bool late = target.mStartedAt < heard.mStartedAt ||
+                    (target.mStartedAt == heard.mStartedAt &&
+                     aHeartbeat.mSequence < heard.mSequence);
+  if (late) {
+    Acknowledge(aStep, aHeartbeat.mCall);
+    return;
+  }
+  if (heard.mStartedAt != target.mStartedAt) {
+    heard = {};
+    heard.mStartedAt = target.mStartedAt;
+  }
+  heard.mSequence = aHeartbeat.mSequence;
+  heard.mHeardAt = aStep.mNow;
+  aStep.mEntry.mReports.mToTell.push_back(target.mId);
+  const bool news = IsNews(aStep, target, heard);
+  if (target.mColdFor > Duration{}) {
+    heard.mColdUntil = aStep.mNow + target.mColdFor;
+  }
+  if (!news) {
+    Acknowledge(aStep, aHeartbeat.mCall);
+    return;
+  }
+  // A leaving target waits for the answer of control: with it, everyone else
+  // learns of it in time.
+  if (aStep.mNow - heard.mReportedAt >= kReportAgain) {
+    heard.mReportedAt = aStep.mNow;
+    LogTarget(aStep, target, target.mDraining ? "leaving" : "changed");
+    StartReport(aStep,
+                target.mDraining ? aHeartbeat.mCall : HttpCallId(),
+                ReportTargets{ { target }, {} });
+    if (target.mDraining) {
+      return;
+    }
+  }
+  Acknowledge(aStep, aHeartbeat.mCall);
+}
+
+void
+HandleTargetFarewell(EntryStep& aStep, const TargetFarewell& aFarewell)
+{
+  Entry& entry = aStep.mEntry;
+  int64_t startedAt = aFarewell.mStartedAt;
+  if (startedAt == 0) {
+    auto known = entry.mConfig.mTargets.find(aFarewell.mTarget);
+    auto heard = entry.mReports.mHeard.find(aFarewell.mTarget);
+    startedAt =
+      std::max(known == entry.mConfig.mTargets.end() ? 0
+                                                     : known->second.mStartedAt,
+               heard == entry.mReports.mHeard.end() ? 0
+                                                    : heard->second.mStartedAt);
+  }
+  entry.mGoneTargets.insert({ aFarewell.mTarget, startedAt });
+  Target gone;
+  gone.mId = aFarewell.mTarget;
+  gone.mStartedAt = startedAt;
+  LogTarget(aStep, gone, "gone");
+  StartReport(aStep,
+              aFarewell.mCall,
+              ReportTargets{ {}, { { aFarewell.mTarget, startedAt } } });
+}
+
+void
+TickTargetReports(EntryStep& aStep)
+{
+  Entry& entry = aStep.mEntry;
+  TargetReports& reports = entry.mReports;
+  if (reports.mToTell.empty() || aStep.mNow < reports.mNextTell ||
+      entry.mSession.mLeader.Empty()) {
+    return;
+  }
+  reports.mNextTell = aStep.mNow + kTellEvery;
+  std::sort(reports.mToTell.begin(), reports.mToTell.end());
+  reports.mToTell.erase(
+    std::unique(reports.mToTell.begin(), reports.mToTell.end()),
+    reports.mToTell.end());
+  Send(aStep,
+       entry.mSession.mLeader,
+       TargetsHeard{ std::move(reports.mToTell) });
+  reports.mToTell.clear();
+}
+
+MonoTime
+TargetReportsWakeup(const Entry& aEntry)
+{
+  return aEntry.mReports.mToTell.empty() ? kNever : aEntry.mReports.mNextTell;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/caraway/entry/target_reports_state.h
@@ -0,0 +1,29 @@
+#pragma once
+// Heartbeats of targets at this entry.
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "caraway/base/http.h"
+#include "caraway/config/target.h"
+
+namespace caraway {
+
+struct HeardTarget
+{
+  int64_t mStartedAt = 0;
+  uint64_t mSequence = 0; // of the newest message
+  MonoTime mHeardAt;
+  MonoTime mColdUntil{ 0 };
+  MonoTime mReportedAt{ -kNever.mMicros }; // to control, for pacing
+};
+
+struct TargetReports
+{
+  std::map<TargetId, HeardTarget> mHeard;
+  std::vector<TargetId> mToTell; // heard since the last TargetsHeard
+  MonoTime mNextTell{ 0 };
+};
+
+} // namespace caraway
--- a/caraway/ledger/internal.h
+++ b/caraway/ledger/internal.h
@@ -73,9 +73,7 @@
 void
 RemoveBlobs(const std::string& aId, std::vector<LedgerEffect>& aEffects);
 
-// The output file of a job, and the job of an output file id.
-FileId
-OutputFileOf(const JobId& aJob);
+// The job of an output file id.
 std::optional<JobId>
 JobOfOutputFile(const FileId& aFile);
 
@@ -115,6 +113,15 @@
        JobStatus aStatus,
        std::vector<LedgerEffect>& aEffects);
 
+// Ends a job by failing every item without a result (results.cpp).
+void
+GiveUpItems(Ledger& aLedger,
+            const CommandTime& aTime,
+            const WorkspaceId& aWorkspace,
+            const JobId& aJob,
+            std::string_view aReason,
+            std::vector<LedgerEffect>& aEffects);
+
 // Choice of jobs (ready.cpp). Call after each change of a job's work.
 void
 RefreshReady(Ledger& aLedger, const WorkspaceId& aWorkspace, const JobId& aJob);
@@ -155,10 +162,11 @@
 bool
 SessionEnded(const Ledger& aLedger, const InstanceId& aInstance, Epoch aEpoch);
 
-// Output lines (output_line.cpp).
+// Output lines (output_line.cpp). aItemId: of items that have ids.
 std::string
 ErrorLine(const JobId& aJob,
           uint32_t aItem,
+          const std::string& aItemId,
           std::string_view aCode,
           std::string_view aMessage);
 
--- a/caraway/ledger/jobs.cpp
+++ b/caraway/ledger/jobs.cpp
@@ -46,6 +46,42 @@
   return byId == aSpace.mJobs.end() ? nullptr : &byId->first;
 }
 
+// Tokens of items without a result, in the jobs of one route.
+uint64_t
+WaitingTokens(const LedgerWorkspace& aSpace, const RouteId& aRoute)
+{
+  uint64_t tokens = 0;
+  for (const auto& [id, work] : aSpace.mWork) {
+    const Job& job = aSpace.mJobs.at(id);
+    if (job.mRoute != aRoute) {
+      continue;
+    }
+    for (uint32_t item = 0; item < job.mItems.size(); ++item) {
+      tokens += IsDone(work, item) ? 0 : job.mItems[item].mTokens;
+    }
+  }
+  return tokens;
+}
+
+// The bound on waiting tokens. A job that does not fit is refused whole.
+CallReplyBody
+CheckWaitingTokens(const LedgerWorkspace& aSpace, const CreateJob& aCreate)
+{
+  uint64_t tokens = WaitingTokens(aSpace, aCreate.mRoute);
+  for (const JobItem& item : aCreate.mItems) {
+    tokens += item.mTokens;
+  }
+  if (aCreate.mMaxWaitingTokens == 0 || tokens <= aCreate.mMaxWaitingTokens) {
+    return CallDone{};
+  }
+  return Fail(ErrorKind::eRateLimited,
+              absl::StrCat("with this job ",
+                           tokens,
+                           " tokens would wait, the route allows ",
+                           aCreate.mMaxWaitingTokens),
+              "submit it again when items of earlier jobs have finished");
+}
+
 CallReplyBody
 CheckInput(const LedgerWorkspace* aSpace, const CreateJob& aCreate)
 {
@@ -87,7 +123,12 @@
                              aCreate.mMaxItems),
                 "split the input into several jobs");
   }
-  return CallDone{};
+  if (!aCreate.mItems.empty() && input.mLines != aCreate.mItems.size()) {
+    return Fail(ErrorKind::eInvalidArgument,
+                "the input has another number of lines than items are named",
+                "name each line's item");
+  }
+  return CheckWaitingTokens(*aSpace, aCreate);
 }
 
 void
@@ -112,6 +153,9 @@
   job.mDeadline = aTime.mNow + aCreate.mWindow;
   job.mWindow = aCreate.mWindow;
   job.mCreatedAt = aTime.mUnixSeconds;
+  job.mRoute = aCreate.mRoute;
+  job.mItems = aCreate.mItems;
+  job.mMaxAttempts = aCreate.mMaxAttempts;
   JobWork& work = space.mWork[aCreate.mJob];
   work.mDone.resize((job.mTotal + 63) / 64);
   work.mItemLimit = std::max<uint64_t>(
@@ -159,7 +203,11 @@
   const LedgerWorkspace* space = FindWorkspace(aLedger, aWorkspace);
   if (space != nullptr) {
     if (const JobId* earlier = EarlierJob(*space, aCreate)) {
-      if (space->mJobs.at(*earlier).mFingerprint != FingerprintOf(aCreate)) {
+      // The window and endpoint of a route's job follow from the plan, which
+      // may change between a submission and its resend.
+      const bool routed = HasItemIds(space->mJobs.at(*earlier));
+      if (!routed && space->mJobs.at(*earlier).mFingerprint !=
+                       FingerprintOf(aCreate)) {
         return Fail(ErrorKind::eConflict,
                     absl::StrCat("job ",
                                  earlier->mValue,
@@ -234,6 +282,35 @@
   }
 }
 
+void
+ApplyPlanToJobs(Ledger& aLedger,
+                LogIndex aIndex,
+                MonoTime aLogicalNow,
+                int64_t aUnixSeconds,
+                const ServingPlan& aPlan,
+                std::vector<LedgerEffect>& aEffects)
+{
+  aLedger.mNow = std::max(aLedger.mNow, aLogicalNow);
+  const CommandTime time{ aIndex, aLedger.mNow, aUnixSeconds };
+  const std::map<JobId, WorkspaceId> open = aLedger.mJobSpace;
+  for (const auto& [id, workspace] : open) {
+    Job& job = aLedger.mWorkspaces[workspace].mJobs[id];
+    if (job.mRoute.Empty()) {
+      continue;
+    }
+    const PlanRoute* route = PlanRouteById(aPlan, job.mRoute);
+    if (route == nullptr) {
+      GiveUpItems(
+        aLedger, time, workspace, id, "its route was removed", aEffects);
+    } else if (const ModelId model(ChooseService(*route, 0).mValue);
+               model != job.mModel) {
+      RemoveReady(aLedger, workspace, id);
+      job.mModel = model;
+      RefreshReady(aLedger, workspace, id);
+    }
+  }
+}
+
 JobInfo
 JobInfoOf(const LedgerWorkspace& aSpace,
           MonoTime aNow,
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -120,7 +120,13 @@
   aBatch.mWindow = job.mWindow;
   aBatch.mRetryAfter = {};
   for (uint32_t item : ListItems(lease->second.mItems)) {
-    aBatch.mItems.push_back(BatchItem{ item, {} });
+    auto progress = work->second.mProgress.find(item);
+    aBatch.mItems.push_back(
+      BatchItem{ item,
+                 {},
+                 progress == work->second.mProgress.end()
+                   ? ItemProgress()
+                   : progress->second });
   }
 }
 
--- a/caraway/ledger/ledger.cpp
+++ b/caraway/ledger/ledger.cpp
@@ -63,7 +63,10 @@
          std::holds_alternative<DescribeFile>(aBody) ||
          std::holds_alternative<ListFiles>(aBody) ||
          std::holds_alternative<DescribeJob>(aBody) ||
-         std::holds_alternative<ListJobs>(aBody);
+         std::holds_alternative<ListJobs>(aBody) ||
+         std::holds_alternative<ReadItem>(aBody) ||
+         std::holds_alternative<ReadPlan>(aBody) ||
+         std::holds_alternative<DescribeRetirement>(aBody);
 }
 
 CallReplyBody
--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -74,6 +74,10 @@
 bool
 HasWork(const Ledger& aLedger, const std::vector<ModelId>& aModels);
 
+// The output file of a job.
+FileId
+OutputFileOf(const JobId& aJob);
+
 // Describe and list calls.
 CallReplyBody
 ReadCall(const Ledger& aLedger, MonoTime aLogicalNow, const ControlCall& aCall);
@@ -94,6 +98,22 @@
 absl::StatusOr<BlobRange>
 ItemIndexRecord(const Ledger& aLedger, const JobId& aJob, uint32_t aItem);
 
+// The line number of an item of an open job. eNotFound if there is none.
+absl::StatusOr<uint32_t>
+ItemOfId(const Ledger& aLedger,
+         const WorkspaceId& aWorkspace,
+         const ReadItem& aRead);
+
+// Jobs of routes that the plan no longer has end, their items given up; those
+// whose route leads to another service go on there.
+void
+ApplyPlanToJobs(Ledger& aLedger,
+                LogIndex aIndex,
+                MonoTime aLogicalNow,
+                int64_t aUnixSeconds,
+                const ServingPlan& aPlan,
+                std::vector<LedgerEffect>& aEffects);
+
 // The data range that an index record read from the blob names. Results include
 // their newline, input lines do not. A record that is missing, cut short or
 // zero is an item without a result: eNotFound, to be skipped.
@@ -113,6 +133,7 @@
   std::vector<uint32_t> mItems;   // items of the index records
   uint64_t mNextOffset = 0;
   bool mEnd = false;
+  uint64_t mTotal = 0; // output files: items of the job
 };
 
 absl::StatusOr<FileReadPlan>
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -14,6 +14,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/ledger/ranges.h"
+#include "caraway/wire/batch_messages.h"
 #include "caraway/wire/call_messages.h"
 
 namespace caraway {
@@ -85,8 +86,21 @@
   Duration mWindow;
   int64_t mCreatedAt = 0; // Unix seconds
   int64_t mEndedAt = 0;   // Unix seconds
+  // Jobs of a plan's route only.
+  RouteId mRoute;
+  std::vector<JobItem> mItems;  // by line of the input
+  std::vector<uint32_t> mOrder; // items in the order of their results
+  uint8_t mMaxAttempts = 0;     // failures at targets, 0: kMaxAttempts
 };
 
+// Items with ids have results in the order of completion, and only failures at
+// a target count as attempts.
+inline bool
+HasItemIds(const Job& aJob)
+{
+  return !aJob.mItems.empty();
+}
+
 struct ItemLease
 {
   InstanceId mNode;
@@ -102,6 +116,7 @@
   ItemRanges mReturned;                  // below the cursor, to be leased again
   std::vector<uint64_t> mDone;           // bitmap
   std::map<uint32_t, uint8_t> mAttempts; // only items that failed before
+  std::map<uint32_t, ItemProgress> mProgress; // of items handed back
   std::map<FencingToken, ItemLease> mLeases;
   bool mAtRisk = false;
   int64_t mSlackKey = 0;   // deadline less the remaining work, logical micros
--- a/caraway/ledger/output_line.cpp
+++ b/caraway/ledger/output_line.cpp
@@ -11,13 +11,15 @@
 std::string
 ErrorLine(const JobId& aJob,
           uint32_t aItem,
+          const std::string& aItemId,
           std::string_view aCode,
           std::string_view aMessage)
 {
   constexpr size_t kMaxMessageBytes = 1024;
   nlohmann::ordered_json line;
   line["id"] = absl::StrCat("batch_req_", aJob.mValue, "_", aItem);
-  line["custom_id"] = nullptr;
+  line["custom_id"] =
+    aItemId.empty() ? nlohmann::ordered_json() : nlohmann::ordered_json(aItemId);
   line["line"] = aItem;
   line["response"] = nullptr;
   line["error"]["code"] = std::string(aCode);
--- a/caraway/ledger/reads.cpp
+++ b/caraway/ledger/reads.cpp
@@ -62,6 +62,22 @@
   return plan;
 }
 
+// Results in the order of completion; offsets count results.
+FileReadPlan
+PlanByCompletion(const Job& aJob, const std::string& aBlob, uint64_t aFrom)
+{
+  FileReadPlan plan;
+  const uint64_t count = aJob.mOrder.size();
+  uint64_t place = std::min<uint64_t>(aFrom, count);
+  for (; place < count && plan.mItems.size() < kMaxPlannedItems; ++place) {
+    plan.mItems.push_back(static_cast<uint32_t>(place));
+    plan.mRanges.push_back(IndexRange(aBlob, aJob.mOrder[place]));
+  }
+  plan.mNextOffset = place;
+  plan.mEnd = place == count;
+  return plan;
+}
+
 absl::StatusOr<FileReadPlan>
 PlanOutput(const LedgerWorkspace& aSpace,
            const JobId& aJob,
@@ -73,7 +89,13 @@
   }
   auto work = aSpace.mWork.find(aJob);
   const std::string blob = BlobOf(aJob.mValue, job->second.mBlob);
+  if (aRead.mByCompletion) {
+    FileReadPlan plan = PlanByCompletion(job->second, blob, aRead.mOffset);
+    plan.mTotal = job->second.mTotal;
+    return plan;
+  }
   FileReadPlan plan;
+  plan.mTotal = job->second.mTotal;
   const uint32_t total = job->second.mTotal;
   auto item = static_cast<uint32_t>(std::min<uint64_t>(aRead.mOffset, total));
   for (; item < total && plan.mItems.size() < kMaxPlannedItems; ++item) {
@@ -109,6 +131,28 @@
   return IndexRange(BlobOf(job.mInput.mValue, input->second.mBlob), aItem);
 }
 
+absl::StatusOr<uint32_t>
+ItemOfId(const Ledger& aLedger,
+         const WorkspaceId& aWorkspace,
+         const ReadItem& aRead)
+{
+  const LedgerWorkspace* space = FindWorkspace(aLedger, aWorkspace);
+  if (space != nullptr && space->mWork.contains(aRead.mJob)) {
+    const std::vector<JobItem>& items = space->mJobs.at(aRead.mJob).mItems;
+    for (uint32_t item = 0; item < items.size(); ++item) {
+      if (items[item].mId == aRead.mItem) {
+        return item;
+      }
+    }
+  }
+  return MakeError(ErrorKind::eNotFound,
+                   absl::StrCat("no open job ",
+                                aRead.mJob.mValue,
+                                " with the item ",
+                                aRead.mItem),
+                   "check both ids; items of ended jobs are not kept");
+}
+
 absl::StatusOr<BlobRange>
 DataRange(const BlobRange& aIndex, std::string_view aRecord)
 {
--- a/caraway/ledger/results.cpp
+++ b/caraway/ledger/results.cpp
@@ -43,6 +43,10 @@
   writer.mRecords[aItem] = { offset, aLine.size() + 1 };
   aChange.mWork.mDone[aItem / 64] |= uint64_t{ 1 } << (aItem % 64);
   aChange.mWork.mAttempts.erase(aItem);
+  aChange.mWork.mProgress.erase(aItem);
+  if (HasItemIds(aChange.mJob)) {
+    aChange.mJob.mOrder.push_back(aItem);
+  }
   ++(aOk ? aChange.mJob.mCompleted : aChange.mJob.mFailed);
   ++aChange.mLedger.mWorkspaces[aChange.mWorkspace]
       .mPace[aChange.mJob.mModel]
@@ -55,8 +59,11 @@
          std::string_view aCode,
          std::string_view aMessage)
 {
+  const std::string id = HasItemIds(aChange.mJob)
+                           ? aChange.mJob.mItems[aItem].mId
+                           : std::string();
   FinishItem(
-    aChange, aItem, ErrorLine(aChange.mId, aItem, aCode, aMessage), false);
+    aChange, aItem, ErrorLine(aChange.mId, aItem, id, aCode, aMessage), false);
 }
 
 // One attempt failed: the item is leased again or, after the last, given up.
@@ -64,12 +71,15 @@
 CountAttempt(JobChange& aChange, uint32_t aItem, std::string_view aReason)
 {
   const uint8_t attempts = ++aChange.mWork.mAttempts[aItem];
-  if (attempts >= kMaxAttempts) {
+  const uint8_t most = aChange.mJob.mMaxAttempts != 0
+                         ? aChange.mJob.mMaxAttempts
+                         : kMaxAttempts;
+  if (attempts >= most) {
     FailItem(aChange,
              aItem,
              "attempts_exhausted",
              absl::StrCat("the item did not finish in ",
-                          int{ kMaxAttempts },
+                          int{ most },
                           " attempts; last reason: ",
                           std::string(aReason)));
     return;
@@ -83,6 +93,9 @@
   const uint32_t item = aResult.mIndex;
   if (aResult.mVerdict == ItemVerdict::eReturned) {
     AddItem(aChange.mWork.mReturned, item);
+    if (aResult.mProgress.mLastEvent > 0) {
+      aChange.mWork.mProgress[item] = aResult.mProgress;
+    }
     return;
   }
   if (aResult.mVerdict != ItemVerdict::eDone &&
@@ -198,7 +211,8 @@
   };
 }
 
-// The node of this lease is lost: all its items count one attempt.
+// The node of this lease is lost: all its items count one attempt. Of items
+// with ids only failures at a target count.
 void
 LoseLease(Ledger& aLedger,
           const CommandTime& aTime,
@@ -211,6 +225,10 @@
     return;
   }
   for (uint32_t item : ListItems(lease.mapped().mItems)) {
+    if (HasItemIds(change.mJob)) {
+      AddItem(change.mWork.mReturned, item);
+      continue;
+    }
     CountAttempt(change, item, "the node that ran it was lost");
   }
   CloseChange(change, aTime, aEffects);
@@ -218,6 +236,26 @@
 
 } // namespace
 
+void
+GiveUpItems(Ledger& aLedger,
+            const CommandTime& aTime,
+            const WorkspaceId& aWorkspace,
+            const JobId& aJob,
+            std::string_view aReason,
+            std::vector<LedgerEffect>& aEffects)
+{
+  JobChange change = OpenChange(aLedger, LeaseRef{ aWorkspace, aJob, {} });
+  RemoveReady(aLedger, aWorkspace, aJob);
+  change.mWork.mReturned.clear();
+  change.mWork.mCursor = change.mJob.mTotal;
+  for (uint32_t item = 0; item < change.mJob.mTotal; ++item) {
+    if (!IsDone(change.mWork, item)) {
+      FailItem(change, item, "given_up", aReason);
+    }
+  }
+  CloseChange(change, aTime, aEffects);
+}
+
 ItemResultsAck
 ApplyResults(Ledger& aLedger,
              LogIndex aIndex,
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr uint32_t kFormat = 1;
+constexpr uint32_t kFormat = 2;
 
 // Sums of two valid times or durations don't overflow.
 bool
@@ -44,6 +44,8 @@
          aJob.mDataBytes <= finished * (kMaxResultBytes + 1) &&
          aJob.mStatus <= JobStatus::eExpired && aJob.mWeight >= 1 &&
          aJob.mTotal >= 1 && aJob.mTotal <= kMaxFileLines &&
+         (aJob.mItems.empty() || aJob.mItems.size() == aJob.mTotal) &&
+         aJob.mOrder.size() == (aJob.mItems.empty() ? 0 : finished) &&
          ValidTimes({ aJob.mDeadline.mMicros, aJob.mWindow.mMicros });
 }
 
@@ -222,6 +224,13 @@
            aValue.mParts);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, JobItem& aValue)
+{
+  aArchive(aValue.mId, aValue.mTokens);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, Job& aValue)
@@ -243,7 +252,11 @@
            aValue.mDeadline,
            aValue.mWindow,
            aValue.mCreatedAt,
-           aValue.mEndedAt);
+           aValue.mEndedAt,
+           aValue.mRoute,
+           aValue.mItems,
+           aValue.mOrder,
+           aValue.mMaxAttempts);
 }
 
 template<class Archive>
@@ -253,6 +266,13 @@
   aArchive(aValue.mNode, aValue.mEpoch, aValue.mItems);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemProgress& aValue)
+{
+  aArchive(aValue.mLastEvent, aValue.mText);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, JobWork& aValue)
@@ -261,6 +281,7 @@
            aValue.mReturned,
            aValue.mDone,
            aValue.mAttempts,
+           aValue.mProgress,
            aValue.mLeases,
            aValue.mAtRisk,
            aValue.mSlackKey,
--- /dev/null
+++ b/caraway/membership/replica_care.cpp
@@ -0,0 +1,182 @@
+// The choice of the next change of the control group.
+
+#include "caraway/membership/replica_care.h"
+
+#include <algorithm>
+#include <map>
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kMaxReplicas = 7; // as for changes by operators
+
+size_t
+CountVoters(const ReplicaCare& aCare)
+{
+  return static_cast<size_t>(
+    std::count_if(aCare.mReplicas.begin(),
+                  aCare.mReplicas.end(),
+                  [](const ReplicaView& aOne) { return aOne.mVoter; }));
+}
+
+bool
+IsUsable(const ReplicaView& aOne)
+{
+  return aOne.mVoter && aOne.mAlive && !aOne.mRetiring;
+}
+
+size_t
+CountUsable(const ReplicaCare& aCare)
+{
+  return static_cast<size_t>(std::count_if(
+    aCare.mReplicas.begin(), aCare.mReplicas.end(), IsUsable));
+}
+
+// A voter may go only if most of the voters that are left answer; otherwise the
+// group could not commit anything afterwards.
+bool
+MajorityWithout(const ReplicaCare& aCare, ReplicaId aId)
+{
+  size_t left = 0;
+  size_t alive = 0;
+  for (const ReplicaView& one : aCare.mReplicas) {
+    if (one.mVoter && one.mId != aId) {
+      ++left;
+      alive += one.mAlive ? 1 : 0;
+    }
+  }
+  return alive * 2 > left;
+}
+
+bool
+IsMember(const ReplicaCare& aCare, ReplicaId aId)
+{
+  return std::any_of(
+    aCare.mReplicas.begin(),
+    aCare.mReplicas.end(),
+    [&](const ReplicaView& aOne) { return aOne.mId == aId; });
+}
+
+// A replica that comes back at its address under a new id has lost its disk,
+// and its former id will never answer again.
+void
+TakeIn(const ReplicaCare& aCare, std::vector<ReplicaStep>& aSteps)
+{
+  for (const JoiningReplica& joining : aCare.mJoining) {
+    if (IsMember(aCare, joining.mId)) {
+      continue;
+    }
+    bool former = false;
+    for (const ReplicaView& one : aCare.mReplicas) {
+      if (one.mAddress == joining.mAddress && one.mId != aCare.mSelf) {
+        former = true;
+        if (!one.mVoter || MajorityWithout(aCare, one.mId)) {
+          aSteps.push_back({ ReplicaStepKind::eRemove, one.mId, {} });
+        }
+      }
+    }
+    if (!former && aCare.mReplicas.size() < kMaxReplicas) {
+      aSteps.push_back(
+        { ReplicaStepKind::eAdd, joining.mId, joining.mAddress });
+    }
+  }
+}
+
+// Learners in zones without a usable voter come first.
+void
+PromoteLearners(const ReplicaCare& aCare, std::vector<ReplicaStep>& aSteps)
+{
+  if (CountUsable(aCare) >= aCare.mWantedVoters) {
+    return;
+  }
+  std::map<ZoneId, size_t> voters;
+  for (const ReplicaView& one : aCare.mReplicas) {
+    voters[one.mZone] += IsUsable(one) ? 1 : 0;
+  }
+  std::vector<const ReplicaView*> learners;
+  for (const ReplicaView& one : aCare.mReplicas) {
+    if (!one.mVoter && one.mAlive && !one.mRetiring) {
+      learners.push_back(&one);
+    }
+  }
+  std::stable_sort(learners.begin(),
+                   learners.end(),
+                   [&](const ReplicaView* aLeft, const ReplicaView* aRight) {
+                     return voters[aLeft->mZone] < voters[aRight->mZone];
+                   });
+  for (const ReplicaView* learner : learners) {
+    aSteps.push_back({ ReplicaStepKind::ePromote, learner->mId, {} });
+  }
+}
+
+// The voter to give up when there are more than wanted: a lost or retiring one,
+// else one whose zone has another voter, else the newest.
+const ReplicaView*
+SpareVoter(const ReplicaCare& aCare)
+{
+  std::map<ZoneId, size_t> voters;
+  for (const ReplicaView& one : aCare.mReplicas) {
+    voters[one.mZone] += one.mVoter ? 1 : 0;
+  }
+  const ReplicaView* best = nullptr;
+  int bestRank = -1;
+  for (const ReplicaView& one : aCare.mReplicas) {
+    if (!one.mVoter || one.mId == aCare.mSelf) {
+      continue;
+    }
+    const int rank = one.mLost                ? 4
+                     : one.mRetiring          ? 3
+                     : !one.mAlive            ? 2
+                     : voters[one.mZone] > 1  ? 1
+                                              : 0;
+    if (rank >= bestRank) {
+      best = &one;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void
+RemoveSpares(const ReplicaCare& aCare, std::vector<ReplicaStep>& aSteps)
+{
+  if (CountVoters(aCare) > aCare.mWantedVoters &&
+      CountUsable(aCare) >= aCare.mWantedVoters) {
+    const ReplicaView* spare = SpareVoter(aCare);
+    if (spare != nullptr && MajorityWithout(aCare, spare->mId)) {
+      aSteps.push_back({ ReplicaStepKind::eRemove, spare->mId, {} });
+    }
+  }
+  for (const ReplicaView& one : aCare.mReplicas) {
+    if (!one.mVoter && (one.mLost || one.mRetiring)) {
+      aSteps.push_back({ ReplicaStepKind::eRemove, one.mId, {} });
+    }
+  }
+}
+
+} // namespace
+
+std::vector<ReplicaStep>
+ReplicaSteps(const ReplicaCare& aCare)
+{
+  std::vector<ReplicaStep> steps;
+  PromoteLearners(aCare, steps);
+  RemoveSpares(aCare, steps);
+  TakeIn(aCare, steps);
+  return steps;
+}
+
+bool
+MayRetire(const ReplicaCare& aCare, ReplicaId aId)
+{
+  const auto left = static_cast<size_t>(std::count_if(
+    aCare.mReplicas.begin(),
+    aCare.mReplicas.end(),
+    [&](const ReplicaView& aOne) {
+      return aOne.mId != aId && aOne.mAlive && !aOne.mRetiring;
+    }));
+  return left >= aCare.mWantedVoters;
+}
+
+} // namespace caraway
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "caraway/base/absl_view.h"
 #include "caraway/base/error.h"
@@ -139,6 +140,31 @@
     "batch_req_", aTask.mLease.mJob.mValue, "_", aTask.mIndex);
 }
 
+absl::StatusOr<BatchLine>
+ParseRawLine(const Json& aJson)
+{
+  BatchLine line;
+  line.mRaw = true;
+  line.mCustomId = aJson.value("custom_id", std::string());
+  line.mUrl = aJson.value("url", std::string());
+  line.mOutput = aJson.value("tokens", 0U);
+  auto headers = aJson.find("headers");
+  if (headers != aJson.end() && headers->is_object()) {
+    for (const auto& [name, value] : headers->items()) {
+      if (value.is_string()) {
+        line.mHeaders.emplace_back(name, value.get<std::string>());
+      }
+    }
+  }
+  if (line.mUrl.empty() ||
+      !absl::Base64Unescape(aJson["body_base64"].get<std::string>(),
+                            &line.mBody)) {
+    return Invalid("the raw line has no url or its body is not base64",
+                   "send both");
+  }
+  return line;
+}
+
 } // namespace
 
 absl::StatusOr<BatchLine>
@@ -149,6 +175,10 @@
     return Invalid("the line is not a JSON object",
                    "write one object per line");
   }
+  if (auto raw = json.find("body_base64");
+      raw != json.end() && raw->is_string()) {
+    return ParseRawLine(json);
+  }
   BatchLine line;
   auto id = json.find("custom_id");
   if (id != json.end() && id->is_string()) {
@@ -241,6 +271,13 @@
   return Dump(answer);
 }
 
+std::string
+RawOutputLine(const BatchTask& aTask)
+{
+  return Dump(
+    Json{ { "custom_id", aTask.mCustomId }, { "output", aTask.mText } });
+}
+
 std::string
 OutputLine(const BatchTask& aTask, std::string_view aAnswer)
 {
--- a/caraway/node/batch_line.h
+++ b/caraway/node/batch_line.h
@@ -17,10 +17,13 @@
   uint32_t mPrompt = 0;    // tokens, estimate
   uint32_t mOutput = 0;    // tokens, estimate
   bool mCanStream = false; // one plain text answer, so it may be streamed
+  bool mRaw = false;       // headers and a body of any kind
+  Headers mHeaders;        // raw lines only
 };
 
-// Parses {"custom_id","method","url","body"}. The message of an error says
-// what to mend; such a line can never be done.
+// Parses {"custom_id","method","url","body"}, or a raw line:
+// {"custom_id","url","headers":{},"body_base64","tokens"}. The message of an
+// error says what to mend; such a line can never be done.
 absl::StatusOr<BatchLine>
 ParseBatchLine(std::string_view aLine, std::string_view aEndpoint);
 
@@ -38,6 +41,10 @@
 std::string
 StreamedAnswer(const BatchTask& aTask);
 
+// A line of the output file for a raw item: {"custom_id","output"}.
+std::string
+RawOutputLine(const BatchTask& aTask);
+
 // A line of the output file: the response as JSON text, or an error.
 std::string
 OutputLine(const BatchTask& aTask, std::string_view aAnswer);
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -52,6 +52,17 @@
     OnItemsRevoked(aNode, aNow, *revoked, aOut);
   } else if (const auto* order = std::get_if<LoadOrder>(&message)) {
     OnLoadOrder(aNode, aNow, from, *order, aOut);
+  } else if (const auto* slot = std::get_if<SlotRequest>(&message)) {
+    OnSlotRequest(aNode, aNow, from, *slot, aOut);
+  } else if (const auto* release = std::get_if<SlotRelease>(&message)) {
+    OnSlotRelease(aNode, aNow, from, *release);
+  } else if (const auto* held = std::get_if<SlotsHeld>(&message)) {
+    OnSlotsHeld(aNode, aNow, from, *held);
+  } else if (const auto* map = std::get_if<ControlMap>(&message)) {
+    OnControlMap(aNode, aNow, *map);
+  } else if (std::holds_alternative<WorkAvailable>(message)) {
+    aNode.mBatch.mAskAt = std::min(aNode.mBatch.mAskAt, aNow);
+    aNode.mBatch.mPollAt = std::min(aNode.mBatch.mPollAt, aNow);
   }
 }
 
@@ -62,6 +73,7 @@
            NodeActions& aOut)
 {
   DropEntryCalls(aNode, aNow, aPeer, {}, {}, aOut);
+  DropEntrySlots(aNode, aNow, aPeer);
   const auto& control = aNode.mSettings.mControl;
   if (std::find(control.begin(), control.end(), aPeer) == control.end()) {
     return;
@@ -107,8 +119,12 @@
     return;
   }
   aNode.mNextTick = aNow + kTick;
+  if (UsesDirectory(aNode) && aNode.mTarget.mPresent) {
+    aNode.mScheduler.mHeld = false; // a refused connection may have been all
+  }
   const MonoTime leaseEnd = aNode.mSession.mLeaseEnd;
-  if (leaseEnd.mMicros != 0 && aNow >= leaseEnd + kItemGrace) {
+  if (leaseEnd.mMicros != 0 && aNow >= leaseEnd + kItemGrace &&
+      !aNode.mSettings.mServeWithoutLease) {
     // The session may outlive the lost contact, and the ledger would then wait
     // for these items until it ends; so they are handed back.
     HandBackTasks(aNode, aNow, aOut);
@@ -146,10 +162,13 @@
 DoWork(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
   NodeTarget& target = aNode.mTarget;
-  if (target.mPresent && aNow - target.mHeardAt > kTargetSilence) {
+  if (target.mPresent && !UsesDirectory(aNode) &&
+      aNow - target.mHeardAt > kTargetSilence) {
     LoseTarget(aNode, aNow, aOut);
   }
+  FollowDirectory(aNode, aNow, aOut);
   Tick(aNode, aNow, aOut);
+  AskForControl(aNode, aNow, aOut);
   FetchConfig(aNode, aNow, aOut);
   TrySession(aNode, aNow, aOut);
   PollLoad(aNode, aNow, aOut);
@@ -235,7 +254,10 @@
   } else if (target.mPresent && aNode.mStop == StopState::eServing) {
     next = std::min(next, session.mRegisterAt);
   }
-  if (target.mPresent) {
+  if (!aNode.mSettings.mSeeds.empty()) {
+    next = std::min(next, aNode.mQueryAt);
+  }
+  if (target.mPresent && !UsesDirectory(aNode)) {
     next = std::min(next, target.mHeardAt + kTargetSilence + Micros(1));
     if (target.mLoadCall.IsNone()) {
       next = std::min(next, target.mLoadAt);
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -12,11 +12,9 @@
 namespace {
 
 constexpr uint32_t kMaxChunk = 64;  // items of one lease
-constexpr double kAheadSeconds = 2; // work kept ready
 constexpr Duration kResend = Millis(500);
 constexpr Duration kShortestPause = Millis(50);
 constexpr Duration kPollEvery = Millis(200);
-constexpr Duration kLongestWait = Seconds(10); // without room, then back
 constexpr size_t kMaxUnacked = 8; // messages; more stop the leasing
 
 // Items that finish in two seconds at the measured rate.
@@ -30,7 +28,8 @@
   const auto running = static_cast<double>(aNode.mScheduler.mRunning.size() -
                                            aNode.mScheduler.mRunningOnline);
   return static_cast<uint32_t>(std::min<double>(
-    kMaxChunk, std::ceil(running * kAheadSeconds / batch.mItemSeconds)));
+    kMaxChunk,
+    std::ceil(running * aNode.mSettings.mAheadSeconds / batch.mItemSeconds)));
 }
 
 uint32_t
@@ -94,8 +93,16 @@
   task.mBody = line->mBody;
   task.mPrompt = line->mPrompt;
   task.mOutput = line->mOutput;
-  task.mStreamed = line->mCanStream &&
-                   aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine;
+  task.mStreamed =
+    line->mRaw ||
+    (line->mCanStream &&
+     aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine);
+  task.mRaw = line->mRaw;
+  task.mHeaders = line->mHeaders;
+  if (task.mRaw && aItem.mProgress.mLastEvent > 0) {
+    task.mEvents.mLast = aItem.mProgress.mLastEvent;
+    task.mText = aItem.mProgress.mText;
+  }
   Work work;
   work.mId = task.mWork;
   work.mWorkspace = aLease.mWorkspace;
@@ -295,7 +302,7 @@
 void
 ReturnStuckItems(Node& aNode, MonoTime aNow, NodeActions&)
 {
-  ReturnItems(aNode, aNow, kLongestWait);
+  ReturnItems(aNode, aNow, aNode.mSettings.mItemWait);
 }
 
 MonoTime
--- a/caraway/node/node_batch_results.cpp
+++ b/caraway/node/node_batch_results.cpp
@@ -35,7 +35,8 @@
            message.mResults.size() < kGroupItems &&
            (bytes == 0 ||
             bytes + aGroup.mResults[next].mBody.size() <= kGroupBytes)) {
-      bytes += aGroup.mResults[next].mBody.size() + 1;
+      bytes += aGroup.mResults[next].mBody.size() +
+               aGroup.mResults[next].mProgress.mText.size() + 1;
       message.mResults.push_back(std::move(aGroup.mResults[next++]));
     }
     pending.mSendAt = aNow;
@@ -77,6 +78,9 @@
   result.mVerdict = aVerdict;
   result.mStatus = static_cast<uint16_t>(aTask.mStatus);
   result.mBody = std::move(aBody);
+  if (aVerdict == ItemVerdict::eReturned && aTask.mEvents.mLast) {
+    result.mProgress = { *aTask.mEvents.mLast, aTask.mText };
+  }
   group.mResults.push_back(std::move(result));
 }
 
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -13,6 +13,9 @@
 constexpr size_t kMaxAnswer = 700 * 1024; // has to fit into one message
 constexpr size_t kMaxErrorText = 1024;
 constexpr double kSmoothing = 0.1;
+// Events of a raw item come every few ten milliseconds, and even a slow target
+// sends one within seconds.
+constexpr Duration kRawSilence = Seconds(4);
 
 void
 ClearProgress(BatchTask& aTask)
@@ -81,12 +84,83 @@
   return aTask.mAnswer.substr(0, kMaxErrorText);
 }
 
+// A raw item goes on after the last event that came.
+void
+StartRawTask(Node& aNode, MonoTime aNow, BatchTask& aTask, NodeActions& aOut)
+{
+  aTask.mStatus = 0;
+  aTask.mEventStream = false;
+  aTask.mNotRun = aTask.mForeign = false;
+  aTask.mAnswer.clear();
+  aTask.mEvents.mPending.clear();
+  StartTargetCall call;
+  call.mMethod = "POST";
+  call.mPath = aTask.mPath;
+  call.mHeaders = aTask.mHeaders;
+  call.mBody = aTask.mBody;
+  call.mFreshConnection = true;
+  call.mTimeout = kRawSilence;
+  call.mNote.mRequest = RequestId(aTask.mCustomId);
+  call.mNote.mWorkspace = aTask.mLease.mWorkspace;
+  call.mNote.mExpected = aNode.mTarget.mAnnounced.mInfo.mId;
+  call.mNote.mHost = aTask.mLease.mEndpoint;
+  call.mNote.mResumeAfter = aTask.mEvents.mLast;
+  TargetCallInfo info;
+  info.mUse = TargetUse::eBatch;
+  info.mWork = aTask.mWork;
+  aTask.mLastByte = aNow;
+  aTask.mTargetCall = CallTarget(aNode, aNow, info, std::move(call), aOut);
+  ++aNode.mCounters.mStarted;
+}
+
+// Hands an item back with what came of it, so that another node goes on.
+void
+ReturnTask(Node& aNode, MonoTime aNow, WorkId aWork)
+{
+  auto found = aNode.mBatch.mTasks.find(aWork);
+  ++aNode.mCounters.mItemsReturned;
+  AddResult(aNode, aNow, found->second, ItemVerdict::eReturned, {});
+  aNode.mBatch.mTasks.erase(found);
+}
+
+// The target's answer to a raw item is whole. Only its own failure counts as an
+// attempt, and only 422 says that the item can never be done.
+void
+FinishRawTask(Node& aNode, MonoTime aNow, WorkId aWork)
+{
+  constexpr int kImpossible = 422;
+  BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  if (task.mNotRun || task.mForeign) {
+    ReturnTask(aNode, aNow, aWork);
+  } else if (task.mStatus / 100 == 2) {
+    EndTask(aNode, aNow, aWork, ItemVerdict::eDone, RawOutputLine(task));
+  } else if (task.mStatus == kImpossible) {
+    EndTask(aNode,
+            aNow,
+            aWork,
+            ItemVerdict::ePermanent,
+            ErrorLine(task, "impossible", "the target cannot do the item"));
+  } else if (task.mStatus == 500) {
+    EndTask(aNode,
+            aNow,
+            aWork,
+            ItemVerdict::eRetryable,
+            ErrorLine(task, "target_failed", "the target answered 500"));
+  } else {
+    ReturnTask(aNode, aNow, aWork);
+  }
+}
+
 } // namespace
 
 void
 StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
   BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  if (task.mRaw) {
+    StartRawTask(aNode, aNow, task, aOut);
+    return;
+  }
   const bool resume =
     task.mTokens > 0 && aNode.mTarget.mAnnounced.mInfo.mCanResume;
   if (!resume) {
@@ -145,7 +219,17 @@
                NodeActions& aOut)
 {
   aTask.mLastByte = aNow;
-  if (aTask.mEventStream) {
+  if (aTask.mRaw) {
+    if (aTask.mStatus / 100 != 2) {
+      return;
+    }
+    const std::string events = TakeEvents(aTask.mEvents, aBytes);
+    if (events.empty()) {
+      return;
+    }
+    const std::string data = EventData(events);
+    aTask.mText += (aTask.mText.empty() ? "" : "\n") + data;
+  } else if (aTask.mEventStream) {
     if (TakeStreamBytes(aTask, aBytes) == 0) {
       return;
     }
@@ -166,13 +250,17 @@
   BatchTask& task = found->second;
   const bool cut =
     task.mEventStream && (!task.mStreamDone || task.mStreamError);
-  if (!cut) {
+  if (!cut && !task.mNotRun) {
     LearnItemTime(aNode, aNow, aWork);
   }
   LogLimit(aNode,
            NoteEnd(aNode.mScheduler, aNow, aWork, EndingOf(task.mStatus), 0),
            "item ended",
            aOut);
+  if (task.mRaw) {
+    FinishRawTask(aNode, aNow, aWork);
+    return;
+  }
   if (IsRetryable(task.mStatus) || cut) {
     EndTask(aNode,
             aNow,
@@ -234,6 +322,10 @@
     AddBatch(aNode.mScheduler, work);
     return;
   }
+  if (task.mRaw) {
+    ReturnTask(aNode, aNow, aWork);
+    return;
+  }
   EndTask(aNode,
           aNow,
           aWork,
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "caraway/base/event_stream.h"
 #include "caraway/node/node_io.h"
 #include "caraway/scheduling/work.h"
 
@@ -53,6 +54,13 @@
   bool mStreamError = false; // an error event arrived
   uint32_t mTokens = 0;      // events with text, over all resumes
   bool mPreempted = false;   // was stopped for online work at least once
+  // Items with headers and a body of their own: the answer is the data of the
+  // events, collected in mText.
+  bool mRaw = false;
+  Headers mHeaders;
+  EventStream mEvents;      // over all resumes
+  bool mNotRun = false;     // the target refused the present call
+  bool mForeign = false;    // the present answer belongs to something else
 };
 
 // One ItemResults message, sent again until acknowledged.
--- /dev/null
+++ b/caraway/node/node_directory.cpp
@@ -0,0 +1,110 @@
+// The target beside a node that learns of it from the configuration, and the
+// control replicas of a node that knows only seed addresses.
+
+#include "caraway/node/node_internal.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Duration kQueryEvery = Millis(300);  // while no replica is known
+constexpr Duration kRefreshEvery = Seconds(5); // afterwards
+
+const Target*
+RecordOf(const Node& aNode)
+{
+  const Target* newest = nullptr;
+  for (const auto& [id, target] : aNode.mSession.mView.mTargets) {
+    if (target.mAddress == aNode.mSettings.mTargetAddress &&
+        (newest == nullptr || IsLaterStart(target, *newest))) {
+      newest = &target;
+    }
+  }
+  return newest;
+}
+
+Announcement
+AnnouncementOf(const Target& aTarget)
+{
+  Announcement announcement;
+  announcement.mInfo.mId = aTarget.mId;
+  announcement.mInfo.mKind = TargetKind::eEngine;
+  announcement.mInfo.mModels = { ModelId(aTarget.mService.mValue) };
+  announcement.mInfo.mServices = { aTarget.mService };
+  announcement.mInfo.mCanResume = true;
+  announcement.mUrl = "http://" + aTarget.mAddress;
+  announcement.mStartId =
+    aTarget.mId.mValue + "/" + std::to_string(aTarget.mStartedAt);
+  return announcement;
+}
+
+} // namespace
+
+bool
+UsesDirectory(const Node& aNode)
+{
+  return !aNode.mSettings.mTargetAddress.empty();
+}
+
+void
+FollowDirectory(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  if (!UsesDirectory(aNode)) {
+    return;
+  }
+  const Target* record = RecordOf(aNode);
+  NodeTarget& target = aNode.mTarget;
+  if (record == nullptr) {
+    if (target.mPresent) {
+      LoseTarget(aNode, aNow, aOut);
+      HandBackTasks(aNode, aNow, aOut);
+    }
+    return;
+  }
+  const Announcement announcement = AnnouncementOf(*record);
+  const bool news = !target.mPresent ||
+                    target.mAnnounced.mStartId != announcement.mStartId ||
+                    target.mAnnounced.mInfo != announcement.mInfo;
+  if (news) {
+    HandBackTasks(aNode, aNow, aOut);
+    aNode.mScheduler.mSettings.mFixedLimit = std::max(1U, record->mSlots);
+    aNode.mColdUntil = aNow + record->mColdFor;
+    OnAnnouncement(aNode, aNow, announcement, aOut);
+    // Entries tell which calls of theirs run; there are no others.
+    target.mOrphansGone = true;
+    aNode.mScheduler.mHeld = false;
+  }
+  target.mHeardAt = aNow;
+  if (record->mDraining && !target.mLeaving) {
+    OnTargetLeave(aNode, aNow, aOut);
+  }
+}
+
+void
+OnControlMap(Node& aNode, MonoTime aNow, const ControlMap& aMap)
+{
+  if (aMap.mReplicas.empty() || aMap.mReplicas == aNode.mSettings.mControl) {
+    return;
+  }
+  const bool first = aNode.mSettings.mControl.empty();
+  aNode.mSettings.mControl = aMap.mReplicas;
+  if (first) {
+    aNode.mSession.mRegisterAt = aNow;
+    aNode.mSession.mFetchTimeout = aNow;
+  }
+}
+
+void
+AskForControl(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  const std::vector<PeerAddress>& seeds = aNode.mSettings.mSeeds;
+  if (seeds.empty() || aNow < aNode.mQueryAt) {
+    return;
+  }
+  const bool known = !aNode.mSettings.mControl.empty();
+  aNode.mQueryAt = aNow + (known ? kRefreshEvery : kQueryEvery);
+  aOut.emplace_back(SendMessage{
+    seeds[aNode.mNextSeed++ % seeds.size()], ControlQuery{} });
+}
+
+} // namespace caraway
--- a/caraway/node/node_dispatch.cpp
+++ b/caraway/node/node_dispatch.cpp
@@ -98,6 +98,9 @@
 void
 EvictForRoom(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
+  if (RefuseSlot(aNode, aNow, aWork, aOut)) {
+    return;
+  }
   if (NodeCall* evicted = CallOfWork(aNode, aWork)) {
     RefuseCall(aNode,
                aNow,
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -23,6 +23,46 @@
 std::string_view
 StateName(const Node& aNode, MonoTime aNow);
 
+// --- Directory (node_directory.cpp)
+
+// True if the target is known from the configuration.
+bool
+UsesDirectory(const Node& aNode);
+void
+FollowDirectory(Node& aNode, MonoTime aNow, NodeActions& aOut);
+void
+OnControlMap(Node& aNode, MonoTime aNow, const ControlMap& aMap);
+void
+AskForControl(Node& aNode, MonoTime aNow, NodeActions& aOut);
+
+// --- Slots (node_slots.cpp)
+
+void
+OnSlotRequest(Node& aNode,
+              MonoTime aNow,
+              const PeerAddress& aFrom,
+              const SlotRequest& aRequest,
+              NodeActions& aOut);
+void
+OnSlotRelease(Node& aNode,
+              MonoTime aNow,
+              const PeerAddress& aFrom,
+              const SlotRelease& aRelease);
+void
+OnSlotsHeld(Node& aNode,
+            MonoTime aNow,
+            const PeerAddress& aFrom,
+            const SlotsHeld& aHeld);
+// Grant or refuse the slot of this work; false if it is no slot.
+bool
+GrantSlot(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut);
+bool
+RefuseSlot(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut);
+void
+DropEntrySlots(Node& aNode, MonoTime aNow, const PeerAddress& aEntry);
+uint32_t
+BatchCalls(const Node& aNode);
+
 // --- Local HTTP (node_http.cpp)
 
 void
--- a/caraway/node/node_reports.cpp
+++ b/caraway/node/node_reports.cpp
@@ -11,10 +11,6 @@
 
 constexpr Duration kWatchFor = Seconds(10);
 constexpr Duration kReportEvery = Seconds(2);
-constexpr Duration kShortestGap = Millis(200); // at most 5 rounds a second
-// Reports on a change are spread out further when many entries watch, so that
-// the node sends at most 25 a second beyond the regular ones.
-constexpr Duration kGapPerWatcher = Millis(40);
 constexpr size_t kMaxWatchers = 1024;
 
 bool
@@ -44,13 +40,13 @@
 SendReports(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
   NodeReports& reports = aNode.mReports;
-  if (reports.mWatchers.empty() || aNow - reports.mLastAt < kShortestGap) {
+  if (reports.mWatchers.empty() || aNow - reports.mLastAt < aNode.mSettings.mReportGap) {
     return;
   }
   const uint32_t load = RunningCalls(aNode) + QueuedCalls(aNode);
   const uint32_t limit = CallLimit(aNode.mScheduler);
   const Duration gap =
-    kGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
+    aNode.mSettings.mReportGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
   const bool changed =
     Changed(load, reports.mLastLoad) || Changed(limit, reports.mLastLimit);
   if (aNow < reports.mNextAt && !(changed && aNow - reports.mLastAt >= gap)) {
@@ -67,6 +63,7 @@
   report.mQueued = QueuedCalls(aNode);
   report.mLimit = limit;
   report.mCold = aNode.mScheduler.mLimit.mRamping;
+  report.mBatch = BatchCalls(aNode);
   auto& watchers = reports.mWatchers;
   for (auto watcher = watchers.begin(); watcher != watchers.end();) {
     if (aNow >= watcher->second.mUntil) {
@@ -82,7 +79,7 @@
 NextReport(const Node& aNode)
 {
   const NodeReports& reports = aNode.mReports;
-  return std::max(reports.mNextAt, reports.mLastAt + kShortestGap);
+  return std::max(reports.mNextAt, reports.mLastAt + aNode.mSettings.mReportGap);
 }
 
 } // namespace caraway
--- a/caraway/node/node_schedule.cpp
+++ b/caraway/node/node_schedule.cpp
@@ -50,6 +50,8 @@
             LogLevel::eDebug,
             aOut);
     StartBatchTask(aNode, aNow, aWork, aOut);
+  } else if (GrantSlot(aNode, aNow, aWork, aOut)) {
+    return;
   } else if (const NodeCall* call = CallOfWork(aNode, aWork)) {
     LogStep(aNode,
             "start",
@@ -82,6 +84,9 @@
 void
 Expire(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
+  if (RefuseSlot(aNode, aNow, aWork, aOut)) {
+    return;
+  }
   if (NodeCall* call = CallOfWork(aNode, aWork)) {
     RefuseCall(aNode,
                aNow,
--- a/caraway/node/node_service.cpp
+++ b/caraway/node/node_service.cpp
@@ -7,7 +7,8 @@
 bool
 HasLease(const Node& aNode, MonoTime aNow)
 {
-  return aNode.mSession.mLive && aNow < aNode.mSession.mLeaseEnd;
+  return aNode.mSettings.mServeWithoutLease ||
+         (aNode.mSession.mLive && aNow < aNode.mSession.mLeaseEnd);
 }
 
 bool
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -2,6 +2,7 @@
 // Settings of the node role. The daemon fills them from flags and environment.
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "caraway/base/ids.h"
@@ -25,6 +26,19 @@
   Duration mFirstTokenGoal = Millis(750);
   uint32_t mMaxOnlineQueue = 512;    // requests; more are refused
   bool mTargetChecksFencing = false; // --target-fencing=checked
+  // Deployments in which targets announce themselves to entries: the address of
+  // the target beside this node, and entries that know the control replicas.
+  std::string mTargetAddress; // "ip:port", empty: the target announces here
+  std::vector<PeerAddress> mSeeds;
+  // Works on without a configuration lease, see EntrySettings.
+  bool mServeWithoutLease = false;
+  // Load reports on a change: at most one round in this time, and this much
+  // longer for each watching entry.
+  Duration mReportGap = Millis(200);
+  Duration mReportGapPerWatcher = Millis(40);
+  // Items kept ready beyond those that run, in seconds of work.
+  double mAheadSeconds = 2;
+  Duration mItemWait = Seconds(10); // without room, then back to the ledger
 };
 
 } // namespace caraway
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -10,6 +10,7 @@
 #include "caraway/node/node_call.h"
 #include "caraway/node/node_session.h"
 #include "caraway/node/node_settings.h"
+#include "caraway/node/node_slots.h"
 #include "caraway/node/node_target.h"
 
 namespace caraway {
@@ -63,6 +64,7 @@
   size_t mKeptBytes = 0;                 // of all kept answers
   std::deque<AttemptKey> mEndedOrder;    // final calls, oldest first
   std::map<std::pair<InstanceId, Epoch>, DispatchWindow> mWindows; // this epoch
+  NodeSlots mSlots;
   NodeBatch mBatch;
   std::map<TargetCallId, TargetCallInfo> mTargetCalls;
   uint64_t mNextTargetCall = 1;
@@ -76,6 +78,9 @@
   MonoTime mLeaveSince{ 0 }; // first Leave
   MonoTime mLeaveAt{ 0 };    // next Leave
   MonoTime mNextTick{ 0 };   // housekeeping, once a second
+  MonoTime mColdUntil{ 0 };  // of the target, by its own word
+  MonoTime mQueryAt{ 0 };    // next ControlQuery
+  size_t mNextSeed = 0;
   NodeCounters mCounters;
 };
 
--- a/caraway/node/node_target.cpp
+++ b/caraway/node/node_target.cpp
@@ -120,7 +120,8 @@
 {
   NodeTarget& target = aNode.mTarget;
   target.mOwnPeak = std::max(target.mOwnPeak, RunningCalls(aNode));
-  if (!target.mPresent || !target.mLoadCall.IsNone() || aNow < target.mLoadAt) {
+  if (!target.mPresent || !target.mLoadCall.IsNone() ||
+      aNow < target.mLoadAt || UsesDirectory(aNode)) {
     return;
   }
   target.mLoadAt = aNow + kLoadEvery;
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -77,8 +77,16 @@
   } else if (info->mUse == TargetUse::eBatch) {
     if (BatchTask* task = TaskOf(aNode, info->mWork)) {
       task->mStatus = aEvent.mStatus;
+      task->mNotRun = aEvent.mNotRun;
+      task->mForeign =
+        aEvent.mForeign || (task->mRaw && aEvent.mNamesRequest &&
+                            !aEvent.mNotRun &&
+                            aEvent.mAnswers.mValue != task->mCustomId);
+      if (task->mForeign) {
+        task->mStatus = 0; // none of its bytes count
+      }
       task->mEventStream =
-        task->mStreamed &&
+        !task->mRaw && task->mStreamed &&
         absl::StrContains(HeaderValue(aEvent.mHeaders, "Content-Type"),
                           "text/event-stream");
     }
--- /dev/null
+++ b/caraway/routing/placement.cpp
@@ -0,0 +1,165 @@
+// The choice of a target by places, failures and zone.
+
+#include "caraway/routing/placement.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace caraway {
+
+namespace {
+
+// A report older than this says nothing about load that changes within a
+// second.
+constexpr Duration kReportLifetime = Seconds(3);
+constexpr Duration kFirstAvoid = Millis(250);
+constexpr Duration kLongestAvoid = Seconds(4);
+constexpr double kFailGain = 0.3;  // weight of the newest request
+constexpr double kFailFade = 0.85; // of the former share after a success
+// In places per place: another zone costs a few milliseconds, a batch item has
+// to be stopped, a failing target costs a whole attempt.
+constexpr double kZoneCost = 0.15;
+constexpr double kBatchCost = 0.25;
+constexpr double kFailCost = 2.0;
+constexpr double kNoise = 0.06; // keeps entries with equal views apart
+
+bool
+IsExcluded(const PlacementQuery& aQuery, const TargetId& aTarget)
+{
+  return std::find(aQuery.mExclude.begin(), aQuery.mExclude.end(), aTarget) !=
+         aQuery.mExclude.end();
+}
+
+uint32_t
+PlacesOf(const PlacementCandidate& aCandidate, const PlacementLoad& aLoad)
+{
+  return std::max<uint32_t>(
+    1, aLoad.mLimit != 0 ? aLoad.mLimit : aCandidate.mSlots);
+}
+
+double
+ScoreOf(const PlacementCandidate& aCandidate,
+        const PlacementLoad& aLoad,
+        const PlacementQuery& aQuery,
+        MonoTime aNow,
+        Random& aRandom)
+{
+  const double places = PlacesOf(aCandidate, aLoad);
+  double score = OnlineAt(aLoad, aNow) / places;
+  if (aNow - aLoad.mReportAt < kReportLifetime) {
+    score += kBatchCost * aLoad.mBatch / places;
+  }
+  score += kFailCost * aLoad.mFailShare;
+  score += aCandidate.mZone == aQuery.mLocalZone ? 0 : kZoneCost;
+  return score +
+         kNoise * static_cast<double>(DrawBelow(aRandom, 1000)) / 1000.0;
+}
+
+} // namespace
+
+uint32_t
+OnlineAt(const PlacementLoad& aLoad, MonoTime aNow)
+{
+  uint32_t others = 0;
+  if (aNow - aLoad.mReportAt < kReportLifetime) {
+    others = aLoad.mOnline > aLoad.mOwnAtReport
+               ? aLoad.mOnline - aLoad.mOwnAtReport
+               : 0;
+  }
+  return aLoad.mOwn + others;
+}
+
+Placement
+ChoosePlacement(const std::vector<PlacementCandidate>& aCandidates,
+                const PlacementLoads& aLoads,
+                const PlacementQuery& aQuery,
+                MonoTime aNow,
+                Random& aRandom)
+{
+  static const PlacementLoad kUnknown;
+  Placement best;
+  bool bestAvoided = true;
+  double bestScore = 0;
+  size_t left = 0;
+  for (size_t at = 0; at < aCandidates.size(); ++at) {
+    const PlacementCandidate& candidate = aCandidates[at];
+    if (IsExcluded(aQuery, candidate.mTarget)) {
+      continue;
+    }
+    ++left;
+    auto known = aLoads.find(candidate.mTarget);
+    const PlacementLoad& load =
+      known == aLoads.end() ? kUnknown : known->second;
+    const bool avoided = aNow < load.mAvoidUntil;
+    const double score = ScoreOf(candidate, load, aQuery, aNow, aRandom);
+    if (!best.mIndex || (bestAvoided && !avoided) ||
+        (bestAvoided == avoided && score < bestScore)) {
+      best.mIndex = at;
+      bestAvoided = avoided;
+      bestScore = score;
+    }
+  }
+  DecisionLog& log = best.mLog;
+  log.mEvent = "place";
+  log.mRequest = aQuery.mRequest;
+  log.mWorkspace = aQuery.mWorkspace;
+  log.mExtra = { { "candidates", absl::StrCat(left) } };
+  if (!best.mIndex) {
+    log.mChoice = "none";
+    log.mReason = "no target is left";
+    return best;
+  }
+  const PlacementCandidate& chosen = aCandidates[*best.mIndex];
+  log.mChoice = chosen.mTarget.mValue;
+  log.mReason = bestAvoided ? "all others failed lately" : "least loaded";
+  if (auto known = aLoads.find(chosen.mTarget); known != aLoads.end()) {
+    const PlacementLoad& load = known->second;
+    log.mExtra.push_back(
+      { "online", absl::StrCat(OnlineAt(load, aNow)) });
+    log.mExtra.push_back(
+      { "places", absl::StrCat(PlacesOf(chosen, load)) });
+    if (load.mLimit != 0) {
+      log.mExtra.push_back(
+        { "report_age_ms",
+          absl::StrCat((aNow - load.mReportAt).Millis()) });
+    }
+  }
+  return best;
+}
+
+void
+NoteLoadReport(PlacementLoad& aLoad,
+               MonoTime aNow,
+               uint32_t aOnline,
+               uint32_t aBatch,
+               uint32_t aLimit)
+{
+  aLoad.mOnline = aOnline;
+  aLoad.mBatch = aBatch;
+  aLoad.mLimit = aLimit;
+  aLoad.mOwnAtReport = aLoad.mOwn;
+  aLoad.mReportAt = aNow;
+}
+
+void
+NotePlacementFailure(PlacementLoad& aLoad, MonoTime aNow)
+{
+  Duration avoid = kFirstAvoid;
+  for (uint32_t step = 0; step < aLoad.mFailures && avoid < kLongestAvoid;
+       ++step) {
+    avoid = avoid * 2;
+  }
+  ++aLoad.mFailures;
+  aLoad.mFailShare += kFailGain * (1 - aLoad.mFailShare);
+  aLoad.mAvoidUntil = aNow + std::min(avoid, kLongestAvoid);
+}
+
+void
+NotePlacementSuccess(PlacementLoad& aLoad)
+{
+  aLoad.mFailures = 0;
+  aLoad.mFailShare *= kFailFade;
+}
+
+} // namespace caraway
--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -6,10 +6,18 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/visitor.h"
+#include "caraway/runtime/data_folder_files.h"
 #include "caraway/runtime/logging.h"
 
 namespace caraway {
 
+namespace {
+
+constexpr const char* kFounderName = "founder";
+constexpr const char* kFounderMark = "/founder";
+
+} // namespace
+
 ControlHost::ControlHost(Loop& aLoop,
                          const ControlSettings& aSettings,
                          const std::string& aDataFolder,
@@ -48,6 +56,15 @@
   }
   mSettings.mAddress = mPeers.Address();
   RaftRecovered recovered = mFolder->Recovered();
+  if (mSettings.mReplica.IsNone()) {
+    // A group that changes its own replicas: the id is that of the folder, so a
+    // replica that lost its disk has another one.
+    mSettings.mReplica = ReplicaId(recovered.mDisk);
+  }
+  mDisk = recovered.mDisk;
+  if (ReadWholeFile(mPath + kFounderMark).ok()) {
+    mSettings.mInitialReplicas = OwnGroup();
+  }
   const std::string entries = absl::StrCat(recovered.mEntries.size());
   const std::string snapshot = absl::StrCat(recovered.mSnapshot.mIndex.mValue);
   auto control = MakeControl(mSettings,
@@ -85,6 +102,36 @@
   return absl::OkStatus();
 }
 
+ReplicaSet
+ControlHost::OwnGroup() const
+{
+  Replica self;
+  self.mId = mSettings.mReplica;
+  self.mAddress = mSettings.mAddress.mValue;
+  return ReplicaSet{ { self } };
+}
+
+void
+ControlHost::Found()
+{
+  // The mark is durable before the group exists, so that a restart never finds
+  // a log without its first replica.
+  Check(ReplaceFile(mPath, kFounderName, "1"));
+  if (mFailed) {
+    return;
+  }
+  mSettings.mInitialReplicas = OwnGroup();
+  RaftRecovered fresh;
+  fresh.mDisk = mDisk;
+  auto control = MakeControl(
+    mSettings, std::move(fresh), {}, mLoop.Now(), mLoop.UnixSeconds());
+  Check(control.status());
+  if (control.ok()) {
+    *mControl = std::move(*control);
+    mPump.Post(Wakeup{});
+  }
+}
+
 void
 ControlHost::Fail(const std::string& aReason)
 {
@@ -203,6 +250,7 @@
       [this](const ReadBlob& aRead) { Read(aRead); },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
       [this](const Halt& aHalt) { Fail(aHalt.mReason); },
+      [this](const BeginGroup&) { Found(); },
       [this](const Stopped&) { mLoop.Exit(); },
     },
     aAction);
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -33,6 +33,10 @@
   void StorePart(const RaftStoreSnapshotPart& aStore);
   void Read(const ReadBlob& aRead);
 
+  // The set of a group that this replica begins, and its beginning.
+  ReplicaSet OwnGroup() const;
+  void Found();
+
   // One sync covers all writes of a turn.
   void SyncWrites();
 
@@ -49,6 +53,7 @@
   HttpServer mHttp; // operators
   std::unique_ptr<Control> mControl;
   std::vector<uint64_t> mUnsynced; // numbers of writes appended, not yet synced
+  uint64_t mDisk = 0; // identity of the data folder
   bool mFailed = false;
   RolePump<ControlEvent, ControlAction> mPump;
 };
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -7,16 +7,39 @@
 
 namespace caraway {
 
+namespace {
+
+// The upper bits of a call's id name the listener that took it.
+constexpr int kListenerShift = 56;
+
+} // namespace
+
 EntryHost::EntryHost(Loop& aLoop,
                      const EntrySettings& aSettings,
                      const PeerSettings& aPeer,
                      const HttpServerSettings& aHttp,
                      uint64_t aIncarnation)
+  : EntryHost(aLoop,
+              aSettings,
+              aPeer,
+              { { ListenerUse::eCallers, aHttp } },
+              {},
+              aIncarnation)
+{
+}
+
+EntryHost::EntryHost(Loop& aLoop,
+                     const EntrySettings& aSettings,
+                     const PeerSettings& aPeer,
+                     const std::vector<ListenerSettings>& aListeners,
+                     EntryDialect aDialect,
+                     uint64_t aIncarnation)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mIncarnation(aIncarnation)
   , mPeers(aLoop, aPeer)
-  , mHttp(aLoop, aHttp)
+  , mDialect(std::move(aDialect))
+  , mTargets(aLoop, TargetClientSettings{})
   , mPump(aLoop,
           { [this](MonoTime aNow,
                    const EntryEvent& aEvent,
@@ -27,6 +50,12 @@
             [this] { return NextWakeup(*mEntry); },
             nullptr })
 {
+  for (const ListenerSettings& listener : aListeners) {
+    HttpServerSettings http = listener.mHttp;
+    http.mFirstCall = (uint64_t{ mServers.size() } << kListenerShift) + 1;
+    mServers.push_back(
+      { listener.mUse, std::make_unique<HttpServer>(aLoop, http) });
+  }
 }
 
 absl::Status
@@ -35,35 +64,88 @@
   if (auto status = mPeers.Listen(); !status.ok()) {
     return status;
   }
-  if (auto status = mHttp.Listen(); !status.ok()) {
-    return status;
-  }
   mSettings.mAddress = mPeers.Address();
   mEntry =
     std::make_unique<Entry>(MakeEntry(mSettings, mIncarnation, mLoop.Now()));
+  std::vector<LogField> addresses{ { "peer", mPeers.Address().mValue } };
+  for (Server& server : mServers) {
+    if (auto status = server.mServer->Listen(); !status.ok()) {
+      return status;
+    }
+    addresses.push_back({ "http", server.mServer->Address() });
+    server.mServer->mOnRequest.connect(
+      [this, use = server.mUse](const HttpRequest& aRequest) {
+        TakeRequest(use, aRequest);
+      });
+    server.mServer->mOnClosed.connect(
+      [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
+  }
   mPeers.mOnMessage.connect(
     [this](const PeerAddress& aFrom, const Message& aMessage) {
       mPump.Post(MessageReceived{ aFrom, aMessage });
     });
   mPeers.mOnPeerLost.connect(
     [this](const PeerAddress& aPeer) { mPump.Post(PeerLost{ aPeer }); });
-  mHttp.mOnRequest.connect(
-    [this](const HttpRequest& aRequest) { mPump.Post(aRequest); });
-  mHttp.mOnClosed.connect(
-    [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
+  ConnectTargets();
   mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
   mLoop.mOnReload.connect([this] {
+    WriteLog(LogLevel::eInfo, "reload", {});
     mPeers.ReloadTls().IgnoreError();
-    mHttp.ReloadTls().IgnoreError();
+    for (Server& server : mServers) {
+      server.mServer->ReloadTls().IgnoreError();
+    }
   });
-  WriteLog(
-    LogLevel::eInfo,
-    "listening",
-    { { "peer", mPeers.Address().mValue }, { "http", mHttp.Address() } });
+  WriteLog(LogLevel::eInfo, "listening", addresses);
   mPump.Post(Wakeup{});
   return absl::OkStatus();
 }
 
+void
+EntryHost::ConnectTargets()
+{
+  mTargets.mOnSent.connect(
+    [this](const TargetCallSent& aEvent) { mPump.Post(aEvent); });
+  mTargets.mOnBegan.connect([this](const TargetCallBegan& aEvent) {
+    TargetCallBegan event = aEvent;
+    if (mDialect.mTargets.mReadAnswer) {
+      mDialect.mTargets.mReadAnswer(event);
+    }
+    mPump.Post(std::move(event));
+  });
+  mTargets.mOnBytes.connect(
+    [this](const TargetCallBytes& aEvent) { mPump.Post(aEvent); });
+  mTargets.mOnEnded.connect(
+    [this](const TargetCallEnded& aEvent) { mPump.Post(aEvent); });
+  mTargets.mOnFailed.connect(
+    [this](const TargetCallFailed& aEvent) { mPump.Post(aEvent); });
+}
+
+void
+EntryHost::TakeRequest(ListenerUse aUse, const HttpRequest& aRequest)
+{
+  if (mDialect.mRead) {
+    TakeDecoded(mDialect.mRead(aUse, aRequest));
+  } else {
+    mPump.Post(aRequest);
+  }
+}
+
+void
+EntryHost::TakeDecoded(DecodedRequest aDecoded)
+{
+  if (auto* answer = std::get_if<HttpResponse>(&aDecoded)) {
+    ServerOf(answer->mCall).Respond(*answer);
+  } else {
+    mPump.Post(std::move(std::get<EntryEvent>(aDecoded)));
+  }
+}
+
+HttpServer&
+EntryHost::ServerOf(HttpCallId aCall)
+{
+  return *mServers.at(aCall.mValue >> kListenerShift).mServer;
+}
+
 void
 EntryHost::CarryOut(EntryAction& aAction)
 {
@@ -76,13 +158,32 @@
           mPeers.Send(aSend.mTo, aSend.mMessage);
         }
       },
-      [this](const HttpResponse& aResponse) { mHttp.Respond(aResponse); },
-      [this](const HttpBegin& aBegin) { mHttp.Begin(aBegin); },
-      [this](const HttpChunk& aChunk) { mHttp.Chunk(aChunk); },
-      [this](const HttpEnd& aEnd) { mHttp.End(aEnd); },
-      [this](const HttpAbort& aAbort) { mHttp.Abort(aAbort); },
+      [this](const HttpResponse& aResponse) {
+        ServerOf(aResponse.mCall).Respond(aResponse);
+      },
+      [this](const HttpBegin& aBegin) { ServerOf(aBegin.mCall).Begin(aBegin); },
+      [this](const HttpChunk& aChunk) { ServerOf(aChunk.mCall).Chunk(aChunk); },
+      [this](const HttpEnd& aEnd) { ServerOf(aEnd.mCall).End(aEnd); },
+      [this](const HttpAbort& aAbort) { ServerOf(aAbort.mCall).Abort(aAbort); },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
       [this](const Stopped&) { mLoop.Exit(); },
+      [this](const OrderReply& aReply) {
+        if (mDialect.mWriteReply) {
+          ServerOf(aReply.mCall).Respond(mDialect.mWriteReply(aReply));
+        }
+      },
+      [this](const ReadJobBody& aRead) {
+        if (mDialect.mReadJob) {
+          TakeDecoded(mDialect.mReadJob(aRead.mRequest));
+        }
+      },
+      [this](StartTargetCall& aCall) {
+        if (mDialect.mTargets.mWriteCall) {
+          mDialect.mTargets.mWriteCall(aCall);
+        }
+        mTargets.Start(aCall);
+      },
+      [this](const CancelTargetCall& aCancel) { mTargets.Cancel(aCancel); },
     },
     aAction);
 }
--- a/caraway/runtime/entry_host.h
+++ b/caraway/runtime/entry_host.h
@@ -1,10 +1,15 @@
 #pragma once
 // Runs the entry role on the event loop.
 
+#include <memory>
+#include <vector>
+
 #include "caraway/entry/entry.h"
+#include "caraway/runtime/dialect.h"
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/peer_transport.h"
 #include "caraway/runtime/role_pump.h"
+#include "caraway/runtime/target_client.h"
 
 namespace caraway {
 
@@ -17,19 +22,40 @@
             const HttpServerSettings& aHttp,
             uint64_t aIncarnation);
 
+  // Several listeners and another dialect.
+  EntryHost(Loop& aLoop,
+            const EntrySettings& aSettings,
+            const PeerSettings& aPeer,
+            const std::vector<ListenerSettings>& aListeners,
+            EntryDialect aDialect,
+            uint64_t aIncarnation);
+
   // Binds the listeners and starts the role.
   absl::Status Start();
 
-  const HttpServer& Http() const { return mHttp; }
+  // The listener for callers.
+  const HttpServer& Http() const { return *mServers.front().mServer; }
 
 private:
+  struct Server
+  {
+    ListenerUse mUse = ListenerUse::eCallers;
+    std::unique_ptr<HttpServer> mServer;
+  };
+
   void CarryOut(EntryAction& aAction);
+  void TakeRequest(ListenerUse aUse, const HttpRequest& aRequest);
+  void TakeDecoded(DecodedRequest aDecoded);
+  void ConnectTargets();
+  HttpServer& ServerOf(HttpCallId aCall);
 
   Loop& mLoop;
   EntrySettings mSettings;
   uint64_t mIncarnation;
   PeerTransport mPeers;
-  HttpServer mHttp;
+  std::vector<Server> mServers; // by the upper bits of their call ids
+  EntryDialect mDialect;
+  TargetClient mTargets;
   std::unique_ptr<Entry> mEntry;
   RolePump<EntryEvent, EntryAction> mPump;
 };
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -128,6 +128,7 @@
 HttpServer::HttpServer(Loop& aLoop, HttpServerSettings aSettings)
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
+  , mNextCall(mSettings.mFirstCall)
   , mConnectionTimer(aLoop, [this] { WatchConnections(); })
   , mAbortTimer(aLoop, [this] { CloseAborted(); })
 {
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -28,6 +28,7 @@
   int mIdleSeconds = 60;            // also for slow requests and answers
   size_t mMaxQueuedBytes = 8 << 20; // unsent to one slow reader; then aborted
   int mMaxConnections = 8192;       // new ones wait in the kernel beyond it
+  uint64_t mFirstCall = 1;          // keeps the calls of several servers apart
 };
 
 class HttpServer
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -11,13 +11,15 @@
                    const NodeSettings& aSettings,
                    const PeerSettings& aPeer,
                    const HttpServerSettings& aHttp,
-                   uint64_t aIncarnation)
+                   uint64_t aIncarnation,
+                   TargetDialect aDialect)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mIncarnation(aIncarnation)
   , mPeers(aLoop, aPeer)
   , mHttp(aLoop, aHttp)
   , mTarget(aLoop, TargetClientSettings{})
+  , mDialect(std::move(aDialect))
   , mPump(aLoop,
           { [this](MonoTime aNow,
                    const NodeEvent& aEvent,
@@ -52,8 +54,13 @@
     [this](const HttpRequest& aRequest) { mPump.Post(aRequest); });
   mHttp.mOnClosed.connect(
     [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
-  mTarget.mOnBegan.connect(
-    [this](const TargetCallBegan& aEvent) { mPump.Post(aEvent); });
+  mTarget.mOnBegan.connect([this](const TargetCallBegan& aEvent) {
+    TargetCallBegan event = aEvent;
+    if (mDialect.mReadAnswer) {
+      mDialect.mReadAnswer(event);
+    }
+    mPump.Post(std::move(event));
+  });
   mTarget.mOnBytes.connect(
     [this](const TargetCallBytes& aEvent) { mPump.Post(aEvent); });
   mTarget.mOnEnded.connect(
@@ -82,7 +89,12 @@
           mPeers.Send(aSend.mTo, aSend.mMessage);
         }
       },
-      [this](const StartTargetCall& aCall) { mTarget.Start(aCall); },
+      [this](StartTargetCall& aCall) {
+        if (mDialect.mWriteCall) {
+          mDialect.mWriteCall(aCall);
+        }
+        mTarget.Start(aCall);
+      },
       [this](const CancelTargetCall& aCancel) { mTarget.Cancel(aCancel); },
       [this](const HttpResponse& aResponse) { mHttp.Respond(aResponse); },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
--- a/caraway/runtime/node_host.h
+++ b/caraway/runtime/node_host.h
@@ -2,6 +2,7 @@
 // Runs the node role on the event loop.
 
 #include "caraway/node/node.h"
+#include "caraway/runtime/dialect.h"
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/peer_transport.h"
 #include "caraway/runtime/role_pump.h"
@@ -16,7 +17,8 @@
            const NodeSettings& aSettings,
            const PeerSettings& aPeer,
            const HttpServerSettings& aHttp,
-           uint64_t aIncarnation);
+           uint64_t aIncarnation,
+           TargetDialect aDialect = {});
 
   // Binds the listeners and starts the role.
   absl::Status Start();
@@ -32,6 +34,7 @@
   PeerTransport mPeers;
   HttpServer mHttp; // announcements of the target, health, metrics
   TargetClient mTarget;
+  TargetDialect mDialect;
   std::unique_ptr<Node> mNode;
   RolePump<NodeEvent, NodeAction> mPump;
 };
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -124,7 +124,10 @@
       evhttp_add_header(headers, name.c_str(), value.c_str());
     }
   }
-  evhttp_add_header(headers, "Host", call.mAuthority.c_str());
+  evhttp_add_header(headers,
+                    "Host",
+                    aStart.mNote.mHost.empty() ? call.mAuthority.c_str()
+                                               : aStart.mNote.mHost.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(request),
                aStart.mBody.data(),
                aStart.mBody.size());
@@ -146,7 +149,12 @@
 void
 TargetClient::OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aCall)
 {
-  static_cast<Call*>(aCall)->mBytesSent += aInfo->n_deleted;
+  auto* call = static_cast<Call*>(aCall);
+  const bool first = call->mBytesSent == 0 && aInfo->n_deleted > 0;
+  call->mBytesSent += aInfo->n_deleted;
+  if (first && !call->mClosed) {
+    call->mClient->mOnSent.emit({ call->mId });
+  }
 }
 
 int
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -1,5 +1,5 @@
 #pragma once
-// HTTP calls of a node to the target beside it, by evhttp's client. Idle
+// HTTP calls to targets, by evhttp's client. Idle
 // connections are reused for a few seconds, for calls that allow it.
 
 #include <map>
@@ -9,7 +9,7 @@
 
 #include <sigc++/sigc++.h>
 
-#include "caraway/node/node_io.h"
+#include "caraway/base/target_call.h"
 #include "caraway/runtime/libevent_handles.h"
 #include "caraway/runtime/loop.h"
 
@@ -34,6 +34,8 @@
   void Start(const StartTargetCall& aCall);
   void Cancel(const CancelTargetCall& aCancel);
 
+  // Emitted before the first byte of the answer, at once with the write.
+  sigc::signal<void(const TargetCallSent&)> mOnSent;
   sigc::signal<void(const TargetCallBegan&)> mOnBegan;
   sigc::signal<void(const TargetCallBytes&)> mOnBytes;
   sigc::signal<void(const TargetCallEnded&)> mOnEnded;
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -86,6 +86,9 @@
 uint32_t
 CallLimit(const Scheduler& aScheduler)
 {
+  if (aScheduler.mSettings.mFixedLimit != 0) {
+    return aScheduler.mSettings.mFixedLimit;
+  }
   // The baselines are bound by the goals alone.
   if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
     return aScheduler.mLimit.mValue;
@@ -163,6 +166,13 @@
   }
 }
 
+void
+AdoptOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork)
+{
+  ++aScheduler.mRunningOnline;
+  aScheduler.mRunning[aWork.mId] = { aWork, aNow, aNow };
+}
+
 bool
 RemoveWaiting(Scheduler& aScheduler, WorkId aWork)
 {
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -34,6 +34,7 @@
   SchedulePolicy mPolicy = SchedulePolicy::eOnlineFirst;
   LimitSettings mLimit;
   uint32_t mMaxOnlineQueue = 512; // waiting online work; more is refused
+  uint32_t mFixedLimit = 0; // places that the target states, 0: learned
 };
 
 struct Scheduler
@@ -81,6 +82,10 @@
 void
 AddBatch(Scheduler& aScheduler, const Work& aWork);
 
+// Online work that runs already, started before this scheduler existed.
+void
+AdoptOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork);
+
 enum class StepKind : uint8_t
 {
   eStart,   // give it to the target now
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -111,6 +111,9 @@
 uint32_t
 YieldBound(const Scheduler& aScheduler)
 {
+  if (aScheduler.mSettings.mFixedLimit != 0) {
+    return aScheduler.mSettings.mFixedLimit;
+  }
   return std::min({ CallLimit(aScheduler),
                     aScheduler.mBatchCap.mValue,
                     aScheduler.mKnee.mBound });
@@ -122,6 +125,9 @@
 BatchBound(const Scheduler& aScheduler, MonoTime aNow)
 {
   const uint32_t bound = YieldBound(aScheduler);
+  if (aScheduler.mSettings.mFixedLimit != 0) {
+    return bound; // a stopped item goes on later from its last event
+  }
   return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
 
@@ -135,7 +141,8 @@
       return;
     }
     // An online prompt that the engine reads now is not slowed by new ones.
-    const bool onlineAbout = aScheduler.mRunningOnline > 0;
+    const bool onlineAbout = aScheduler.mRunningOnline > 0 &&
+                             aScheduler.mSettings.mFixedLimit == 0;
     if (onlineAbout &&
         (awaiting.mOnline > 0 || awaiting.mBatch >= kBatchPrompts)) {
       return;
@@ -151,7 +158,9 @@
 {
   const uint32_t limit = CallLimit(aScheduler);
   // A cold target bears few calls: batch work above the limit goes at once.
-  while (aScheduler.mLimit.mRamping && Occupied(aScheduler) > limit &&
+  while ((aScheduler.mLimit.mRamping ||
+          aScheduler.mSettings.mFixedLimit != 0) &&
+         Occupied(aScheduler) > limit &&
          PreemptOne(aScheduler, aNow, aSteps)) {
   }
   while (aScheduler.mOnline.mSize > 0) {
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -21,10 +21,18 @@
   uint32_t mWanted = 0; // items, at most 64
 };
 
+// How far an item has come; another node goes on from there.
+struct ItemProgress
+{
+  uint64_t mLastEvent = 0; // id of the last event in mText, 0: none
+  std::string mText;       // data of the events so far
+};
+
 struct BatchItem
 {
   uint32_t mIndex = 0; // line of the input file, from 0
   std::string mBody;   // the input line (JSON)
+  ItemProgress mProgress;
 };
 
 struct ItemBatch
@@ -58,6 +66,7 @@
   ItemVerdict mVerdict = ItemVerdict::eDone;
   uint16_t mStatus = 0; // HTTP status of the target, 0 if none
   std::string mBody;    // response JSON, or the reason for a failure
+  ItemProgress mProgress; // of items handed back
 };
 
 // Node -> leader. Sent again until acknowledged.
@@ -87,4 +96,8 @@
   JobId mJob;
 };
 
+// Leader -> nodes that asked for work when there was none: ask again.
+struct WorkAvailable
+{};
+
 } // namespace caraway
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -11,6 +11,8 @@
 #include "caraway/base/error.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/config/serving_plan.h"
+#include "caraway/config/target.h"
 
 namespace caraway {
 
@@ -70,6 +72,9 @@
 {
   FileId mFile;
   uint64_t mOffset = 0; // input files: bytes; output files: item index
+  // Output files of jobs whose items have ids: mOffset counts results in the
+  // order of completion.
+  bool mByCompletion = false;
 };
 
 struct DescribeFile
@@ -88,6 +93,13 @@
   FileId mFile;
 };
 
+// An item of a job that is addressed by an id of its own.
+struct JobItem
+{
+  std::string mId;
+  uint32_t mTokens = 0; // prompt and most output; counts while it waits
+};
+
 struct CreateJob
 {
   JobId mJob; // proposed by the entry
@@ -99,6 +111,11 @@
   uint64_t mMaxItems = 0; // from the contract
   uint32_t mWeight = 1;
   std::string mMetadata;
+  // Jobs of a plan's route. The items are in the order of the input's lines.
+  RouteId mRoute;
+  std::vector<JobItem> mItems;
+  uint64_t mMaxWaitingTokens = 0; // of the workspace on the route, 0: no limit
+  uint8_t mMaxAttempts = 0;       // failures at targets, 0: the default
 };
 
 struct DescribeJob
@@ -142,6 +159,53 @@
   RequestId mRequest;
 };
 
+// The input line of an item that is addressed by its id.
+struct ReadItem
+{
+  JobId mJob;
+  std::string mItem;
+};
+
+// Replaces the serving plan unless a version as high is held.
+struct ReplacePlan
+{
+  ServingPlan mPlan;
+};
+
+// The newest plan, as far as this leader is sure of it.
+struct ReadPlan
+{};
+
+struct SetZone
+{
+  ZoneId mZone;
+  bool mInService = true;
+};
+
+struct TargetGone
+{
+  TargetId mTarget;
+  int64_t mStartedAt = 0; // the start that ended
+};
+
+// What heartbeats said that the configuration does not hold yet.
+struct ReportTargets
+{
+  std::vector<Target> mSeen;
+  std::vector<TargetGone> mGone; // by their own word
+};
+
+// Empties a control replica, so that its instance can be taken away.
+struct RetireReplica
+{
+  InstanceId mInstance;
+};
+
+struct DescribeRetirement
+{
+  InstanceId mInstance;
+};
+
 using CallBody = std::variant<PutFilePart,
                               ReadFile,
                               DescribeFile,
@@ -153,7 +217,14 @@
                               CancelJob,
                               Claim,
                               CompleteClaim,
-                              ReleaseClaim>;
+                              ReleaseClaim,
+                              ReadItem,
+                              ReplacePlan,
+                              ReadPlan,
+                              SetZone,
+                              ReportTargets,
+                              RetireReplica,
+                              DescribeRetirement>;
 
 struct ControlCall
 {
@@ -190,6 +261,7 @@
   std::string mBytes;       // at most 256 KiB, whole lines for output files
   uint64_t mNextOffset = 0; // where to go on
   bool mEnd = false;        // nothing further at present
+  uint64_t mTotal = 0;      // items of the job, for output files
 };
 
 struct JobReply
@@ -220,6 +292,17 @@
   std::string mBody;
 };
 
+struct PlanReply
+{
+  uint64_t mVersion = 0; // 0: no plan yet
+  std::string mSource;
+};
+
+struct RetirementReply
+{
+  bool mDone = false;
+};
+
 using CallReplyBody = std::variant<CallFailed,
                                    CallDone,
                                    FileReply,
@@ -227,7 +310,9 @@
                                    FileBytesReply,
                                    JobReply,
                                    JobListReply,
-                                   ClaimReply>;
+                                   ClaimReply,
+                                   PlanReply,
+                                   RetirementReply>;
 
 struct ControlCallReply
 {
--- a/caraway/wire/dispatch_messages.h
+++ b/caraway/wire/dispatch_messages.h
@@ -126,6 +126,7 @@
   uint32_t mQueued = 0;
   uint32_t mLimit = 0;
   bool mCold = false;
+  uint32_t mBatch = 0; // part of mRunning: batch items, which give way
 };
 
 } // namespace caraway
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -22,7 +22,11 @@
     "Watch",         "LoadReport",     "LeaseItems",
     "ItemBatch",     "ItemResults",    "ItemResultsAck",
     "ItemsRevoked",  "ControlCall",    "ControlCallReply",
-    "LoadOrder",     "LoadOrderReply",
+    "LoadOrder",     "LoadOrderReply", "SlotRequest",
+    "SlotReply",     "SlotRelease",    "SlotsHeld",
+    "ReplicaHello",  "ControlQuery",   "ControlMap",
+    "FoundGroup",    "JoinGroup",      "TargetsHeard",
+    "WorkAvailable",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -12,11 +12,13 @@
 #include "absl/status/statusor.h"
 #include "caraway/wire/batch_messages.h"
 #include "caraway/wire/call_messages.h"
+#include "caraway/wire/discovery_messages.h"
 #include "caraway/wire/dispatch_messages.h"
 #include "caraway/wire/grant_messages.h"
 #include "caraway/wire/order_messages.h"
 #include "caraway/wire/raft_messages.h"
 #include "caraway/wire/session_messages.h"
+#include "caraway/wire/slot_messages.h"
 
 namespace caraway {
 
@@ -48,7 +50,18 @@
                              ControlCall,
                              ControlCallReply,
                              LoadOrder,
-                             LoadOrderReply>;
+                             LoadOrderReply,
+                             SlotRequest,
+                             SlotReply,
+                             SlotRelease,
+                             SlotsHeld,
+                             ReplicaHello,
+                             ControlQuery,
+                             ControlMap,
+                             FoundGroup,
+                             JoinGroup,
+                             TargetsHeard,
+                             WorkAvailable>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -139,6 +139,105 @@
   aArchive(aValue.mInstance, aValue.mEpoch);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, RouteShare& aValue)
+{
+  aArchive(aValue.mService, aValue.mWeight);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, PlanRoute& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mHost,
+           aValue.mPathPrefix,
+           aValue.mKind,
+           aValue.mShares,
+           aValue.mTimeout,
+           aValue.mLatencyGoal,
+           aValue.mGapGoal,
+           aValue.mPriority,
+           aValue.mMaxAttempts,
+           aValue.mOpen,
+           aValue.mResumable,
+           aValue.mCompletionGoal,
+           aValue.mItemLifetime,
+           aValue.mMaxWaitingTokens);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, PlanService& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mHealthPath,
+           aValue.mMaxConnections,
+           aValue.mColdRate,
+           aValue.mColdTime,
+           aValue.mEngine);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, PlanWorkspace& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mKeys,
+           aValue.mRate,
+           aValue.mBurst,
+           aValue.mPriority,
+           aValue.mHasPriority);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ServingPlan& aValue)
+{
+  aArchive(aValue.mVersion,
+           aValue.mRoutes,
+           aValue.mServices,
+           aValue.mWorkspaces,
+           aValue.mSource);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Target& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mService,
+           aValue.mAddress,
+           aValue.mZone,
+           aValue.mVersion,
+           aValue.mSlots,
+           aValue.mDraining,
+           aValue.mStartedAt,
+           aValue.mColdFor);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetPlan& aValue)
+{
+  aArchive(aValue.mPlan);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetTarget& aValue)
+{
+  aArchive(aValue.mTarget);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveTarget& aValue)
+{
+  aArchive(aValue.mTarget, aValue.mStartedAt);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RevisedChange& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -110,7 +110,8 @@
            aValue.mRunning,
            aValue.mQueued,
            aValue.mLimit,
-           aValue.mCold);
+           aValue.mCold,
+           aValue.mBatch);
 }
 
 template<class Archive>
@@ -125,11 +126,25 @@
            aValue.mWanted);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ItemProgress& aValue)
+{
+  aArchive(aValue.mLastEvent, aValue.mText);
+}
+
+template<class Archive>
+void
+serialize(Archive&, WorkAvailable&)
+{
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, BatchItem& aValue)
 {
-  aArchive(aValue.mIndex, aValue.mBody);
+  aArchive(aValue.mIndex, aValue.mBody,
+           aValue.mProgress);
 }
 
 template<class Archive>
@@ -155,7 +170,8 @@
 void
 serialize(Archive& aArchive, ItemResult& aValue)
 {
-  aArchive(aValue.mIndex, aValue.mVerdict, aValue.mStatus, aValue.mBody);
+  aArchive(aValue.mIndex, aValue.mVerdict, aValue.mStatus, aValue.mBody,
+           aValue.mProgress);
 }
 
 template<class Archive>
@@ -236,7 +252,7 @@
 void
 serialize(Archive& aArchive, ReadFile& aValue)
 {
-  aArchive(aValue.mFile, aValue.mOffset);
+  aArchive(aValue.mFile, aValue.mOffset, aValue.mByCompletion);
 }
 
 template<class Archive>
@@ -260,6 +276,13 @@
   aArchive(aValue.mFile);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, JobItem& aValue)
+{
+  aArchive(aValue.mId, aValue.mTokens);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, CreateJob& aValue)
@@ -272,7 +295,11 @@
            aValue.mModel,
            aValue.mMaxItems,
            aValue.mWeight,
-           aValue.mMetadata);
+           aValue.mMetadata,
+           aValue.mRoute,
+           aValue.mItems,
+           aValue.mMaxWaitingTokens,
+           aValue.mMaxAttempts);
 }
 
 template<class Archive>
@@ -321,6 +348,61 @@
   aArchive(aValue.mKey, aValue.mRequest);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ReadItem& aValue)
+{
+  aArchive(aValue.mJob, aValue.mItem);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ReplacePlan& aValue)
+{
+  aArchive(aValue.mPlan);
+}
+
+template<class Archive>
+void
+serialize(Archive&, ReadPlan&)
+{
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetZone& aValue)
+{
+  aArchive(aValue.mZone, aValue.mInService);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, TargetGone& aValue)
+{
+  aArchive(aValue.mTarget, aValue.mStartedAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ReportTargets& aValue)
+{
+  aArchive(aValue.mSeen, aValue.mGone);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RetireReplica& aValue)
+{
+  aArchive(aValue.mInstance);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DescribeRetirement& aValue)
+{
+  aArchive(aValue.mInstance);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCall& aValue)
@@ -364,7 +446,7 @@
 void
 serialize(Archive& aArchive, FileBytesReply& aValue)
 {
-  aArchive(aValue.mBytes, aValue.mNextOffset, aValue.mEnd);
+  aArchive(aValue.mBytes, aValue.mNextOffset, aValue.mEnd, aValue.mTotal);
 }
 
 template<class Archive>
@@ -388,6 +470,20 @@
   aArchive(aValue.mVerdict, aValue.mStatus, aValue.mContentType, aValue.mBody);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, PlanReply& aValue)
+{
+  aArchive(aValue.mVersion, aValue.mSource);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RetirementReply& aValue)
+{
+  aArchive(aValue.mDone);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCallReply& aValue)
@@ -419,4 +515,87 @@
            aValue.mMessage);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, SlotRequest& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mWorkspace,
+           aValue.mGoalIn,
+           aValue.mWait,
+           aValue.mPromptTokens,
+           aValue.mOutputTokens);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SlotReply& aValue)
+{
+  aArchive(aValue.mRequest,
+           aValue.mState,
+           aValue.mExpectedWait,
+           aValue.mRunning,
+           aValue.mBatch,
+           aValue.mQueued,
+           aValue.mLimit);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SlotRelease& aValue)
+{
+  aArchive(aValue.mRequest, aValue.mEnding);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SlotsHeld& aValue)
+{
+  aArchive(aValue.mRequests);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ReplicaHello& aValue)
+{
+  aArchive(aValue.mReplica,
+           aValue.mInstance,
+           aValue.mZone,
+           aValue.mInGroup,
+           aValue.mFirstStart);
+}
+
+template<class Archive>
+void
+serialize(Archive&, ControlQuery&)
+{
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ControlMap& aValue)
+{
+  aArchive(aValue.mReplicas, aValue.mEntries);
+}
+
+template<class Archive>
+void
+serialize(Archive&, FoundGroup&)
+{
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, JoinGroup& aValue)
+{
+  aArchive(aValue.mReplica, aValue.mInstance, aValue.mZone);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, TargetsHeard& aValue)
+{
+  aArchive(aValue.mTargets);
+}
+
 } // namespace caraway
