--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -30,9 +30,10 @@
 
 void
 HandleMessage(ControlStep& aStep,
-              const PeerAddress&,
+              const PeerAddress& aFrom,
               const RaftMessage& aMessage)
 {
+  aStep.mControl.mDiscovery.mSenders[aMessage.mFrom] = aFrom;
   RaftReceive(aStep.mControl.mRaft, aStep.mNow, aMessage, aStep.mRaft);
 }
 
--- a/caraway/control/discovery.h
+++ b/caraway/control/discovery.h
@@ -24,6 +24,9 @@
   std::vector<PeerAddress> mEntries;  // beyond the seeds
   MonoTime mNextHello{ 0 };           // to the seeds, and a JoinGroup
   MonoTime mNextRound{ 0 };           // to all entries
+  // Where agreement messages came from, for answers of a replica that does not
+  // know its group yet.
+  std::map<ReplicaId, PeerAddress> mSenders;
   // On the leader: replicas by their own word, in and outside the group.
   std::map<ReplicaId, KnownReplica> mKnown;
 };
--- a/caraway/control/raft_glue.cpp
+++ b/caraway/control/raft_glue.cpp
@@ -31,6 +31,22 @@
     SaveSnapshot{ aMark, EncodeControlState(control.mState) });
 }
 
+// A replica that is not in its own copy of the set yet answers to where the
+// message came from.
+void
+SendRaft(ControlStep& aStep, RaftSend& aSend)
+{
+  const auto& senders = aStep.mControl.mDiscovery.mSenders;
+  auto sender = senders.find(aSend.mMessage.mTo);
+  PeerAddress to(aSend.mAddress);
+  if (to.Empty() && sender != senders.end()) {
+    to = sender->second;
+  }
+  if (!to.Empty()) {
+    Send(aStep, to, std::move(aSend.mMessage));
+  }
+}
+
 void
 RunRaftAction(ControlStep& aStep, RaftAction& aAction)
 {
@@ -38,7 +54,7 @@
     [&](auto& aOne) {
       using T = std::decay_t<decltype(aOne)>;
       if constexpr (std::is_same_v<T, RaftSend>) {
-        Send(aStep, PeerAddress(aOne.mAddress), std::move(aOne.mMessage));
+        SendRaft(aStep, aOne);
       } else if constexpr (std::is_same_v<T, RaftApply>) {
         ApplyEntries(aStep, aOne.mEntries);
       } else if constexpr (std::is_same_v<T, RaftTakeSnapshot>) {
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -134,6 +134,10 @@
 EntryHost::TakeDecoded(DecodedRequest aDecoded)
 {
   if (auto* answer = std::get_if<HttpResponse>(&aDecoded)) {
+    WriteLog(LogLevel::eWarning,
+             "refuse",
+             { { "choice", std::to_string(answer->mStatus) },
+               { "reason", answer->mBody } });
     ServerOf(answer->mCall).Respond(*answer);
   } else {
     mPump.Post(std::move(std::get<EntryEvent>(aDecoded)));
