Bound starts at targets, guard new engines, and follow the leader's revision

Cause: new engines were called by every entry before the node beside them had registered (FAILBACK), and an entry that polled a replica cut off from the leader obeyed an older configuration (CONFIG). Ruled out: batch restarts as the only cause of the burst (the bound holds for both kinds now).

--- a/caraway/config/target.h
+++ b/caraway/config/target.h
@@ -20,6 +20,7 @@
   bool mDraining = false; // leaving: no new work
   int64_t mStartedAt = 0; // Unix milliseconds of its start, by its own clock
   Duration mColdFor;      // cold for this long after it was reported
+  double mColdRate = 0;   // requests/s that it bears while cold, 0: any
 
   bool operator==(const Target&) const = default;
 };
--- a/caraway/entry/config_fetch.cpp
+++ b/caraway/entry/config_fetch.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration kSilence = Seconds(2);
+constexpr Duration kSilence = Millis(1400); // polls are answered within 1 s
 // A replica holds a poll for 1 s when it has nothing new. One that answers
 // sooner without news is not asked again before that.
 constexpr Duration kPollInterval = Seconds(1);
@@ -85,6 +85,21 @@
   return fetcher.mReplyBy != kNever ? fetcher.mReplyBy : fetcher.mNextFetch;
 }
 
+void
+FetchNewer(EntryStep& aStep, const PeerAddress& aLeader, Revision aNewest)
+{
+  Entry& entry = aStep.mEntry;
+  const std::vector<PeerAddress>& replicas = entry.mSettings.mControl;
+  auto leader = std::find(replicas.begin(), replicas.end(), aLeader);
+  if (aNewest <= entry.mConfig.mRevision || leader == replicas.end() ||
+      FetchPeer(entry) == aLeader) {
+    return;
+  }
+  entry.mFetcher.mReplica = static_cast<size_t>(leader - replicas.begin());
+  entry.mFetcher.mReplyBy = kNever;
+  entry.mFetcher.mNextFetch = aStep.mNow;
+}
+
 void
 FetchSoon(EntryStep& aStep)
 {
--- a/caraway/entry/config_fetch.h
+++ b/caraway/entry/config_fetch.h
@@ -12,6 +12,11 @@
 FetchWakeup(const Entry& aEntry);
 
 // Polls again now, unless a poll is out.
+// The leader holds this revision. If the replica that is polled does not follow
+// it, the leader is polled instead.
+void
+FetchNewer(EntryStep& aStep, const PeerAddress& aLeader, Revision aNewest);
+
 void
 FetchSoon(EntryStep& aStep);
 
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -217,7 +217,11 @@
     direct.mEvents.mLast ? direct.mEvents.mLast : direct.mResumeAfter;
   direct.mEvents.mPending.clear();
   aRequest.mAnswer = {};
-  ++LoadOfTarget(aStep, aTarget).mOwn;
+  PlacementLoad& load = LoadOfTarget(aStep, aTarget);
+  ++load.mOwn;
+  if (aSlotNode.Empty()) {
+    load.mStarts.push_back(aStep.mNow);
+  }
   ++entry.mMetrics.mDispatches;
   entry.mMetrics.mRetries += direct.mAttempts.empty() ? 0 : 1;
   entry.mByTargetCall[attempt.mCall] = aRequest.mSerial;
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kNodeSilence = Millis(150);
 // When no target can be used, the next heartbeats may change that.
 constexpr Duration kNoTargetRetry = Seconds(1);
+// A process beside a new target has registered by then, if there is one.
+constexpr Duration kNodeGrace = Seconds(4);
 constexpr Duration kWatchEvery = Seconds(4);
 constexpr Duration kHeldEvery = Seconds(1);
 // A caller is not told to come back later than a third of the time it has
@@ -31,12 +33,51 @@
 constexpr int64_t kRetryShare = 3;
 constexpr Duration kShortestRetry = Millis(100);
 
+uint32_t
+EntriesKnown(const Entry& aEntry)
+{
+  uint32_t entries = 0;
+  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
+    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
+  }
+  return std::max<uint32_t>(1, entries);
+}
+
+// Whether this entry may call a target that no node guards. Each entry uses its
+// share of what the target bears. An engine that is new gets a node soon.
+bool
+MayCallUnguarded(EntryStep& aStep, const Target& aTarget)
+{
+  const auto& plan = aStep.mEntry.mConfig.mPlan;
+  const PlanService* service =
+    plan ? PlanServiceById(*plan, aTarget.mService) : nullptr;
+  PlacementLoad& load = LoadOfTarget(aStep, aTarget);
+  if (service == nullptr ||
+      (service->mEngine && aStep.mNow - load.mSeenAt < kNodeGrace)) {
+    return false;
+  }
+  const double entries = EntriesKnown(aStep.mEntry);
+  if (service->mEngine && load.mOwn + 1 > std::max(1.0, aTarget.mSlots / entries)) {
+    return false;
+  }
+  while (!load.mStarts.empty() &&
+         aStep.mNow - load.mStarts.front() > Seconds(1)) {
+    load.mStarts.pop_front();
+  }
+  return aTarget.mColdRate <= 0 ||
+         static_cast<double>(load.mStarts.size()) + 1 <=
+           std::max(1.0, aTarget.mColdRate / entries);
+}
+
 std::vector<PlacementCandidate>
-CandidatesOf(const Entry& aEntry, const ServiceId& aService)
+CandidatesOf(EntryStep& aStep, const ServiceId& aService)
 {
+  const Entry& entry = aStep.mEntry;
   std::vector<PlacementCandidate> candidates;
-  for (const auto& [id, target] : aEntry.mConfig.mTargets) {
-    if (target.mService == aService && TakesWork(aEntry, target)) {
+  for (const auto& [id, target] : entry.mConfig.mTargets) {
+    if (target.mService == aService && TakesWork(entry, target) &&
+        (NodeBeside(entry, target) != nullptr ||
+         MayCallUnguarded(aStep, target))) {
       candidates.push_back({ id, target.mZone, target.mSlots });
     }
   }
@@ -101,7 +142,7 @@
     query.mExclude.push_back(ask.mTarget);
   }
   const std::vector<PlacementCandidate> candidates =
-    CandidatesOf(entry, direct.mService);
+    CandidatesOf(aStep, direct.mService);
   Placement placement = ChoosePlacement(
     candidates, entry.mPlacement, query, aStep.mNow, entry.mRandom);
   placement.mLog.mExtra.push_back(
@@ -229,11 +270,12 @@
 LoadOfTarget(EntryStep& aStep, const Target& aTarget)
 {
   PlacementLoad& load = aStep.mEntry.mPlacement[aTarget.mId];
-  if (load.mStartedAt != aTarget.mStartedAt) {
+  if (load.mStartedAt != aTarget.mStartedAt || load.mSeenAt.mMicros == 0) {
     const uint32_t own = load.mOwn;
     load = {};
     load.mOwn = own;
     load.mStartedAt = aTarget.mStartedAt;
+    load.mSeenAt = aStep.mNow;
   }
   return load;
 }
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -188,6 +188,7 @@
     session.mReplyBy = kNever;
   }
   Confirm(aStep, aFrom);
+  FetchNewer(aStep, aFrom, aReply.mRevision);
   switch (aReply.mVerdict) {
     case RenewVerdict::eGranted:
       session.mLeaseEnd = std::max(
--- a/caraway/entry/target_reports.cpp
+++ b/caraway/entry/target_reports.cpp
@@ -39,7 +39,8 @@
   return (aTarget.mDraining && !held.mDraining) || turnedCold ||
          held.mAddress != aTarget.mAddress ||
          held.mService != aTarget.mService || held.mZone != aTarget.mZone ||
-         held.mSlots != aTarget.mSlots;
+         held.mSlots != aTarget.mSlots ||
+         (aTarget.mColdRate > 0 && held.mColdRate != aTarget.mColdRate);
 }
 
 void
@@ -62,7 +63,11 @@
 void
 HandleTargetHeartbeat(EntryStep& aStep, const TargetHeartbeat& aHeartbeat)
 {
-  const Target& target = aHeartbeat.mTarget;
+  Target target = aHeartbeat.mTarget;
+  const auto& plan = aStep.mEntry.mConfig.mPlan;
+  const PlanService* service =
+    plan ? PlanServiceById(*plan, target.mService) : nullptr;
+  target.mColdRate = service != nullptr ? service->mColdRate : 0;
   HeardTarget& heard = aStep.mEntry.mReports.mHeard[target.mId];
   const bool late = target.mStartedAt < heard.mStartedAt ||
                     (target.mStartedAt == heard.mStartedAt &&
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -113,6 +113,29 @@
   ++aNode.mCounters.mStarted;
 }
 
+void
+LogItem(const Node& aNode,
+        const BatchTask& aTask,
+        const char* aChoice,
+        std::string_view aReason,
+        NodeActions& aOut)
+{
+  DecisionLog log;
+  log.mEvent = "item";
+  log.mRequest = RequestId(aTask.mCustomId);
+  log.mWorkspace = aTask.mLease.mWorkspace;
+  log.mChoice = aChoice;
+  log.mReason = std::string(aReason);
+  log.mExtra = { { "job", aTask.mLease.mJob.mValue },
+                 { "lease", std::to_string(aTask.mLease.mToken.mValue) },
+                 { "status", std::to_string(aTask.mStatus) },
+                 { "events", std::to_string(aTask.mEvents.mEvents) },
+                 { "online",
+                   std::to_string(aNode.mScheduler.mRunningOnline) },
+                 { "batch", std::to_string(BatchCalls(aNode)) } };
+  aOut.emplace_back(std::move(log));
+}
+
 // Hands an item back with what came of it, so that another node goes on.
 void
 ReturnTask(Node& aNode, MonoTime aNow, WorkId aWork)
@@ -126,10 +149,17 @@
 // The target's answer to a raw item is whole. Only its own failure counts as an
 // attempt, and only 422 says that the item can never be done.
 void
-FinishRawTask(Node& aNode, MonoTime aNow, WorkId aWork)
+FinishRawTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
   constexpr int kImpossible = 422;
   BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  LogItem(aNode,
+          task,
+          "answered",
+          task.mNotRun    ? "not run"
+          : task.mForeign ? "foreign bytes"
+                          : "whole",
+          aOut);
   if (task.mNotRun || task.mForeign) {
     ReturnTask(aNode, aNow, aWork);
   } else if (task.mStatus / 100 == 2) {
@@ -258,7 +288,7 @@
            "item ended",
            aOut);
   if (task.mRaw) {
-    FinishRawTask(aNode, aNow, aWork);
+    FinishRawTask(aNode, aNow, aWork, aOut);
     return;
   }
   if (IsRetryable(task.mStatus) || cut) {
@@ -323,6 +353,7 @@
     return;
   }
   if (task.mRaw) {
+    LogItem(aNode, task, "broken", aReason, aOut);
     ReturnTask(aNode, aNow, aWork);
     return;
   }
--- a/caraway/node/node_config.cpp
+++ b/caraway/node/node_config.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration kFetchWait = Seconds(2);   // a replica answers within 1 s
+constexpr Duration kFetchWait = Millis(1400); // a replica answers within 1 s
 constexpr Duration kFetchPause = Millis(100); // after an answer without news
 
 // Entry sessions that ended, withdrawn keys, and this node's own removal.
--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -68,13 +68,13 @@
   if (news) {
     HandBackTasks(aNode, aNow, aOut);
     aNode.mScheduler.mSettings.mFixedLimit = std::max(1U, record->mSlots);
-    aNode.mColdUntil = aNow + record->mColdFor;
     OnAnnouncement(aNode, aNow, announcement, aOut);
     // Entries tell which calls of theirs run; there are no others.
     target.mOrphansGone = true;
     aNode.mScheduler.mHeld = false;
   }
   target.mHeardAt = aNow;
+  aNode.mScheduler.mPace.mPerSecond = record->mColdRate;
   if (record->mDraining && !target.mLeaving) {
     OnTargetLeave(aNode, aNow, aOut);
   }
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -1,5 +1,7 @@
 // The node's session with control: registration, renewal, redirects.
 
+#include <algorithm>
+
 #include "caraway/base/lease.h"
 #include "caraway/node/node_internal.h"
 
@@ -48,6 +50,22 @@
   ++aNode.mSession.mLeaderIndex;
 }
 
+// The leader is ahead and the replica that is polled does not follow it.
+void
+PollLeaderIfNewer(Node& aNode, MonoTime aNow, Revision aNewest)
+{
+  NodeSession& session = aNode.mSession;
+  const auto& control = aNode.mSettings.mControl;
+  auto leader = std::find(control.begin(), control.end(), session.mLeader);
+  if (aNewest <= session.mView.mRevision || leader == control.end() ||
+      control[session.mConfigIndex % control.size()] == *leader) {
+    return;
+  }
+  session.mConfigIndex = static_cast<size_t>(leader - control.begin());
+  session.mFetching = false;
+  session.mFetchTimeout = aNow;
+}
+
 // Marks the time since which an answer is awaited.
 void
 AwaitAnswer(Node& aNode, MonoTime aNow)
@@ -167,6 +185,7 @@
   }
   session.mAskedAt = MonoTime{ 0 };
   session.mHeardAt = aNow;
+  PollLeaderIfNewer(aNode, aNow, aReply.mRevision);
   switch (aReply.mVerdict) {
     case RenewVerdict::eUnknownSession:
       if (aNode.mStop == StopState::eLeaving) {
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -78,7 +78,6 @@
   MonoTime mLeaveSince{ 0 }; // first Leave
   MonoTime mLeaveAt{ 0 };    // next Leave
   MonoTime mNextTick{ 0 };   // housekeeping, once a second
-  MonoTime mColdUntil{ 0 };  // of the target, by its own word
   MonoTime mQueryAt{ 0 };    // next ControlQuery
   size_t mNextSeed = 0;
   NodeCounters mCounters;
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -4,6 +4,7 @@
 // Load is this entry's own requests there plus the others of the last report,
 // per place. Batch items at a target count little, since they give way at once.
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -26,6 +27,8 @@
   uint32_t mFailures = 0; // in a row
   double mFailShare = 0;  // of the latest requests, fading
   MonoTime mAvoidUntil{ -kNever.mMicros };
+  MonoTime mSeenAt{ 0 };         // when this entry learned of the start
+  std::deque<MonoTime> mStarts;  // calls without a slot in the last second
 };
 
 using PlacementLoads = std::map<TargetId, PlacementLoad>;
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -19,6 +19,7 @@
 #include "caraway/scheduling/fair_queue.h"
 #include "caraway/scheduling/knee.h"
 #include "caraway/scheduling/service_rate.h"
+#include "caraway/scheduling/start_pace.h"
 
 namespace caraway {
 
@@ -45,6 +46,7 @@
   BurstTracker mBursts;
   Knee mKnee;
   ServiceRate mRate;
+  StartPace mPace;
   FairQueue mOnline;                             // waiting online work
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
   std::map<WorkId, Work> mWaiting;               // online and batch
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -26,6 +26,7 @@
   } else {
     aScheduler.mBatch.erase({ work.mDeadline, work.mId });
   }
+  NoteStart(aScheduler.mPace, aNow);
   aScheduler.mRunning[work.mId] = { work, aNow, aNow };
   aSteps.push_back({ StepKind::eStart, work.mId });
 }
@@ -137,7 +138,8 @@
   const uint32_t bound = BatchBound(aScheduler, aNow);
   Awaiting awaiting = CountAwaiting(aScheduler);
   while (!aScheduler.mBatch.empty()) {
-    if (Occupied(aScheduler) >= bound) {
+    if (Occupied(aScheduler) >= bound ||
+        !MayStart(aScheduler.mPace, aNow, StartKind::eBatch)) {
       return;
     }
     // An online prompt that the engine reads now is not slowed by new ones.
@@ -163,7 +165,8 @@
          Occupied(aScheduler) > limit &&
          PreemptOne(aScheduler, aNow, aSteps)) {
   }
-  while (aScheduler.mOnline.mSize > 0) {
+  while (aScheduler.mOnline.mSize > 0 &&
+         MayStart(aScheduler.mPace, aNow, StartKind::eOnline)) {
     const bool crowded = Occupied(aScheduler) >= YieldBound(aScheduler);
     const bool freed = crowded && PreemptOne(aScheduler, aNow, aSteps);
     if (Occupied(aScheduler) >= limit && !freed) {
@@ -253,6 +256,9 @@
   if (!aScheduler.mUrgent.empty()) {
     next = aScheduler.mUrgent.begin()->first;
   }
+  if (!aScheduler.mWaiting.empty() && !aScheduler.mHeld) {
+    next = std::min(next, NextStart(aScheduler.mPace));
+  }
   if (Occupied(aScheduler) > aScheduler.mLimit.mValue) {
     return next; // silence says nothing above the limit
   }
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -214,7 +214,8 @@
            aValue.mSlots,
            aValue.mDraining,
            aValue.mStartedAt,
-           aValue.mColdFor);
+           aValue.mColdFor,
+           aValue.mColdRate);
 }
 
 template<class Archive>
