Admit by even shares while a new leader settles; leave absent entries their share

Cause: after a loss of all power entries had a lease and no tokens, since the new leader waits until tokens of earlier leaders are gone; 345 requests were answered 429. Ruled out: rates (all workspaces were below theirs).

--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -50,7 +50,8 @@
       return;
     }
     aBucket.mLevel =
-      std::min(aBucket.mLevel + aContract.mRate * passed.Seconds(),
+      std::min(aBucket.mLevel + aContract.mRate * aGrantor.mRateShare *
+                                  passed.Seconds(),
                LevelLimit(aBucket, aContract, aKnown));
     aBucket.mRefilledAt = aEnd;
   };
@@ -337,6 +338,7 @@
   reply.mGrantor = aGrantor.mIncarnation;
   reply.mLease = aGrantor.mLease;
   reply.mBriefLease = kBriefLease;
+  reply.mSettled = Known(aGrantor, aNow);
   GrantSession& session = aGrantor.mSessions[aRequest.mEpoch];
 #ifndef CARAWAY_PLANTED_FAULT_doubled_report
   if (aRequest.mSequence == session.mSequence) {
@@ -378,4 +380,15 @@
   aGrantor.mSessions.erase(aEpoch);
 }
 
+void
+GrantorSessionReplaced(Grantor& aGrantor, MonoTime aNow, Epoch aEpoch)
+{
+  aGrantor.mSessions.erase(aEpoch);
+  if (aGrantor.mUnreported.erase(aEpoch) > 0 && aGrantor.mUnreported.empty() &&
+      !Known(aGrantor, aNow)) {
+    aGrantor.mKnownSince =
+      std::min(aGrantor.mKnownSince, std::max(aNow, aGrantor.mBriefsGone));
+  }
+}
+
 } // namespace caraway
--- a/caraway/admission/grantor.h
+++ b/caraway/admission/grantor.h
@@ -46,4 +46,9 @@
 void
 GrantorSessionEnded(Grantor& aGrantor, const InstanceId& aEntry, Epoch aEpoch);
 
+// A new incarnation of the entry has registered. Its former process is gone,
+// and so are tokens of an earlier leader that it had not reported.
+void
+GrantorSessionReplaced(Grantor& aGrantor, MonoTime aNow, Epoch aEpoch);
+
 } // namespace caraway
--- a/caraway/admission/grantor_state.h
+++ b/caraway/admission/grantor_state.h
@@ -60,6 +60,9 @@
   std::map<Epoch, GrantSession> mSessions; // epochs are unique in the system
   absl::flat_hash_map<WorkspaceId, GrantBucket> mBuckets;
   MonoTime mNextSweep;
+  // Part of each rate that this grantor gives out. The rest belongs to entries
+  // out of reach, which admit their even share by themselves.
+  double mRateShare = 1;
 };
 
 } // namespace caraway
--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -329,6 +329,7 @@
     return;
   }
   aHolder.mInFlight.reset();
+  aHolder.mSettled = aReply.mSettled;
   const bool known = aReply.mGrantor == aHolder.mGrantor;
   // The caller tries all requests on hold again, so they are counted anew.
   for (const WorkspaceId& id : aHolder.mActive) {
@@ -364,6 +365,16 @@
   }
 }
 
+bool
+GrantsCome(const TokenHolder& aHolder, MonoTime aNow)
+{
+  // Several round trips and a resend.
+  constexpr Duration kUnanswered = Millis(400);
+  return aHolder.mSettled &&
+         (!aHolder.mInFlight ||
+          aNow - MonoTime{ aHolder.mInFlight->mSentAt } < kUnanswered);
+}
+
 MonoTime
 NextWakeup(const TokenHolder& aHolder)
 {
--- a/caraway/admission/token_holder.h
+++ b/caraway/admission/token_holder.h
@@ -55,6 +55,11 @@
 void
 GrantorChanged(TokenHolder& aHolder, MonoTime aNow);
 
+// False while the grantor does not answer or does not know yet what may be
+// outstanding, so that no tokens are to be expected.
+bool
+GrantsCome(const TokenHolder& aHolder, MonoTime aNow);
+
 MonoTime
 NextWakeup(const TokenHolder& aHolder);
 
--- a/caraway/admission/token_holder_state.h
+++ b/caraway/admission/token_holder_state.h
@@ -44,6 +44,7 @@
   Epoch mEpoch;
   uint64_t mGrantor = 0;
   uint64_t mSequence = 0;
+  bool mSettled = true; // the grantor knows what is outstanding
   std::optional<GrantRequest> mInFlight;
   MonoTime mResendAt;
   MonoTime mLastSent;
--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -86,12 +86,21 @@
                  ended.mInstance,
                  ended.mEpoch,
                  aLeft && !ended.mReplaced);
-    GrantorSessionEnded(leadership.mGrantor, ended.mInstance, ended.mEpoch);
+    if (ended.mReplaced) {
+      GrantorSessionReplaced(leadership.mGrantor, aStep.mNow, ended.mEpoch);
+    } else {
+      GrantorSessionEnded(leadership.mGrantor, ended.mInstance, ended.mEpoch);
+      if (!aLeft && ended.mEntry) {
+        leadership.mAbsent[ended.mInstance] = aStep.mNow;
+      }
+    }
     aStep.mControl.mCounters.mRemoved += ended.mReplaced || aLeft ? 0 : 1;
   }
   const auto* registered = std::get_if<RegisterResult>(&aOutcome.mReply);
   if (registered != nullptr &&
       registered->mEpoch == Epoch(aBefore.mIndex.mValue)) {
+    leadership.mAbsent.erase(
+      std::get<RegisterMember>(aCommand.mBody).mMember.mInstance);
     SessionStarted(leadership.mSessions,
                    aStep.mNow,
                    std::get<RegisterMember>(aCommand.mBody).mMember.mInstance,
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -17,15 +17,18 @@
   const ControlCommand& mCommand;
   CommandOutcome& mOutcome;
 
-  void End(const InstanceId& aInstance, Epoch aEpoch, bool aReplaced)
+  void End(const Member& aMember, bool aReplaced)
   {
     ApplySessionEnd(mState.mLedger,
                     mIndex,
                     mState.mLogical,
-                    aInstance,
-                    aEpoch,
+                    aMember.mInstance,
+                    aMember.mEpoch,
                     mOutcome.mEffects);
-    mOutcome.mEnded.push_back({ aInstance, aEpoch, aReplaced });
+    mOutcome.mEnded.push_back({ aMember.mInstance,
+                                aMember.mEpoch,
+                                aReplaced,
+                                aMember.mRole == MemberRole::eEntry });
   }
 
   bool Current(const InstanceId& aInstance, Epoch aEpoch) const
@@ -85,7 +88,7 @@
         return;
       }
       mState.mReplaced[instance] = present->second.mIncarnation;
-      End(instance, present->second.mEpoch, true);
+      End(present->second, true);
     }
     Member member = aRegister.mMember;
     member.mEpoch = Epoch(mIndex.mValue);
@@ -113,9 +116,10 @@
     if (!Current(aEnd.mInstance, aEnd.mEpoch)) {
       return;
     }
+    const Member member = mState.mConfig.mView.mMembers.at(aEnd.mInstance);
     AppendChange(mState.mConfig, RemoveMember{ aEnd.mInstance, aEnd.mEpoch });
     mState.mReplaced.erase(aEnd.mInstance);
-    End(aEnd.mInstance, aEnd.mEpoch, false);
+    End(member, false);
   }
 
   void ApplyPlan(const ReplacePlan& aReplace)
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -103,6 +103,7 @@
   InstanceId mInstance;
   Epoch mEpoch;
   bool mReplaced = false; // by a newer incarnation
+  bool mEntry = false;    // the member was an entry
 };
 
 struct CommandOutcome
--- a/caraway/control/control_settings.h
+++ b/caraway/control/control_settings.h
@@ -34,6 +34,9 @@
   std::vector<PeerAddress> mSeeds; // entries
   bool mFirstStart = false;        // of the whole system, with an empty disk
   size_t mWantedVoters = 3;
+  // Entries go on admitting their even share of each rate when they are cut
+  // off, so the grantor leaves that share to them.
+  bool mEntriesServeAlone = false;
   // A target whose heartbeats stay away for so long is removed.
   Duration mTargetSilence = Seconds(5);
 };
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -102,6 +102,9 @@
   // Targets by the last heartbeat that an entry told of, and removals that are
   // proposed.
   std::map<TargetId, MonoTime> mTargetHeard;
+  // Members that were removed without a word, and when. They may be cut off and
+  // still at work.
+  std::map<InstanceId, MonoTime> mAbsent;
   std::set<PeerAddress> mIdleNodes; // asked for items when there were none
 };
 
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -75,6 +75,38 @@
   }
 }
 
+// Entries that are cut off admit their share of each rate by themselves, so the
+// grantor gives out the rest only.
+void
+ShareRates(ControlStep& aStep)
+{
+  // An instance that has been away for so long is taken to be gone.
+  constexpr Duration kForgetAbsent = Seconds(60);
+  Leadership& leadership = aStep.mControl.mLeadership;
+  if (!aStep.mControl.mSettings.mEntriesServeAlone) {
+    return;
+  }
+  std::erase_if(leadership.mAbsent, [&](const auto& aAbsent) {
+    return aStep.mNow - aAbsent.second >= kForgetAbsent;
+  });
+  size_t present = 0;
+  size_t away = leadership.mAbsent.size();
+  for (const auto& [id, member] :
+       aStep.mControl.mState.mConfig.mView.mMembers) {
+    if (member.mRole != MemberRole::eEntry) {
+      continue;
+    }
+    auto session = leadership.mSessions.mSessions.find(id);
+    const bool holds = session != leadership.mSessions.mSessions.end() &&
+                       session->second.mLeaseEnd > aStep.mNow;
+    ++(holds ? present : away);
+  }
+  leadership.mGrantor.mRateShare =
+    present + away == 0
+      ? 1.0
+      : static_cast<double>(present) / static_cast<double>(present + away);
+}
+
 void
 ProposeTick(ControlStep& aStep)
 {
@@ -122,6 +154,7 @@
   leadership.mNextScan = aStep.mNow + kScanEvery;
   if (MayServe(aStep)) {
     RemoveLostMembers(aStep);
+    ShareRates(aStep);
     RemoveSilentTargets(aStep);
     CareForReplicas(aStep);
     ProposeTick(aStep);
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -109,6 +109,12 @@
   }
   const Admission admission =
     TryAdmit(entry.mTokens, aStep.mNow, contract->second, aAsked);
+  if (admission.mVerdict != AdmitVerdict::eAdmitted &&
+      entry.mSettings.mServeWithoutLease &&
+      !GrantsCome(entry.mTokens, aStep.mNow)) {
+    AdmitByShare(aStep, aRequest, contract->second);
+    return true;
+  }
   switch (admission.mVerdict) {
     case AdmitVerdict::eAdmitted:
       ++entry.mMetrics.mAdmitted;
@@ -166,6 +172,14 @@
   std::deque<uint64_t>& parked = aStep.mEntry.mParked;
   parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
                parked.end());
+  const Entry& entry = aStep.mEntry;
+  auto contract = entry.mConfig.mContracts.find(aRequest.mWorkspace);
+  if (entry.mSettings.mServeWithoutLease &&
+      contract != entry.mConfig.mContracts.end() &&
+      !GrantsCome(entry.mTokens, aStep.mNow + kAskWait)) {
+    AdmitByShare(aStep, aRequest, contract->second);
+    return;
+  }
   RefuseRate(aStep, aRequest, Seconds(1));
 }
 
--- a/caraway/wire/grant_messages.h
+++ b/caraway/wire/grant_messages.h
@@ -44,6 +44,9 @@
   uint64_t mGrantor = 0;  // identifies the leadership that granted
   Duration mLease;        // unspent tokens are dropped when it ends
   Duration mBriefLease;   // likewise; these tokens are never reported
+  // False while tokens of an earlier leader may be about: this one grants
+  // (nearly) nothing until then.
+  bool mSettled = true;
   std::vector<GrantGiven> mGrants;
 };
 
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -206,6 +206,7 @@
            aValue.mGrantor,
            aValue.mLease,
            aValue.mBriefLease,
+           aValue.mSettled,
            aValue.mGrants);
 }
 
