Give batch capacity to items that can still be in time

Cause: under load every item was started in order of submission, so most finished just after they were due, and online bursts stopped the items with the least progress, which had the most work left. Ruled out: leasing delay (an idle node hears of work at once). Change: the ledger leases items that can still be done by their goal first, the longest of them before others; an online burst stops the item that can wait best.

--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -207,6 +207,7 @@
   create.mModel = ModelId(ChooseService(*route, 0).mValue);
   create.mRoute = route->mId;
   create.mItems = std::move(aSubmission.mItems);
+  create.mGoal = route->mCompletionGoal;
   create.mMaxWaitingTokens = route->mMaxWaitingTokens;
   create.mMaxAttempts =
     static_cast<uint8_t>(std::clamp<uint32_t>(route->mMaxAttempts, 1, 255));
--- a/caraway/ledger/jobs.cpp
+++ b/caraway/ledger/jobs.cpp
@@ -156,8 +156,16 @@
   job.mRoute = aCreate.mRoute;
   job.mItems = aCreate.mItems;
   job.mMaxAttempts = aCreate.mMaxAttempts;
+  job.mGoal =
+    aCreate.mGoal > Duration{} ? aTime.mNow + aCreate.mGoal : MonoTime{};
   JobWork& work = space.mWork[aCreate.mJob];
   work.mDone.resize((job.mTotal + 63) / 64);
+  if (HasItemIds(job)) {
+    // Leased by choice and not in the order of the lines, so all count as
+    // returned.
+    work.mReturned = { ItemRange{ 0, job.mTotal } };
+    work.mCursor = job.mTotal;
+  }
   work.mItemLimit = std::max<uint64_t>(
     1, kMaxLineBytes / std::max<uint64_t>(1, input.mLongestLine));
   work.mSlackKey = SlackKey(space, job);
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -1,6 +1,7 @@
 // Leasing of items to nodes.
 
 #include <algorithm>
+#include <tuple>
 
 #include "caraway/ledger/internal.h"
 
@@ -22,18 +23,57 @@
   JobId mJob;
 };
 
-// The job of this workspace with the least slack that is not past its deadline.
+// Run time of an item that is left, by its stated tokens.
+Duration
+TimeLeft(const Job& aJob, uint32_t aItem, Duration aPerToken)
+{
+  return aPerToken * aJob.mItems[aItem].mTokens;
+}
+
+bool
+IsOnTime(const Job& aJob, uint32_t aItem, Duration aPerToken, MonoTime aNow)
+{
+  return aNow + TimeLeft(aJob, aItem, aPerToken) <= aJob.mGoal;
+}
+
+// True if some item that waits can still be done by the job's goal. Jobs
+// without a goal have no late items.
+bool
+HasItemOnTime(const LedgerWorkspace& aSpace,
+              const JobId& aId,
+              Duration aPerToken,
+              MonoTime aNow)
+{
+  const Job& job = aSpace.mJobs.at(aId);
+  if (job.mGoal == MonoTime{} || !HasItemIds(job)) {
+    return true;
+  }
+  for (const ItemRange& range : aSpace.mWork.at(aId).mReturned) {
+    for (uint32_t item = range.mBegin; item < range.mEnd; ++item) {
+      if (IsOnTime(job, item, aPerToken, aNow)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// The first of the jobs of this workspace that has an item on time, or that
+// merely has items.
 const JobId*
 FirstJob(const Ledger& aLedger,
          const LedgerWorkspace& aSpace,
-         const ModelId& aModel)
+         const ModelId& aModel,
+         Duration aPerToken,
+         bool aOnTime)
 {
   auto ready = aSpace.mReady.find(aModel);
   if (ready == aSpace.mReady.end()) {
     return nullptr;
   }
   for (const auto& [key, id] : ready->second) {
-    if (aSpace.mJobs.at(id).mDeadline > aLedger.mNow) {
+    if (aSpace.mJobs.at(id).mDeadline > aLedger.mNow &&
+        (!aOnTime || HasItemOnTime(aSpace, id, aPerToken, aLedger.mNow))) {
       return &id;
     }
   }
@@ -41,7 +81,10 @@
 }
 
 std::optional<Candidate>
-ChooseJob(const Ledger& aLedger, const std::vector<ModelId>& aModels)
+ChooseJob(const Ledger& aLedger,
+          const std::vector<ModelId>& aModels,
+          Duration aPerToken,
+          bool aOnTime)
 {
   std::optional<Candidate> best;
   for (const ModelId& model : aModels) {
@@ -55,7 +98,8 @@
         break;
       }
       const LedgerWorkspace& space = aLedger.mWorkspaces.at(workspace);
-      if (const JobId* job = FirstJob(aLedger, space, model)) {
+      if (const JobId* job = 
+            FirstJob(aLedger, space, model, aPerToken, aOnTime)) {
         best = Candidate{ tag, workspace, *job };
         break;
       }
@@ -64,6 +108,34 @@
   return best;
 }
 
+// The longest items that can still be done in time, which have the least slack;
+// then the shortest others.
+ItemRanges
+ChooseItems(const Job& aJob,
+            JobWork& aWork,
+            uint64_t aWanted,
+            Duration aPerToken,
+            MonoTime aNow)
+{
+  std::vector<uint32_t> items = ListItems(aWork.mReturned);
+  const auto rank = [&](uint32_t aItem) {
+    const int64_t tokens = aJob.mItems[aItem].mTokens;
+    const bool onTime = aJob.mGoal == MonoTime{} ||
+                        IsOnTime(aJob, aItem, aPerToken, aNow);
+    return std::tuple(!onTime, onTime ? -tokens : tokens, aItem);
+  };
+  std::sort(items.begin(), items.end(), [&](uint32_t aLeft, uint32_t aRight) {
+    return rank(aLeft) < rank(aRight);
+  });
+  items.resize(std::min<uint64_t>(items.size(), aWanted));
+  ItemRanges taken;
+  for (uint32_t item : items) {
+    RemoveItem(aWork.mReturned, item);
+    AddItem(taken, item);
+  }
+  return taken;
+}
+
 // Returned items first, then items never leased.
 ItemRanges
 TakeItems(const Job& aJob, JobWork& aWork, uint64_t aWanted)
@@ -118,12 +190,15 @@
   aBatch.mEndpoint = job.mEndpoint;
   aBatch.mDeadline = std::max(Duration{}, job.mDeadline - aLedger.mNow);
   aBatch.mWindow = job.mWindow;
+  aBatch.mGoal =
+    job.mGoal == MonoTime{} ? Duration{} : job.mGoal - aLedger.mNow;
   aBatch.mRetryAfter = {};
   for (uint32_t item : ListItems(lease->second.mItems)) {
     auto progress = work->second.mProgress.find(item);
     aBatch.mItems.push_back(
       BatchItem{ item,
                  {},
+                 HasItemIds(job) ? job.mItems[item].mTokens : 0,
                  progress == work->second.mProgress.end()
                    ? ItemProgress()
                    : progress->second });
@@ -141,7 +216,10 @@
   JobWork& work = space.mWork[aChosen.mJob];
   const uint64_t wanted =
     std::min<uint64_t>({ aRequest.mWanted, kMaxLeaseItems, work.mItemLimit });
-  ItemRanges items = TakeItems(job, work, wanted);
+  ItemRanges items =
+    HasItemIds(job)
+      ? ChooseItems(job, work, wanted, aRequest.mPerToken, aLedger.mNow)
+      : TakeItems(job, work, wanted);
   const uint64_t weight =
     uint64_t{ job.mWeight } * (work.mAtRisk ? kAtRiskShare : 1);
   ChargeWorkspace(aLedger, aChosen.mWorkspace, CountItems(items), weight);
@@ -191,7 +269,13 @@
   }
   session.mSequence = aRequest.mSequence;
   session.mAnswer = {};
-  auto chosen = ChooseJob(aLedger, aRequest.mModels);
+  // Capacity goes to items that can still be done in time; late ones get what
+  // is left over.
+  auto chosen =
+    ChooseJob(aLedger, aRequest.mModels, aRequest.mPerToken, true);
+  if (!chosen) {
+    chosen = ChooseJob(aLedger, aRequest.mModels, aRequest.mPerToken, false);
+  }
   if (chosen && aRequest.mWanted > 0) {
     session.mAnswer = GiveLease(aLedger, aIndex, aRequest, *chosen);
     session.mLeases.insert(session.mAnswer);
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -91,6 +91,7 @@
   std::vector<JobItem> mItems;  // by line of the input
   std::vector<uint32_t> mOrder; // items in the order of their results
   uint8_t mMaxAttempts = 0;     // failures at targets, 0: kMaxAttempts
+  MonoTime mGoal;               // results are due then; 0: no goal
 };
 
 // Items with ids have results in the order of completion, and only failures at
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -256,7 +256,8 @@
            aValue.mRoute,
            aValue.mItems,
            aValue.mOrder,
-           aValue.mMaxAttempts);
+           aValue.mMaxAttempts,
+           aValue.mGoal);
 }
 
 template<class Archive>
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -62,6 +62,8 @@
   lease.mSequence = aNode.mBatch.mLeaseSequence;
   lease.mModels = aNode.mTarget.mAnnounced.mInfo.mModels;
   lease.mWanted = aNode.mBatch.mLeaseWanted;
+  lease.mPerToken =
+    Micros(static_cast<int64_t>(aNode.mBatch.mTokenSeconds * 1e6));
   aNode.mBatch.mLeaseSendAt = aNow + kResend;
   SendToLeader(aNode, std::move(lease), aOut);
 }
@@ -99,6 +101,7 @@
      aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine);
   task.mRaw = line->mRaw;
   task.mHeaders = line->mHeaders;
+  task.mStatedTokens = aItem.mTokens;
   if (task.mRaw && aItem.mProgress.mLastEvent > 0) {
     task.mEvents.mLast = aItem.mProgress.mLastEvent;
     task.mText = aItem.mProgress.mText;
@@ -112,6 +115,12 @@
   work.mStreamed = task.mStreamed;
   work.mDeadline = aLease.mDeadline;
   work.mWindow = aLease.mWindow;
+  if (task.mRaw && aLease.mGoal != MonoTime{}) {
+    // The order among waiting items follows the time at which they are due.
+    work.mDeadline = work.mGoal = aLease.mGoal;
+    work.mRunTime = Micros(static_cast<int64_t>(
+      aNode.mBatch.mTokenSeconds * aItem.mTokens * 1e6));
+  }
   AddBatch(aNode.mScheduler, work);
   aNode.mBatch.mTasks.emplace(task.mWork, std::move(task));
 }
@@ -236,6 +245,9 @@
   lease.mEndpoint = aBatch.mEndpoint;
   lease.mDeadline = aNow + aBatch.mDeadline;
   lease.mWindow = aBatch.mWindow;
+  if (aBatch.mGoal != Duration{}) {
+    lease.mGoal = aNow + aBatch.mGoal;
+  }
   lease.mNodeEpoch = aBatch.mNodeEpoch;
   for (const BatchItem& item : aBatch.mItems) {
     AddTask(aNode, aNow, lease, item);
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -74,6 +74,15 @@
   }
   const double seconds =
     std::max(1e-3, (aNow - running->second.mStarted).Seconds());
+  const BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  if (task.mStatedTokens > 0) {
+    const Work& work = running->second.mWork;
+    const double whole = seconds + work.mRan.Seconds();
+    double& perToken = aNode.mBatch.mTokenSeconds;
+    const double sample = whole / task.mStatedTokens;
+    perToken =
+      perToken == 0 ? sample : perToken + kSmoothing * (sample - perToken);
+  }
   double& usual = aNode.mBatch.mItemSeconds;
   usual = usual == 0 ? seconds : usual + kSmoothing * (seconds - usual);
 }
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -25,6 +25,7 @@
   std::string mEndpoint;
   MonoTime mDeadline;
   Duration mWindow;
+  MonoTime mGoal{ 0 }; // results are due then, 0: no goal
   Epoch mNodeEpoch; // session that leased it
 };
 
@@ -57,6 +58,7 @@
   // Items with headers and a body of their own: the answer is the data of the
   // events, collected in mText.
   bool mRaw = false;
+  uint32_t mStatedTokens = 0;
   Headers mHeaders;
   EventStream mEvents;      // over all resumes
   bool mNotRun = false;     // the target refused the present call
@@ -92,6 +94,7 @@
   MonoTime mPollAt{ 0 };      // next look whether items are wanted
   MonoTime mNoRoomSince{ 0 }; // waiting items found no room since, 0 = have
   double mItemSeconds = 0;    // usual time of an item, 0 = unknown
+  double mTokenSeconds = 0;   // of an item, by stated token; 0 = unknown
 };
 
 } // namespace caraway
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -64,7 +64,28 @@
   return kept;
 }
 
-// Stops the batch call with the least progress; false if there is none.
+// How well a resumable batch call can wait: a late one best, then the one with
+// the most time to spare.
+int64_t
+SpareTime(const RunningWork& aRunning, MonoTime aNow)
+{
+  const Work& work = aRunning.mWork;
+  const Duration left = std::max(
+    Duration{}, work.mRunTime - work.mRan - (aNow - aRunning.mStarted));
+  const Duration spare = work.mGoal - (aNow + left);
+  return spare < Duration{} ? kNever.mMicros - spare.mMicros : spare.mMicros;
+}
+
+bool
+YieldsBefore(const RunningWork& aLeft, const RunningWork& aRight, MonoTime aNow)
+{
+  if (aLeft.mWork.mGoal != MonoTime{} && aRight.mWork.mGoal != MonoTime{}) {
+    return SpareTime(aLeft, aNow) > SpareTime(aRight, aNow);
+  }
+  return LessProgress(aLeft, aRight);
+}
+
+// Stops the batch call that can wait best; false if there is none.
 bool
 PreemptOne(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
@@ -73,14 +94,16 @@
   for (const auto& [id, running] : aScheduler.mRunning) {
     const bool candidate =
       running.mWork.mKind == WorkKind::eBatch && !kept.contains(id);
-    if (candidate && (least == nullptr || LessProgress(running, *least))) {
+    if (candidate &&
+        (least == nullptr || YieldsBefore(running, *least, aNow))) {
       least = &running;
     }
   }
   if (least == nullptr) {
     return false;
   }
-  const Work work = least->mWork;
+  Work work = least->mWork;
+  work.mRan = work.mRan + (aNow - least->mStarted);
   aScheduler.mRunning.erase(work.mId);
   AddBatch(aScheduler, work);
   aSteps.push_back({ StepKind::ePreempt, work.mId });
--- a/caraway/scheduling/work.h
+++ b/caraway/scheduling/work.h
@@ -27,6 +27,10 @@
   bool mStreamed = false;  // tokens are seen as they come
   MonoTime mDeadline{ 0 }; // online: latest start; batch: end of the job
   Duration mWindow;        // batch: the job's whole window
+  // Batch items that go on from where they were stopped.
+  MonoTime mGoal{ 0 }; // the result is due then, 0: no goal
+  Duration mRunTime;   // expected in all, 0: not known
+  Duration mRan;       // of that, before the present run
 };
 
 struct RunningWork
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -19,6 +19,9 @@
   uint64_t mSequence = 0; // a resend keeps its number and gets the same items
   std::vector<ModelId> mModels;
   uint32_t mWanted = 0; // items, at most 64
+  // Usual run time of an item at this node's target, by its stated tokens;
+  // 0: not measured yet.
+  Duration mPerToken;
 };
 
 // How far an item has come; another node goes on from there.
@@ -32,6 +35,7 @@
 {
   uint32_t mIndex = 0; // line of the input file, from 0
   std::string mBody;   // the input line (JSON)
+  uint32_t mTokens = 0; // as the job states them, 0: not stated
   ItemProgress mProgress;
 };
 
@@ -48,6 +52,7 @@
   std::string mEndpoint; // "/v1/chat/completions"
   Duration mDeadline;    // time left for the job
   Duration mWindow;      // the job's whole window
+  Duration mGoal;        // time left until results are due; 0 or less: late
   std::vector<BatchItem> mItems;
   Duration mRetryAfter; // when to ask again if there was no work
 };
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -114,6 +114,7 @@
   // Jobs of a plan's route. The items are in the order of the input's lines.
   RouteId mRoute;
   std::vector<JobItem> mItems;
+  Duration mGoal; // results are due this long after the submission, 0: none
   uint64_t mMaxWaitingTokens = 0; // of the workspace on the route, 0: no limit
   uint8_t mMaxAttempts = 0;       // failures at targets, 0: the default
 };
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -123,7 +123,8 @@
            aValue.mNodeEpoch,
            aValue.mSequence,
            aValue.mModels,
-           aValue.mWanted);
+           aValue.mWanted,
+           aValue.mPerToken);
 }
 
 template<class Archive>
@@ -144,6 +145,7 @@
 serialize(Archive& aArchive, BatchItem& aValue)
 {
   aArchive(aValue.mIndex, aValue.mBody,
+           aValue.mTokens,
            aValue.mProgress);
 }
 
@@ -162,6 +164,7 @@
            aValue.mEndpoint,
            aValue.mDeadline,
            aValue.mWindow,
+           aValue.mGoal,
            aValue.mItems,
            aValue.mRetryAfter);
 }
@@ -298,6 +301,7 @@
            aValue.mMetadata,
            aValue.mRoute,
            aValue.mItems,
+           aValue.mGoal,
            aValue.mMaxWaitingTokens,
            aValue.mMaxAttempts);
 }
