--- a/caraway/admission/fallback_share.cpp
+++ b/caraway/admission/fallback_share.cpp
@@ -27,8 +27,8 @@
   if (fresh) {
     bucket.mFilledAt = aNow;
   }
-  bucket.mTokens = std::min(
-    most, bucket.mTokens + rate * (aNow - bucket.mFilledAt).Seconds());
+  bucket.mTokens =
+    std::min(most, bucket.mTokens + rate * (aNow - bucket.mFilledAt).Seconds());
   bucket.mFilledAt = aNow;
   if (bucket.mTokens < 1) {
     return false;
--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -49,10 +49,9 @@
     if (passed <= Duration{}) {
       return;
     }
-    aBucket.mLevel =
-      std::min(aBucket.mLevel + aContract.mRate * aGrantor.mRateShare *
-                                  passed.Seconds(),
-               LevelLimit(aBucket, aContract, aKnown));
+    aBucket.mLevel = std::min(
+      aBucket.mLevel + aContract.mRate * aGrantor.mRateShare * passed.Seconds(),
+      LevelLimit(aBucket, aContract, aKnown));
     aBucket.mRefilledAt = aEnd;
   };
   span(std::min(aUntil, aGrantor.mKnownSince), false);
--- a/caraway/base/event_stream.h
+++ b/caraway/base/event_stream.h
@@ -11,9 +11,9 @@
 
 struct EventStream
 {
-  std::string mPending;           // bytes of an event that is not whole yet
-  std::optional<uint64_t> mLast;  // id of the last whole event that had one
-  uint64_t mEvents = 0;           // whole events so far
+  std::string mPending;          // bytes of an event that is not whole yet
+  std::optional<uint64_t> mLast; // id of the last whole event that had one
+  uint64_t mEvents = 0;          // whole events so far
 };
 
 // Adds bytes; returns the bytes of the events that are whole now.
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -172,12 +172,11 @@
   bool IsReplaced(const Target& aTarget) const
   {
     const auto& targets = mState.mConfig.mView.mTargets;
-    return std::any_of(
-      targets.begin(), targets.end(), [&](const auto& aEntry) {
-        return aEntry.second.mAddress == aTarget.mAddress &&
-               aEntry.first != aTarget.mId &&
-               aEntry.second.mStartedAt > aTarget.mStartedAt;
-      });
+    return std::any_of(targets.begin(), targets.end(), [&](const auto& aEntry) {
+      return aEntry.second.mAddress == aTarget.mAddress &&
+             aEntry.first != aTarget.mId &&
+             aEntry.second.mStartedAt > aTarget.mStartedAt;
+    });
   }
 
   void ApplySeen(Target aTarget)
@@ -202,7 +201,8 @@
 
   void ApplyGone(const TargetGone& aGone)
   {
-    constexpr size_t kKeptGone = 1000; // starts; late heartbeats are seconds old
+    constexpr size_t kKeptGone =
+      1000; // starts; late heartbeats are seconds old
     mState.mGoneTargets.push_back(aGone);
     while (mState.mGoneTargets.size() > kKeptGone) {
       mState.mGoneTargets.pop_front();
--- a/caraway/control/discovery.cpp
+++ b/caraway/control/discovery.cpp
@@ -134,9 +134,8 @@
       }
       break;
     case ReplicaStepKind::eRemove:
-      std::erase_if(replicas, [&](const Replica& aOne) {
-        return aOne.mId == aStep.mId;
-      });
+      std::erase_if(replicas,
+                    [&](const Replica& aOne) { return aOne.mId == aStep.mId; });
       break;
   }
   return changed;
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -120,8 +120,7 @@
     Reply(aStep,
           aFrom,
           aCall,
-          FileBytesReply{
-            {}, plan->mNextOffset, plan->mEnd, plan->mTotal });
+          FileBytesReply{ {}, plan->mNextOffset, plan->mEnd, plan->mTotal });
     return;
   }
   FilePiece piece;
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -80,8 +80,7 @@
              const Contract& aContract)
 {
   Entry& entry = aStep.mEntry;
-  if (!TakeShare(
-        entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry))) {
+  if (!TakeShare(entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry))) {
     RefuseRate(aStep, aRequest, Seconds(1));
     return;
   }
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -20,8 +20,8 @@
 constexpr Duration kConnectWait = Millis(250);
 constexpr Duration kShortestStall = Millis(400);
 constexpr Duration kLongestStall = Millis(1500);
-constexpr int64_t kStallGoals = 2;    // latency goals without a first byte
-constexpr int64_t kStallPauses = 4;   // pauses without an event
+constexpr int64_t kStallGoals = 2;  // latency goals without a first byte
+constexpr int64_t kStallPauses = 4; // pauses without an event
 constexpr Duration kCheckEvery = Millis(100);
 constexpr Duration kLeastTimeLeft = Millis(20); // for another attempt
 
@@ -52,8 +52,8 @@
 {
   const DirectCall& direct = aRequest.mDirect;
   const bool begun = direct.mEvents.mEvents > 0;
-  const Duration usual = begun ? direct.mGapGoal * kStallPauses
-                               : direct.mLatencyGoal * kStallGoals;
+  const Duration usual =
+    begun ? direct.mGapGoal * kStallPauses : direct.mLatencyGoal * kStallGoals;
   return std::clamp(usual, kShortestStall, kLongestStall);
 }
 
@@ -160,13 +160,13 @@
        const std::string& aMessage)
 {
   if (DirectNotRun(aRequest) && !aRequest.mBegun) {
-    RefuseDirect(aStep, aRequest, ErrorKind::eUnavailable, aMessage, Seconds(1));
+    RefuseDirect(
+      aStep, aRequest, ErrorKind::eUnavailable, aMessage, Seconds(1));
     return;
   }
   CallerError error;
   // "Unavailable" would promise that nothing ran.
-  error.mKind =
-    DirectNotRun(aRequest) ? aKind : ErrorKind::eTargetFailed;
+  error.mKind = DirectNotRun(aRequest) ? aKind : ErrorKind::eTargetFailed;
   error.mMessage = aMessage;
   FailRequest(aStep, aRequest, std::move(error));
 }
@@ -328,9 +328,8 @@
   attempt.mLastByte = aStep.mNow;
   attempt.mStatus = aEvent.mStatus;
   attempt.mHeaders = aEvent.mHeaders;
-  if (aEvent.mForeign ||
-      (aEvent.mNamesRequest && aEvent.mAnswers != request->mId &&
-       !aEvent.mNotRun)) {
+  if (aEvent.mForeign || (aEvent.mNamesRequest &&
+                          aEvent.mAnswers != request->mId && !aEvent.mNotRun)) {
     DirectFailed(aStep,
                  *request,
                  ErrorKind::eTargetFailed,
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -57,7 +57,8 @@
     return false;
   }
   const double entries = EntriesKnown(aStep.mEntry);
-  if (service->mEngine && load.mOwn + 1 > std::max(1.0, aTarget.mSlots / entries)) {
+  if (service->mEngine &&
+      load.mOwn + 1 > std::max(1.0, aTarget.mSlots / entries)) {
     return false;
   }
   while (!load.mStarts.empty() &&
@@ -88,9 +89,8 @@
 ReleaseAsk(EntryStep& aStep, CallerRequest& aRequest, const SlotAsk& aAsk)
 {
   if (aAsk.mState != AskState::eRefused) {
-    Send(aStep,
-         aAsk.mNode,
-         SlotRelease{ aRequest.mId, SlotEnding::eCancelled });
+    Send(
+      aStep, aAsk.mNode, SlotRelease{ aRequest.mId, SlotEnding::eCancelled });
   }
   auto load = aStep.mEntry.mPlacement.find(aAsk.mTarget);
   if (load != aStep.mEntry.mPlacement.end() && load->second.mOwn > 0) {
@@ -245,10 +245,9 @@
     return nullptr;
   }
   CallerRequest& request = aEntry.mRequests.at(serial->second);
-  const bool waits =
-    request.mPhase == RequestPhase::eDirect &&
-    (request.mDirect.mAttempts.empty() ||
-     request.mDirect.mAttempts.back().mEnded);
+  const bool waits = request.mPhase == RequestPhase::eDirect &&
+                     (request.mDirect.mAttempts.empty() ||
+                      request.mDirect.mAttempts.back().mEnded);
   return waits ? &request : nullptr;
 }
 
@@ -358,8 +357,8 @@
     return;
   }
   const Duration left = aRequest.mDeadline - aStep.mNow;
-  error.mRetryAfter = std::max(
-    kShortestRetry, std::min(aRetryAfter, left / kRetryShare));
+  error.mRetryAfter =
+    std::max(kShortestRetry, std::min(aRetryAfter, left / kRetryShare));
   error.mExactRetry = true;
   FailRequest(aStep, aRequest, std::move(error));
 }
@@ -375,9 +374,8 @@
   if (ask == nullptr) {
     if (aReply.mState == SlotState::eGranted) {
       // Granted after the request went elsewhere or ended.
-      Send(aStep,
-           aFrom,
-           SlotRelease{ aReply.mRequest, SlotEnding::eCancelled });
+      Send(
+        aStep, aFrom, SlotRelease{ aReply.mRequest, SlotEnding::eCancelled });
     }
     return;
   }
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -57,9 +57,9 @@
   std::optional<uint64_t> mResumeAfter; // as the caller asked
   Duration mLatencyGoal;
   Duration mGapGoal;
-  MonoTime mGoalAt;          // on time until then
-  MonoTime mRefuseAt;        // without a call by then it is refused
-  bool mReturning = false;   // the caller was told to come back before
+  MonoTime mGoalAt;        // on time until then
+  MonoTime mRefuseAt;      // without a call by then it is refused
+  bool mReturning = false; // the caller was told to come back before
   std::vector<SlotAsk> mAsks;
   std::vector<DirectAttempt> mAttempts; // the last one is live
   std::vector<TargetId> mTried;         // not to be tried again
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -67,8 +67,8 @@
   direct.mLatencyGoal = aRoute.mLatencyGoal;
   direct.mGapGoal = aRoute.mGapGoal;
   direct.mGoalAt = aStep.mNow + aRoute.mLatencyGoal;
-  direct.mReturning = aRequest.mDeadline &&
-                      *aRequest.mDeadline + kReturnMargin < aRoute.mTimeout;
+  direct.mReturning =
+    aRequest.mDeadline && *aRequest.mDeadline + kReturnMargin < aRoute.mTimeout;
   return direct;
 }
 
@@ -132,11 +132,10 @@
 {
   auto workspace = aConfig.mPlanKeys.find(DigestOfKey(aKey));
   if (aKey.empty() || workspace == aConfig.mPlanKeys.end()) {
-    return MakeError(aConfig.mPlan ? ErrorKind::eUnauthenticated
-                                   : ErrorKind::eUnavailable,
-                     aConfig.mPlan ? "the key is unknown"
-                                   : "no configuration is known yet",
-                     "send a key of the workspace");
+    return MakeError(
+      aConfig.mPlan ? ErrorKind::eUnauthenticated : ErrorKind::eUnavailable,
+      aConfig.mPlan ? "the key is unknown" : "no configuration is known yet",
+      "send a key of the workspace");
   }
   return workspace->second;
 }
@@ -154,15 +153,14 @@
     log.mRequest = id;
     log.mChoice = std::string(ErrorKindName(error->mKind));
     log.mReason = error->mMessage;
-    log.mExtra = {
-      { "host", aRequest.mHost },
-      { "path", aRequest.mPath },
-      { "revision", absl::StrCat(aStep.mEntry.mConfig.mRevision.mValue) },
-      { "plan",
-        absl::StrCat(aStep.mEntry.mConfig.mPlan
-                       ? aStep.mEntry.mConfig.mPlan->mVersion
-                       : 0) }
-    };
+    log.mExtra = { { "host", aRequest.mHost },
+                   { "path", aRequest.mPath },
+                   { "revision",
+                     absl::StrCat(aStep.mEntry.mConfig.mRevision.mValue) },
+                   { "plan",
+                     absl::StrCat(aStep.mEntry.mConfig.mPlan
+                                    ? aStep.mEntry.mConfig.mPlan->mVersion
+                                    : 0) } };
     aStep.mOut.emplace_back(std::move(log));
     RefuseNow(aStep, call, *error);
   }
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -95,13 +95,11 @@
   log.mReason =
     failed != nullptr ? failed->mMessage : aRequest.mOrder.mCreate.mJob.mValue;
   log.mExtra = {
-    { "took_ms",
-      std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) }
+    { "took_ms", std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) }
   };
   aStep.mOut.emplace_back(std::move(log));
   if (!aRequest.mCallerGone) {
-    ReplyTo(
-      aStep, aRequest.mCall, aRequest.mOrder.mKind, std::move(aBody));
+    ReplyTo(aStep, aRequest.mCall, aRequest.mOrder.mKind, std::move(aBody));
   }
   FinishRequest(aStep, aRequest);
 }
@@ -152,8 +150,8 @@
     }
     workspace = *caller;
   }
-  CallerRequest& request = NewOrder(
-    aStep, aOrder.mCall, TopicOf(aOrder.mBody), kOrderPatience);
+  CallerRequest& request =
+    NewOrder(aStep, aOrder.mCall, TopicOf(aOrder.mBody), kOrderPatience);
   request.mWorkspace = workspace;
   Start(aStep, request, aOrder.mBody);
 }
@@ -190,11 +188,10 @@
                         std::string(caller.status().message()) });
     return;
   }
-  CallerRequest& request =
-    NewOrder(aStep,
-             aSubmission.mCall,
-             OrderTopic::eSubmitJob,
-             std::min(kOrderPatience, route->mTimeout));
+  CallerRequest& request = NewOrder(aStep,
+                                    aSubmission.mCall,
+                                    OrderTopic::eSubmitJob,
+                                    std::min(kOrderPatience, route->mTimeout));
   request.mWorkspace = *caller;
   OrderWork& work = request.mOrder;
   work.mFile = FileId("file-" + aSubmission.mJob.mValue);
--- a/caraway/entry/outcome.cpp
+++ b/caraway/entry/outcome.cpp
@@ -52,8 +52,7 @@
       std::to_string(aRequest.mAttempts.size() +
                      aRequest.mDirect.mAttempts.size()) },
     { "message", aError.mMessage },
-    { "age_ms",
-      std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) },
+    { "age_ms", std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) },
     { "retry_after_ms", std::to_string(aError.mRetryAfter.Millis()) },
   };
   aStep.mOut.emplace_back(std::move(log));
@@ -68,8 +67,9 @@
     std::all_of(aRequest.mAttempts.begin(),
                 aRequest.mAttempts.end(),
                 [](const Attempt& aAttempt) { return aAttempt.mNotRun; });
-  return proven && DirectNotRun(aRequest) && !MayHaveChanged(aRequest) ? Outcome::eNotRun
-                                             : Outcome::eUnknown;
+  return proven && DirectNotRun(aRequest) && !MayHaveChanged(aRequest)
+           ? Outcome::eNotRun
+           : Outcome::eUnknown;
 }
 
 void
--- a/caraway/entry/rendezvous.cpp
+++ b/caraway/entry/rendezvous.cpp
@@ -87,10 +87,10 @@
 ChooseFounder(EntryStep& aStep)
 {
   Rendezvous& rendezvous = aStep.mEntry.mRendezvous;
-  const bool any = std::any_of(
-    rendezvous.mReplicas.begin(),
-    rendezvous.mReplicas.end(),
-    [](const auto& aEntry) { return aEntry.second.mInGroup; });
+  const bool any =
+    std::any_of(rendezvous.mReplicas.begin(),
+                rendezvous.mReplicas.end(),
+                [](const auto& aEntry) { return aEntry.second.mInGroup; });
   if (!IsFounder(aStep.mEntry) || any || rendezvous.mReplicas.empty() ||
       aStep.mNow < rendezvous.mFirstHello + kFoundAfter) {
     return;
--- a/caraway/entry/target_reports.cpp
+++ b/caraway/entry/target_reports.cpp
@@ -114,11 +114,9 @@
   if (startedAt == 0) {
     auto known = entry.mConfig.mTargets.find(aFarewell.mTarget);
     auto heard = entry.mReports.mHeard.find(aFarewell.mTarget);
-    startedAt =
-      std::max(known == entry.mConfig.mTargets.end() ? 0
-                                                     : known->second.mStartedAt,
-               heard == entry.mReports.mHeard.end() ? 0
-                                                    : heard->second.mStartedAt);
+    startedAt = std::max(
+      known == entry.mConfig.mTargets.end() ? 0 : known->second.mStartedAt,
+      heard == entry.mReports.mHeard.end() ? 0 : heard->second.mStartedAt);
   }
   entry.mGoneTargets.insert({ aFarewell.mTarget, startedAt });
   Target gone;
@@ -144,9 +142,8 @@
   reports.mToTell.erase(
     std::unique(reports.mToTell.begin(), reports.mToTell.end()),
     reports.mToTell.end());
-  Send(aStep,
-       entry.mSession.mLeader,
-       TargetsHeard{ std::move(reports.mToTell) });
+  Send(
+    aStep, entry.mSession.mLeader, TargetsHeard{ std::move(reports.mToTell) });
   reports.mToTell.clear();
 }
 
--- a/caraway/ledger/jobs.cpp
+++ b/caraway/ledger/jobs.cpp
@@ -214,8 +214,8 @@
       // The window and endpoint of a route's job follow from the plan, which
       // may change between a submission and its resend.
       const bool routed = HasItemIds(space->mJobs.at(*earlier));
-      if (!routed && space->mJobs.at(*earlier).mFingerprint !=
-                       FingerprintOf(aCreate)) {
+      if (!routed &&
+          space->mJobs.at(*earlier).mFingerprint != FingerprintOf(aCreate)) {
         return Fail(ErrorKind::eConflict,
                     absl::StrCat("job ",
                                  earlier->mValue,
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -98,7 +98,7 @@
         break;
       }
       const LedgerWorkspace& space = aLedger.mWorkspaces.at(workspace);
-      if (const JobId* job = 
+      if (const JobId* job =
             FirstJob(aLedger, space, model, aPerToken, aOnTime)) {
         best = Candidate{ tag, workspace, *job };
         break;
@@ -120,8 +120,8 @@
   std::vector<uint32_t> items = ListItems(aWork.mReturned);
   const auto rank = [&](uint32_t aItem) {
     const int64_t tokens = aJob.mItems[aItem].mTokens;
-    const bool onTime = aJob.mGoal == MonoTime{} ||
-                        IsOnTime(aJob, aItem, aPerToken, aNow);
+    const bool onTime =
+      aJob.mGoal == MonoTime{} || IsOnTime(aJob, aItem, aPerToken, aNow);
     return std::tuple(!onTime, onTime ? -tokens : tokens, aItem);
   };
   std::sort(items.begin(), items.end(), [&](uint32_t aLeft, uint32_t aRight) {
@@ -199,9 +199,8 @@
       BatchItem{ item,
                  {},
                  HasItemIds(job) ? job.mItems[item].mTokens : 0,
-                 progress == work->second.mProgress.end()
-                   ? ItemProgress()
-                   : progress->second });
+                 progress == work->second.mProgress.end() ? ItemProgress()
+                                                          : progress->second });
   }
 }
 
@@ -271,8 +270,7 @@
   session.mAnswer = {};
   // Capacity goes to items that can still be done in time; late ones get what
   // is left over.
-  auto chosen =
-    ChooseJob(aLedger, aRequest.mModels, aRequest.mPerToken, true);
+  auto chosen = ChooseJob(aLedger, aRequest.mModels, aRequest.mPerToken, true);
   if (!chosen) {
     chosen = ChooseJob(aLedger, aRequest.mModels, aRequest.mPerToken, false);
   }
--- a/caraway/ledger/output_line.cpp
+++ b/caraway/ledger/output_line.cpp
@@ -18,8 +18,8 @@
   constexpr size_t kMaxMessageBytes = 1024;
   nlohmann::ordered_json line;
   line["id"] = absl::StrCat("batch_req_", aJob.mValue, "_", aItem);
-  line["custom_id"] =
-    aItemId.empty() ? nlohmann::ordered_json() : nlohmann::ordered_json(aItemId);
+  line["custom_id"] = aItemId.empty() ? nlohmann::ordered_json()
+                                      : nlohmann::ordered_json(aItemId);
   line["line"] = aItem;
   line["response"] = nullptr;
   line["error"]["code"] = std::string(aCode);
--- a/caraway/ledger/reads.cpp
+++ b/caraway/ledger/reads.cpp
@@ -145,12 +145,11 @@
       }
     }
   }
-  return MakeError(ErrorKind::eNotFound,
-                   absl::StrCat("no open job ",
-                                aRead.mJob.mValue,
-                                " with the item ",
-                                aRead.mItem),
-                   "check both ids; items of ended jobs are not kept");
+  return MakeError(
+    ErrorKind::eNotFound,
+    absl::StrCat(
+      "no open job ", aRead.mJob.mValue, " with the item ", aRead.mItem),
+    "check both ids; items of ended jobs are not kept");
 }
 
 absl::StatusOr<BlobRange>
--- a/caraway/ledger/results.cpp
+++ b/caraway/ledger/results.cpp
@@ -59,9 +59,8 @@
          std::string_view aCode,
          std::string_view aMessage)
 {
-  const std::string id = HasItemIds(aChange.mJob)
-                           ? aChange.mJob.mItems[aItem].mId
-                           : std::string();
+  const std::string id =
+    HasItemIds(aChange.mJob) ? aChange.mJob.mItems[aItem].mId : std::string();
   FinishItem(
     aChange, aItem, ErrorLine(aChange.mId, aItem, id, aCode, aMessage), false);
 }
@@ -71,9 +70,8 @@
 CountAttempt(JobChange& aChange, uint32_t aItem, std::string_view aReason)
 {
   const uint8_t attempts = ++aChange.mWork.mAttempts[aItem];
-  const uint8_t most = aChange.mJob.mMaxAttempts != 0
-                         ? aChange.mJob.mMaxAttempts
-                         : kMaxAttempts;
+  const uint8_t most =
+    aChange.mJob.mMaxAttempts != 0 ? aChange.mJob.mMaxAttempts : kMaxAttempts;
   if (attempts >= most) {
     FailItem(aChange,
              aItem,
@@ -244,7 +242,8 @@
             std::string_view aReason,
             std::vector<LedgerEffect>& aEffects)
 {
-  JobChange change = OpenChange(aLedger, LeaseRef{ aWorkspace, aJob, {} });
+  const LeaseRef ref{ aWorkspace, aJob, {} }; // the change refers to its parts
+  JobChange change = OpenChange(aLedger, ref);
   RemoveReady(aLedger, aWorkspace, aJob);
   change.mWork.mReturned.clear();
   change.mWork.mCursor = change.mJob.mTotal;
--- a/caraway/ledger/tick.cpp
+++ b/caraway/ledger/tick.cpp
@@ -17,12 +17,8 @@
          std::get<0>(*aLedger.mDeadlines.begin()) <= aTime.mNow) {
     const auto [deadline, workspace, job] = *aLedger.mDeadlines.begin();
     if (HasItemIds(aLedger.mWorkspaces[workspace].mJobs[job])) {
-      GiveUpItems(aLedger,
-                  aTime,
-                  workspace,
-                  job,
-                  "its lifetime has passed",
-                  aEffects);
+      GiveUpItems(
+        aLedger, aTime, workspace, job, "its lifetime has passed", aEffects);
       continue;
     }
     EndJob(aLedger, aTime, workspace, job, JobStatus::eExpired, aEffects);
--- a/caraway/membership/replica_care.cpp
+++ b/caraway/membership/replica_care.cpp
@@ -29,8 +29,8 @@
 size_t
 CountUsable(const ReplicaCare& aCare)
 {
-  return static_cast<size_t>(std::count_if(
-    aCare.mReplicas.begin(), aCare.mReplicas.end(), IsUsable));
+  return static_cast<size_t>(
+    std::count_if(aCare.mReplicas.begin(), aCare.mReplicas.end(), IsUsable));
 }
 
 // A voter may go only if most of the voters that are left answer; otherwise the
@@ -52,10 +52,9 @@
 bool
 IsMember(const ReplicaCare& aCare, ReplicaId aId)
 {
-  return std::any_of(
-    aCare.mReplicas.begin(),
-    aCare.mReplicas.end(),
-    [&](const ReplicaView& aOne) { return aOne.mId == aId; });
+  return std::any_of(aCare.mReplicas.begin(),
+                     aCare.mReplicas.end(),
+                     [&](const ReplicaView& aOne) { return aOne.mId == aId; });
 }
 
 // A replica that comes back at its address under a new id has lost its disk,
@@ -125,11 +124,11 @@
     if (!one.mVoter || one.mId == aCare.mSelf) {
       continue;
     }
-    const int rank = one.mLost                ? 4
-                     : one.mRetiring          ? 3
-                     : !one.mAlive            ? 2
-                     : voters[one.mZone] > 1  ? 1
-                                              : 0;
+    const int rank = one.mLost               ? 4
+                     : one.mRetiring         ? 3
+                     : !one.mAlive           ? 2
+                     : voters[one.mZone] > 1 ? 1
+                                             : 0;
     if (rank >= bestRank) {
       best = &one;
       bestRank = rank;
@@ -170,12 +169,12 @@
 bool
 MayRetire(const ReplicaCare& aCare, ReplicaId aId)
 {
-  const auto left = static_cast<size_t>(std::count_if(
-    aCare.mReplicas.begin(),
-    aCare.mReplicas.end(),
-    [&](const ReplicaView& aOne) {
-      return aOne.mId != aId && aOne.mAlive && !aOne.mRetiring;
-    }));
+  const auto left = static_cast<size_t>(
+    std::count_if(aCare.mReplicas.begin(),
+                  aCare.mReplicas.end(),
+                  [&](const ReplicaView& aOne) {
+                    return aOne.mId != aId && aOne.mAlive && !aOne.mRetiring;
+                  }));
   return left >= aCare.mWantedVoters;
 }
 
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr uint32_t kMaxChunk = 64;  // items of one lease
+constexpr uint32_t kMaxChunk = 64; // items of one lease
 constexpr Duration kResend = Millis(500);
 constexpr Duration kShortestPause = Millis(50);
 constexpr Duration kPollEvery = Millis(200);
@@ -96,9 +96,8 @@
   task.mPrompt = line->mPrompt;
   task.mOutput = line->mOutput;
   task.mStreamed =
-    line->mRaw ||
-    (line->mCanStream &&
-     aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine);
+    line->mRaw || (line->mCanStream &&
+                   aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine);
   task.mRaw = line->mRaw;
   task.mHeaders = line->mHeaders;
   task.mStatedTokens = aItem.mTokens;
@@ -118,8 +117,8 @@
   if (task.mRaw && aLease.mGoal != MonoTime{}) {
     // The order among waiting items follows the time at which they are due.
     work.mDeadline = work.mGoal = aLease.mGoal;
-    work.mRunTime = Micros(static_cast<int64_t>(
-      aNode.mBatch.mTokenSeconds * aItem.mTokens * 1e6));
+    work.mRunTime = Micros(
+      static_cast<int64_t>(aNode.mBatch.mTokenSeconds * aItem.mTokens * 1e6));
   }
   AddBatch(aNode.mScheduler, work);
   aNode.mBatch.mTasks.emplace(task.mWork, std::move(task));
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -139,8 +139,7 @@
                  { "lease", std::to_string(aTask.mLease.mToken.mValue) },
                  { "status", std::to_string(aTask.mStatus) },
                  { "events", std::to_string(aTask.mEvents.mEvents) },
-                 { "online",
-                   std::to_string(aNode.mScheduler.mRunningOnline) },
+                 { "online", std::to_string(aNode.mScheduler.mRunningOnline) },
                  { "batch", std::to_string(BatchCalls(aNode)) } };
   aOut.emplace_back(std::move(log));
 }
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -26,7 +26,7 @@
   MonoTime mDeadline;
   Duration mWindow;
   MonoTime mGoal{ 0 }; // results are due then, 0: no goal
-  Epoch mNodeEpoch; // session that leased it
+  Epoch mNodeEpoch;    // session that leased it
 };
 
 struct BatchTask
@@ -60,9 +60,9 @@
   bool mRaw = false;
   uint32_t mStatedTokens = 0;
   Headers mHeaders;
-  EventStream mEvents;      // over all resumes
-  bool mNotRun = false;     // the target refused the present call
-  bool mForeign = false;    // the present answer belongs to something else
+  EventStream mEvents;   // over all resumes
+  bool mNotRun = false;  // the target refused the present call
+  bool mForeign = false; // the present answer belongs to something else
 };
 
 // One ItemResults message, sent again until acknowledged.
--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -103,8 +103,8 @@
   }
   const bool known = !aNode.mSettings.mControl.empty();
   aNode.mQueryAt = aNow + (known ? kRefreshEvery : kQueryEvery);
-  aOut.emplace_back(SendMessage{
-    seeds[aNode.mNextSeed++ % seeds.size()], ControlQuery{} });
+  aOut.emplace_back(
+    SendMessage{ seeds[aNode.mNextSeed++ % seeds.size()], ControlQuery{} });
 }
 
 } // namespace caraway
--- a/caraway/node/node_reports.cpp
+++ b/caraway/node/node_reports.cpp
@@ -40,13 +40,14 @@
 SendReports(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
   NodeReports& reports = aNode.mReports;
-  if (reports.mWatchers.empty() || aNow - reports.mLastAt < aNode.mSettings.mReportGap) {
+  if (reports.mWatchers.empty() ||
+      aNow - reports.mLastAt < aNode.mSettings.mReportGap) {
     return;
   }
   const uint32_t load = RunningCalls(aNode) + QueuedCalls(aNode);
   const uint32_t limit = CallLimit(aNode.mScheduler);
-  const Duration gap =
-    aNode.mSettings.mReportGapPerWatcher * static_cast<int64_t>(reports.mWatchers.size());
+  const Duration gap = aNode.mSettings.mReportGapPerWatcher *
+                       static_cast<int64_t>(reports.mWatchers.size());
   const bool changed =
     Changed(load, reports.mLastLoad) || Changed(limit, reports.mLastLimit);
   if (aNow < reports.mNextAt && !(changed && aNow - reports.mLastAt >= gap)) {
@@ -79,7 +80,8 @@
 NextReport(const Node& aNode)
 {
   const NodeReports& reports = aNode.mReports;
-  return std::max(reports.mNextAt, reports.mLastAt + aNode.mSettings.mReportGap);
+  return std::max(reports.mNextAt,
+                  reports.mLastAt + aNode.mSettings.mReportGap);
 }
 
 } // namespace caraway
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -44,8 +44,7 @@
   log.mChoice = aChoice;
   log.mReason = std::move(aReason);
   log.mExtra = { { "entry", aKey.first.mValue },
-                 { "online",
-                   std::to_string(aNode.mScheduler.mRunningOnline) },
+                 { "online", std::to_string(aNode.mScheduler.mRunningOnline) },
                  { "batch", std::to_string(BatchCalls(aNode)) },
                  { "queued", std::to_string(QueuedCalls(aNode)) },
                  { "limit", std::to_string(CallLimit(aNode.mScheduler)) } };
@@ -95,8 +94,7 @@
     NoteEnd(aNode.mScheduler,
             aNow,
             work,
-            aEnding == SlotEnding::eServed ? Ending::eGood
-                                           : Ending::eCancelled,
+            aEnding == SlotEnding::eServed ? Ending::eGood : Ending::eCancelled,
             0);
   } else {
     RemoveWaiting(aNode.mScheduler, work);
--- a/caraway/node/node_target.cpp
+++ b/caraway/node/node_target.cpp
@@ -120,8 +120,8 @@
 {
   NodeTarget& target = aNode.mTarget;
   target.mOwnPeak = std::max(target.mOwnPeak, RunningCalls(aNode));
-  if (!target.mPresent || !target.mLoadCall.IsNone() ||
-      aNow < target.mLoadAt || UsesDirectory(aNode)) {
+  if (!target.mPresent || !target.mLoadCall.IsNone() || aNow < target.mLoadAt ||
+      UsesDirectory(aNode)) {
     return;
   }
   target.mLoadAt = aNow + kLoadEvery;
--- a/caraway/routing/placement.cpp
+++ b/caraway/routing/placement.cpp
@@ -22,7 +22,9 @@
 constexpr double kZoneCost = 0.15;
 constexpr double kBatchCost = 0.25;
 constexpr double kFailCost = 2.0;
-constexpr double kNoise = 0.06; // keeps entries with equal views apart
+// More than one place of eight, so that entries with equal views do not all
+// send a burst to the same target before the next reports.
+constexpr double kNoise = 0.25;
 
 bool
 IsExcluded(const PlacementQuery& aQuery, const TargetId& aTarget)
@@ -115,14 +117,11 @@
   log.mReason = bestAvoided ? "all others failed lately" : "least loaded";
   if (auto known = aLoads.find(chosen.mTarget); known != aLoads.end()) {
     const PlacementLoad& load = known->second;
-    log.mExtra.push_back(
-      { "online", absl::StrCat(OnlineAt(load, aNow)) });
-    log.mExtra.push_back(
-      { "places", absl::StrCat(PlacesOf(chosen, load)) });
+    log.mExtra.push_back({ "online", absl::StrCat(OnlineAt(load, aNow)) });
+    log.mExtra.push_back({ "places", absl::StrCat(PlacesOf(chosen, load)) });
     if (load.mLimit != 0) {
       log.mExtra.push_back(
-        { "report_age_ms",
-          absl::StrCat((aNow - load.mReportAt).Millis()) });
+        { "report_age_ms", absl::StrCat((aNow - load.mReportAt).Millis()) });
     }
   }
   return best;
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -17,18 +17,18 @@
 
 struct PlacementLoad
 {
-  int64_t mStartedAt = 0;    // start of the target; another one forgets the rest
-  uint32_t mOwn = 0;         // own requests there, asked for or running
-  uint32_t mOnline = 0;      // last report: online requests, running and waiting
-  uint32_t mBatch = 0;       // last report: batch items
-  uint32_t mLimit = 0;       // last report: places, 0: no report yet
+  int64_t mStartedAt = 0; // start of the target; another one forgets the rest
+  uint32_t mOwn = 0;      // own requests there, asked for or running
+  uint32_t mOnline = 0;   // last report: online requests, running and waiting
+  uint32_t mBatch = 0;    // last report: batch items
+  uint32_t mLimit = 0;    // last report: places, 0: no report yet
   uint32_t mOwnAtReport = 0; // own requests that the report includes
   MonoTime mReportAt{ -kNever.mMicros };
   uint32_t mFailures = 0; // in a row
   double mFailShare = 0;  // of the latest requests, fading
   MonoTime mAvoidUntil{ -kNever.mMicros };
-  MonoTime mSeenAt{ 0 };         // when this entry learned of the start
-  std::deque<MonoTime> mStarts;  // calls without a slot in the last second
+  MonoTime mSeenAt{ 0 };        // when this entry learned of the start
+  std::deque<MonoTime> mStarts; // calls without a slot in the last second
 };
 
 using PlacementLoads = std::map<TargetId, PlacementLoad>;
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -53,7 +53,7 @@
   HttpServer mHttp; // operators
   std::unique_ptr<Control> mControl;
   std::vector<uint64_t> mUnsynced; // numbers of writes appended, not yet synced
-  uint64_t mDisk = 0; // identity of the data folder
+  uint64_t mDisk = 0;              // identity of the data folder
   bool mFailed = false;
   RolePump<ControlEvent, ControlAction> mPump;
 };
--- a/caraway/runtime/logging.cpp
+++ b/caraway/runtime/logging.cpp
@@ -118,8 +118,7 @@
   gLog.mInstance = aInstance;
   log4cplus::SharedAppenderPtr appender;
   if (aSettings.mFile.empty()) {
-    appender = new log4cplus::ConsoleAppender(
-      !aSettings.mStandardOutput, true);
+    appender = new log4cplus::ConsoleAppender(!aSettings.mStandardOutput, true);
   } else {
     appender = new log4cplus::FileAppender(
       aSettings.mFile, std::ios_base::app | std::ios_base::out);
--- a/caraway/runtime/logging.h
+++ b/caraway/runtime/logging.h
@@ -20,7 +20,7 @@
 {
   LogFormat mFormat = LogFormat::eKeyValue;
   LogLevel mLevel = LogLevel::eInfo;
-  std::string mFile; // empty: a standard stream
+  std::string mFile;            // empty: a standard stream
   bool mStandardOutput = false; // without a file: output in place of error
 };
 
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -35,7 +35,7 @@
   SchedulePolicy mPolicy = SchedulePolicy::eOnlineFirst;
   LimitSettings mLimit;
   uint32_t mMaxOnlineQueue = 512; // waiting online work; more is refused
-  uint32_t mFixedLimit = 0; // places that the target states, 0: learned
+  uint32_t mFixedLimit = 0;       // places that the target states, 0: learned
 };
 
 struct Scheduler
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -166,8 +166,8 @@
       return;
     }
     // An online prompt that the engine reads now is not slowed by new ones.
-    const bool onlineAbout = aScheduler.mRunningOnline > 0 &&
-                             aScheduler.mSettings.mFixedLimit == 0;
+    const bool onlineAbout =
+      aScheduler.mRunningOnline > 0 && aScheduler.mSettings.mFixedLimit == 0;
     if (onlineAbout &&
         (awaiting.mOnline > 0 || awaiting.mBatch >= kBatchPrompts)) {
       return;
@@ -183,10 +183,9 @@
 {
   const uint32_t limit = CallLimit(aScheduler);
   // A cold target bears few calls: batch work above the limit goes at once.
-  while ((aScheduler.mLimit.mRamping ||
-          aScheduler.mSettings.mFixedLimit != 0) &&
-         Occupied(aScheduler) > limit &&
-         PreemptOne(aScheduler, aNow, aSteps)) {
+  while (
+    (aScheduler.mLimit.mRamping || aScheduler.mSettings.mFixedLimit != 0) &&
+    Occupied(aScheduler) > limit && PreemptOne(aScheduler, aNow, aSteps)) {
   }
   while (aScheduler.mOnline.mSize > 0 &&
          MayStart(aScheduler.mPace, aNow, StartKind::eOnline)) {
--- a/caraway/scheduling/start_pace.cpp
+++ b/caraway/scheduling/start_pace.cpp
@@ -22,10 +22,10 @@
   if (aPace.mPerSecond <= 0) {
     return true;
   }
-  const double most = std::max(
-    1.0,
-    aKind == StartKind::eBatch ? aPace.mPerSecond * kBatchShare
-                               : aPace.mPerSecond);
+  const double most =
+    std::max(1.0,
+             aKind == StartKind::eBatch ? aPace.mPerSecond * kBatchShare
+                                        : aPace.mPerSecond);
   return static_cast<double>(aPace.mStarts.size()) + 1 <= most;
 }
 
--- a/caraway/scheduling/start_pace.h
+++ b/caraway/scheduling/start_pace.h
@@ -13,7 +13,7 @@
 
 struct StartPace
 {
-  double mPerSecond = 0; // starts that a cold target bears, 0: no bound
+  double mPerSecond = 0;        // starts that a cold target bears, 0: no bound
   std::deque<MonoTime> mStarts; // of the last second
 };
 
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -33,8 +33,8 @@
 
 struct BatchItem
 {
-  uint32_t mIndex = 0; // line of the input file, from 0
-  std::string mBody;   // the input line (JSON)
+  uint32_t mIndex = 0;  // line of the input file, from 0
+  std::string mBody;    // the input line (JSON)
   uint32_t mTokens = 0; // as the job states them, 0: not stated
   ItemProgress mProgress;
 };
@@ -69,8 +69,8 @@
 {
   uint32_t mIndex = 0;
   ItemVerdict mVerdict = ItemVerdict::eDone;
-  uint16_t mStatus = 0; // HTTP status of the target, 0 if none
-  std::string mBody;    // response JSON, or the reason for a failure
+  uint16_t mStatus = 0;   // HTTP status of the target, 0 if none
+  std::string mBody;      // response JSON, or the reason for a failure
   ItemProgress mProgress; // of items handed back
 };
 
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -144,9 +144,7 @@
 void
 serialize(Archive& aArchive, BatchItem& aValue)
 {
-  aArchive(aValue.mIndex, aValue.mBody,
-           aValue.mTokens,
-           aValue.mProgress);
+  aArchive(aValue.mIndex, aValue.mBody, aValue.mTokens, aValue.mProgress);
 }
 
 template<class Archive>
@@ -173,7 +171,10 @@
 void
 serialize(Archive& aArchive, ItemResult& aValue)
 {
-  aArchive(aValue.mIndex, aValue.mVerdict, aValue.mStatus, aValue.mBody,
+  aArchive(aValue.mIndex,
+           aValue.mVerdict,
+           aValue.mStatus,
+           aValue.mBody,
            aValue.mProgress);
 }
 
--- a/fuzz/fleet/fleet.cpp
+++ b/fuzz/fleet/fleet.cpp
@@ -120,6 +120,11 @@
         },
         [&](const DecisionLog& aLog) { Trace(aFleet, aAddress, aLog); },
         [&](const Stopped&) { LoseEntry(aFleet, aAddress, aProcess); },
+        // Of entries that call targets themselves; this fleet has none.
+        [](const OrderReply&) {},
+        [](const ReadJobBody&) {},
+        [](const StartTargetCall&) {},
+        [](const CancelTargetCall&) {},
       },
       action);
     if (!aProcess.mRole) {
@@ -269,6 +274,7 @@
           BlobRead{ aRead.mRead, true, ReadBlobBytes(aProcess.mDisk, aRead) });
       },
       [&](const DecisionLog& aLog) { Trace(aFleet, aAddress, aLog); },
+      [](const BeginGroup&) {}, // its groups are begun by settings
       [&](const Halt& aHalt) {
         Broken(aFleet.mOracle,
                absl::StrCat("halt without a disk fault: ", aHalt.mReason));
--- /dev/null
+++ b/tests/admission_share_test.cpp
@@ -0,0 +1,124 @@
+// Guards the rate of a workspace while entries are cut off from control, and
+// the time after all processes were lost at once.
+#define BOOST_TEST_MODULE admission_share
+#include <boost/test/unit_test.hpp>
+
+#include "caraway/admission/fallback_share.h"
+#include "caraway/admission/grantor.h"
+#include "caraway/admission/token_holder.h"
+
+using namespace caraway;
+
+namespace {
+
+Contract
+MakeContract(double aRate)
+{
+  Contract contract;
+  contract.mWorkspace = WorkspaceId("w");
+  contract.mRate = aRate;
+  contract.mBurst = aRate;
+  return contract;
+}
+
+ConfigView
+ViewWith(const Contract& aContract, std::vector<uint64_t> aEntries)
+{
+  ConfigView view;
+  view.mContracts[aContract.mWorkspace] = aContract;
+  for (const uint64_t epoch : aEntries) {
+    Member member;
+    member.mInstance = InstanceId("entry-" + std::to_string(epoch));
+    member.mEpoch = Epoch(epoch);
+    view.mMembers[member.mInstance] = member;
+  }
+  return view;
+}
+
+GrantRequest
+Ask(uint64_t aEpoch, uint64_t aSequence, uint64_t aGrantor, double aWanted)
+{
+  GrantRequest request;
+  request.mEpoch = Epoch(aEpoch);
+  request.mSequence = aSequence;
+  request.mGrantor = aGrantor;
+  GrantAsk ask;
+  ask.mWorkspace = WorkspaceId("w");
+  ask.mWanted = aWanted;
+  request.mAsks = { ask };
+  return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(shares_of_all_entries_add_up_to_the_rate)
+{
+  constexpr uint32_t kEntries = 8;
+  const Contract contract = MakeContract(40);
+  std::vector<FallbackShares> entries(kEntries);
+  uint32_t admitted = 0;
+  const MonoTime begin{ 1000000 };
+  for (MonoTime now = begin; now < begin + Seconds(10); now = now + Millis(5)) {
+    for (FallbackShares& entry : entries) {
+      admitted += TakeShare(entry, now, contract, kEntries) ? 1 : 0;
+    }
+  }
+  BOOST_TEST(admitted <= 40u * 10);
+  BOOST_TEST(admitted >= 40u * 10 - 2 * kEntries);
+}
+
+BOOST_AUTO_TEST_CASE(share_starts_empty_after_a_burst_under_grants)
+{
+  FallbackShares shares;
+  BOOST_TEST(!TakeShare(shares, MonoTime{ 1000000 }, MakeContract(40), 8));
+}
+
+BOOST_AUTO_TEST_CASE(grantor_leaves_the_share_of_entries_out_of_reach)
+{
+  const Contract contract = MakeContract(100);
+  const ConfigView view = ViewWith(contract, { 1 });
+  Grantor grantor;
+  MonoTime now{ 10000000 };
+  StartGrantor(grantor, now, ConfigView(), Seconds(2), Seconds(3), Term(1));
+  grantor.mRateShare = 0.5;
+  double given = 0;
+  uint64_t sequence = 0;
+  for (int step = 0; step < 100; ++step) {
+    now = now + Millis(100);
+    GrantRequest request = Ask(1, ++sequence, 1, 50);
+    request.mAsks[0].mSpent = given;
+    for (const GrantGiven& grant :
+         HandleGrantRequest(grantor, now, view, request).mGrants) {
+      given += grant.mTokens + grant.mBrief;
+    }
+  }
+  // 10 s at half the rate; the bucket was full at first.
+  BOOST_TEST(given <= 100 + 50 * 10 + 1);
+}
+
+BOOST_AUTO_TEST_CASE(replaced_entries_settle_a_new_grantor_at_once)
+{
+  const Contract contract = MakeContract(100);
+  const ConfigView view = ViewWith(contract, { 1, 2 });
+  Grantor grantor;
+  const MonoTime now{ 10000000 };
+  StartGrantor(grantor, now, view, Seconds(2), Seconds(3), Term(5));
+  BOOST_TEST(!HandleGrantRequest(grantor, now, view, Ask(9, 1, 5, 1)).mSettled);
+  GrantorSessionReplaced(grantor, now, Epoch(1));
+  GrantorSessionReplaced(grantor, now, Epoch(2));
+  const MonoTime soon = now + Millis(200);
+  BOOST_TEST(HandleGrantRequest(grantor, soon, view, Ask(9, 2, 5, 1)).mSettled);
+}
+
+BOOST_AUTO_TEST_CASE(holder_knows_that_no_grants_come)
+{
+  TokenHolder holder;
+  MonoTime now{ 10000000 };
+  StartTokenHolder(holder, now, InstanceId("e"), Epoch(1));
+  BOOST_TEST(GrantsCome(holder, now));
+  const Contract contract = MakeContract(100);
+  TryAdmit(holder, now, contract, false);
+  BOOST_REQUIRE(NextGrantRequest(holder, now).has_value());
+  BOOST_TEST(GrantsCome(holder, now + Millis(100)));
+  BOOST_TEST(!GrantsCome(holder, now + Millis(500)));
+}
--- /dev/null
+++ b/tests/base_event_stream_test.cpp
@@ -0,0 +1,39 @@
+// Guards resumed streams: no event is passed on in parts, and the id to go on
+// from is that of the last whole event.
+#define BOOST_TEST_MODULE base_event_stream
+#include <boost/test/unit_test.hpp>
+
+#include "caraway/base/event_stream.h"
+
+using namespace caraway;
+
+BOOST_AUTO_TEST_CASE(events_pass_whole_however_the_bytes_are_cut)
+{
+  const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    EventStream stream;
+    std::string passed;
+    for (size_t at = 0; at < text.size(); at += step) {
+      passed += TakeEvents(stream, std::string_view(text).substr(at, step));
+    }
+    BOOST_TEST(passed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    BOOST_TEST(*stream.mLast == 2u);
+    BOOST_TEST(stream.mEvents == 2u);
+    BOOST_TEST(stream.mPending == "id: 3\ndata");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(data_of_events_is_joined_by_line_feeds)
+{
+  BOOST_TEST(EventData("id: 1\ndata: a\n\nid: 2\ndata: b c\n\n") == "a\nb c");
+  BOOST_TEST(EventData("id:1\r\ndata:x\r\n\r\n") == "x");
+  BOOST_TEST(EventData(": comment\n\n").empty());
+}
+
+BOOST_AUTO_TEST_CASE(event_without_id_keeps_the_last_one)
+{
+  EventStream stream;
+  TakeEvents(stream, "id: 4\ndata: a\n\ndata: b\n\n");
+  BOOST_TEST(*stream.mLast == 4u);
+  BOOST_TEST(stream.mEvents == 2u);
+}
--- a/tests/control_link.h
+++ b/tests/control_link.h
@@ -270,6 +270,7 @@
     mReplicas[aReplica].mDisk.mBlobs.erase(aRemove.mName);
   }
   void Do(size_t aReplica, Halt&) { mReplicas[aReplica].mHalted = true; }
+  void Do(size_t, BeginGroup&) {}
   void Do(size_t aReplica, Stopped&) { mReplicas[aReplica].mStopped = true; }
 
   void RunUntil(MonoTime aEnd)
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -38,6 +38,9 @@
   std::map<uint64_t, std::string> mChunks;
   std::map<uint64_t, std::string> mState; // "begun", "ended", "aborted"
   bool mStopped = false;
+  std::vector<StartTargetCall> mTargetCalls; // of the entry itself
+  std::vector<TargetCallId> mCancelled;
+  std::vector<OrderReply> mOrders;
 
   EntryRig()
   {
@@ -149,6 +152,12 @@
       mState[abort->mCall.mValue] = "aborted";
     } else if (std::holds_alternative<Stopped>(aAction)) {
       mStopped = true;
+    } else if (auto* call = std::get_if<StartTargetCall>(&aAction)) {
+      mTargetCalls.push_back(std::move(*call));
+    } else if (auto* cancel = std::get_if<CancelTargetCall>(&aAction)) {
+      mCancelled.push_back(cancel->mCall);
+    } else if (auto* order = std::get_if<OrderReply>(&aAction)) {
+      mOrders.push_back(std::move(*order));
     }
   }
 
--- /dev/null
+++ b/tests/ledger_routed_job_test.cpp
@@ -0,0 +1,208 @@
+// Guards jobs whose items have ids: results keep their position, waiting tokens
+// stay within the bound, only failures at targets count as attempts, and under
+// load capacity goes to items that can still be in time.
+#define BOOST_TEST_MODULE ledger_routed_job
+#include <boost/test/unit_test.hpp>
+
+#include "tests/ledger_fixture.h"
+
+using namespace caraway;
+
+namespace {
+
+CreateJob
+Routed(const std::string& aId, int aItems, uint32_t aTokens = 100)
+{
+  CreateJob create = NewJob(aId);
+  create.mRoute = RouteId("night");
+  create.mGoal = Seconds(18);
+  for (int item = 0; item < aItems; ++item) {
+    create.mItems.push_back({ "i" + std::to_string(item), aTokens });
+  }
+  return create;
+}
+
+FileReadPlan
+Results(const LedgerReplica& aReplica, const char* aJob, uint64_t aAfter)
+{
+  ControlCall call;
+  call.mWorkspace = kNorth;
+  ReadFile read{ OutputFileOf(JobId(aJob)), aAfter };
+  read.mByCompletion = true;
+  call.mBody = read;
+  auto plan = PlanFileRead(aReplica.mLedger, call);
+  BOOST_REQUIRE(plan.ok());
+  return *plan;
+}
+
+std::string
+ResultAt(const LedgerReplica& aReplica, const char* aJob, uint64_t aPlace)
+{
+  const FileReadPlan plan = Results(aReplica, aJob, aPlace);
+  BOOST_REQUIRE(!plan.mRanges.empty());
+  auto data = DataRange(plan.mRanges[0], ReadRange(aReplica, plan.mRanges[0]));
+  BOOST_REQUIRE(data.ok());
+  return ReadRange(aReplica, *data);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(results_keep_the_position_of_their_completion)
+{
+  LedgerReplica replica;
+  Upload(replica, 3);
+  Call(replica, Routed("job", 3));
+  const ItemBatch first = Lease(replica, "n", 1, 1);
+  const ItemBatch second = Lease(replica, "n", 2, 1);
+  Answer(replica, "n", second);
+  const std::string early = ResultAt(replica, "job", 0);
+  Answer(replica, "n", first);
+  BOOST_TEST(ResultAt(replica, "job", 0) == early);
+  BOOST_TEST(ResultAt(replica, "job", 1) != early);
+  BOOST_TEST(Results(replica, "job", 0).mTotal == 3u);
+  BOOST_TEST(Results(replica, "job", 2).mRanges.empty());
+  // The order survives a snapshot.
+  auto copy = DecodeLedger(EncodeLedger(replica.mLedger));
+  BOOST_REQUIRE(copy.ok());
+  replica.mLedger = *std::move(copy);
+  BOOST_TEST(ResultAt(replica, "job", 0) == early);
+}
+
+BOOST_AUTO_TEST_CASE(resent_job_is_accepted_once_whatever_the_plan_says_now)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, Routed("job", 2));
+  CreateJob again = Routed("job", 2);
+  again.mWindow = Seconds(99);
+  BOOST_TEST((KindOfReply(Call(replica, again)) == ErrorKind::eNone));
+  BOOST_TEST(Lease(replica, "n", 1).mItems.size() == 2u);
+  BOOST_TEST(Lease(replica, "n", 2).mItems.empty());
+}
+
+BOOST_AUTO_TEST_CASE(waiting_tokens_of_a_route_stay_within_the_bound)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  CreateJob create = Routed("one", 2, 100);
+  create.mMaxWaitingTokens = 300;
+  Call(replica, create);
+  create.mJob = JobId("two");
+  BOOST_TEST((KindOfReply(Call(replica, create)) == ErrorKind::eRateLimited));
+  Answer(replica, "n", Lease(replica, "n", 1, 1));
+  BOOST_TEST((KindOfReply(Call(replica, create)) == ErrorKind::eNone));
+}
+
+BOOST_AUTO_TEST_CASE(lost_node_costs_no_attempt_and_keeps_no_item)
+{
+  LedgerReplica replica;
+  Upload(replica, 1);
+  Call(replica, Routed("job", 1));
+  for (uint64_t round = 0; round < 10; ++round) {
+    BOOST_TEST(Lease(replica, "n", 1, 64, 10 + round).mItems.size() == 1u);
+    EndSession(replica, "n", 10 + round);
+  }
+  BOOST_TEST(Describe(replica, "job").mFailed == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(progress_of_a_returned_item_goes_to_the_next_node)
+{
+  LedgerReplica replica;
+  Upload(replica, 1);
+  Call(replica, Routed("job", 1));
+  const ItemBatch batch = Lease(replica, "n", 1);
+  ItemResults back;
+  back.mNode = InstanceId("n");
+  back.mNodeEpoch = Epoch(10);
+  back.mJob = batch.mJob;
+  back.mToken = batch.mToken;
+  back.mResults = { { 0, ItemVerdict::eReturned, 0, "", { 7, "so far" } } };
+  std::vector<LedgerEffect> effects;
+  ApplyResults(replica.mLedger,
+               LogIndex(++replica.mIndex),
+               replica.mNow,
+               0,
+               back,
+               effects);
+  const ItemBatch next = Lease(replica, "m", 1);
+  BOOST_REQUIRE(next.mItems.size() == 1u);
+  BOOST_TEST(next.mItems[0].mProgress.mLastEvent == 7u);
+  BOOST_TEST(next.mItems[0].mProgress.mText == "so far");
+}
+
+BOOST_AUTO_TEST_CASE(items_that_can_be_in_time_go_before_late_ones)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, Routed("late", 2));
+  replica.mNow = replica.mNow + Seconds(17);
+  Call(replica, Routed("fresh", 2));
+  LeaseItems ask;
+  ask.mNode = InstanceId("n");
+  ask.mNodeEpoch = Epoch(10);
+  ask.mSequence = 1;
+  ask.mModels = { kModel };
+  ask.mWanted = 1;
+  ask.mPerToken = Millis(50); // an item of 100 tokens takes 5 s
+  const auto lease = [&] {
+    ItemBatch batch = ApplyLease(
+      replica.mLedger, LogIndex(++replica.mIndex), replica.mNow, ask);
+    ++ask.mSequence;
+    return batch.mJob.mValue;
+  };
+  BOOST_TEST(lease() == "fresh");
+  BOOST_TEST(lease() == "fresh");
+  BOOST_TEST(lease() == "late"); // capacity that is left over
+}
+
+BOOST_AUTO_TEST_CASE(longest_item_that_fits_goes_first)
+{
+  LedgerReplica replica;
+  Upload(replica, 3);
+  CreateJob create = Routed("job", 3);
+  create.mItems[0].mTokens = 50;
+  create.mItems[1].mTokens = 300;
+  create.mItems[2].mTokens = 1000;
+  Call(replica, create);
+  LeaseItems ask;
+  ask.mNode = InstanceId("n");
+  ask.mNodeEpoch = Epoch(10);
+  ask.mSequence = 1;
+  ask.mModels = { kModel };
+  ask.mWanted = 1;
+  ask.mPerToken = Millis(50); // 1,000 tokens take 50 s, too long for the goal
+  const ItemBatch batch =
+    ApplyLease(replica.mLedger, LogIndex(++replica.mIndex), replica.mNow, ask);
+  BOOST_REQUIRE(batch.mItems.size() == 1u);
+  BOOST_TEST(batch.mItems[0].mIndex == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(items_past_their_lifetime_are_listed_as_given_up)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  CreateJob create = Routed("job", 2);
+  create.mWindow = Seconds(60);
+  Call(replica, create);
+  Answer(replica, "n", Lease(replica, "n", 1, 1));
+  Tick(replica, replica.mNow + Seconds(61));
+  BOOST_TEST(Results(replica, "job", 0).mItems.size() == 2u);
+  BOOST_TEST(ResultAt(replica, "job", 1).find("\"error\"") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(route_that_is_removed_ends_its_jobs)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, Routed("job", 2));
+  ServingPlan plan;
+  ApplyPlanToJobs(replica.mLedger,
+                  LogIndex(++replica.mIndex),
+                  replica.mNow,
+                  0,
+                  plan,
+                  replica.mEffects);
+  BOOST_TEST(Lease(replica, "n", 1).mItems.empty());
+  BOOST_TEST(Describe(replica, "job").mFailed == 2u);
+}
--- /dev/null
+++ b/tests/platform_dialect_test.cpp
@@ -0,0 +1,200 @@
+// Guards the adapter's decoding: calls become the right events, unreadable ones
+// are refused, and what targets say is taken only from whole messages.
+#define BOOST_TEST_MODULE platform_dialect
+#include <boost/test/unit_test.hpp>
+
+#include "platform/dialect.h"
+#include "platform/heartbeat_json.h"
+#include "platform/jobs_json.h"
+#include "platform/plan_json.h"
+
+using namespace caraway;
+
+namespace {
+
+HttpRequest
+Request(const char* aMethod, const char* aPath, const char* aBody = "")
+{
+  HttpRequest request;
+  request.mCall = HttpCallId(1);
+  request.mMethod = aMethod;
+  request.mPath = aPath;
+  request.mBody = aBody;
+  return request;
+}
+
+EntryEvent
+Event(ListenerUse aUse, const HttpRequest& aRequest)
+{
+  const DecodedRequest decoded =
+    platform::MakeEntryDialect().mRead(aUse, aRequest);
+  BOOST_REQUIRE(std::holds_alternative<EntryEvent>(decoded));
+  return std::get<EntryEvent>(decoded);
+}
+
+int
+Refused(ListenerUse aUse, const HttpRequest& aRequest)
+{
+  const DecodedRequest decoded =
+    platform::MakeEntryDialect().mRead(aUse, aRequest);
+  const auto* answer = std::get_if<HttpResponse>(&decoded);
+  return answer == nullptr ? 0 : answer->mStatus;
+}
+
+constexpr const char* kPlan =
+  R"({"version":7,"routeTable":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+  R"("kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,)"
+  R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+  R"("maxAttempts":2,"resumable":true,"gapTargetMs":200}],)"
+  R"("services":[{"name":"s","coldPerS":23.0,"engine":{"slots":8}},)"
+  R"({"name":"t"}],)"
+  R"("tenants":[{"name":"w","apiKeys":["k"],"ratePerS":45,"burst":40}]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(configuration_becomes_a_plan)
+{
+  auto plan = platform::ReadPlan(kPlan);
+  BOOST_REQUIRE(plan.ok());
+  BOOST_TEST(plan->mVersion == 7u);
+  BOOST_TEST((plan->mRoutes[0].mKind == CallKind::eStream));
+  BOOST_TEST(plan->mRoutes[0].mShares.size() == 2u);
+  BOOST_TEST(plan->mRoutes[0].mTimeout.Millis() == 5000);
+  BOOST_TEST(plan->mServices[0].mEngine);
+  BOOST_TEST(!plan->mServices[1].mEngine);
+  BOOST_TEST(plan->mWorkspaces[0].mRate == 45);
+  BOOST_TEST(plan->mSource == kPlan);
+  BOOST_TEST(CheckPlan(*plan).ok());
+}
+
+BOOST_AUTO_TEST_CASE(configuration_cut_short_is_refused_at_every_length)
+{
+  const std::string whole = kPlan;
+  for (size_t length = 0; length < whole.size(); ++length) {
+    BOOST_TEST(!platform::ReadPlan(whole.substr(0, length)).ok());
+  }
+  BOOST_TEST(Refused(ListenerUse::eOperators,
+                     Request("POST", "/v1/Config.Replace", "{")) == 400);
+}
+
+BOOST_AUTO_TEST_CASE(request_of_a_caller_loses_key_and_hop_headers_only)
+{
+  HttpRequest http = Request("POST", "/p/x", "body");
+  http.mQuery = "q=1";
+  http.mHeaders = {
+    { "Host", "h:80" },          { "Attempt-Id", "id" },
+    { "Deadline-Ms", "5000" },   { "Authorization", "Bearer k" },
+    { "Token-Usage", "450,90" }, { "Connection", "keep-alive" },
+    { "X-Other", "kept" },       { "Tenant", "forged" }
+  };
+  const EntryEvent event = Event(ListenerUse::eCallers, http);
+  const auto& request = std::get<ForwardRequest>(event);
+  BOOST_TEST(request.mId.mValue == "id");
+  BOOST_TEST(request.mHost == "h");
+  BOOST_TEST(request.mKey == "k");
+  BOOST_TEST(request.mDeadline->Millis() == 5000);
+  BOOST_TEST(request.mOutputTokens == 90u);
+  BOOST_TEST(request.mHeaders.size() == 2u); // Token-Usage and X-Other
+}
+
+BOOST_AUTO_TEST_CASE(call_to_a_target_names_workspace_target_and_time_left)
+{
+  StartTargetCall call;
+  call.mNote.mRequest = RequestId("id");
+  call.mNote.mWorkspace = WorkspaceId("w");
+  call.mNote.mExpected = TargetId("t");
+  call.mNote.mTimeLeft = Millis(1234);
+  call.mNote.mResumeAfter = 5;
+  platform::MakeTargetDialect().mWriteCall(call);
+  BOOST_TEST(HeaderValue(call.mHeaders, "Attempt-Id") == "id");
+  BOOST_TEST(HeaderValue(call.mHeaders, "Tenant") == "w");
+  BOOST_TEST(HeaderValue(call.mHeaders, "Expect-Instance") == "t");
+  BOOST_TEST(HeaderValue(call.mHeaders, "Deadline-Ms") == "1234");
+  BOOST_TEST(HeaderValue(call.mHeaders, "Last-Event-Id") == "5");
+}
+
+BOOST_AUTO_TEST_CASE(answers_say_whether_the_target_ran_the_request)
+{
+  const auto read = [](int aStatus, Headers aHeaders) {
+    TargetCallBegan answer;
+    answer.mStatus = aStatus;
+    answer.mHeaders = std::move(aHeaders);
+    platform::MakeTargetDialect().mReadAnswer(answer);
+    return answer;
+  };
+  BOOST_TEST(read(503, { { "Not-Executed", "1" } }).mNotRun);
+  BOOST_TEST(!read(503, {}).mNotRun);
+  BOOST_TEST(read(421, {}).mWrongTarget);
+  BOOST_TEST(read(200, {}).mForeign); // no signature
+  BOOST_TEST(!read(200, { { "Server-Signature", "s" } }).mForeign);
+  BOOST_TEST(read(200, { { "Instance-Load", "3,1,8" } }).mLoad->mWaiting == 1u);
+  BOOST_TEST(!read(200, { { "Instance-Load", "3,1" } }).mLoad.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_with_unreadable_fields_name_no_target)
+{
+  const std::string good =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":8,)"
+    R"("state":"ready","coldLeftMs":1500,"callSeq":4,"born":17})";
+  auto heartbeat = platform::ReadHeartbeat("i-1", good);
+  BOOST_REQUIRE(heartbeat.ok());
+  BOOST_TEST(heartbeat->mTarget.mStartedAt == 17);
+  BOOST_TEST(heartbeat->mTarget.mColdFor.Millis() == 1500);
+  for (
+    const char* bad :
+    { R"({"service":"s"})",
+      R"({"service":1,"address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":8,"state":"asleep"})",
+      R"({"service":"s","address":"here","zone":"a","slots":8,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","born":1.5})",
+      "[]",
+      "" }) {
+    BOOST_TEST(!platform::ReadHeartbeat("i-1", bad).ok());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(items_of_a_job_keep_id_path_headers_and_bytes)
+{
+  ForwardRequest request;
+  request.mId = RequestId("job");
+  request.mBody =
+    R"({"requests":[{"id":"i","path":"/p/1","headers":{"Model":"m"},)"
+    R"("body":"q83vEg==","tokenCount":940}]})";
+  auto job = platform::ReadJob(request);
+  BOOST_REQUIRE(job.ok());
+  BOOST_TEST(job->mItems[0].mId == "i");
+  BOOST_TEST(job->mItems[0].mTokens == 940u);
+  BOOST_TEST(platform::ReadItemBody(job->mLines) == "\xab\xcd\xef\x12");
+  request.mBody = R"({"requests":[]})";
+  BOOST_TEST(!platform::ReadJob(request).ok());
+  request.mBody = "{";
+  BOOST_TEST(!platform::ReadJob(request).ok());
+}
+
+BOOST_AUTO_TEST_CASE(results_name_items_done_and_given_up)
+{
+  FileBytesReply reply;
+  reply.mTotal = 3;
+  reply.mNextOffset = 2;
+  reply.mBytes = R"({"custom_id":"a","output":"x\ny"})"
+                 "\n"
+                 R"({"custom_id":"b","error":{"code":"impossible"}})"
+                 "\n";
+  BOOST_TEST(
+    platform::WriteResults(reply) ==
+    R"({"next":2,"results":[{"id":"a","output":"x\ny","state":"completed"},)"
+    R"({"id":"b","output":"","state":"dead_letter"}],"total":3})");
+}
+
+BOOST_AUTO_TEST_CASE(refusals_keep_their_promise_in_the_status)
+{
+  const auto status = [](CallReplyBody aBody) {
+    return platform::MakeEntryDialect()
+      .mWriteReply({ HttpCallId(1), OrderTopic::eSubmitJob, std::move(aBody) })
+      .mStatus;
+  };
+  BOOST_TEST(status(JobReply{}) == 202);
+  BOOST_TEST(status(CallFailed{ ErrorKind::eRateLimited, "" }) == 429);
+  BOOST_TEST(status(CallFailed{ ErrorKind::eUnavailable, "" }) == 503);
+  BOOST_TEST(status(CallFailed{ ErrorKind::eOutcomeUnknown, "" }) == 502);
+}
--- /dev/null
+++ b/tests/routing_placement_test.cpp
@@ -0,0 +1,160 @@
+// Guards the choice of targets under a burst that comes at several entries at
+// once: no target gets what another has room for, batch items do not keep
+// online work away, and failing targets are left alone.
+#define BOOST_TEST_MODULE routing_placement
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "caraway/routing/placement.h"
+
+using namespace caraway;
+
+namespace {
+
+constexpr uint32_t kSlots = 8;
+
+std::vector<PlacementCandidate>
+Targets(int aCount, const char* aZone = "a")
+{
+  std::vector<PlacementCandidate> targets;
+  for (int at = 0; at < aCount; ++at) {
+    targets.push_back(
+      { TargetId("t" + std::to_string(at)), ZoneId(aZone), kSlots });
+  }
+  return targets;
+}
+
+std::string
+Choose(const std::vector<PlacementCandidate>& aTargets,
+       const PlacementLoads& aLoads,
+       MonoTime aNow,
+       Random& aRandom,
+       const char* aZone = "a")
+{
+  PlacementQuery query;
+  query.mLocalZone = ZoneId(aZone);
+  const Placement placement =
+    ChoosePlacement(aTargets, aLoads, query, aNow, aRandom);
+  return placement.mIndex ? aTargets[*placement.mIndex].mTarget.mValue : "none";
+}
+
+// Most requests at one target after a burst of one request for each slot, sent
+// by entries that hear of each other only through reports.
+uint32_t
+MostAfterBurst(int aEntries, int aTargets, bool aRandomChoice, uint64_t aSeed)
+{
+  const auto targets = Targets(aTargets);
+  std::vector<PlacementLoads> views(aEntries);
+  std::map<std::string, uint32_t> running;
+  Random random(aSeed);
+  MonoTime now{ 1000000 };
+  const int requests = aTargets * static_cast<int>(kSlots) / 2;
+  for (int request = 0; request < requests; ++request) {
+    PlacementLoads& view = views[request % aEntries];
+    const std::string chosen =
+      aRandomChoice ? "t" + std::to_string(DrawBelow(random, aTargets))
+                    : Choose(targets, view, now, random);
+    ++running[chosen];
+    ++view[TargetId(chosen)].mOwn;
+    now = now + Millis(2);
+    if (request % 8 == 7) { // reports come every few requests
+      for (PlacementLoads& each : views) {
+        for (const auto& [name, count] : running) {
+          NoteLoadReport(each[TargetId(name)], now, count, 0, kSlots);
+        }
+      }
+    }
+  }
+  uint32_t most = 0;
+  for (const auto& [name, count] : running) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(burst_at_several_entries_fills_no_target_before_others)
+{
+  uint32_t chosen = 0;
+  uint32_t baseline = 0;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    // Half of all places are asked for, so every request finds a free one.
+    const uint32_t most = MostAfterBurst(8, 9, false, seed);
+    BOOST_TEST(most <= kSlots);
+    chosen += most;
+    baseline += MostAfterBurst(8, 9, true, seed);
+  }
+  BOOST_TEST(chosen < baseline); // random placement
+}
+
+BOOST_AUTO_TEST_CASE(free_place_goes_before_a_place_held_by_batch)
+{
+  const auto targets = Targets(2);
+  PlacementLoads loads;
+  Random random(1);
+  const MonoTime now{ 5000000 };
+  NoteLoadReport(loads[TargetId("t0")], now, 2, 6, kSlots);
+  NoteLoadReport(loads[TargetId("t1")], now, 2, 0, kSlots);
+  BOOST_TEST(Choose(targets, loads, now, random) == "t1");
+  // A batch item gives way, so it does not count like an online request.
+  NoteLoadReport(loads[TargetId("t1")], now, 6, 0, kSlots);
+  BOOST_TEST(Choose(targets, loads, now, random) == "t0");
+}
+
+BOOST_AUTO_TEST_CASE(other_zone_helps_only_a_crowded_one)
+{
+  auto targets = Targets(1, "a");
+  targets.push_back({ TargetId("far"), ZoneId("b"), kSlots });
+  PlacementLoads loads;
+  Random random(1);
+  const MonoTime now{ 5000000 };
+  NoteLoadReport(loads[TargetId("t0")], now, 1, 0, kSlots);
+  NoteLoadReport(loads[TargetId("far")], now, 1, 0, kSlots);
+  BOOST_TEST(Choose(targets, loads, now, random) == "t0");
+  NoteLoadReport(loads[TargetId("t0")], now, 7, 0, kSlots);
+  BOOST_TEST(Choose(targets, loads, now, random) == "far");
+}
+
+BOOST_AUTO_TEST_CASE(failing_target_is_avoided_and_taken_when_alone)
+{
+  const auto targets = Targets(2);
+  PlacementLoads loads;
+  Random random(1);
+  MonoTime now{ 5000000 };
+  NotePlacementFailure(loads[TargetId("t0")], now);
+  for (int at = 0; at < 20; ++at) {
+    BOOST_TEST(Choose(targets, loads, now, random) == "t1");
+  }
+  PlacementQuery query;
+  query.mExclude = { TargetId("t1") };
+  const Placement last = ChoosePlacement(targets, loads, query, now, random);
+  BOOST_REQUIRE(last.mIndex);
+  BOOST_TEST(targets[*last.mIndex].mTarget.mValue == "t0");
+}
+
+BOOST_AUTO_TEST_CASE(avoidance_doubles_and_ends)
+{
+  PlacementLoad load;
+  const MonoTime now{ 5000000 };
+  NotePlacementFailure(load, now);
+  const Duration first = load.mAvoidUntil - now;
+  NotePlacementFailure(load, now);
+  BOOST_TEST((load.mAvoidUntil - now).mMicros == 2 * first.mMicros);
+  for (int at = 0; at < 20; ++at) {
+    NotePlacementFailure(load, now);
+  }
+  BOOST_TEST((load.mAvoidUntil - now).mMicros == Seconds(4).mMicros);
+  NotePlacementSuccess(load);
+  BOOST_TEST(load.mFailures == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(old_report_says_nothing)
+{
+  PlacementLoad load;
+  const MonoTime now{ 50000000 };
+  NoteLoadReport(load, now, 8, 0, kSlots);
+  BOOST_TEST(OnlineAt(load, now) == 8u);
+  BOOST_TEST(OnlineAt(load, now + Seconds(4)) == 0u);
+}
