End processes at once after a graceful stop; bound logs on standard output

Ruled out: requests in progress (it had logged that it stopped). Change: it ends once the last line is written; standard output is never waited for, bounded to 1,000 lines a second, and what is left out is counted and said.

--- a/caraway/entry/drain.cpp
+++ b/caraway/entry/drain.cpp
@@ -47,6 +47,13 @@
   DrainState& drain = aStep.mEntry.mDrain;
   if (drain.mSince == kNever) {
     drain.mSince = aStep.mNow;
+    DecisionLog log;
+    log.mEvent = "stopping";
+    log.mChoice = "drain";
+    log.mReason = "asked to stop";
+    log.mExtra = { { "requests",
+                     std::to_string(aStep.mEntry.mRequests.size()) } };
+    aStep.mOut.emplace_back(std::move(log));
     RenewSoon(aStep);
   }
 }
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -47,6 +47,17 @@
 void
 ConfigApplied(EntryStep& aStep, bool aTopology)
 {
+  const ConfigView& view = aStep.mEntry.mConfig;
+  DecisionLog log;
+  log.mEvent = "config";
+  log.mChoice = "applied";
+  log.mReason = aTopology ? "members, targets or zones" : "contracts or routes";
+  log.mExtra = {
+    { "revision", std::to_string(view.mRevision.mValue) },
+    { "plan", std::to_string(view.mPlan ? view.mPlan->mVersion : 0) },
+    { "targets", std::to_string(view.mTargets.size()) }
+  };
+  aStep.mOut.emplace_back(std::move(log));
   EndWithdrawn(aStep);
   if (aTopology) {
     TopologyChanged(aStep);
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -3,6 +3,7 @@
 #include "caraway/entry/session.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "caraway/admission/token_holder.h"
 #include "caraway/base/lease.h"
@@ -20,11 +21,36 @@
 constexpr Duration kRedirectPause = Millis(50);
 constexpr Duration kNotYetPause = Millis(100);
 
+// Contact with the control leader, and how long it was away.
+void
+LogLeader(EntryStep& aStep, const char* aChoice, const std::string& aReplica)
+{
+  EntrySession& session = aStep.mEntry.mSession;
+  const bool lost = std::string_view(aChoice) == "lost";
+  DecisionLog log;
+  log.mLevel = lost ? LogLevel::eWarning : LogLevel::eInfo;
+  log.mEvent = "control_leader";
+  log.mChoice = aChoice;
+  log.mReason = aReplica;
+  log.mExtra = {
+    { "away_ms",
+      lost || session.mLostAt == kNever
+        ? "0"
+        : std::to_string((aStep.mNow - session.mLostAt).Millis()) },
+    { "revision", std::to_string(aStep.mEntry.mConfig.mRevision.mValue) }
+  };
+  session.mLostAt = lost ? aStep.mNow : kNever;
+  aStep.mOut.emplace_back(std::move(log));
+}
+
 void
 TryNextReplica(EntryStep& aStep, Duration aPause)
 {
   EntrySession& session = aStep.mEntry.mSession;
   const std::vector<PeerAddress>& replicas = aStep.mEntry.mSettings.mControl;
+  if (!session.mConfirmed.Empty()) {
+    LogLeader(aStep, "lost", session.mConfirmed.mValue);
+  }
   session.mConfirmed = {};
   if (replicas.empty()) {
     return;
@@ -82,6 +108,7 @@
   if (session.mConfirmed == aFrom) {
     return;
   }
+  LogLeader(aStep, "regained", aFrom.mValue);
   session.mConfirmed = aFrom;
   session.mLeader = aFrom;
   GrantorChanged(aStep.mEntry.mTokens, aStep.mNow);
--- /dev/null
+++ b/caraway/runtime/bounded_output.cpp
@@ -0,0 +1,72 @@
+// Bounded, non-blocking lines.
+
+#include "caraway/runtime/bounded_output.h"
+
+#include <algorithm>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace caraway {
+
+namespace {
+
+// A pipe takes a write of this size whole or not at all.
+constexpr size_t kMaxLineBytes = 4000;
+
+bool
+WriteWhole(const BoundedOutput& aOutput, const std::string& aLine)
+{
+  return write(aOutput.mDescriptor, aLine.data(), aLine.size()) ==
+         static_cast<ssize_t>(aLine.size());
+}
+
+} // namespace
+
+void
+OpenBounded(BoundedOutput& aOutput)
+{
+  const int flags = fcntl(aOutput.mDescriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(aOutput.mDescriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void
+WriteBounded(BoundedOutput& aOutput,
+             MonoTime aNow,
+             bool aImportant,
+             std::string aLine)
+{
+  if (aNow - aOutput.mSecond >= Seconds(1)) {
+    aOutput.mSecond = aNow;
+    aOutput.mLines = 0;
+  }
+  const uint32_t most =
+    aImportant ? aOutput.mLinesPerSecond : aOutput.mLinesPerSecond / 2;
+  if (aOutput.mLines >= most) {
+    ++aOutput.mDropped;
+    return;
+  }
+  if (aOutput.mDropped > aOutput.mTold) {
+    const std::string told = "event=log_dropped lines=" +
+                             std::to_string(aOutput.mDropped - aOutput.mTold) +
+                             "\n";
+    if (!WriteWhole(aOutput, told)) {
+      ++aOutput.mDropped;
+      return;
+    }
+    aOutput.mTold = aOutput.mDropped;
+  }
+  aLine.resize(std::min(aLine.size(), kMaxLineBytes));
+  if (!aLine.ends_with('\n')) {
+    aLine.push_back('\n');
+  }
+  if (WriteWhole(aOutput, aLine)) {
+    ++aOutput.mLines;
+  } else {
+    ++aOutput.mDropped;
+  }
+}
+
+} // namespace caraway
--- a/caraway/runtime/logging.cpp
+++ b/caraway/runtime/logging.cpp
@@ -2,6 +2,7 @@
 
 #include "caraway/runtime/logging.h"
 
+#include <chrono>
 #include <memory>
 
 #include <log4cplus/configurator.h>
@@ -11,20 +12,56 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "caraway/runtime/bounded_output.h"
 
 namespace caraway {
 
 namespace {
 
+MonoTime
+Now()
+{
+  return { std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+             .count() };
+}
+
+// log4cplus lines through a bounded output.
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+  explicit BoundedAppender(BoundedOutput& aOutput)
+    : mOutput(aOutput)
+  {
+  }
+  ~BoundedAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    WriteBounded(mOutput,
+                 Now(),
+                 aEvent.getLogLevel() >= log4cplus::WARN_LOG_LEVEL,
+                 formatEvent(aEvent));
+  }
+
+private:
+  BoundedOutput& mOutput;
+};
+
 struct LogState
 {
   std::unique_ptr<log4cplus::Initializer> mInitializer;
   LogSettings mSettings;
   InstanceId mInstance;
+  BoundedOutput mOutput;
 };
 
 // The one piece of process-wide state: log4cplus itself is process-wide.
@@ -117,8 +154,13 @@
   gLog.mSettings = aSettings;
   gLog.mInstance = aInstance;
   log4cplus::SharedAppenderPtr appender;
-  if (aSettings.mFile.empty()) {
-    appender = new log4cplus::ConsoleAppender(!aSettings.mStandardOutput, true);
+  if (aSettings.mFile.empty() && aSettings.mStandardOutput) {
+    gLog.mOutput = {};
+    gLog.mOutput.mLinesPerSecond = aSettings.mLinesPerSecond;
+    OpenBounded(gLog.mOutput);
+    appender = new BoundedAppender(gLog.mOutput);
+  } else if (aSettings.mFile.empty()) {
+    appender = new log4cplus::ConsoleAppender(true, true);
   } else {
     appender = new log4cplus::FileAppender(
       aSettings.mFile, std::ios_base::app | std::ios_base::out);
@@ -132,6 +174,12 @@
   root.setLogLevel(LevelOf(aSettings.mLevel));
 }
 
+uint64_t
+LogLinesDropped()
+{
+  return gLog.mOutput.mDropped;
+}
+
 void
 CloseLog()
 {
--- a/caraway/runtime/logging.h
+++ b/caraway/runtime/logging.h
@@ -21,9 +21,17 @@
   LogFormat mFormat = LogFormat::eKeyValue;
   LogLevel mLevel = LogLevel::eInfo;
   std::string mFile;            // empty: a standard stream
-  bool mStandardOutput = false; // without a file: output in place of error
+  // Without a file: standard output in place of error, never waited for and
+  // bounded. What is left out is counted, and the next line says how much.
+  bool mStandardOutput = false;
+  uint32_t mLinesPerSecond = 1000; // standard output; half of it for
+                                   // everything below a warning
 };
 
+// Lines left out since the start.
+uint64_t
+LogLinesDropped();
+
 // Call once at start.
 void
 OpenLog(const LogSettings& aSettings, const InstanceId& aInstance);
--- a/daemons/daemon_settings.h
+++ b/daemons/daemon_settings.h
@@ -1,6 +1,8 @@
 #pragma once
 // Settings that every daemon has, and the usage text for them.
 
+#include <cstdlib>
+
 #include "caraway/runtime/runtime.h"
 
 namespace caraway {
@@ -59,8 +61,10 @@
   }
   aLoop.Run();
   WriteLog(LogLevel::eInfo, "stopped", {});
-  CloseLog();
-  return 0;
+  // Every answer has left and every acknowledged write is synced. Ending the
+  // log library joins its threads, which can take until the process is killed;
+  // meanwhile its listeners would still take connections.
+  std::_Exit(0);
 }
 
 } // namespace caraway
