--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -33,6 +33,17 @@
   log.mWorkspace = aRequest.mWorkspace;
   log.mChoice = aChoice;
   log.mReason = aReason;
+  const Entry& entry = aStep.mEntry;
+  auto tokens = entry.mTokens.mTokens.find(aRequest.mWorkspace);
+  if (aLevel != LogLevel::eDebug && tokens != entry.mTokens.mTokens.end()) {
+    log.mExtra = {
+      { "held", std::to_string(tokens->second.mHeld) },
+      { "grantor_settled", entry.mTokens.mSettled ? "true" : "false" },
+      { "lease_ms",
+        std::to_string((entry.mSession.mLeaseEnd - aStep.mNow).Millis()) },
+      { "revision", std::to_string(entry.mConfig.mRevision.mValue) }
+    };
+  }
   aStep.mOut.emplace_back(std::move(log));
 }
 
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -168,17 +168,16 @@
           : task.mForeign ? "foreign bytes"
                           : "whole",
           aOut);
-  if (task.mNotRun || task.mForeign) {
-    ReturnTask(aNode, aNow, aWork);
-  } else if (task.mStatus / 100 == 2) {
+  const bool ran = !task.mNotRun && !task.mForeign;
+  if (ran && task.mStatus / 100 == 2) {
     EndTask(aNode, aNow, aWork, ItemVerdict::eDone, RawOutputLine(task));
-  } else if (task.mStatus == kImpossible) {
+  } else if (ran && task.mStatus == kImpossible) {
     EndTask(aNode,
             aNow,
             aWork,
             ItemVerdict::ePermanent,
             ErrorLine(task, "impossible", "the target cannot do the item"));
-  } else if (task.mStatus == 500) {
+  } else if (ran && task.mStatus == 500) {
     EndTask(aNode,
             aNow,
             aWork,
--- a/tests/admission_share_test.cpp
+++ b/tests/admission_share_test.cpp
@@ -22,7 +22,7 @@
 }
 
 ConfigView
-ViewWith(const Contract& aContract, std::vector<uint64_t> aEntries)
+ViewWith(const Contract& aContract, const std::vector<uint64_t>& aEntries)
 {
   ConfigView view;
   view.mContracts[aContract.mWorkspace] = aContract;
--- a/tests/entry_direct_test.cpp
+++ b/tests/entry_direct_test.cpp
@@ -109,7 +109,7 @@
     aCall = Ask(aRoute);
     Slot(AskedNode(), aCall, SlotState::eGranted);
     BOOST_REQUIRE(!mTargetCalls.empty());
-    const StartTargetCall call = mTargetCalls.back();
+    StartTargetCall call = mTargetCalls.back();
     Step(TargetCallSent{ call.mCall });
     return call;
   }
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -97,6 +97,22 @@
   BOOST_TEST(request.mHeaders.size() == 2u); // Token-Usage and X-Other
 }
 
+// Sizes taken as zero would let a large request pass for a small one, and an
+// offset taken as zero would deliver lines a second time.
+BOOST_AUTO_TEST_CASE(malformed_numbers_are_refused)
+{
+  for (const char* sizes : { "450", "450,", "450,x", "1,2,3", "-1,2" }) {
+    HttpRequest http = Request("POST", "/p/x", "body");
+    http.mHeaders = { { "Token-Usage", sizes } };
+    BOOST_TEST(Refused(ListenerUse::eCallers, http) == 400);
+  }
+  for (const char* after : { "x", "-1", "1x" }) {
+    HttpRequest http = Request("GET", "/v1/lots/j1", "");
+    http.mQuery = std::string("after=") + after;
+    BOOST_TEST(Refused(ListenerUse::eCallers, http) == 400);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(call_to_a_target_names_workspace_target_and_time_left)
 {
   StartTargetCall call;
--- a/tests/routing_placement_test.cpp
+++ b/tests/routing_placement_test.cpp
@@ -18,6 +18,7 @@
 Targets(int aCount, const char* aZone = "a")
 {
   std::vector<PlacementCandidate> targets;
+  targets.reserve(static_cast<size_t>(aCount));
   for (int at = 0; at < aCount; ++at) {
     targets.push_back(
       { TargetId("t" + std::to_string(at)), ZoneId(aZone), kSlots });
