Add a fault soak that runs the platform's processes on loopback

The users ask for a randomized soak of the real programs with faults from outside. caraway-platform-soak starts entries, control replicas and nodes, puts a proxy before each peer listener and target, plays kills, stops, pauses, lost disks and network faults in overlapping series, and checks what callers, operators and targets see.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,9 @@
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 CPPS = $(filter %.cpp,$(SOURCES))
 
-.PHONY: all packages build build-asan test demo fuzz bench capacity format format-check lint clean
+SECONDS_OF_FAULTS ?= 10
+
+.PHONY: all packages build build-asan test demo soak fuzz bench capacity format format-check lint clean
 
 all: build
 
@@ -31,6 +33,10 @@
 demo: build
 	@bash tools/demo.sh build
 
+# Faults on the platform's processes, from outside.
+soak: build
+	@build/caraway-platform-soak --program=build/caraway-platform --seed=$(SEED) --seconds=$(SECONDS_OF_FAULTS)
+
 fuzz: build
 	@bash fuzz/run.sh build $(SEED) $(STEPS) $(TARGET)
 
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -13,10 +13,10 @@
 
 struct EntrySession
 {
-  Epoch mEpoch;           // none while registering
-  size_t mReplica = 0;    // index of mLeader in the settings, or beyond
-  PeerAddress mLeader;    // where messages for the leader go
-  PeerAddress mConfirmed; // replica that last answered as leader
+  Epoch mEpoch;              // none while registering
+  size_t mReplica = 0;       // index of mLeader in the settings, or beyond
+  PeerAddress mLeader;       // where messages for the leader go
+  PeerAddress mConfirmed;    // replica that last answered as leader
   MonoTime mLostAt = kNever; // contact with the leader was lost
   MonoTime mLeaseEnd = kLongAgo;
   MonoTime mNextSend; // next Register or Renew
--- a/caraway/runtime/http_fetch.cpp
+++ b/caraway/runtime/http_fetch.cpp
@@ -157,7 +157,9 @@
     evhttp_request_set_chunked_cb(request, &OnBytes);
   }
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", host);
+  if (HeaderValue(aRequest.mHeaders, "Host").empty()) {
+    evhttp_add_header(headers, "Host", host);
+  }
   evhttp_add_header(headers, "Connection", "close");
   for (const auto& [name, value] : aRequest.mHeaders) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
--- a/caraway/runtime/logging.h
+++ b/caraway/runtime/logging.h
@@ -20,7 +20,7 @@
 {
   LogFormat mFormat = LogFormat::eKeyValue;
   LogLevel mLevel = LogLevel::eInfo;
-  std::string mFile;            // empty: a standard stream
+  std::string mFile; // empty: a standard stream
   // Without a file: standard output in place of error, never waited for and
   // bounded. What is left out is counted, and the next line says how much.
   bool mStandardOutput = false;
