Test the checks of the soak

A check that never fails proves nothing: platform_soak_test gives the soak's record each broken promise that it can show and requires one finding, and none for a sound record.

--- /dev/null
+++ b/tests/platform_soak_test.cpp
@@ -0,0 +1,153 @@
+// Guards against a soak whose checks find nothing: each broken promise that its
+// record can show has to become a finding, and a sound record none.
+#define BOOST_TEST_MODULE platform_soak
+#include <boost/test/unit_test.hpp>
+
+#include "platform/soak/soak_record.h"
+
+using namespace caraway;
+using namespace caraway::soak;
+
+namespace {
+
+RequestRecord
+Request(RouteKind aKind, int aStatus)
+{
+  RequestRecord request;
+  request.mId = "r1";
+  request.mKind = aKind;
+  request.mWorkspace = "w";
+  request.mPath = "/p/r1";
+  request.mBody = "body";
+  request.mService = "s";
+  request.mStatus = aStatus;
+  request.mWhole = true;
+  request.mSignature = SignatureOf("r1");
+  request.mAnswer = PlainAnswer("r1");
+  return request;
+}
+
+Run
+RunOf(const RequestRecord& aRequest)
+{
+  Run run;
+  run.mTarget = "t";
+  run.mService = aRequest.mService;
+  run.mWorkspace = aRequest.mWorkspace;
+  run.mPath = aRequest.mPath;
+  run.mBody = aRequest.mBody;
+  return run;
+}
+
+size_t
+FindingsOfRuns(const RequestRecord& aRequest)
+{
+  Record record;
+  record.mRequests[aRequest.mId] = aRequest;
+  CheckRuns(record);
+  return record.mViolations.size();
+}
+
+size_t
+FindingsOfAnswer(const RequestRecord& aRequest)
+{
+  Record record;
+  CheckAnswer(record, aRequest);
+  return record.mViolations.size();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sound_request_has_no_findings)
+{
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  request.mRuns = { RunOf(request) };
+  BOOST_TEST(FindingsOfRuns(request) == 0u);
+  BOOST_TEST(FindingsOfAnswer(request) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(second_run_is_found_where_one_is_allowed)
+{
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  request.mRuns = { RunOf(request), RunOf(request) };
+  BOOST_TEST(FindingsOfRuns(request) == 1u);
+  request.mKind = RouteKind::eRepeatable;
+  BOOST_TEST(FindingsOfRuns(request) == 0u);
+  request.mRuns.push_back(RunOf(request));
+  BOOST_TEST(FindingsOfRuns(request) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(untrue_refusal_is_found)
+{
+  for (const int status : { 429, 503 }) {
+    RequestRecord request = Request(RouteKind::eStream, status);
+    BOOST_TEST(FindingsOfRuns(request) == 0u);
+    request.mRuns = { RunOf(request) };
+    BOOST_TEST(FindingsOfRuns(request) == 1u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(changed_request_or_shown_key_is_found)
+{
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  for (const int change : { 0, 1, 2, 3, 4 }) {
+    Run run = RunOf(request);
+    run.mSawKey = change == 0;
+    run.mWorkspace += change == 1 ? "x" : "";
+    run.mService += change == 2 ? "x" : "";
+    run.mPath += change == 3 ? "x" : "";
+    run.mBody += change == 4 ? "x" : "";
+    request.mRuns = { run };
+    BOOST_TEST(FindingsOfRuns(request) == 1u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(foreign_short_or_doubled_answer_is_found)
+{
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  request.mSignature = SignatureOf("r2");
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+  request = Request(RouteKind::eOnce, 200);
+  request.mAnswer.pop_back();
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+  request = Request(RouteKind::eStream, 200);
+  request.mAnswer.clear();
+  for (uint64_t event = 1; event <= kStreamEvents; ++event) {
+    request.mAnswer += StreamEvent("r1", event);
+  }
+  BOOST_TEST(FindingsOfAnswer(request) == 0u);
+  request.mAnswer += StreamEvent("r1", kStreamEvents);
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+  request.mStatus = 0; // a broken stream that repeats an event
+  request.mAnswer = StreamEvent("r1", 1) + StreamEvent("r1", 1);
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(rate_and_cold_start_bounds_are_checked)
+{
+  Record record;
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  for (int at = 0; at < 200; ++at) {
+    request.mId = "r" + std::to_string(at);
+    Run run = RunOf(request);
+    run.mAt = request.mSentAt = MonoTime{ 0 } + Millis(at);
+    request.mRuns.clear();
+    record.mRequests[request.mId] = request;
+    NoteRun(record, request.mId, run);
+  }
+  CheckRate(record, "w", { 30, 30 }); // 218 in 5 s
+  CheckColdTime(record, "t", MonoTime{ 0 }, MonoTime{ 0 } + Seconds(3), 130);
+  BOOST_TEST(record.mViolations.size() == 0u);
+  CheckRate(record, "w", { 25, 30 }); // 190.5
+  BOOST_TEST(record.mViolations.size() == 1u);
+  CheckColdTime(record, "t", MonoTime{ 0 }, MonoTime{ 0 } + Seconds(3), 129);
+  BOOST_TEST(record.mViolations.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(run_that_nobody_sent_is_found)
+{
+  Record record;
+  NoteRun(record, "unknown", Run{});
+  CheckRuns(record);
+  BOOST_TEST(record.mViolations.size() == 1u);
+}
