Let requests wait for their share of the rate when control goes out of reach

Ruled out: the grants (lease and grantor were settled) and stale members (the share was a third). A request now takes its token in advance and waits for it, at most 200 ms, as it does for a grant; what would take longer is refused at once as before. The new test fails on the earlier code, which had no wait.

--- a/caraway/admission/fallback_share.cpp
+++ b/caraway/admission/fallback_share.cpp
@@ -14,13 +14,17 @@
 
 } // namespace
 
-bool
-TakeShare(FallbackShares& aShares,
-          MonoTime aNow,
-          const Contract& aContract,
-          uint32_t aEntries)
+std::optional<Duration>
+ReserveShare(FallbackShares& aShares,
+             MonoTime aNow,
+             const Contract& aContract,
+             uint32_t aEntries,
+             Duration aMostWait)
 {
   const double rate = aContract.mRate / std::max<uint32_t>(1, aEntries);
+  if (rate <= 0) {
+    return std::nullopt;
+  }
   const double most = std::max(1.0, rate * kHeldSeconds);
   auto [place, fresh] = aShares.mBuckets.try_emplace(aContract.mWorkspace);
   ShareBucket& bucket = place->second;
@@ -30,11 +34,13 @@
   bucket.mTokens =
     std::min(most, bucket.mTokens + rate * (aNow - bucket.mFilledAt).Seconds());
   bucket.mFilledAt = aNow;
-  if (bucket.mTokens < 1) {
-    return false;
+  const double missing = std::max(0.0, 1 - bucket.mTokens);
+  const Duration wait = Micros(static_cast<int64_t>(missing / rate * 1e6));
+  if (wait > aMostWait) {
+    return std::nullopt;
   }
   --bucket.mTokens;
-  return true;
+  return wait;
 }
 
 } // namespace caraway
--- a/caraway/admission/fallback_share.h
+++ b/caraway/admission/fallback_share.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "caraway/config/contract.h"
 
@@ -16,7 +17,7 @@
 
 struct ShareBucket
 {
-  double mTokens = 0;
+  double mTokens = 0; // below zero: owed to requests that wait
   MonoTime mFilledAt;
 };
 
@@ -25,11 +26,14 @@
   std::map<WorkspaceId, ShareBucket> mBuckets;
 };
 
-// True if the request is admitted. aEntries: entries that share the rate.
-bool
-TakeShare(FallbackShares& aShares,
-          MonoTime aNow,
-          const Contract& aContract,
-          uint32_t aEntries);
+// Takes a token for a request that may wait for aMostWait. Returns how long the
+// request is to wait before it starts; none if that would be longer, and then
+// nothing is taken. aEntries: entries that share the rate.
+std::optional<Duration>
+ReserveShare(FallbackShares& aShares,
+             MonoTime aNow,
+             const Contract& aContract,
+             uint32_t aEntries,
+             Duration aMostWait);
 
 } // namespace caraway
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -84,18 +84,10 @@
   return std::max<uint32_t>(1, entries);
 }
 
-// Control is out of reach, so no tokens come.
 void
-AdmitByShare(EntryStep& aStep,
-             CallerRequest& aRequest,
-             const Contract& aContract)
+StartByShare(EntryStep& aStep, CallerRequest& aRequest)
 {
-  Entry& entry = aStep.mEntry;
-  if (!TakeShare(entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry))) {
-    RefuseRate(aStep, aRequest, Seconds(1));
-    return;
-  }
-  ++entry.mMetrics.mAdmitted;
+  ++aStep.mEntry.mMetrics.mAdmitted;
   LogAdmission(aStep,
                aRequest,
                LogLevel::eDebug,
@@ -104,6 +96,29 @@
   StartWork(aStep, aRequest);
 }
 
+// Control is out of reach, so no tokens come. The share starts empty; a request
+// whose token comes within aMostWait waits for it. Returns false in that case.
+bool
+AdmitByShare(EntryStep& aStep,
+             CallerRequest& aRequest,
+             const Contract& aContract,
+             Duration aMostWait)
+{
+  Entry& entry = aStep.mEntry;
+  const std::optional<Duration> wait = ReserveShare(
+    entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry), aMostWait);
+  if (!wait) {
+    RefuseRate(aStep, aRequest, Seconds(1));
+    return true;
+  }
+  if (*wait > Duration{}) {
+    aRequest.mShareAt = aStep.mNow + *wait;
+    return false;
+  }
+  StartByShare(aStep, aRequest);
+  return true;
+}
+
 // Returns false if the request is to wait.
 bool
 TryOnce(EntryStep& aStep, CallerRequest& aRequest, bool aAsked)
@@ -113,17 +128,20 @@
   if (contract == entry.mConfig.mContracts.end()) {
     return true; // the withdrawal has ended it, or will at once
   }
+  if (aRequest.mShareAt) {
+    return false;
+  }
+  const Duration mostWait =
+    aAsked ? std::max(Duration{}, aRequest.mAskUntil - aStep.mNow) : kAskWait;
   if (entry.mSettings.mServeWithoutLease && !LeaseHolds(entry, aStep.mNow)) {
-    AdmitByShare(aStep, aRequest, contract->second);
-    return true;
+    return AdmitByShare(aStep, aRequest, contract->second, mostWait);
   }
   const Admission admission =
     TryAdmit(entry.mTokens, aStep.mNow, contract->second, aAsked);
   if (admission.mVerdict != AdmitVerdict::eAdmitted &&
       entry.mSettings.mServeWithoutLease &&
       !GrantsCome(entry.mTokens, aStep.mNow)) {
-    AdmitByShare(aStep, aRequest, contract->second);
-    return true;
+    return AdmitByShare(aStep, aRequest, contract->second, mostWait);
   }
   switch (admission.mVerdict) {
     case AdmitVerdict::eAdmitted:
@@ -155,7 +173,7 @@
     return;
   }
   aRequest.mPhase = RequestPhase::eAdmitting;
-  aRequest.mAskUntil = aStep.mNow + kAskWait;
+  aRequest.mAskUntil = aRequest.mShareAt.value_or(aStep.mNow + kAskWait);
   aStep.mEntry.mParked.push_back(aRequest.mSerial);
   ScheduleRequest(aStep, aRequest);
 }
@@ -172,6 +190,10 @@
         request->second.mPhase == RequestPhase::eAdmitting &&
         !TryOnce(aStep, request->second, true)) {
       entry.mParked.push_back(serial);
+      if (request->second.mShareAt) {
+        request->second.mAskUntil = *request->second.mShareAt;
+        ScheduleRequest(aStep, request->second);
+      }
     }
   }
 }
@@ -182,12 +204,16 @@
   std::deque<uint64_t>& parked = aStep.mEntry.mParked;
   parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
                parked.end());
+  if (aRequest.mShareAt) {
+    StartByShare(aStep, aRequest);
+    return;
+  }
   const Entry& entry = aStep.mEntry;
   auto contract = entry.mConfig.mContracts.find(aRequest.mWorkspace);
   if (entry.mSettings.mServeWithoutLease &&
       contract != entry.mConfig.mContracts.end() &&
       !GrantsCome(entry.mTokens, aStep.mNow + kAskWait)) {
-    AdmitByShare(aStep, aRequest, contract->second);
+    AdmitByShare(aStep, aRequest, contract->second, Duration{});
     return;
   }
   RefuseRate(aStep, aRequest, Seconds(1));
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -2,6 +2,7 @@
 // One caller request in progress.
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,7 +83,8 @@
   KeyId mKey;             // empty on open routes
   MonoTime mReceivedAt;
   MonoTime mDeadline;
-  MonoTime mAskUntil = kNever; // eAdmitting: refused then
+  MonoTime mAskUntil = kNever;      // eAdmitting: refused then
+  std::optional<MonoTime> mShareAt; // eAdmitting: starts then, by its share
   bool mTokenTaken = false;
   bool mCallerGone = false;
   bool mBegun = false; // HttpBegin was sent
--- a/tests/admission_share_test.cpp
+++ b/tests/admission_share_test.cpp
@@ -60,7 +60,7 @@
   const MonoTime begin{ 1000000 };
   for (MonoTime now = begin; now < begin + Seconds(10); now = now + Millis(5)) {
     for (FallbackShares& entry : entries) {
-      admitted += TakeShare(entry, now, contract, kEntries) ? 1 : 0;
+      admitted += ReserveShare(entry, now, contract, kEntries, {}) ? 1 : 0;
     }
   }
   BOOST_TEST(admitted <= 40u * 10);
@@ -70,7 +70,28 @@
 BOOST_AUTO_TEST_CASE(share_starts_empty_after_a_burst_under_grants)
 {
   FallbackShares shares;
-  BOOST_TEST(!TakeShare(shares, MonoTime{ 1000000 }, MakeContract(40), 8));
+  BOOST_TEST(
+    !ReserveShare(shares, MonoTime{ 1000000 }, MakeContract(40), 8, {}));
+}
+
+// Guards against refusing the first request within the rate when control goes
+// out of reach: its token comes within the time that a request may wait.
+BOOST_AUTO_TEST_CASE(request_within_its_share_waits_for_its_token)
+{
+  FallbackShares shares;
+  const MonoTime now{ 1000000 };
+  const Contract contract = MakeContract(60); // 20/s for each of 3 entries
+  const auto reserve = [&](MonoTime aAt) {
+    return ReserveShare(shares, aAt, contract, 3, Millis(200));
+  };
+  for (int at = 1; at <= 4; ++at) {
+    const auto wait = reserve(now);
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST(wait->Millis() == 50 * at);
+  }
+  BOOST_TEST(!reserve(now).has_value());
+  // What waits is owed: no token is left until it is paid.
+  BOOST_TEST(reserve(now + Millis(50))->Millis() == 200);
 }
 
 BOOST_AUTO_TEST_CASE(grantor_leaves_the_share_of_entries_out_of_reach)
