--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -74,16 +74,6 @@
   FailRequest(aStep, aRequest, std::move(error));
 }
 
-uint32_t
-EntriesKnown(const Entry& aEntry)
-{
-  uint32_t entries = 0;
-  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
-    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
-  }
-  return std::max<uint32_t>(1, entries);
-}
-
 void
 StartByShare(EntryStep& aStep, CallerRequest& aRequest)
 {
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -7,6 +7,7 @@
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
+#include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
 
 namespace caraway {
@@ -33,16 +34,6 @@
 constexpr int64_t kRetryShare = 3;
 constexpr Duration kShortestRetry = Millis(100);
 
-uint32_t
-EntriesKnown(const Entry& aEntry)
-{
-  uint32_t entries = 0;
-  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
-    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
-  }
-  return std::max<uint32_t>(1, entries);
-}
-
 // Whether this entry may call a target that no node guards. Each entry uses its
 // share of what the target bears. An engine that is new gets a node soon.
 bool
@@ -253,40 +244,6 @@
 
 } // namespace
 
-const Member*
-NodeBeside(const Entry& aEntry, const Target& aTarget)
-{
-  for (const auto& [instance, member] : aEntry.mConfig.mMembers) {
-    if (member.mRole == MemberRole::eNode && !member.mDraining &&
-        member.mTarget.mId == aTarget.mId) {
-      return &member;
-    }
-  }
-  return nullptr;
-}
-
-PlacementLoad&
-LoadOfTarget(EntryStep& aStep, const Target& aTarget)
-{
-  PlacementLoad& load = aStep.mEntry.mPlacement[aTarget.mId];
-  if (load.mStartedAt != aTarget.mStartedAt || load.mSeenAt.mMicros == 0) {
-    const uint32_t own = load.mOwn;
-    load = {};
-    load.mOwn = own;
-    load.mStartedAt = aTarget.mStartedAt;
-    load.mSeenAt = aStep.mNow;
-  }
-  return load;
-}
-
-bool
-TakesWork(const Entry& aEntry, const Target& aTarget)
-{
-  return !aTarget.mDraining && ZoneInService(aEntry.mConfig, aTarget.mZone) &&
-         TargetInService(aEntry.mConfig, aTarget.mId) &&
-         !aEntry.mGoneTargets.contains({ aTarget.mId, aTarget.mStartedAt });
-}
-
 void
 StartDirect(EntryStep& aStep, CallerRequest& aRequest)
 {
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -265,4 +265,14 @@
   }
 }
 
+uint32_t
+EntriesKnown(const Entry& aEntry)
+{
+  uint32_t entries = 0;
+  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
+    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
+  }
+  return std::max<uint32_t>(1, entries);
+}
+
 } // namespace caraway
--- a/caraway/entry/session.h
+++ b/caraway/entry/session.h
@@ -38,4 +38,9 @@
 void
 SessionPeerLost(EntryStep& aStep, const PeerAddress& aPeer);
 
+// Entries in the configuration, which share what is bounded for all of them; at
+// least 1.
+uint32_t
+EntriesKnown(const Entry& aEntry);
+
 } // namespace caraway
--- a/daemons/daemon_settings.cpp
+++ b/daemons/daemon_settings.cpp
@@ -29,20 +29,22 @@
   return files;
 }
 
+} // namespace
+
 LogLevel
-LevelOf(const std::string& aWord)
+ReadLogLevel(SettingsReader& aReader)
 {
-  if (aWord == "debug") {
+  const std::string word = aReader.Choice(
+    "log-level", "info", { "debug", "info", "warning", "error" });
+  if (word == "debug") {
     return LogLevel::eDebug;
   }
-  if (aWord == "warning") {
+  if (word == "warning") {
     return LogLevel::eWarning;
   }
-  return aWord == "error" ? LogLevel::eError : LogLevel::eInfo;
+  return word == "error" ? LogLevel::eError : LogLevel::eInfo;
 }
 
-} // namespace
-
 DaemonSettings
 ReadDaemonSettings(SettingsReader& aReader)
 {
@@ -67,8 +69,7 @@
     aReader.Choice("log-format", "kv", { "kv", "json" }) == "json"
       ? LogFormat::eJson
       : LogFormat::eKeyValue;
-  settings.mLog.mLevel = LevelOf(aReader.Choice(
-    "log-level", "info", { "debug", "info", "warning", "error" }));
+  settings.mLog.mLevel = ReadLogLevel(aReader);
   settings.mLog.mFile = aReader.Optional("log-file", "");
   return settings;
 }
--- a/daemons/daemon_settings.h
+++ b/daemons/daemon_settings.h
@@ -37,6 +37,10 @@
 DaemonSettings
 ReadDaemonSettings(SettingsReader& aReader);
 
+// The option --log-level, which all usage texts have.
+LogLevel
+ReadLogLevel(SettingsReader& aReader);
+
 // A random number from the system, for incarnations and seeds.
 uint64_t
 SystemRandom();
