--- a/tests/runtime_daemon_exit_test.cpp
+++ b/tests/runtime_daemon_exit_test.cpp
@@ -48,6 +48,7 @@
     dup2(ends[1], STDOUT_FILENO);
     dup2(ends[1], STDERR_FILENO);
     std::vector<char*> words;
+    words.reserve(aWords.size() + 1);
     for (std::string& word : aWords) {
       words.push_back(word.data());
     }
