--- a/caraway/base/ids.h
+++ b/caraway/base/ids.h
@@ -7,11 +7,11 @@
 
 using WorkspaceId = StringId<struct WorkspaceTag>; // customer, "lindholt"
 using KeyId = StringId<struct KeyTag>;             // public part of a key
-using RegionId = StringId<struct RegionTag>;       // "dk-vest"
-using ZoneId = StringId<struct ZoneTag>;         // availability zone, "vest-a"
-using TargetId = StringId<struct TargetTag>;     // back end, "tekst-07"
+using RegionId = StringId<struct RegionTag>;       // "region-1"
+using ZoneId = StringId<struct ZoneTag>;         // availability zone, "zone-a"
+using TargetId = StringId<struct TargetTag>;     // back end, "target-07"
 using InstanceId = StringId<struct InstanceTag>; // one process, "entry-1"
-using ModelId = StringId<struct ModelTag>;       // "tekst-model"
+using ModelId = StringId<struct ModelTag>;       // "model-1"
 using ServiceId = StringId<struct ServiceTag>;   // plain service, "lager-app"
 using RouteId = StringId<struct RouteTag>;       // operator's name of a route
 using PeerAddress = StringId<struct PeerTag>;    // advertised "ip:port"
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -89,15 +89,6 @@
   }
 }
 
-void
-DropAsks(EntryStep& aStep, CallerRequest& aRequest)
-{
-  for (const SlotAsk& ask : aRequest.mDirect.mAsks) {
-    ReleaseAsk(aStep, aRequest, ask);
-  }
-  aRequest.mDirect.mAsks.clear();
-}
-
 void
 AskNode(EntryStep& aStep,
         CallerRequest& aRequest,
@@ -147,7 +138,7 @@
   if (const Member* node = NodeBeside(entry, target)) {
     AskNode(aStep, aRequest, target, *node);
   } else {
-    DropAsks(aStep, aRequest);
+    EndAsks(aStep, aRequest);
     CallTarget(aStep, aRequest, target, {});
   }
   return true;
@@ -212,7 +203,7 @@
                    absl::StrCat((aStep.mNow - first.mSentAt).Millis()) } };
   aStep.mOut.emplace_back(std::move(log));
   const Target chosen = target->second;
-  DropAsks(aStep, aRequest);
+  EndAsks(aStep, aRequest);
   CallTarget(aStep, aRequest, chosen, {});
   return true;
 }
@@ -294,7 +285,10 @@
 void
 EndAsks(EntryStep& aStep, CallerRequest& aRequest)
 {
-  DropAsks(aStep, aRequest);
+  for (const SlotAsk& ask : aRequest.mDirect.mAsks) {
+    ReleaseAsk(aStep, aRequest, ask);
+  }
+  aRequest.mDirect.mAsks.clear();
 }
 
 void
@@ -348,7 +342,7 @@
   if (aReply.mState == SlotState::eGranted) {
     if (target == entry.mConfig.mTargets.end() ||
         !TakesWork(entry, target->second)) {
-      DropAsks(aStep, *request);
+      EndAsks(aStep, *request);
       StartDirect(aStep, *request);
       return;
     }
@@ -360,7 +354,7 @@
     }
     request->mDirect.mAsks.erase(request->mDirect.mAsks.begin() +
                                  (ask - request->mDirect.mAsks.data()));
-    DropAsks(aStep, *request);
+    EndAsks(aStep, *request);
     CallTarget(aStep, *request, chosen, aFrom);
     return;
   }
@@ -401,7 +395,7 @@
     }
     ask->mState = AskState::eRefused;
     if (AllRefused(request.mDirect)) {
-      DropAsks(aStep, request);
+      EndAsks(aStep, request);
       StartDirect(aStep, request);
     }
   }
