--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -102,8 +102,20 @@
     aBucket.mLevel, LevelLimit(aBucket, aContract, Known(aGrantor, aNow)));
 }
 
-// Raises the level to what admissions since mEvidenceStart left, once. They
-// include those of shares after an entry spoke, so no refill counts from there.
+GrantBucket&
+FindBucket(Grantor& aGrantor, const WorkspaceId& aWorkspace, MonoTime aNow)
+{
+  auto [place, fresh] = aGrantor.mBuckets.try_emplace(aWorkspace);
+  if (fresh) {
+    // A bucket that nobody used has refilled since holdings are known.
+    place->second.mRefilledAt = std::min(aGrantor.mKnownSince, aNow);
+  }
+  return place->second;
+}
+
+// Raises the level, once, to what the admissions since mEvidenceStart have
+// left. The refill counts up to mEvidenceEnd only: an entry may have used its
+// share of the rate after it spoke.
 void
 CreditEvidence(const Grantor& aGrantor,
                GrantBucket& aBucket,
@@ -128,12 +140,7 @@
 GrantBucket&
 BucketOf(Grantor& aGrantor, const Contract& aContract, MonoTime aNow)
 {
-  auto [place, fresh] = aGrantor.mBuckets.try_emplace(aContract.mWorkspace);
-  GrantBucket& bucket = place->second;
-  if (fresh) {
-    // A bucket that nobody used has refilled since holdings are known.
-    bucket.mRefilledAt = std::min(aGrantor.mKnownSince, aNow);
-  }
+  GrantBucket& bucket = FindBucket(aGrantor, aContract.mWorkspace, aNow);
   Refill(aGrantor, bucket, aContract, aNow);
   CreditEvidence(aGrantor, bucket, aContract, aNow);
   return bucket;
@@ -319,11 +326,8 @@
   for (const GrantAsk& ask : aRequest.mAsks) {
     auto contract = aConfig.mContracts.find(ask.mWorkspace);
     if (contract != aConfig.mContracts.end()) {
-      auto [place, fresh] = aGrantor.mBuckets.try_emplace(ask.mWorkspace);
-      if (fresh) {
-        place->second.mRefilledAt = std::min(aGrantor.mKnownSince, aNow);
-      }
-      place->second.mRecent += ask.mRecent + WholeCount(ask.mHeld);
+      FindBucket(aGrantor, ask.mWorkspace, aNow).mRecent +=
+        ask.mRecent + WholeCount(ask.mHeld);
     }
   }
 }
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -12,6 +12,10 @@
 // prompt delays one token of every call at once and says little.
 constexpr uint32_t kGapTokens = 8;
 constexpr uint32_t kPieceTokens = 32; // of a stream, see RecordProgress
+// Part of its time that work past its goal waits: longer than bursts of a few
+// seconds, with a third left for the caller to try again.
+constexpr int64_t kPatienceParts = 2;
+constexpr int64_t kPatienceOf = 3;
 
 // Nearly full counts as full for the growth of the limit.
 bool
@@ -68,11 +72,11 @@
            : limit;
 }
 
-// A caller is refused while it still has time to try again.
 MonoTime
 GiveUpAt(const Work& aWork)
 {
-  return aWork.mQueuedAt + (aWork.mDeadline - aWork.mQueuedAt) * 2 / 3;
+  const Duration time = aWork.mDeadline - aWork.mQueuedAt;
+  return aWork.mQueuedAt + time * kPatienceParts / kPatienceOf;
 }
 
 // True if the work would start too late for its goal and is better told to come
