Share span counts, dialing, dialect wiring and item serializers

Cause: the same logic stood twice (two spans of a count, Dial and DialAgain, the wiring of target calls to the dialect in both hosts, serializers of items).

--- a/caraway/admission/recent_admissions.cpp
+++ b/caraway/admission/recent_admissions.cpp
@@ -1,4 +1,4 @@
-// Counts in two spans, the present one and the one before.
+// Admissions of the last second, counted in spans.
 
 #include "caraway/admission/recent_admissions.h"
 
@@ -13,13 +13,8 @@
                MonoTime aNow,
                const WorkspaceId& aWorkspace)
 {
-  RecentCount& count = aRecent.mCounts[aWorkspace];
-  const Duration age = aNow - count.mWindow;
-  if (age >= kRecentSpan) {
-    count.mBefore = age < kRecentSpan * 2 ? count.mNow : 0;
-    count.mNow = 0;
-    count.mWindow = age < kRecentSpan * 2 ? count.mWindow + kRecentSpan : aNow;
-  }
+  SpanCount& count = aRecent.mCounts[aWorkspace];
+  TurnSpan(count, aNow, kRecentSpan);
   ++count.mNow;
 }
 
@@ -32,12 +27,9 @@
   if (found == aRecent.mCounts.end()) {
     return 0;
   }
-  const RecentCount& count = found->second;
-  const Duration age = aNow - count.mWindow;
-  if (age >= kRecentSpan * 2) {
-    return 0;
-  }
-  return count.mNow + (age < kRecentSpan ? count.mBefore : 0);
+  SpanCount count = found->second;
+  TurnSpan(count, aNow, kRecentSpan);
+  return count.mNow + count.mBefore;
 }
 
 Duration
@@ -54,7 +46,7 @@
 ForgetOldCounts(RecentAdmissions& aRecent, MonoTime aNow)
 {
   absl::erase_if(aRecent.mCounts, [&](const auto& aCount) {
-    return aNow - aCount.second.mWindow >= kRecentSpan * 2;
+    return aNow - aCount.second.mStart >= kRecentSpan * 2;
   });
 }
 
--- a/caraway/admission/recent_admissions.h
+++ b/caraway/admission/recent_admissions.h
@@ -6,6 +6,7 @@
 // with empty buckets. Counts may be too high, never too low.
 
 #include "absl/container/flat_hash_map.h"
+#include "caraway/admission/span_count.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 
@@ -14,17 +15,10 @@
 // The longest time that counts cover.
 constexpr Duration kRecentSpan = Seconds(1);
 
-struct RecentCount
-{
-  MonoTime mWindow; // start of the present span
-  double mNow = 0;
-  double mBefore = 0; // in the span before
-};
-
 struct RecentAdmissions
 {
   MonoTime mSince = kNever; // counted from here on; kNever: not yet
-  absl::flat_hash_map<WorkspaceId, RecentCount> mCounts;
+  absl::flat_hash_map<WorkspaceId, SpanCount> mCounts; // by kRecentSpan
 };
 
 void
--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -36,27 +36,15 @@
   }
 }
 
-void
-TurnWindow(HeldTokens& aTokens, MonoTime aNow)
-{
-  const Duration age = aNow - aTokens.mWindow;
-  if (age < kDemandWindow) {
-    return;
-  }
-  aTokens.mArrivalsBefore = age < kDemandWindow * 2 ? aTokens.mArrivals : 0;
-  aTokens.mArrivals = 0;
-  aTokens.mWindow =
-    age < kDemandWindow * 2 ? aTokens.mWindow + kDemandWindow : aNow;
-}
-
 // Requests in the last second.
 double
 Demand(HeldTokens& aTokens, MonoTime aNow)
 {
-  TurnWindow(aTokens, aNow);
+  SpanCount& arrivals = aTokens.mArrivals;
+  TurnSpan(arrivals, aNow, kDemandWindow);
   const double passed =
-    (aNow - aTokens.mWindow).Seconds() / kDemandWindow.Seconds();
-  return aTokens.mArrivals + aTokens.mArrivalsBefore * (1 - passed);
+    (aNow - arrivals.mStart).Seconds() / kDemandWindow.Seconds();
+  return arrivals.mNow + arrivals.mBefore * (1 - passed);
 }
 
 // Tokens to keep in advance: one second of demand, one report interval of it
@@ -178,7 +166,7 @@
   aHolder.mNextSweep = aNow + kForgetAfter;
   absl::erase_if(aHolder.mTokens, [&](const auto& aEntry) {
     return !aHolder.mActive.contains(aEntry.first) &&
-           aEntry.second.mWindow + kForgetAfter <= aNow;
+           aEntry.second.mArrivals.mStart + kForgetAfter <= aNow;
   });
 }
 
@@ -238,13 +226,13 @@
   auto [place, fresh] = aHolder.mTokens.try_emplace(aContract.mWorkspace);
   HeldTokens& tokens = place->second;
   if (fresh) {
-    tokens.mWindow = aNow;
+    tokens.mArrivals.mStart = aNow;
     tokens.mSentAt = kLongAgo;
   }
   DropExpired(tokens, aNow);
   if (!aAsked) {
-    TurnWindow(tokens, aNow);
-    ++tokens.mArrivals;
+    TurnSpan(tokens.mArrivals, aNow, kDemandWindow);
+    ++tokens.mArrivals.mNow;
   }
   aHolder.mActive.insert(aContract.mWorkspace);
   const bool covered = aAsked && tokens.mCovered > 0;
--- a/caraway/admission/token_holder_state.h
+++ b/caraway/admission/token_holder_state.h
@@ -23,10 +23,7 @@
   double mSpent = 0;      // running total of the session, without brief ones
   double mReported = 0;   // mSpent when last sent
   double mReturnable = 0; // spent since last sent, under a lease that holds
-  // Arrivals in the present second and in the one before.
-  MonoTime mWindow;
-  double mArrivals = 0;
-  double mArrivalsBefore = 0;
+  SpanCount mArrivals;    // requests, by kDemandWindow
   double mUnsent = 0;     // requests on hold, not in the message in flight
   double mSent = 0;       // requests on hold that the message in flight states
   double mCovered = 0;    // of those, not yet tried since the reply
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -20,6 +20,18 @@
 // A single result above this does not fit into a log entry.
 constexpr size_t kMaxLoggedResult = 640 * 1024;
 
+// The answer to a read whose bytes are still to be fetched.
+FilePiece
+PieceFor(const PeerAddress& aFrom, const ControlCall& aCall)
+{
+  FilePiece piece;
+  piece.mTo = aFrom;
+  piece.mReply.mGroup = aCall.mGroup;
+  piece.mReply.mCall = aCall.mCall;
+  piece.mReply.mEntryEpoch = aCall.mEntryEpoch;
+  return piece;
+}
+
 const ConfigView&
 ViewOf(const ControlStep& aStep)
 {
@@ -123,11 +135,7 @@
           FileBytesReply{ {}, plan->mNextOffset, plan->mEnd, plan->mTotal });
     return;
   }
-  FilePiece piece;
-  piece.mTo = aFrom;
-  piece.mReply.mGroup = aCall.mGroup;
-  piece.mReply.mCall = aCall.mCall;
-  piece.mReply.mEntryEpoch = aCall.mEntryEpoch;
+  FilePiece piece = PieceFor(aFrom, aCall);
   piece.mItems = std::move(plan->mItems);
   piece.mNextOffset = plan->mNextOffset;
   piece.mEnd = plan->mEnd;
@@ -151,11 +159,7 @@
     Reply(aStep, aFrom, aCall, FailedBy(record.status()));
     return;
   }
-  FilePiece piece;
-  piece.mTo = aFrom;
-  piece.mReply.mGroup = aCall.mGroup;
-  piece.mReply.mCall = aCall.mCall;
-  piece.mReply.mEntryEpoch = aCall.mEntryEpoch;
+  FilePiece piece = PieceFor(aFrom, aCall);
   piece.mItems = { *item };
   piece.mEnd = true;
   StartReads(aStep, std::move(piece), true, { *record });
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -5,6 +5,7 @@
 #include "caraway/ledger/internal.h"
 #include "caraway/wire/codec.h"
 #include "caraway/wire/serialize_base.h"
+#include "caraway/wire/serialize_items.h"
 
 namespace caraway {
 
@@ -224,13 +225,6 @@
            aValue.mParts);
 }
 
-template<class Archive>
-void
-serialize(Archive& aArchive, JobItem& aValue)
-{
-  aArchive(aValue.mId, aValue.mTokens);
-}
-
 template<class Archive>
 void
 serialize(Archive& aArchive, Job& aValue)
@@ -267,13 +261,6 @@
   aArchive(aValue.mNode, aValue.mEpoch, aValue.mItems);
 }
 
-template<class Archive>
-void
-serialize(Archive& aArchive, ItemProgress& aValue)
-{
-  aArchive(aValue.mLastEvent, aValue.mText);
-}
-
 template<class Archive>
 void
 serialize(Archive& aArchive, JobWork& aValue)
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -5,6 +5,7 @@
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
+#include "caraway/runtime/target_events.h"
 
 namespace caraway {
 
@@ -87,7 +88,9 @@
     });
   mPeers.mOnPeerLost.connect(
     [this](const PeerAddress& aPeer) { mPump.Post(PeerLost{ aPeer }); });
-  ConnectTargets();
+  mTargets.mOnSent.connect(
+    [this](const TargetCallSent& aEvent) { mPump.Post(aEvent); });
+  PostTargetEvents(mTargets, mDialect.mTargets, mPump);
   mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
   mLoop.mOnReload.connect([this] {
     LogReload("peers", mPeers.ReloadTls());
@@ -100,26 +103,6 @@
   return absl::OkStatus();
 }
 
-void
-EntryHost::ConnectTargets()
-{
-  mTargets.mOnSent.connect(
-    [this](const TargetCallSent& aEvent) { mPump.Post(aEvent); });
-  mTargets.mOnBegan.connect([this](const TargetCallBegan& aEvent) {
-    TargetCallBegan event = aEvent;
-    if (mDialect.mTargets.mReadAnswer) {
-      mDialect.mTargets.mReadAnswer(event);
-    }
-    mPump.Post(std::move(event));
-  });
-  mTargets.mOnBytes.connect(
-    [this](const TargetCallBytes& aEvent) { mPump.Post(aEvent); });
-  mTargets.mOnEnded.connect(
-    [this](const TargetCallEnded& aEvent) { mPump.Post(aEvent); });
-  mTargets.mOnFailed.connect(
-    [this](const TargetCallFailed& aEvent) { mPump.Post(aEvent); });
-}
-
 void
 EntryHost::TakeRequest(ListenerUse aUse, const HttpRequest& aRequest)
 {
@@ -183,10 +166,7 @@
         }
       },
       [this](StartTargetCall& aCall) {
-        if (mDialect.mTargets.mWriteCall) {
-          mDialect.mTargets.mWriteCall(aCall);
-        }
-        mTargets.Start(aCall);
+        StartByDialect(mTargets, mDialect.mTargets, aCall);
       },
       [this](const CancelTargetCall& aCancel) { mTargets.Cancel(aCancel); },
     },
--- a/caraway/runtime/entry_host.h
+++ b/caraway/runtime/entry_host.h
@@ -46,7 +46,6 @@
   void CarryOut(EntryAction& aAction);
   void TakeRequest(ListenerUse aUse, const HttpRequest& aRequest);
   void TakeDecoded(DecodedRequest aDecoded);
-  void ConnectTargets();
   HttpServer& ServerOf(HttpCallId aCall);
 
   Loop& mLoop;
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -5,6 +5,7 @@
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
+#include "caraway/runtime/target_events.h"
 
 namespace caraway {
 
@@ -55,19 +56,7 @@
     [this](const HttpRequest& aRequest) { mPump.Post(aRequest); });
   mHttp.mOnClosed.connect(
     [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
-  mTarget.mOnBegan.connect([this](const TargetCallBegan& aEvent) {
-    TargetCallBegan event = aEvent;
-    if (mDialect.mReadAnswer) {
-      mDialect.mReadAnswer(event);
-    }
-    mPump.Post(std::move(event));
-  });
-  mTarget.mOnBytes.connect(
-    [this](const TargetCallBytes& aEvent) { mPump.Post(aEvent); });
-  mTarget.mOnEnded.connect(
-    [this](const TargetCallEnded& aEvent) { mPump.Post(aEvent); });
-  mTarget.mOnFailed.connect(
-    [this](const TargetCallFailed& aEvent) { mPump.Post(aEvent); });
+  PostTargetEvents(mTarget, mDialect, mPump);
   mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
   mLoop.mOnReload.connect([this] { LogReload("peers", mPeers.ReloadTls()); });
   WriteLog(
@@ -91,10 +80,7 @@
         }
       },
       [this](StartTargetCall& aCall) {
-        if (mDialect.mWriteCall) {
-          mDialect.mWriteCall(aCall);
-        }
-        mTarget.Start(aCall);
+        StartByDialect(mTarget, mDialect, aCall);
       },
       [this](const CancelTargetCall& aCancel) { mTarget.Cancel(aCancel); },
       [this](HttpResponse& aResponse) {
--- a/caraway/runtime/peer_transport.cpp
+++ b/caraway/runtime/peer_transport.cpp
@@ -155,11 +155,11 @@
   transport->mConnections.insert(std::move(connection));
 }
 
-PeerConnection*
-PeerTransport::Dial(const PeerAddress& aTo)
+std::unique_ptr<PeerConnection>
+PeerTransport::Open(const PeerAddress& aTo)
 {
   auto address = ParseSocketAddress(aTo.mValue);
-  if (!address.ok() || mConnections.size() >= mSettings.mMaxConnections) {
+  if (!address.ok()) {
     return nullptr;
   }
   BufferEventPtr buffer = MakeBufferEvent(-1, true);
@@ -170,34 +170,42 @@
     return nullptr;
   }
   SetNoDelay(bufferevent_getfd(buffer.get()));
-  auto connection = std::make_unique<PeerConnection>(
+  return std::make_unique<PeerConnection>(
     *this, std::move(buffer), aTo, mLoop.Now());
-  PeerConnection* dialled = connection.get();
-  dialled->Start(mSettings.mAddress);
-  mConnections.insert(std::move(connection));
-  mByPeer[aTo] = dialled;
+}
+
+PeerConnection*
+PeerTransport::Use(std::unique_ptr<PeerConnection> aDialled)
+{
+  PeerConnection* dialled = aDialled.get();
+  mByPeer[dialled->Peer()] = dialled;
+  mConnections.insert(std::move(aDialled));
   return dialled;
 }
 
+PeerConnection*
+PeerTransport::Dial(const PeerAddress& aTo)
+{
+  if (mConnections.size() >= mSettings.mMaxConnections) {
+    return nullptr;
+  }
+  auto connection = Open(aTo);
+  if (!connection) {
+    return nullptr;
+  }
+  connection->Start(mSettings.mAddress);
+  return Use(std::move(connection));
+}
+
 PeerConnection*
 PeerTransport::DialAgain(PeerConnection* aStuck)
 {
-  const PeerAddress peer = aStuck->Peer();
-  auto address = ParseSocketAddress(peer.mValue);
-  BufferEventPtr buffer = MakeBufferEvent(-1, true);
-  if (!address.ok() || bufferevent_socket_connect(
-                         buffer.get(),
-                         reinterpret_cast<sockaddr*>(&address->mStorage),
-                         static_cast<int>(address->mLength)) != 0) {
+  auto connection = Open(aStuck->Peer());
+  if (!connection) {
     return aStuck;
   }
-  SetNoDelay(bufferevent_getfd(buffer.get()));
-  auto connection = std::make_unique<PeerConnection>(
-    *this, std::move(buffer), peer, mLoop.Now());
-  PeerConnection* dialled = connection.get();
-  dialled->StartInsteadOf(*aStuck);
-  mConnections.insert(std::move(connection));
-  mByPeer[peer] = dialled;
+  connection->StartInsteadOf(*aStuck);
+  PeerConnection* dialled = Use(std::move(connection));
   Closed(aStuck); // not the peer's present connection, so nobody is told
   return dialled;
 }
--- a/caraway/runtime/peer_transport.h
+++ b/caraway/runtime/peer_transport.h
@@ -88,6 +88,9 @@
                          void* aTransport);
 
   void Heartbeat();
+  // A connection that is being established; nullptr if that cannot begin.
+  std::unique_ptr<PeerConnection> Open(const PeerAddress& aTo);
+  PeerConnection* Use(std::unique_ptr<PeerConnection> aDialled);
   PeerConnection* Dial(const PeerAddress& aTo);
   PeerConnection* DialAgain(PeerConnection* aStuck);
   void Identified(PeerConnection* aConnection, const PeerAddress& aPeer);
--- /dev/null
+++ b/caraway/runtime/target_events.h
@@ -0,0 +1,44 @@
+#pragma once
+// What the hosts of roles that call targets share: calls go out, and answers
+// come in, by the dialect of the targets.
+
+#include <utility>
+
+#include "caraway/runtime/dialect.h"
+#include "caraway/runtime/target_client.h"
+
+namespace caraway {
+
+// Posts all events of the client's calls but the first byte sent. The dialect
+// and the pump must outlive the client.
+template<class Pump>
+void
+PostTargetEvents(TargetClient& aClient,
+                 const TargetDialect& aDialect,
+                 Pump& aPump)
+{
+  aClient.mOnBegan.connect([&](const TargetCallBegan& aEvent) {
+    TargetCallBegan event = aEvent;
+    if (aDialect.mReadAnswer) {
+      aDialect.mReadAnswer(event);
+    }
+    aPump.Post(std::move(event));
+  });
+  const auto post = [&](const auto& aEvent) { aPump.Post(aEvent); };
+  aClient.mOnBytes.connect(post);
+  aClient.mOnEnded.connect(post);
+  aClient.mOnFailed.connect(post);
+}
+
+inline void
+StartByDialect(TargetClient& aClient,
+               const TargetDialect& aDialect,
+               StartTargetCall& aCall)
+{
+  if (aDialect.mWriteCall) {
+    aDialect.mWriteCall(aCall);
+  }
+  aClient.Start(aCall);
+}
+
+} // namespace caraway
--- a/caraway/wire/serialize_calls.h
+++ b/caraway/wire/serialize_calls.h
@@ -4,6 +4,7 @@
 
 #include "caraway/wire/messages.h"
 #include "caraway/wire/serialize_control.h"
+#include "caraway/wire/serialize_items.h"
 
 namespace caraway {
 
@@ -82,13 +83,6 @@
   aArchive(aValue.mFile);
 }
 
-template<class Archive>
-void
-serialize(Archive& aArchive, JobItem& aValue)
-{
-  aArchive(aValue.mId, aValue.mTokens);
-}
-
 template<class Archive>
 void
 serialize(Archive& aArchive, CreateJob& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -129,13 +129,6 @@
            aValue.mPerToken);
 }
 
-template<class Archive>
-void
-serialize(Archive& aArchive, ItemProgress& aValue)
-{
-  aArchive(aValue.mLastEvent, aValue.mText);
-}
-
 template<class Archive>
 void
 serialize(Archive&, WorkAvailable&)
