--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -71,6 +71,7 @@
   // As read by the host, where targets say so.
   bool mNotRun = false;       // the target did not run the request
   bool mWrongTarget = false;  // another target has the address
+  bool mLeaving = false;      // the target takes no more work soon
   bool mForeign = false;      // the bytes are no answer of a target
   bool mNamesRequest = false; // the protocol names the request in each answer
   RequestId mAnswers;         // request that it answers, empty if not said
--- a/caraway/config/target.h
+++ b/caraway/config/target.h
@@ -20,7 +20,10 @@
   bool mDraining = false; // leaving: no new work
   int64_t mStartedAt = 0; // Unix milliseconds of its start, by its own clock
   Duration mColdFor;      // cold for this long after it was reported
-  double mColdRate = 0;   // requests/s that it bears while cold, 0: any
+  // Requests/s that it bears while cold, 0: any. Filled in by control from the
+  // serving plan: an entry that reports a target may not know the plan yet, and
+  // nodes never do.
+  double mColdRate = 0;
 
   bool operator==(const Target&) const = default;
 };
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -129,6 +129,7 @@
       return;
     }
     AppendChange(mState.mConfig, SetPlan{ aReplace.mPlan });
+    UpdateColdRates();
     ApplyPlanToJobs(mState.mLedger,
                     mIndex,
                     mState.mLogical,
@@ -179,8 +180,34 @@
     });
   }
 
+  double ColdRateOf(const Target& aTarget) const
+  {
+    const auto& plan = mState.mConfig.mView.mPlan;
+    const PlanService* service =
+      plan ? PlanServiceById(*plan, aTarget.mService) : nullptr;
+    // Without the service nothing may go there, and what may still run keeps
+    // the rate that it had.
+    return service == nullptr ? aTarget.mColdRate : service->mColdRate;
+  }
+
+  void UpdateColdRates()
+  {
+    std::vector<SetTarget> changed;
+    for (const auto& [id, target] : mState.mConfig.mView.mTargets) {
+      if (ColdRateOf(target) != target.mColdRate) {
+        changed.push_back({ target });
+        changed.back().mTarget.mColdRate = ColdRateOf(target);
+        changed.back().mTarget.mColdFor = {}; // nothing new is known of that
+      }
+    }
+    for (SetTarget& change : changed) {
+      AppendChange(mState.mConfig, std::move(change));
+    }
+  }
+
   void ApplySeen(Target aTarget)
   {
+    aTarget.mColdRate = ColdRateOf(aTarget);
     const auto& targets = mState.mConfig.mView.mTargets;
     auto known = targets.find(aTarget.mId);
     if (IsGone(aTarget) || IsReplaced(aTarget) ||
--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -11,6 +11,7 @@
 #include "caraway/entry/completion_request.h"
 #include "caraway/entry/control_calls.h"
 #include "caraway/entry/control_request.h"
+#include "caraway/entry/early_requests.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/entry.h"
 #include "caraway/entry/forward.h"
@@ -388,6 +389,7 @@
   Entry& entry = aStep.mEntry;
   auto serial = entry.mByCall.find(aCall);
   if (serial == entry.mByCall.end()) {
+    DropEarly(entry, aCall);
     return;
   }
   CallerRequest& request = entry.mRequests.at(serial->second);
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -8,12 +8,16 @@
 #include "caraway/entry/header_filter.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
+#include "caraway/entry/target_reports.h"
 
 namespace caraway {
 
 namespace {
 
 constexpr size_t kMaxWholeBytes = 8 << 20; // whole answers held in memory
+// Of one event. Engines send a few hundred bytes; a target that is broken may
+// send bytes without an end.
+constexpr size_t kMaxEventBytes = 1 << 20;
 constexpr size_t kMaxTries = 8;            // calls for one request, run or not
 // A connection within a region is there after a few milliseconds. An unsent
 // request has not run and goes elsewhere.
@@ -152,6 +156,23 @@
              std::move(aRequest.mAnswer.mBody));
 }
 
+// Gives the target no more work from here on. Control is told of one that
+// leaves, so that other entries do the same.
+void
+LeaveTarget(EntryStep& aStep, const TargetId& aTarget, bool aTell)
+{
+  Entry& entry = aStep.mEntry;
+  auto known = entry.mConfig.mTargets.find(aTarget);
+  if (known == entry.mConfig.mTargets.end() ||
+      !entry.mGoneTargets.insert({ aTarget, known->second.mStartedAt })
+         .second) {
+    return;
+  }
+  if (aTell && !known->second.mDraining) {
+    ReportLeaving(aStep, known->second);
+  }
+}
+
 // Ends a request whose last attempt failed for good.
 void
 GiveUp(EntryStep& aStep,
@@ -219,8 +240,10 @@
   aRequest.mAnswer = {};
   PlacementLoad& load = LoadOfTarget(aStep, aTarget);
   ++load.mOwn;
-  if (aSlotNode.Empty()) {
-    load.mStarts.push_back(aStep.mNow);
+  attempt.mUnguarded = aSlotNode.Empty();
+  if (attempt.mUnguarded) {
+    ++load.mUnguarded;
+    NoteStart(load.mUnguardedPace, aStep.mNow);
   }
   ++entry.mMetrics.mDispatches;
   entry.mMetrics.mRetries += direct.mAttempts.empty() ? 0 : 1;
@@ -258,8 +281,10 @@
   }
   aStep.mEntry.mByTargetCall.erase(attempt.mCall);
   auto load = aStep.mEntry.mPlacement.find(attempt.mTarget);
-  if (load != aStep.mEntry.mPlacement.end() && load->second.mOwn > 0) {
-    --load->second.mOwn;
+  if (load != aStep.mEntry.mPlacement.end()) {
+    load->second.mOwn -= load->second.mOwn > 0 ? 1 : 0;
+    load->second.mUnguarded -=
+      attempt.mUnguarded && load->second.mUnguarded > 0 ? 1 : 0;
   }
   if (!attempt.mSlotNode.Empty()) {
     Send(aStep, attempt.mSlotNode, SlotRelease{ aRequest.mId, aEnding });
@@ -324,7 +349,6 @@
     return;
   }
   DirectAttempt& attempt = Live(*request);
-  attempt.mBegan = true;
   attempt.mLastByte = aStep.mNow;
   attempt.mStatus = aEvent.mStatus;
   attempt.mHeaders = aEvent.mHeaders;
@@ -337,14 +361,10 @@
                  false);
     return;
   }
+  if (aEvent.mWrongTarget || aEvent.mLeaving) {
+    LeaveTarget(aStep, attempt.mTarget, aEvent.mLeaving);
+  }
   if (aEvent.mNotRun) {
-    if (aEvent.mWrongTarget) {
-      auto target = aStep.mEntry.mConfig.mTargets.find(attempt.mTarget);
-      if (target != aStep.mEntry.mConfig.mTargets.end()) {
-        aStep.mEntry.mGoneTargets.insert(
-          { attempt.mTarget, target->second.mStartedAt });
-      }
-    }
     DirectFailed(aStep,
                  *request,
                  ErrorKind::eUnavailable,
@@ -370,12 +390,23 @@
     return;
   }
   DirectAttempt& attempt = Live(*request);
-  attempt.mLastByte = aStep.mNow;
   if (IsStream(request->mDirect) && attempt.mStatus / 100 == 2) {
-    SendEvents(
-      aStep, *request, TakeEvents(request->mDirect.mEvents, aEvent.mBytes));
+    std::string events = TakeEvents(request->mDirect.mEvents, aEvent.mBytes);
+    if (!events.empty()) {
+      // Bytes that complete no event do not keep a stalled stream alive.
+      attempt.mLastByte = aStep.mNow;
+    }
+    SendEvents(aStep, *request, std::move(events));
+    if (request->mDirect.mEvents.mPending.size() > kMaxEventBytes) {
+      DirectFailed(aStep,
+                   *request,
+                   ErrorKind::eTargetFailed,
+                   "an event of the answer is larger than 1 MiB",
+                   false);
+    }
     return;
   }
+  attempt.mLastByte = aStep.mNow;
   std::string& body = request->mAnswer.mBody;
   if (body.size() + aEvent.mBytes.size() > kMaxWholeBytes) {
     DirectFailed(aStep,
@@ -427,7 +458,7 @@
     ScheduleRequest(aStep, aRequest);
     return;
   }
-  if (direct.mAttempts.empty() || Live(aRequest).mEnded) {
+  if (!IsCalling(direct)) {
     TickAsks(aStep, aRequest);
     return;
   }
--- a/caraway/entry/direct_internal.h
+++ b/caraway/entry/direct_internal.h
@@ -12,6 +12,13 @@
 CallerRequest*
 RequestOfTargetCall(Entry& aEntry, TargetCallId aCall);
 
+// True while a call to a target runs.
+inline bool
+IsCalling(const DirectCall& aDirect)
+{
+  return !aDirect.mAttempts.empty() && !aDirect.mAttempts.back().mEnded;
+}
+
 // Calls the target now. aSlotNode: the node that granted the slot.
 void
 CallTarget(EntryStep& aStep,
@@ -55,6 +62,12 @@
 PlacementLoad&
 LoadOfTarget(EntryStep& aStep, const Target& aTarget);
 
+// Whether this entry may call a target without a grant now. For a target that
+// bears a stated rate while cold, all entries together keep within their part
+// of it, see start_pace.h.
+bool
+MayCallUnguarded(EntryStep& aStep, const Target& aTarget);
+
 // True while new work may go to the target.
 bool
 TakesWork(const Entry& aEntry, const Target& aTarget);
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -1,6 +1,7 @@
 // Slots: which targets are asked, and what follows from the answers.
 
 #include <algorithm>
+#include <set>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/attempts.h"
@@ -20,13 +21,12 @@
 // A node answers at once; beyond several round trips between zones another one
 // is asked.
 constexpr Duration kAskWait = Millis(40);
-// No node has answered: the target is called without a slot, since engines
-// admit in order of arrival by themselves.
+// A node that has not answered by then is left alone for a while.
 constexpr Duration kNodeSilence = Millis(150);
+// Losses of all nodes asked after which a request pauses before it asks again.
+constexpr uint32_t kMaxLostNodes = 3;
 // When no target can be used, the next heartbeats may change that.
 constexpr Duration kNoTargetRetry = Seconds(1);
-// A process beside a new target has registered by then, if there is one.
-constexpr Duration kNodeGrace = Seconds(4);
 constexpr Duration kWatchEvery = Seconds(4);
 constexpr Duration kHeldEvery = Seconds(1);
 // A caller is not told to come back later than a third of the time it has
@@ -34,33 +34,6 @@
 constexpr int64_t kRetryShare = 3;
 constexpr Duration kShortestRetry = Millis(100);
 
-// Whether this entry may call a target that no node guards. Each entry uses its
-// share of what the target bears. An engine that is new gets a node soon.
-bool
-MayCallUnguarded(EntryStep& aStep, const Target& aTarget)
-{
-  const auto& plan = aStep.mEntry.mConfig.mPlan;
-  const PlanService* service =
-    plan ? PlanServiceById(*plan, aTarget.mService) : nullptr;
-  PlacementLoad& load = LoadOfTarget(aStep, aTarget);
-  if (service == nullptr ||
-      (service->mEngine && aStep.mNow - load.mSeenAt < kNodeGrace)) {
-    return false;
-  }
-  const double entries = EntriesKnown(aStep.mEntry);
-  if (service->mEngine &&
-      load.mOwn + 1 > std::max(1.0, aTarget.mSlots / entries)) {
-    return false;
-  }
-  while (!load.mStarts.empty() &&
-         aStep.mNow - load.mStarts.front() > Seconds(1)) {
-    load.mStarts.pop_front();
-  }
-  return aTarget.mColdRate <= 0 ||
-         static_cast<double>(load.mStarts.size()) + 1 <=
-           std::max(1.0, aTarget.mColdRate / entries);
-}
-
 std::vector<PlacementCandidate>
 CandidatesOf(EntryStep& aStep, const ServiceId& aService)
 {
@@ -115,10 +88,12 @@
                   ? Duration{}
                   : std::max(Millis(1), direct.mGoalAt - aStep.mNow);
   ask.mMayReturn = MayReturn(aStep, aRequest);
-  ask.mWait = direct.mRefuseAt - aStep.mNow;
+  ask.mWait = aRequest.mDeadline - aStep.mNow;
   ask.mPromptTokens = aRequest.mTarget.mPromptTokens;
   ask.mOutputTokens = aRequest.mTarget.mOutputTokens;
-  ++LoadOfTarget(aStep, aTarget).mOwn;
+  PlacementLoad& load = LoadOfTarget(aStep, aTarget);
+  ++load.mOwn;
+  load.mSilentSince = std::min(load.mSilentSince, aStep.mNow);
   aRequest.mDirect.mAsks.push_back(
     { aTarget.mId, aNode.mAddress, aStep.mNow, AskState::eSent, {} });
   Send(aStep, aNode.mAddress, std::move(ask));
@@ -190,37 +165,60 @@
                ShortestWait(aRequest.mDirect));
 }
 
-// No answer came from any node for too long: calls the target that was asked
-// first. Returns false if that is not the case.
-bool
-CallWithoutSlot(EntryStep& aStep, CallerRequest& aRequest)
+// The node has not answered: other targets come first for a while.
+void
+NoteSilentNode(EntryStep& aStep, const CallerRequest& aRequest, SlotAsk& aAsk)
 {
-  const DirectCall& direct = aRequest.mDirect;
-  for (const SlotAsk& ask : direct.mAsks) {
-    if (ask.mState != AskState::eSent) {
-      return false;
-    }
-  }
-  const SlotAsk& first = direct.mAsks.front();
-  auto target = aStep.mEntry.mConfig.mTargets.find(first.mTarget);
-  if (aStep.mNow - first.mSentAt < kNodeSilence ||
-      target == aStep.mEntry.mConfig.mTargets.end()) {
-    return false;
+  auto load = aStep.mEntry.mPlacement.find(aAsk.mTarget);
+  if (load != aStep.mEntry.mPlacement.end() &&
+      load->second.mAvoidUntil <= aStep.mNow) {
+    NotePlacementFailure(load->second, aStep.mNow);
   }
   DecisionLog log;
   log.mLevel = LogLevel::eWarning;
   log.mEvent = "slot";
   log.mRequest = aRequest.mId;
-  log.mChoice = "without";
-  log.mReason = "no node answered";
-  log.mExtra = { { "target", first.mTarget.mValue },
+  log.mChoice = "elsewhere";
+  log.mReason = "the node has not answered";
+  log.mExtra = { { "target", aAsk.mTarget.mValue },
                  { "waited_ms",
-                   absl::StrCat((aStep.mNow - first.mSentAt).Millis()) } };
+                   absl::StrCat((aStep.mNow - aAsk.mSentAt).Millis()) } };
   aStep.mOut.emplace_back(std::move(log));
-  const Target chosen = target->second;
-  EndAsks(aStep, aRequest);
-  CallTarget(aStep, aRequest, chosen, {});
-  return true;
+}
+
+// Replaces asks that no node answers. Returns true if the request was sent to
+// such a target without a grant, or ended.
+bool
+ReplaceSilentAsks(EntryStep& aStep, CallerRequest& aRequest)
+{
+  Entry& entry = aStep.mEntry;
+  DirectCall& direct = aRequest.mDirect;
+  for (size_t at = 0; at < direct.mAsks.size();) {
+    SlotAsk& ask = direct.mAsks[at];
+    auto target = entry.mConfig.mTargets.find(ask.mTarget);
+    if (ask.mState != AskState::eSent ||
+        aStep.mNow - ask.mSentAt < kNodeSilence ||
+        target == entry.mConfig.mTargets.end()) {
+      ++at;
+      continue;
+    }
+    if (MayCallUnguarded(aStep, target->second)) {
+      const Target chosen = target->second;
+      EndAsks(aStep, aRequest);
+      CallTarget(aStep, aRequest, chosen, {});
+      return true;
+    }
+    NoteSilentNode(aStep, aRequest, ask);
+    if (!AskNext(aStep, aRequest)) {
+      return false; // it may still answer, or be called without a grant
+    }
+    if (aRequest.mPhase != RequestPhase::eDirect || IsCalling(direct)) {
+      return true;
+    }
+    ReleaseAsk(aStep, aRequest, direct.mAsks[at]);
+    direct.mAsks.erase(direct.mAsks.begin() + static_cast<ptrdiff_t>(at));
+  }
+  return false;
 }
 
 SlotAsk*
@@ -242,9 +240,8 @@
     return nullptr;
   }
   CallerRequest& request = aEntry.mRequests.at(serial->second);
-  const bool waits = request.mPhase == RequestPhase::eDirect &&
-                     (request.mDirect.mAttempts.empty() ||
-                      request.mDirect.mAttempts.back().mEnded);
+  const bool waits =
+    request.mPhase == RequestPhase::eDirect && !IsCalling(request.mDirect);
   return waits ? &request : nullptr;
 }
 
@@ -274,15 +271,11 @@
 TickAsks(EntryStep& aStep, CallerRequest& aRequest)
 {
   DirectCall& direct = aRequest.mDirect;
-  if (aStep.mNow >= direct.mRefuseAt) {
-    RefuseBusy(aStep, aRequest);
-    return;
-  }
   if (direct.mAsks.empty()) {
     StartDirect(aStep, aRequest);
     return;
   }
-  if (CallWithoutSlot(aStep, aRequest)) {
+  if (ReplaceSilentAsks(aStep, aRequest)) {
     return;
   }
   const SlotAsk& last = direct.mAsks.back();
@@ -347,6 +340,7 @@
   }
   auto target = entry.mConfig.mTargets.find(ask->mTarget);
   if (target != entry.mConfig.mTargets.end()) {
+    LoadOfTarget(aStep, target->second).mSilentSince = kNever;
     NoteLoadReport(LoadOfTarget(aStep, target->second),
                    aStep.mNow,
                    aReply.mRunning + aReply.mQueued,
@@ -389,6 +383,7 @@
 {
   Entry& entry = aStep.mEntry;
   std::vector<uint64_t> waiting;
+  std::set<TargetId> lost;
   for (auto& [serial, request] : entry.mRequests) {
     if (request.mPhase != RequestPhase::eDirect) {
       continue;
@@ -398,8 +393,15 @@
         attempt.mSlotNode = {};
       }
     }
-    if (AskAt(request, aPeer) != nullptr) {
+    if (const SlotAsk* ask = AskAt(request, aPeer)) {
       waiting.push_back(serial);
+      lost.insert(ask->mTarget);
+    }
+  }
+  for (const TargetId& target : lost) {
+    auto load = entry.mPlacement.find(target);
+    if (load != entry.mPlacement.end()) {
+      NotePlacementFailure(load->second, aStep.mNow);
     }
   }
   for (const uint64_t serial : waiting) {
@@ -409,9 +411,16 @@
       continue;
     }
     ask->mState = AskState::eRefused;
-    if (AllRefused(request.mDirect)) {
-      EndAsks(aStep, request);
+    if (!AllRefused(request.mDirect)) {
+      continue;
+    }
+    EndAsks(aStep, request);
+    if (++request.mDirect.mLostNodes <= kMaxLostNodes) {
       StartDirect(aStep, request);
+    } else {
+      // Nodes that refuse connections would be asked without a pause.
+      request.mDirect.mCheckAt = aStep.mNow + kAskWait;
+      ScheduleRequest(aStep, request);
     }
   }
 }
@@ -426,6 +435,7 @@
   }
   auto target = entry.mConfig.mTargets.find(node->mTarget.mId);
   if (target != entry.mConfig.mTargets.end()) {
+    LoadOfTarget(aStep, target->second).mSilentSince = kNever;
     NoteLoadReport(LoadOfTarget(aStep, target->second),
                    aStep.mNow,
                    aReport.mRunning - aReport.mBatch + aReport.mQueued,
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -37,11 +37,11 @@
   TargetCallId mCall;
   PeerAddress mSlotNode; // that granted the slot, empty: none
   MonoTime mStartedAt;
-  MonoTime mLastByte;  // or the start
+  MonoTime mLastByte;  // or the start; of a stream: the last whole event
   bool mSent = false;  // bytes of the request left
   bool mEnded = false; // nothing more is expected of it
   bool mNotRun = false;
-  bool mBegan = false; // the status line came
+  bool mUnguarded = false; // started without a grant
   int mStatus = 0;
   Headers mHeaders;
 };
@@ -58,9 +58,9 @@
   Duration mLatencyGoal;
   Duration mGapGoal;
   MonoTime mGoalAt;        // on time until then
-  MonoTime mRefuseAt;      // without a call by then it is refused
   bool mReturning = false; // the caller was told to come back before
   std::vector<SlotAsk> mAsks;
+  uint32_t mLostNodes = 0; // times that all nodes asked were lost
   std::vector<DirectAttempt> mAttempts; // the last one is live
   std::vector<TargetId> mTried;         // not to be tried again
   EventStream mEvents;                  // over all attempts
--- /dev/null
+++ b/caraway/entry/early_requests.cpp
@@ -0,0 +1,87 @@
+// Holding of requests until the first configuration.
+
+#include "caraway/entry/early_requests.h"
+
+#include <algorithm>
+
+#include "caraway/entry/drain.h"
+#include "caraway/entry/forward.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kMostHeld = 512; // requests; evhttp holds their bodies anyway
+// An entry has a configuration some hundred milliseconds after its start, or
+// seconds later if control is away.
+constexpr Duration kLongestHold = Millis(1500);
+// Part of its caller's time that a request is held: as much again is left for
+// the way and for a retry elsewhere.
+constexpr int64_t kHoldShare = 3;
+
+} // namespace
+
+bool
+HoldEarly(EntryStep& aStep, ForwardRequest& aRequest)
+{
+  Entry& entry = aStep.mEntry;
+  if (entry.mConfig.mPlan || RefusesNewWork(entry, aStep.mNow) ||
+      entry.mEarly.size() >= kMostHeld) {
+    return false;
+  }
+  const Duration patience =
+    aRequest.mDeadline ? *aRequest.mDeadline / kHoldShare : kLongestHold;
+  EarlyRequest early;
+  early.mReceivedAt = aStep.mNow;
+  early.mRefuseAt = aStep.mNow + std::min(patience, kLongestHold);
+  early.mRequest = std::move(aRequest);
+  entry.mEarly.push_back(std::move(early));
+  return true;
+}
+
+void
+TakeEarly(EntryStep& aStep)
+{
+  if (!aStep.mEntry.mConfig.mPlan) {
+    return;
+  }
+  for (EarlyRequest& early : std::exchange(aStep.mEntry.mEarly, {})) {
+    TakeForwardRequest(aStep, std::move(early.mRequest), early.mReceivedAt);
+  }
+}
+
+bool
+DropEarly(Entry& aEntry, HttpCallId aCall)
+{
+  return std::erase_if(aEntry.mEarly, [&](const EarlyRequest& aEarly) {
+           return aEarly.mRequest.mCall == aCall;
+         }) > 0;
+}
+
+void
+TickEarly(EntryStep& aStep)
+{
+  std::deque<EarlyRequest>& held = aStep.mEntry.mEarly;
+  const bool stopping = RefusesNewWork(aStep.mEntry, aStep.mNow);
+  for (size_t at = 0; at < held.size();) {
+    if (!stopping && aStep.mNow < held[at].mRefuseAt) {
+      ++at;
+      continue;
+    }
+    EarlyRequest early = std::move(held[at]);
+    held.erase(held.begin() + static_cast<ptrdiff_t>(at));
+    TakeForwardRequest(aStep, std::move(early.mRequest), early.mReceivedAt);
+  }
+}
+
+MonoTime
+EarlyWakeup(const Entry& aEntry)
+{
+  MonoTime next = kNever;
+  for (const EarlyRequest& early : aEntry.mEarly) {
+    next = std::min(next, early.mRefuseAt);
+  }
+  return next;
+}
+
+} // namespace caraway
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -13,6 +13,7 @@
 #include "caraway/entry/control_calls.h"
 #include "caraway/entry/direct.h"
 #include "caraway/entry/drain.h"
+#include "caraway/entry/early_requests.h"
 #include "caraway/entry/forward.h"
 #include "caraway/entry/orders.h"
 #include "caraway/entry/outcome.h"
@@ -63,6 +64,7 @@
     AttemptsTopologyChanged(aStep);
   }
   RenewSoon(aStep);
+  TakeEarly(aStep);
 }
 
 void
@@ -249,6 +251,7 @@
   EntryStep step{ aEntry, aNow, aOut };
   HandleEvent(step, aEvent);
   if (!aEntry.mDrain.mStopped) {
+    TickEarly(step);
     TickRequests(step);
     TickCalls(step);
     TickFetch(step);
@@ -280,6 +283,7 @@
                              RendezvousWakeup(aEntry),
                              TargetReportsWakeup(aEntry),
                              DirectWakeup(aEntry),
+                             EarlyWakeup(aEntry),
                              DrainWakeup(aEntry) });
   if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -7,6 +7,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/routing/choose.h"
+#include "caraway/scheduling/start_pace.h"
 
 namespace caraway {
 
@@ -26,6 +27,7 @@
   double mRetryBudget = 0.1;    // retries per request
   uint32_t mMaxAttempts = 3;
   uint32_t mMaxActiveRequests = 4096; // more are refused
+  ColdTolerance mColdTolerance;       // of targets that state a cold rate
   // Deployments without a list of control replicas: entries that know them.
   std::vector<PeerAddress> mSeeds;
   bool mFirstStart = false; // of the whole system
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -14,6 +14,7 @@
 #include "caraway/config/config_view.h"
 #include "caraway/entry/entry_metrics.h"
 #include "caraway/entry/entry_settings.h"
+#include "caraway/entry/forward_request.h"
 #include "caraway/entry/rendezvous_state.h"
 #include "caraway/entry/request_state.h"
 #include "caraway/entry/session_state.h"
@@ -43,6 +44,14 @@
   MonoTime mDeadline;    // given up then; the request's own deadline is earlier
 };
 
+// A request held until the first configuration, see early_requests.h.
+struct EarlyRequest
+{
+  ForwardRequest mRequest;
+  MonoTime mReceivedAt;
+  MonoTime mRefuseAt;
+};
+
 struct Entry
 {
   EntrySettings mSettings;
@@ -68,6 +77,10 @@
   uint64_t mNextCall = 1; // numbers are never used twice in one process
 
   uint64_t mTopology = 1; // changes with members, zones and targets
+  // Of the members of that topology: nodes that take work, by their target, and
+  // the number of entries.
+  absl::flat_hash_map<TargetId, InstanceId> mNodesBeside;
+  uint32_t mEntriesKnown = 0;
   std::map<std::string, TargetGroup> mGroups;
   TargetStates mTargets;
   absl::flat_hash_map<InstanceId, MonoTime> mWatchedAt;
@@ -88,6 +101,8 @@
   std::set<std::pair<TargetId, int64_t>> mGoneTargets;
   FallbackShares mFallback;
 
+  // Requests that came before the first configuration, in order of arrival.
+  std::deque<EarlyRequest> mEarly;
   Rendezvous mRendezvous;
   TargetReports mReports;
 };
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -8,6 +8,7 @@
 #include "caraway/entry/admission_step.h"
 #include "caraway/entry/auth.h"
 #include "caraway/entry/drain.h"
+#include "caraway/entry/early_requests.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/session.h"
 
@@ -51,9 +52,9 @@
 }
 
 DirectCall
-DirectCallFor(const EntryStep& aStep,
-              const PlanRoute& aRoute,
+DirectCallFor(const PlanRoute& aRoute,
               const ForwardRequest& aRequest,
+              MonoTime aReceivedAt,
               Random& aRandom)
 {
   DirectCall direct;
@@ -66,14 +67,14 @@
   direct.mResumeAfter = aRequest.mResumeAfter;
   direct.mLatencyGoal = aRoute.mLatencyGoal;
   direct.mGapGoal = aRoute.mGapGoal;
-  direct.mGoalAt = aStep.mNow + aRoute.mLatencyGoal;
+  direct.mGoalAt = aReceivedAt + aRoute.mLatencyGoal;
   direct.mReturning =
     aRequest.mDeadline && *aRequest.mDeadline + kReturnMargin < aRoute.mTimeout;
   return direct;
 }
 
 std::optional<CallerError>
-TakeRequest(EntryStep& aStep, ForwardRequest& aHttp)
+TakeRequest(EntryStep& aStep, ForwardRequest& aHttp, MonoTime aReceivedAt)
 {
   Entry& entry = aStep.mEntry;
   if (auto error = CheckIntake(aStep)) {
@@ -102,10 +103,9 @@
   request.mSerial = entry.mNextSerial++;
   request.mId = aHttp.mId;
   request.mCall = aHttp.mCall;
-  request.mReceivedAt = aStep.mNow;
-  request.mDeadline = aStep.mNow + patience;
-  request.mDirect = DirectCallFor(aStep, *route, aHttp, entry.mRandom);
-  request.mDirect.mRefuseAt = request.mDeadline;
+  request.mReceivedAt = aReceivedAt;
+  request.mDeadline = aReceivedAt + patience;
+  request.mDirect = DirectCallFor(*route, aHttp, aReceivedAt, entry.mRandom);
   TargetCall& call = request.mTarget;
   call.mService = request.mDirect.mService;
   call.mIdempotent = request.mDirect.mRepeatable;
@@ -144,9 +144,19 @@
 HandleForwardRequest(EntryStep& aStep, ForwardRequest aRequest)
 {
   ++aStep.mEntry.mMetrics.mRequests;
+  if (!HoldEarly(aStep, aRequest)) {
+    TakeForwardRequest(aStep, std::move(aRequest), aStep.mNow);
+  }
+}
+
+void
+TakeForwardRequest(EntryStep& aStep,
+                   ForwardRequest aRequest,
+                   MonoTime aReceivedAt)
+{
   const HttpCallId call = aRequest.mCall;
   const RequestId id = aRequest.mId;
-  if (auto error = TakeRequest(aStep, aRequest)) {
+  if (auto error = TakeRequest(aStep, aRequest, aReceivedAt)) {
     DecisionLog log;
     log.mLevel = LogLevel::eWarning;
     log.mEvent = "refuse";
--- a/caraway/entry/forward.h
+++ b/caraway/entry/forward.h
@@ -13,6 +13,12 @@
 void
 HandleForwardRequest(EntryStep& aStep, ForwardRequest aRequest);
 
+// The same for a request that came at aReceivedAt: takes or refuses it now.
+void
+TakeForwardRequest(EntryStep& aStep,
+                   ForwardRequest aRequest,
+                   MonoTime aReceivedAt);
+
 // True if the request spends a token of its workspace's rate.
 bool
 NeedsToken(const Entry& aEntry, const CallerRequest& aRequest);
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -45,15 +45,22 @@
   aStep.mOut.emplace_back(std::move(log));
 }
 
+void
+LoseLeader(EntryStep& aStep)
+{
+  PeerAddress& confirmed = aStep.mEntry.mSession.mConfirmed;
+  if (!confirmed.Empty()) {
+    LogLeader(aStep, "lost", confirmed.mValue);
+  }
+  confirmed = {};
+}
+
 void
 TryNextReplica(EntryStep& aStep, Duration aPause)
 {
   EntrySession& session = aStep.mEntry.mSession;
   const std::vector<PeerAddress>& replicas = aStep.mEntry.mSettings.mControl;
-  if (!session.mConfirmed.Empty()) {
-    LogLeader(aStep, "lost", session.mConfirmed.mValue);
-  }
-  session.mConfirmed = {};
+  LoseLeader(aStep);
   if (replicas.empty()) {
     return;
   }
@@ -254,10 +261,7 @@
   if (session.mConfirmed == aFrom) {
     return;
   }
-  if (!session.mConfirmed.Empty()) {
-    LogLeader(aStep, "lost", session.mConfirmed.mValue);
-  }
-  session.mConfirmed = {};
+  LoseLeader(aStep);
   session.mLeader = aFrom;
   session.mReplyBy = kNever;
   session.mNextSend = aStep.mNow;
@@ -296,11 +300,7 @@
 uint32_t
 EntriesKnown(const Entry& aEntry)
 {
-  uint32_t entries = 0;
-  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
-    entries += member.mRole == MemberRole::eEntry ? 1 : 0;
-  }
-  return std::max<uint32_t>(1, entries);
+  return std::max<uint32_t>(1, aEntry.mEntriesKnown);
 }
 
 } // namespace caraway
--- a/caraway/entry/target_reports.cpp
+++ b/caraway/entry/target_reports.cpp
@@ -39,8 +39,7 @@
   return (aTarget.mDraining && !held.mDraining) || turnedCold ||
          held.mAddress != aTarget.mAddress ||
          held.mService != aTarget.mService || held.mZone != aTarget.mZone ||
-         held.mSlots != aTarget.mSlots ||
-         (aTarget.mColdRate > 0 && held.mColdRate != aTarget.mColdRate);
+         held.mSlots != aTarget.mSlots;
 }
 
 void
@@ -63,11 +62,7 @@
 void
 HandleTargetHeartbeat(EntryStep& aStep, const TargetHeartbeat& aHeartbeat)
 {
-  Target target = aHeartbeat.mTarget;
-  const auto& plan = aStep.mEntry.mConfig.mPlan;
-  const PlanService* service =
-    plan ? PlanServiceById(*plan, target.mService) : nullptr;
-  target.mColdRate = service != nullptr ? service->mColdRate : 0;
+  const Target& target = aHeartbeat.mTarget;
   HeardTarget& heard = aStep.mEntry.mReports.mHeard[target.mId];
   const bool late = target.mStartedAt < heard.mStartedAt ||
                     (target.mStartedAt == heard.mStartedAt &&
@@ -128,6 +123,16 @@
               ReportTargets{ {}, { { aFarewell.mTarget, startedAt } } });
 }
 
+void
+ReportLeaving(EntryStep& aStep, const Target& aTarget)
+{
+  Target leaving = aTarget;
+  leaving.mDraining = true;
+  leaving.mColdFor = {};
+  LogTarget(aStep, leaving, "leaving, by its answer");
+  StartReport(aStep, HttpCallId(), ReportTargets{ { leaving }, {} });
+}
+
 void
 TickTargetReports(EntryStep& aStep)
 {
--- a/caraway/entry/target_reports.h
+++ b/caraway/entry/target_reports.h
@@ -10,6 +10,9 @@
 HandleTargetHeartbeat(EntryStep& aStep, const TargetHeartbeat& aHeartbeat);
 void
 HandleTargetFarewell(EntryStep& aStep, const TargetFarewell& aFarewell);
+// A target said in an answer that it leaves: control takes it out for everyone.
+void
+ReportLeaving(EntryStep& aStep, const Target& aTarget);
 void
 TickTargetReports(EntryStep& aStep);
 MonoTime
--- a/caraway/entry/targets.cpp
+++ b/caraway/entry/targets.cpp
@@ -134,6 +134,15 @@
 {
   Entry& entry = aStep.mEntry;
   ++entry.mTopology;
+  entry.mNodesBeside.clear();
+  entry.mEntriesKnown = 0;
+  for (const auto& [id, member] : entry.mConfig.mMembers) {
+    if (member.mRole == MemberRole::eEntry) {
+      ++entry.mEntriesKnown;
+    } else if (!member.mDraining) {
+      entry.mNodesBeside.emplace(member.mTarget.mId, id);
+    }
+  }
   absl::erase_if(entry.mTargets, [&](const auto& aTarget) {
     return NodeOf(entry, aTarget.first) == nullptr;
   });
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -201,6 +201,8 @@
                        aSettings.mFirstTokenGoal };
   scheduler.mMaxOnlineQueue = aSettings.mMaxOnlineQueue;
   node.mScheduler = MakeScheduler(scheduler);
+  // The process before this one may have granted starts until it ended.
+  node.mScheduler.mPace.mQuietUntil = aNow + kPaceWindow;
   return node;
 }
 
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -12,6 +12,9 @@
 
 constexpr size_t kMaxAnswer = 700 * 1024; // has to fit into one message
 constexpr size_t kMaxErrorText = 1024;
+// Bytes of a raw item's call that complete no event: an event is a few hundred
+// bytes, the body of a failure a few kilobytes.
+constexpr size_t kMaxIncomplete = 256 * 1024;
 constexpr double kSmoothing = 0.1;
 // Events of a raw item come every few ten milliseconds, and even a slow target
 // sends one within seconds.
@@ -102,6 +105,7 @@
   aTask.mNotRun = aTask.mForeign = false;
   aTask.mAnswer.clear();
   aTask.mEvents.mPending.clear();
+  aTask.mIncomplete = 0;
   StartTargetCall call;
   call.mMethod = "POST";
   call.mPath = aTask.mPath;
@@ -248,7 +252,7 @@
   }
 }
 
-void
+BatchBytes
 TakeBatchBytes(Node& aNode,
                MonoTime aNow,
                BatchTask& aTask,
@@ -257,24 +261,30 @@
 {
   aTask.mLastByte = aNow;
   if (aTask.mRaw) {
-    if (aTask.mStatus / 100 != 2) {
-      return;
+    std::string events;
+    if (aTask.mStatus / 100 == 2) {
+      events = TakeEvents(aTask.mEvents, aBytes);
+    }
+    aTask.mIncomplete = events.empty() ? aTask.mIncomplete + aBytes.size() : 0;
+    if (aTask.mIncomplete > kMaxIncomplete ||
+        aTask.mText.size() + events.size() > kMaxAnswer) {
+      return BatchBytes::eTooMany;
     }
-    const std::string events = TakeEvents(aTask.mEvents, aBytes);
     if (events.empty()) {
-      return;
+      return BatchBytes::eNone;
     }
     const std::string data = EventData(events);
     aTask.mText += (aTask.mText.empty() ? "" : "\n") + data;
   } else if (aTask.mEventStream) {
     if (TakeStreamBytes(aTask, aBytes) == 0) {
-      return;
+      return BatchBytes::eNone;
     }
   } else if (aTask.mAnswer.size() <= kMaxAnswer) {
     aTask.mAnswer.append(aBytes);
   }
   LogLimit(
     aNode, NoteToken(aNode.mScheduler, aNow, aTask.mWork), "goal missed", aOut);
+  return BatchBytes::eProgress;
 }
 
 void
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -61,6 +61,7 @@
   uint32_t mStatedTokens = 0;
   Headers mHeaders;
   EventStream mEvents;   // over all resumes
+  size_t mIncomplete = 0; // bytes of this call since its last whole event
   bool mNotRun = false;  // the target refused the present call
   bool mForeign = false; // the present answer belongs to something else
 };
--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -38,6 +38,26 @@
   return announcement;
 }
 
+void
+PaceStarts(Node& aNode, MonoTime aNow)
+{
+  StartPace& pace = aNode.mScheduler.mPace;
+  pace.mCold = aNow < aNode.mColdUntil;
+  pace.mPerSecond = GrantedStarts(aNode.mSettings.mColdTolerance,
+                                  aNode.mRecord.mColdRate,
+                                  aNode.mRecord.mSlots,
+                                  pace.mCold);
+}
+
+void
+TakeRecord(Node& aNode, MonoTime aNow, const Target& aRecord)
+{
+  if (aNode.mRecord != aRecord && aRecord.mColdFor > Duration{}) {
+    aNode.mColdUntil = aNow + aRecord.mColdFor;
+  }
+  aNode.mRecord = aRecord;
+}
+
 } // namespace
 
 bool
@@ -52,8 +72,15 @@
   if (!UsesDirectory(aNode)) {
     return;
   }
-  const Target* record = RecordOf(aNode);
   NodeTarget& target = aNode.mTarget;
+  const Revision revision = aNode.mSession.mView.mRevision;
+  if (target.mPresent && aNode.mFollowed == revision) {
+    target.mHeardAt = aNow; // the record stands as long as control keeps it
+    PaceStarts(aNode, aNow); // the cold time may be over
+    return;
+  }
+  aNode.mFollowed = revision;
+  const Target* record = RecordOf(aNode);
   if (record == nullptr) {
     if (target.mPresent) {
       LoseTarget(aNode, aNow, aOut);
@@ -74,7 +101,8 @@
     aNode.mScheduler.mHeld = false;
   }
   target.mHeardAt = aNow;
-  aNode.mScheduler.mPace.mPerSecond = record->mColdRate;
+  TakeRecord(aNode, aNow, *record);
+  PaceStarts(aNode, aNow);
   if (record->mDraining && !target.mLeaving) {
     OnTargetLeave(aNode, aNow, aOut);
   }
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -271,7 +271,13 @@
 StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut);
 void
 PreemptTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut);
-void
+enum class BatchBytes : uint8_t
+{
+  eProgress,
+  eNone,    // nothing whole came of them
+  eTooMany, // more than any answer has
+};
+BatchBytes
 TakeBatchBytes(Node& aNode,
                MonoTime aNow,
                BatchTask& aTask,
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -21,6 +21,7 @@
   uint64_t mSeed = 1;
   SchedulePolicy mPolicy = SchedulePolicy::eOnlineFirst;
   uint32_t mColdLimit = 1;          // calls that a cold target bears
+  ColdTolerance mColdTolerance;     // of targets that state a cold rate
   uint32_t mMaxLimit = 256;         // calls at most, whatever is measured
   Duration mTokenGoal = Millis(74); // between tokens, p95
   Duration mFirstTokenGoal = Millis(750);
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -78,6 +78,9 @@
   MonoTime mLeaveSince{ 0 }; // first Leave
   MonoTime mLeaveAt{ 0 };    // next Leave
   MonoTime mNextTick{ 0 };   // housekeeping, once a second
+  Revision mFollowed;        // configuration whose target record is followed
+  Target mRecord;            // of that configuration
+  MonoTime mColdUntil{ 0 };  // as the target said when its record changed
   MonoTime mQueryAt{ 0 };    // next ControlQuery
   size_t mNextSeed = 0;
   NodeCounters mCounters;
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -18,14 +18,10 @@
 }
 
 TargetCallInfo*
-InfoOf(Node& aNode, MonoTime aNow, TargetCallId aCall)
+InfoOf(Node& aNode, TargetCallId aCall)
 {
   auto found = aNode.mTargetCalls.find(aCall);
-  if (found == aNode.mTargetCalls.end()) {
-    return nullptr;
-  }
-  found->second.mLastByte = aNow;
-  return &found->second;
+  return found == aNode.mTargetCalls.end() ? nullptr : &found->second;
 }
 
 } // namespace
@@ -60,12 +56,13 @@
 OnTargetBegan(Node& aNode,
               MonoTime aNow,
               const TargetCallBegan& aEvent,
-              NodeActions&)
+              NodeActions& aOut)
 {
-  TargetCallInfo* info = InfoOf(aNode, aNow, aEvent.mCall);
+  TargetCallInfo* info = InfoOf(aNode, aEvent.mCall);
   if (info == nullptr) {
     return;
   }
+  info->mLastByte = aNow;
   info->mStatus = aEvent.mStatus;
   if (info->mUse == TargetUse::eLoad) {
     aNode.mTarget.mLoadStatus = aEvent.mStatus;
@@ -88,6 +85,9 @@
         !task->mRaw && task->mStreamed &&
         absl::StrContains(HeaderValue(aEvent.mHeaders, "Content-Type"),
                           "text/event-stream");
+      if (aEvent.mLeaving && !task->mForeign) {
+        OnTargetLeave(aNode, aNow, aOut);
+      }
     }
   }
 }
@@ -98,10 +98,13 @@
               const TargetCallBytes& aEvent,
               NodeActions& aOut)
 {
-  TargetCallInfo* info = InfoOf(aNode, aNow, aEvent.mCall);
+  TargetCallInfo* info = InfoOf(aNode, aEvent.mCall);
   if (info == nullptr) {
     return;
   }
+  if (info->mUse != TargetUse::eBatch) {
+    info->mLastByte = aNow;
+  }
   if (info->mUse == TargetUse::eLoad) {
     if (aNode.mTarget.mLoadBody.size() < kMaxLoadBytes) {
       aNode.mTarget.mLoadBody.append(aEvent.mBytes);
@@ -112,7 +115,21 @@
     }
   } else if (info->mUse == TargetUse::eBatch) {
     if (BatchTask* task = TaskOf(aNode, info->mWork)) {
-      TakeBatchBytes(aNode, aNow, *task, aEvent.mBytes, aOut);
+      switch (TakeBatchBytes(aNode, aNow, *task, aEvent.mBytes, aOut)) {
+        case BatchBytes::eProgress:
+          info->mLastByte = aNow;
+          break;
+        case BatchBytes::eNone:
+          break; // does not keep a stalled item alive
+        case BatchBytes::eTooMany:
+          aOut.emplace_back(CancelTargetCall{ aEvent.mCall });
+          OnTargetFailed(
+            aNode,
+            aNow,
+            { aEvent.mCall, Outcome::eUnknown, "the answer has no end" },
+            aOut);
+          break;
+      }
     }
   }
 }
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -4,7 +4,6 @@
 // Load is this entry's own requests there plus the others of the last report,
 // per place. Batch items at a target count little, since they give way at once.
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -12,6 +11,7 @@
 #include "caraway/base/decision_log.h"
 #include "caraway/base/random.h"
 #include "caraway/base/time.h"
+#include "caraway/scheduling/start_pace.h"
 
 namespace caraway {
 
@@ -27,8 +27,13 @@
   uint32_t mFailures = 0; // in a row
   double mFailShare = 0;  // of the latest requests, fading
   MonoTime mAvoidUntil{ -kNever.mMicros };
-  MonoTime mSeenAt{ 0 };        // when this entry learned of the start
-  std::deque<MonoTime> mStarts; // calls without a slot in the last second
+  MonoTime mSeenAt{ 0 }; // when this entry learned of the start
+  // Calls without a grant of the node beside the target.
+  uint32_t mUnguarded = 0; // running
+  StartPace mUnguardedPace;
+  uint64_t mRankedFor = 0; // topology that mRank is of, 0: none
+  uint32_t mRank = 0;      // of this entry among those that call unguarded
+  MonoTime mSilentSince = kNever; // first ask of the node without an answer
 };
 
 using PlacementLoads = std::map<TargetId, PlacementLoad>;
--- a/caraway/runtime/settings_reader.cpp
+++ b/caraway/runtime/settings_reader.cpp
@@ -152,16 +152,26 @@
 
 double
 SettingsReader::Fraction(const std::string& aName, double aDefault)
+{
+  return Decimal(aName, aDefault, 0, 10);
+}
+
+double
+SettingsReader::Decimal(const std::string& aName,
+                        double aDefault,
+                        double aLowest,
+                        double aHighest)
 {
   std::string text;
-  if (!Find(aName, text)) {
+  if (!Find(aName, text) || text.empty()) {
     return aDefault;
   }
   double value = 0;
-  if (!absl::SimpleAtod(text, &value) || !(value >= 0) || value > 10) {
+  if (!absl::SimpleAtod(text, &value) || !(value >= aLowest) ||
+      value > aHighest) {
     NoteError(absl::StrCat("--", aName),
               absl::StrCat("'", text, "' is not a number in range"),
-              "give 0 to 10");
+              absl::StrCat("give ", aLowest, " to ", aHighest));
     return aDefault;
   }
   return value;
--- a/caraway/runtime/settings_reader.h
+++ b/caraway/runtime/settings_reader.h
@@ -34,7 +34,12 @@
                   uint64_t aDefault,
                   uint64_t aLowest,
                   uint64_t aHighest);
-  double Fraction(const std::string& aName, double aDefault);
+  double Fraction(const std::string& aName, double aDefault); // 0 to 10
+  // Empty text counts as absent: a template may have no value for it.
+  double Decimal(const std::string& aName,
+                 double aDefault,
+                 double aLowest,
+                 double aHighest);
   Duration Milliseconds(const std::string& aName,
                         Duration aDefault,
                         Duration aLowest,
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+// The head of an answer; also a trailer and the interim answers before it.
+constexpr size_t kMaxHeadBytes = 64 * 1024;
+// Bytes that the parser leaves unread: a chunk's or status line without an end.
+constexpr size_t kMaxUnparsedBytes = 256 * 1024;
+
 struct UriFree
 {
   void operator()(evhttp_uri* aUri) const { evhttp_uri_free(aUri); }
@@ -108,12 +113,16 @@
   evhttp_connection_set_timeout(
     call.mConnection.get(),
     std::max<int>(1, static_cast<int>(aStart.mTimeout.Seconds())));
+  evhttp_connection_set_max_headers_size(
+    call.mConnection.get(), static_cast<ev_ssize_t>(kMaxHeadBytes));
   // One attempt: whether to send again is decided by the role.
   evhttp_connection_set_retries(call.mConnection.get(), 0);
   bufferevent* buffer =
     evhttp_connection_get_bufferevent(call.mConnection.get());
   evbuffer_add_cb(
     bufferevent_get_output(buffer), &TargetClient::OnOutput, &call);
+  evbuffer_add_cb(
+    bufferevent_get_input(buffer), &TargetClient::OnInput, &call);
 
   evhttp_request* request = evhttp_request_new(&TargetClient::OnDone, &call);
   evhttp_request_set_header_cb(request, &TargetClient::OnHeaders);
@@ -157,11 +166,32 @@
   }
 }
 
+void
+TargetClient::OnInput(evbuffer* aBuffer,
+                      const evbuffer_cb_info* aInfo,
+                      void* aCall)
+{
+  auto* call = static_cast<Call*>(aCall);
+  if (call->mClosed) {
+    return;
+  }
+  if (!call->mBegan) {
+    call->mBytesBeforeHead += aInfo->n_added;
+  }
+  if (evbuffer_get_length(aBuffer) > kMaxUnparsedBytes ||
+      call->mBytesBeforeHead > kMaxUnparsedBytes) {
+    call->mClient->Fail(
+      *call, Outcome::eUnknown, "bytes without an end that are no answer");
+  }
+}
+
 int
 TargetClient::OnHeaders(evhttp_request* aRequest, void* aCall)
 {
   auto* call = static_cast<Call*>(aCall);
-  if (call->mClosed || call->mBegan) {
+  constexpr int kContinue = 100; // an interim answer, before the one that counts
+  if (call->mClosed || call->mBegan ||
+      evhttp_request_get_response_code(aRequest) == kContinue) {
     return 0;
   }
   call->mBegan = true;
@@ -257,6 +287,8 @@
     evhttp_connection_get_bufferevent(call->mConnection.get());
   evbuffer_remove_cb(
     bufferevent_get_output(buffer), &TargetClient::OnOutput, call.get());
+  evbuffer_remove_cb(
+    bufferevent_get_input(buffer), &TargetClient::OnInput, call.get());
   // The connection may be running one of its callbacks now; it is freed or kept
   // for reuse from the loop.
   mLoop.Defer([this, call, aReusable] {
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -52,6 +52,7 @@
     bool mBegan = false;
     bool mClosed = false;    // no further events
     uint64_t mBytesSent = 0; // drained from the output buffer
+    uint64_t mBytesBeforeHead = 0; // of the answer, until its head was whole
   };
 
   struct Idle
@@ -64,6 +65,9 @@
   static int OnHeaders(evhttp_request* aRequest, void* aCall);
   static void OnChunk(evhttp_request* aRequest, void* aCall);
   static void OnDone(evhttp_request* aRequest, void* aCall);
+  static void OnInput(evbuffer* aBuffer,
+                      const evbuffer_cb_info* aInfo,
+                      void* aCall);
   static void OnOutput(evbuffer* aBuffer,
                        const evbuffer_cb_info* aInfo,
                        void* aCall);
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -264,6 +264,7 @@
          std::vector<ScheduleStep>& aSteps)
 {
   ExpireWaiting(aScheduler, aNow, aSteps);
+  ForgetOldStarts(aScheduler.mPace, aNow);
   JudgeBatchCap(aScheduler.mBatchCap,
                 aNow,
                 aScheduler.mSettings.mLimit.mTokenGoal,
--- a/caraway/scheduling/start_pace.cpp
+++ b/caraway/scheduling/start_pace.cpp
@@ -8,24 +8,74 @@
 
 namespace {
 
-constexpr Duration kWindow = Seconds(1);
 constexpr double kBatchShare = 0.5;
+constexpr double kColdBatchShare = 0.2;
 
 } // namespace
 
-bool
-MayStart(StartPace& aPace, MonoTime aNow, StartKind aKind)
+double
+BorneStarts(const ColdTolerance& aTolerance, double aColdRate)
+{
+  return aColdRate <= 0 ? 0
+                        : aTolerance.mFactor * aColdRate + aTolerance.mSlack;
+}
+
+double
+GrantedStarts(const ColdTolerance& aTolerance,
+              double aColdRate,
+              uint32_t aSlots,
+              bool aCold)
+{
+  if (aColdRate <= 0) {
+    return 0;
+  }
+  const double late =
+    std::max(1.0, BorneStarts(aTolerance, aColdRate) - aSlots);
+  return aCold ? std::min(late, aColdRate) : late;
+}
+
+double
+UnguardedStarts(const ColdTolerance& aTolerance, double aColdRate)
+{
+  return std::max(0.0, BorneStarts(aTolerance, aColdRate) - aColdRate);
+}
+
+uint32_t
+ShareOfRank(double aBound, uint32_t aRank, uint32_t aUsers)
+{
+  const auto whole = static_cast<uint32_t>(std::max(0.0, aBound));
+  const uint32_t users = std::min(aUsers, whole);
+  return aRank < users ? whole / users : 0;
+}
+
+void
+ForgetOldStarts(StartPace& aPace, MonoTime aNow)
 {
-  while (!aPace.mStarts.empty() && aNow - aPace.mStarts.front() > kWindow) {
+  while (!aPace.mStarts.empty() &&
+         aNow - aPace.mStarts.front() > kPaceWindow) {
     aPace.mStarts.pop_front();
   }
+  if (aNow >= aPace.mQuietUntil) {
+    aPace.mQuietUntil = MonoTime{ 0 };
+  }
+}
+
+bool
+MayStart(StartPace& aPace, MonoTime aNow, StartKind aKind)
+{
+  ForgetOldStarts(aPace, aNow);
   if (aPace.mPerSecond <= 0) {
     return true;
   }
+  if (aNow < aPace.mQuietUntil) {
+    return false;
+  }
   const double most =
     std::max(1.0,
-             aKind == StartKind::eBatch ? aPace.mPerSecond * kBatchShare
-                                        : aPace.mPerSecond);
+             aKind == StartKind::eOnline
+               ? aPace.mPerSecond
+               : aPace.mPerSecond *
+                   (aPace.mCold ? kColdBatchShare : kBatchShare));
   return static_cast<double>(aPace.mStarts.size()) + 1 <= most;
 }
 
@@ -40,9 +90,15 @@
 MonoTime
 NextStart(const StartPace& aPace)
 {
-  return aPace.mPerSecond <= 0 || aPace.mStarts.empty()
+  if (aPace.mPerSecond <= 0) {
+    return kNever;
+  }
+  if (aPace.mQuietUntil != MonoTime{ 0 }) {
+    return aPace.mQuietUntil;
+  }
+  return aPace.mStarts.empty()
            ? kNever
-           : aPace.mStarts.front() + kWindow + Micros(1);
+           : aPace.mStarts.front() + kPaceWindow + Micros(1);
 }
 
 } // namespace caraway
--- /dev/null
+++ b/tests/runtime_endless_answer_test.cpp
@@ -0,0 +1,173 @@
+// Guards the client of targets against bytes without an end that are no answer:
+// they fill no memory, the connection is closed, and the call fails without a
+// promise that nothing ran.
+#define BOOST_TEST_MODULE runtime_endless_answer
+#include <boost/test/unit_test.hpp>
+
+#include <event2/listener.h>
+
+#include "caraway/runtime/runtime.h"
+
+using namespace caraway;
+
+namespace {
+
+// What a target may get rid of before its connection is closed: what is read,
+// and what the buffers of both sockets take.
+constexpr size_t kMostSent = 16 << 20;
+constexpr size_t kPiece = 64 * 1024;
+
+struct ListenerFree
+{
+  void operator()(evconnlistener* aListener) const
+  {
+    evconnlistener_free(aListener);
+  }
+};
+
+// Sends a beginning to each caller, then the same bytes until it is closed.
+struct Endless
+{
+  Endless(std::string aBegin, std::string aRepeat)
+    : mBegin(std::move(aBegin))
+    , mClient(mLoop, TargetClientSettings{})
+    , mGuard(mLoop, [this] { mLoop.Exit(); })
+  {
+    while (mRepeat.size() < kPiece) {
+      mRepeat += aRepeat;
+    }
+    auto any = ParseSocketAddress("127.0.0.1:0");
+    mListener.reset(
+      evconnlistener_new_bind(mLoop.Base(),
+                              &Endless::OnAccept,
+                              this,
+                              LEV_OPT_CLOSE_ON_FREE,
+                              -1,
+                              reinterpret_cast<sockaddr*>(&any->mStorage),
+                              static_cast<int>(any->mLength)));
+    BOOST_REQUIRE(mListener);
+    mGuard.ArmAt(mLoop.Now() + Seconds(60));
+    mClient.mOnBegan.connect([this](const TargetCallBegan&) { mBegan = true; });
+    mClient.mOnEnded.connect([this](const TargetCallEnded&) { mEnded = true; });
+    mClient.mOnFailed.connect([this](const TargetCallFailed& aFailed) {
+      mFailed = true;
+      mOutcome = aFailed.mOutcome;
+    });
+    StartTargetCall call;
+    call.mCall = TargetCallId(1);
+    call.mUrl =
+      "http://" + BoundAddress(evconnlistener_get_fd(mListener.get()));
+    call.mMethod = "POST";
+    call.mPath = "/";
+    call.mBody = "q";
+    call.mFreshConnection = true;
+    mClient.Start(call);
+    mLoop.Run(); // until the target's connection is closed
+  }
+
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t aSocket,
+                       sockaddr*,
+                       int,
+                       void* aSelf)
+  {
+    auto* self = static_cast<Endless*>(aSelf);
+    self->mBuffer.reset(bufferevent_socket_new(
+      self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(self->mBuffer.get(),
+                      nullptr,
+                      &Endless::OnWritten,
+                      &Endless::OnEvent,
+                      aSelf);
+    bufferevent_enable(self->mBuffer.get(), EV_READ | EV_WRITE);
+    bufferevent_write(
+      self->mBuffer.get(), self->mBegin.data(), self->mBegin.size());
+  }
+
+  static void OnWritten(bufferevent* aBuffer, void* aSelf)
+  {
+    auto* self = static_cast<Endless*>(aSelf);
+    self->mSent += self->mRepeat.size();
+    if (self->mSent > kMostSent) {
+      self->mLoop.Exit();
+      return;
+    }
+    bufferevent_write(aBuffer, self->mRepeat.data(), self->mRepeat.size());
+  }
+
+  static void OnEvent(bufferevent*, short, void* aSelf)
+  {
+    auto* self = static_cast<Endless*>(aSelf);
+    self->mClosed = true;
+    self->mLoop.Defer([self] { self->mLoop.Exit(); });
+  }
+
+  void ExpectCut()
+  {
+    BOOST_TEST(mClosed);
+    BOOST_TEST(mFailed);
+    BOOST_TEST(!mEnded);
+    BOOST_TEST((mOutcome == Outcome::eUnknown));
+    BOOST_TEST(mSent <= kMostSent);
+  }
+
+  std::string mBegin;
+  std::string mRepeat;
+  Loop mLoop;
+  TargetClient mClient;
+  Timer mGuard;
+  std::unique_ptr<evconnlistener, ListenerFree> mListener;
+  BufferEventPtr mBuffer;
+  size_t mSent = 0;
+  bool mBegan = false;
+  bool mEnded = false;
+  bool mFailed = false;
+  bool mClosed = false;
+  Outcome mOutcome = Outcome::eRan;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(status_line_without_an_end)
+{
+  Endless("HTTP/1.1 200 ", "x").ExpectCut();
+}
+
+BOOST_AUTO_TEST_CASE(headers_without_an_end)
+{
+  Endless("HTTP/1.1 200 OK\r\n", "A: b\r\n").ExpectCut();
+}
+
+BOOST_AUTO_TEST_CASE(header_line_without_an_end)
+{
+  Endless("HTTP/1.1 200 OK\r\nA: ", "b").ExpectCut();
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_without_an_end)
+{
+  Endless target("HTTP/1.1 100 Continue\r\n\r\n",
+                 "HTTP/1.1 100 Continue\r\n\r\n");
+  target.ExpectCut();
+  BOOST_TEST(!target.mBegan); // none of them is the answer
+}
+
+BOOST_AUTO_TEST_CASE(chunk_size_without_an_end)
+{
+  Endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0")
+    .ExpectCut();
+}
+
+BOOST_AUTO_TEST_CASE(trailers_without_an_end)
+{
+  Endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+          "A: b\r\n")
+    .ExpectCut();
+}
+
+BOOST_AUTO_TEST_CASE(bytes_after_a_whole_answer_close_the_connection)
+{
+  Endless target("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "x");
+  BOOST_TEST(target.mEnded);
+  BOOST_TEST(!target.mFailed);
+  BOOST_TEST(target.mClosed);
+}
--- /dev/null
+++ b/tests/scheduling_cold_bound_test.cpp
@@ -0,0 +1,213 @@
+// Guards a target that turns cold against more requests in a second than it
+// bears, summed over everyone who may call it: grants that are used late, nodes
+// and targets that start again, and entries that call while no node answers.
+#define BOOST_TEST_MODULE scheduling_cold_bound
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include <rapidcheck.h>
+
+#include "caraway/base/random.h"
+#include "caraway/routing/placement.h"
+
+using namespace caraway;
+
+namespace {
+
+constexpr Duration kStep = Millis(5);
+// What an entry waits for an answer before it calls without one, as in
+// entry/direct_targets.cpp.
+constexpr Duration kSilence = Millis(1100);
+
+struct Plan
+{
+  double mRate = 10;
+  uint32_t mSlots = 8;
+  uint32_t mEntries = 8;
+  uint64_t mSeed = 1;
+  bool mNodeEnds = false;   // the node dies and starts again at times
+  bool mLateGrants = false; // grants are used up to two seconds later
+};
+
+// A target that everyone wants to call as often as they may.
+class World
+{
+public:
+  explicit World(const Plan& aPlan)
+    : mPlan(aPlan)
+    , mRandom(aPlan.mSeed)
+    , mUnguarded(aPlan.mEntries)
+  {
+    StartNode();
+  }
+
+  // The most requests that were sent in any second.
+  size_t Run(Duration aTime)
+  {
+    for (const MonoTime end = mNow + aTime; mNow < end; mNow = mNow + kStep) {
+      if (mPlan.mNodeEnds && DrawBelow(mRandom, 400) == 0) {
+        EndNode();
+      }
+      if (!mAlive && mNow >= mBackAt) {
+        StartNode();
+      }
+      Grant();
+      Use();
+      CallWithoutNode();
+    }
+    return Most();
+  }
+
+  std::vector<MonoTime> mSent;
+
+private:
+  void StartNode()
+  {
+    mAlive = true;
+    mPace = StartPace();
+    mPace.mPerSecond = GrantedStarts(
+      mTolerance, mPlan.mRate, mPlan.mSlots, DrawBelow(mRandom, 2) == 0);
+    mPace.mQuietUntil = mNow + kPaceWindow;
+  }
+
+  void EndNode()
+  {
+    mAlive = false;
+    mSilentSince = mNow;
+    mBackAt =
+      mNow + Millis(100 + static_cast<int64_t>(DrawBelow(mRandom, 3000)));
+    // Grants under way stay usable: their entries do not know.
+  }
+
+  void Grant()
+  {
+    while (mAlive && mGrants.size() < mPlan.mSlots &&
+           MayStart(mPace, mNow, StartKind::eOnline)) {
+      NoteStart(mPace, mNow);
+      const auto late = static_cast<int64_t>(DrawBelow(mRandom, 2000));
+      mGrants.push_back(mPlan.mLateGrants ? mNow + Millis(late) : mNow);
+    }
+  }
+
+  void Use()
+  {
+    std::erase_if(mGrants, [&](MonoTime aAt) {
+      if (aAt > mNow) {
+        return false;
+      }
+      mSent.push_back(mNow);
+      return true;
+    });
+  }
+
+  void CallWithoutNode()
+  {
+    if (mAlive || mNow - mSilentSince <= kSilence) {
+      return;
+    }
+    for (uint32_t rank = 0; rank < mPlan.mEntries; ++rank) {
+      StartPace& pace = mUnguarded[rank];
+      pace.mPerSecond = ShareOfRank(
+        UnguardedStarts(mTolerance, mPlan.mRate), rank, mPlan.mEntries);
+      while (pace.mPerSecond > 0 && MayStart(pace, mNow, StartKind::eOnline)) {
+        NoteStart(pace, mNow);
+        mSent.push_back(mNow);
+      }
+    }
+  }
+
+  size_t Most() const
+  {
+    size_t most = 0;
+    for (size_t from = 0; from < mSent.size(); ++from) {
+      const auto end = std::upper_bound(
+        mSent.begin(), mSent.end(), mSent[from] + kPaceWindow - Micros(1));
+      most = std::max<size_t>(most, end - (mSent.begin() + from));
+    }
+    return most;
+  }
+
+  Plan mPlan;
+  Random mRandom;
+  ColdTolerance mTolerance;
+  MonoTime mNow{ 10000000 };
+  StartPace mPace;
+  bool mAlive = true;
+  MonoTime mBackAt;
+  MonoTime mSilentSince;
+  std::vector<MonoTime> mGrants; // not used yet: when they will be
+  std::vector<StartPace> mUnguarded;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(late_grants_keep_within_what_a_cold_target_bears)
+{
+  const bool held = rc::check([] {
+    Plan plan;
+    plan.mRate = *rc::gen::inRange(6, 30);
+    plan.mEntries = *rc::gen::inRange(1, 100);
+    plan.mSeed = *rc::gen::inRange(1, 1000000);
+    plan.mLateGrants = true;
+    World world(plan);
+    const auto most = static_cast<double>(world.Run(Seconds(8)));
+    RC_ASSERT(most <= BorneStarts(ColdTolerance(), plan.mRate));
+    RC_ASSERT(world.mSent.size() > 8u);
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(nodes_that_start_again_keep_within_it_with_entries_beside)
+{
+  const bool held = rc::check([] {
+    Plan plan;
+    plan.mRate = *rc::gen::inRange(6, 30);
+    plan.mEntries = *rc::gen::inRange(1, 100);
+    plan.mSeed = *rc::gen::inRange(1, 1000000);
+    plan.mNodeEnds = true;
+    World world(plan);
+    const auto most = static_cast<double>(world.Run(Seconds(30)));
+    RC_ASSERT(most <= BorneStarts(ColdTolerance(), plan.mRate));
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(shares_add_up_to_the_bound_at_most_and_leave_no_one_out)
+{
+  const bool held = rc::check([] {
+    const double bound = *rc::gen::inRange(0, 400) / 10.0;
+    const uint32_t entries = *rc::gen::inRange(1, 400);
+    double sum = 0;
+    for (uint32_t rank = 0; rank < entries; ++rank) {
+      sum += ShareOfRank(bound, rank, entries);
+    }
+    RC_ASSERT(sum <= bound);
+    RC_ASSERT(bound < 1 || sum * 2 > bound);
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(target_that_has_been_warm_for_long_takes_more_than_the_rate)
+{
+  const ColdTolerance tolerance;
+  BOOST_TEST(GrantedStarts(tolerance, 15, 8, true) == 15);
+  BOOST_TEST(GrantedStarts(tolerance, 15, 8, false) == 19.5);
+  BOOST_TEST(GrantedStarts(tolerance, 0, 8, false) == 0); // no bound
+  // Never nothing, however small the rate.
+  BOOST_TEST(GrantedStarts(tolerance, 0.1, 64, true) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(quiet_time_passes_without_another_event)
+{
+  StartPace pace;
+  pace.mPerSecond = 5;
+  const MonoTime now{ 1000000 };
+  pace.mQuietUntil = now + Seconds(1);
+  BOOST_TEST(!MayStart(pace, now, StartKind::eOnline));
+  const MonoTime next = NextStart(pace);
+  BOOST_TEST((next == now + Seconds(1)));
+  BOOST_TEST(MayStart(pace, next, StartKind::eOnline));
+  // Otherwise a loop that sleeps until then would spin.
+  BOOST_TEST((NextStart(pace) == kNever));
+}
