--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -42,11 +42,10 @@
 PaceStarts(Node& aNode, MonoTime aNow)
 {
   StartPace& pace = aNode.mScheduler.mPace;
-  pace.mCold = aNow < aNode.mColdUntil;
   pace.mPerSecond = GrantedStarts(aNode.mSettings.mColdTolerance,
                                   aNode.mRecord.mColdRate,
                                   aNode.mRecord.mSlots,
-                                  pace.mCold);
+                                  aNow < aNode.mColdUntil);
 }
 
 void
--- a/caraway/scheduling/start_pace.cpp
+++ b/caraway/scheduling/start_pace.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr double kBatchShare = 0.5;
-constexpr double kColdBatchShare = 0.2;
 
 } // namespace
 
@@ -69,11 +68,10 @@
   if (aNow < aPace.mQuietUntil) {
     return false;
   }
-  const double most = std::max(
-    1.0,
-    aKind == StartKind::eOnline
-      ? aPace.mPerSecond
-      : aPace.mPerSecond * (aPace.mCold ? kColdBatchShare : kBatchShare));
+  const double most =
+    std::max(1.0,
+             aKind == StartKind::eBatch ? aPace.mPerSecond * kBatchShare
+                                        : aPace.mPerSecond);
   return static_cast<double>(aPace.mStarts.size()) + 1 <= most;
 }
 
--- a/caraway/scheduling/start_pace.h
+++ b/caraway/scheduling/start_pace.h
@@ -3,9 +3,7 @@
 //
 // A target may turn cold without warning and then bears only a stated number of
 // requests a second, so the bound holds at all times. Batch items, which are
-// stopped and started again in bursts, use half of it at most, and a fifth
-// while the target is cold: after a loss of many targets, callers come back to
-// cold ones.
+// stopped and started again in bursts, use half of it at most.
 //
 // Who may start a call, with B = what is borne, R = the stated rate, S = slots:
 // - The node grants at most B - S in any second. A grant may be used late by
@@ -35,7 +33,6 @@
 struct StartPace
 {
   double mPerSecond = 0;        // most starts in any second, 0: no bound
-  bool mCold = false;           // as the target says
   std::deque<MonoTime> mStarts; // of the last second
   MonoTime mQuietUntil{ 0 };    // no start before; 0: not quiet
 };
