--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -188,8 +188,7 @@
 TargetClient::OnHeaders(evhttp_request* aRequest, void* aCall)
 {
   auto* call = static_cast<Call*>(aCall);
-  constexpr int kContinue =
-    100; // an interim answer, before the one that counts
+  constexpr int kContinue = 100; // comes before the answer that counts
   if (call->mClosed || call->mBegan ||
       evhttp_request_get_response_code(aRequest) == kContinue) {
     return 0;
--- a/caraway/scheduling/start_pace.h
+++ b/caraway/scheduling/start_pace.h
@@ -6,19 +6,20 @@
 // stopped and started again in bursts, use half of it at most.
 //
 // Who may start a call, with B = what is borne, R = the stated rate, S = slots:
-// - The node grants at most B - S in any second. A grant may be used late by
-// any
-//   time, but each holds a slot until it is used, so at most S grants from
-//   before a second can be used in it: S + (B - S) = B.
-// - While the target says that it is cold, the node grants R at most.
-// - A node that has just started knows no earlier starts and is quiet for a
-//   second. A target that has just started is cold: entries that called it
-//   before its node knew it and the node itself keep to (B - R) + R.
-// - Entries call without a grant where no node is known, or after it has been
-//   silent for longer than a second: B - R at most, all entries together. A
-//   node that starts meanwhile keeps to the first rule again after its quiet
-//   second. Grants of a node that died which are used later than that add S at
-//   most, which stays within B while S <= R.
+//
+// The node grants at most B - S in any second. A grant may be used late, but it
+// holds a slot until it is used, so at most S grants from before a second can
+// be used in it: S + (B - S) = B. While the target says that it is cold, the
+// node grants R at most.
+//
+// A node that has just started knows no earlier starts and is quiet for a
+// second. A target that has just started is cold: entries that called it before
+// its node knew it and the node itself keep to (B - R) + R.
+//
+// Entries call without a grant where no node is known, or after it has been
+// silent for longer than a second: B - R at most, all entries together. Grants
+// of a node that died which are used later than that add S at most, which stays
+// within B while S <= R.
 
 #include <cstdint>
 #include <deque>
