--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 TARGET ?= all
 JOBS ?= $(shell nproc)
 
+# Lets a clone in another folder use the objects that ccache holds.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := true
+
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cpp' '*.h')
 CPPS = $(filter %.cpp,$(SOURCES))
 
