--- a/caraway/base/error.cpp
+++ b/caraway/base/error.cpp
@@ -88,6 +88,9 @@
   KindInfo{ ErrorKind::eUnavailable,
             "unavailable",
             absl::StatusCode::kUnavailable },
+  KindInfo{ ErrorKind::eInputBlocked,
+            "input_blocked",
+            absl::StatusCode::kFailedPrecondition },
 };
 
 const KindInfo&
--- a/caraway/base/error.h
+++ b/caraway/base/error.h
@@ -36,6 +36,7 @@
   eCorruptData,      // invalid checksum or format of a file or message
   eDiskFailed,       // a disk write or sync failed
   eUnavailable,      // there is no leader at present
+  eInputBlocked,     // the input has crashed the targets that served it
 };
 
 // The machine-readable code, such as "rate_limited".
--- a/caraway/base/event_stream.cpp
+++ b/caraway/base/event_stream.cpp
@@ -84,6 +84,12 @@
   return whole;
 }
 
+bool
+HasPartialEvent(const EventStream& aStream)
+{
+  return aStream.mPending.find_first_not_of("\r\n ") != std::string::npos;
+}
+
 std::string
 EventData(std::string_view aEvents)
 {
--- a/caraway/base/event_stream.h
+++ b/caraway/base/event_stream.h
@@ -20,6 +20,10 @@
 std::string
 TakeWholeEvents(EventStream& aStream, std::string_view aBytes);
 
+// True if bytes of an event have arrived whose end has not.
+bool
+HasPartialEvent(const EventStream& aStream);
+
 // The values of the "data:" lines of complete events, joined by line feeds.
 std::string
 EventData(std::string_view aEvents);
--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -92,6 +92,31 @@
 struct TargetCallEnded
 {
   TargetCallId mCall;
+  // The response had no length and no chunks, so the end of the connection was
+  // its end.
+  bool mByClose = false;
+};
+
+// Action: connects to an address and closes the connection at once, to find out
+// whether a target still runs there.
+struct CheckTarget
+{
+  uint64_t mCheck = 0;  // number chosen by the role
+  std::string mAddress; // "ip:port"
+};
+
+enum class TargetReach : uint8_t
+{
+  eAccepts, // a process accepts connections
+  eRefuses, // the machine answers, but no process listens
+  eSilent,  // no answer in time
+};
+
+// Event: the end of a CheckTarget.
+struct TargetChecked
+{
+  uint64_t mCheck = 0;
+  TargetReach mReach = TargetReach::eSilent;
 };
 
 // Event: the call failed. The outcome is eNotRun only if no byte of the request
--- a/caraway/config/change.h
+++ b/caraway/config/change.h
@@ -7,6 +7,7 @@
 
 #include "caraway/config/api_key.h"
 #include "caraway/config/contract.h"
+#include "caraway/config/input_block.h"
 #include "caraway/config/member.h"
 #include "caraway/config/route.h"
 #include "caraway/config/serving_plan.h"
@@ -89,6 +90,17 @@
   int64_t mStartedAt = 0; // removed only if this start is the one recorded
 };
 
+// Creates or replaces a block.
+struct SetInputBlock
+{
+  InputBlock mBlock;
+};
+
+struct RemoveInputBlock
+{
+  InputBlockId mBlock;
+};
+
 using ConfigChange = std::variant<SetContract,
                                   WithdrawContract,
                                   CreateKey,
@@ -101,7 +113,9 @@
                                   RemoveMember,
                                   SetPlan,
                                   SetTarget,
-                                  RemoveTarget>;
+                                  RemoveTarget,
+                                  SetInputBlock,
+                                  RemoveInputBlock>;
 
 // A change and its revision.
 struct RevisedChange
--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -106,8 +106,19 @@
           aView.mTargets.erase(target);
         }
       },
+      [&](const SetInputBlock& aSet) {
+        aView.mInputBlocks[aSet.mBlock.mId] = aSet.mBlock;
+      },
+      [&](const RemoveInputBlock& aRemove) {
+        aView.mInputBlocks.erase(aRemove.mBlock);
+      },
     },
     aChange);
+  if (const auto* lifted = std::get_if<RemoveInputBlock>(&aChange)) {
+    // Ids of blocks come without end and are not used again.
+    aView.mObjectRevisions.erase(ObjectName(*lifted));
+    return;
+  }
   aView.mObjectRevisions[ObjectName(aChange)] = aRevision;
 }
 
@@ -118,6 +129,12 @@
   return flag == aFlags.end() || flag->second;
 }
 
+std::string
+InputBlockName(InputBlockId aBlock)
+{
+  return absl::StrCat("input-block/", FormatInputBlockId(aBlock));
+}
+
 } // namespace
 
 void
@@ -143,6 +160,19 @@
   return flag == aView.mTargetInService.end() || flag->second;
 }
 
+const InputBlock*
+FindInputBlock(const ConfigView& aView,
+               const WorkspaceId& aWorkspace,
+               const InputParts& aParts)
+{
+  for (const auto& [id, block] : aView.mInputBlocks) {
+    if (!block.mProbation && Covers(block, aWorkspace, aParts)) {
+      return &block;
+    }
+  }
+  return nullptr;
+}
+
 std::string
 ObjectName(const ConfigChange& aChange)
 {
@@ -185,6 +215,10 @@
       [](const RemoveTarget& aRemove) {
         return absl::StrCat("target-record/", aRemove.mTarget.mValue);
       },
+      [](const SetInputBlock& aSet) { return InputBlockName(aSet.mBlock.mId); },
+      [](const RemoveInputBlock& aRemove) {
+        return InputBlockName(aRemove.mBlock);
+      },
     },
     aChange);
 }
@@ -244,6 +278,9 @@
   for (const auto& [id, target] : aView.mTargets) {
     add(SetTarget{ target });
   }
+  for (const auto& [id, block] : aView.mInputBlocks) {
+    add(SetInputBlock{ block });
+  }
   return changes;
 }
 
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -29,6 +29,7 @@
   std::map<InstanceId, Member> mMembers;
   std::map<TargetId, Target> mTargets;
   std::shared_ptr<const ServingPlan> mPlan; // null until the first one is set
+  std::map<InputBlockId, InputBlock> mInputBlocks; // at most kMaxInputBlocks
   // Keys of mPlan. Contracts of its workspaces are in mContracts.
   std::map<KeyDigest, WorkspaceId> mPlanKeys;
   // Revision of each object's last change, for the optimistic concurrency check
@@ -48,6 +49,12 @@
 bool
 TargetInService(const ConfigView& aView, const TargetId& aTarget);
 
+// The block in force that covers the request, nullptr if there is none.
+const InputBlock*
+FindInputBlock(const ConfigView& aView,
+               const WorkspaceId& aWorkspace,
+               const InputParts& aParts);
+
 // The object that a change concerns, as a key of mObjectRevisions.
 std::string
 ObjectName(const ConfigChange& aChange);
--- a/caraway/config/operations.cpp
+++ b/caraway/config/operations.cpp
@@ -61,6 +61,13 @@
                      absl::StrCat("no route ", route->mRoute.mValue));
     }
   }
+  if (const auto* block = std::get_if<RemoveInputBlock>(&aChange)) {
+    if (!aView.mInputBlocks.contains(block->mBlock)) {
+      return Failure(
+        ErrorKind::eNotFound,
+        absl::StrCat("no input block ", FormatInputBlockId(block->mBlock)));
+    }
+  }
   return std::nullopt;
 }
 
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -58,6 +58,13 @@
   std::vector<EndedTarget> mTargets;
 };
 
+// Sets and removes blocks that the leader decided on.
+struct ChangeInputBlocks
+{
+  std::vector<InputBlock> mSet;
+  std::vector<InputBlockId> mRemove;
+};
+
 using CommandBody = std::variant<ConfigOperation,
                                  RegisterMember,
                                  UpdateMember,
@@ -66,7 +73,8 @@
                                  LeaseItems,
                                  ItemResults,
                                  LedgerTick,
-                                 RemoveTargets>;
+                                 RemoveTargets,
+                                 ChangeInputBlocks>;
 
 struct ControlCommand
 {
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -62,6 +62,13 @@
   aArchive(aValue.mTargets);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ChangeInputBlocks& aValue)
+{
+  aArchive(aValue.mSet, aValue.mRemove);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCommand& aValue)
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -46,7 +46,8 @@
   std::is_same_v<T, LeaseItems> || std::is_same_v<T, ItemResults> ||
   std::is_same_v<T, ControlCall> || std::is_same_v<T, ControlMap> ||
   std::is_same_v<T, JoinGroup> || std::is_same_v<T, FoundGroup> ||
-  std::is_same_v<T, TargetsHeard>;
+  std::is_same_v<T, TargetsHeard> || std::is_same_v<T, CrashReport> ||
+  std::is_same_v<T, StartedParts>;
 
 struct EventHandler
 {
@@ -206,7 +207,9 @@
   MonoTime next =
     std::min(NextWakeup(aControl.mRaft), NextPollDue(aControl.mPolls));
   if (aControl.mLeadership.mStarted) {
-    next = std::min(next, aControl.mLeadership.mNextScan);
+    next = std::min({ next,
+                      aControl.mLeadership.mNextScan,
+                      NextWakeup(aControl.mLeadership.mEvidence) });
   }
   if (!aControl.mSettings.mSeeds.empty()) {
     next = std::min(next, aControl.mDiscovery.mNextHello);
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -16,6 +16,7 @@
 #include "caraway/control/control_settings.h"
 #include "caraway/control/discovery.h"
 #include "caraway/membership/sessions.h"
+#include "caraway/poison/crash_evidence.h"
 
 namespace caraway {
 
@@ -106,6 +107,9 @@
   // Entries that were removed because their lease expired, and when. They may
   // be cut off and still admit requests.
   std::map<InstanceId, MonoTime> mExpiredEntries;
+  CrashEvidence mEvidence;
+  // When a change of the block was last proposed.
+  std::map<InputBlockId, MonoTime> mBlockProposedAt;
   std::set<PeerAddress> mIdleNodes; // asked for items when none were ready
 };
 
@@ -118,6 +122,9 @@
   uint64_t mItemsLeased = 0;
   uint64_t mRemoved = 0;
   uint64_t mLeaderChanges = 0;
+  uint64_t mCrashesReported = 0; // ended targets, with suspects
+  uint64_t mBlocksSet = 0;
+  uint64_t mBlocksLifted = 0;
 };
 
 struct Control
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -156,6 +156,10 @@
 RunLeaderDuties(ControlStep& aStep)
 {
   Leadership& leadership = aStep.mControl.mLeadership;
+  if (leadership.mStarted && MayServe(aStep) &&
+      aStep.mNow >= NextWakeup(leadership.mEvidence)) {
+    DecideInputBlocks(aStep);
+  }
   if (!leadership.mStarted || aStep.mNow < leadership.mNextScan) {
     return;
   }
@@ -165,6 +169,7 @@
     UpdateRateShare(aStep);
     RemoveSilentTargets(aStep);
     ReconcileReplicas(aStep);
+    DecideInputBlocks(aStep);
     ProposeTick(aStep);
   }
 }
--- a/caraway/control/metrics.cpp
+++ b/caraway/control/metrics.cpp
@@ -59,6 +59,10 @@
   out.Line("items_leased_total", "counter", counters.mItemsLeased);
   out.Line("members_removed_total", "counter", counters.mRemoved);
   out.Line("leader_changes_total", "counter", counters.mLeaderChanges);
+  out.Line("input_blocks", "gauge", view.mInputBlocks.size());
+  out.Line("crashes_reported_total", "counter", counters.mCrashesReported);
+  out.Line("input_blocks_set_total", "counter", counters.mBlocksSet);
+  out.Line("input_blocks_lifted_total", "counter", counters.mBlocksLifted);
   return out.mText;
 }
 
--- a/caraway/control/operator_reads.cpp
+++ b/caraway/control/operator_reads.cpp
@@ -171,6 +171,26 @@
   return json;
 }
 
+Json
+ListInputBlocks(const ControlStep& aStep)
+{
+  const MonoTime now = LogicalNow(aStep);
+  Json json;
+  json["input_blocks"] = Json::array();
+  for (const auto& [id, block] : ViewOf(aStep).mInputBlocks) {
+    const Duration left = block.mLength - (now - block.mSince);
+    json["input_blocks"].push_back(
+      { { "id", FormatInputBlockId(id) },
+        { "parts", FormatParts(block.mParts) },
+        { "workspace", block.mWorkspace.mValue },
+        { "crashes", block.mCrashes },
+        { "state", block.mProbation ? "probation" : "blocked" },
+        { "age_seconds", (now - block.mSince).Seconds() },
+        { "seconds_left", std::max(Duration{}, left).Seconds() } });
+  }
+  return json;
+}
+
 absl::StatusOr<Json>
 ReadInForce(ControlStep& aStep, const HttpRequest& aRequest)
 {
@@ -204,6 +224,9 @@
   if (path[0] == "routes" && path.size() <= 2) {
     return ReadRoutes(aStep, path);
   }
+  if (path[0] == "input-blocks" && path.size() == 1) {
+    return ListInputBlocks(aStep);
+  }
   if (path[0] == "inforce" && path.size() == 1) {
     return ReadInForce(aStep, aCall.mRequest);
   }
--- a/caraway/control/operator_writes.cpp
+++ b/caraway/control/operator_writes.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "caraway/control/key_secret.h"
@@ -125,6 +126,18 @@
   return Write{ SetTargetService{ TargetId(name), in }, {} };
 }
 
+absl::StatusOr<Write>
+ParseBlockLift(const OperatorCall& aCall)
+{
+  uint64_t id = 0;
+  if (!absl::SimpleHexAtoi(aCall.mPath[1], &id)) {
+    return MakeError(ErrorKind::eInvalidArgument,
+                     "the id of an input block is a hexadecimal number",
+                     "take it from the list of input blocks");
+  }
+  return Write{ RemoveInputBlock{ InputBlockId(id) }, {} };
+}
+
 // Parses the write that the path and method name; nullopt if they name none.
 std::optional<absl::StatusOr<Write>>
 ParseWrite(ControlStep& aStep, const OperatorCall& aCall)
@@ -148,6 +161,9 @@
     }
     return Write{ WithdrawKey{ KeyId(path[1]) }, {} };
   }
+  if (path.size() == 2 && path[0] == "input-blocks" && method == "DELETE") {
+    return ParseBlockLift(aCall);
+  }
   if (path.size() == 3 && (path[0] == "zones" || path[0] == "targets") &&
       (path[2] == "in" || path[2] == "out") && method == "POST") {
     return ParseServiceWrite(aCall);
@@ -185,6 +201,19 @@
   }
 }
 
+// Without this, the evidence of the lifted block would block the input again.
+void
+PardonLiftedInput(ControlStep& aStep, const ConfigChange& aChange)
+{
+  const auto& blocks = aStep.mControl.mState.mConfig.mView.mInputBlocks;
+  const auto* lift = std::get_if<RemoveInputBlock>(&aChange);
+  if (lift != nullptr && blocks.contains(lift->mBlock)) {
+    PardonParts(aStep.mControl.mLeadership.mEvidence,
+                aStep.mNow,
+                blocks.at(lift->mBlock).mParts);
+  }
+}
+
 } // namespace
 
 bool
@@ -208,6 +237,7 @@
         "operator_write",
         ObjectName(operation->mChange),
         operation->mId.mValue);
+    PardonLiftedInput(aStep, operation->mChange);
     status = Propose(aStep,
                      *std::move(operation),
                      PendingWriteReply{ call, std::move((*write)->mKeyText) });
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -162,6 +162,17 @@
 void
 HandleBlobRead(ControlStep& aStep, const BlobRead& aRead);
 
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const CrashReport& aMessage); // input_blocks.cpp
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const StartedParts& aMessage);
+void
+DecideInputBlocks(ControlStep& aStep);
+
 void
 HandleHttp(ControlStep& aStep,
            const HttpRequest& aRequest); // operator_http.cpp
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -6,6 +6,7 @@
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/header_filter.h"
+#include "caraway/entry/input_crashes.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/target_reports.h"
@@ -29,6 +30,9 @@
 constexpr int64_t kStallLatencyGoals = 2;
 // Stall timeout between events, in gap goals.
 constexpr int64_t kStallGapGoals = 4;
+// A request whose calls break before an answer may be what ends its targets, so
+// it is not sent on to a third.
+constexpr uint32_t kMaxUnansweredBreaks = 2;
 constexpr Duration kCheckInterval = Millis(100);
 // Time left to the deadline below which no retry is started.
 constexpr Duration kMinTimeForRetry = Millis(20);
@@ -54,6 +58,15 @@
                   [](const DirectAttempt& aOne) { return !aOne.mNotRun; }));
 }
 
+uint32_t
+CountUnansweredBreaks(const DirectCall& aDirect)
+{
+  return static_cast<uint32_t>(std::count_if(
+    aDirect.mAttempts.begin(),
+    aDirect.mAttempts.end(),
+    [](const DirectAttempt& aOne) { return aOne.mBrokeUnanswered; }));
+}
+
 // Returns the time without progress after which a repeatable request is retried
 // elsewhere.
 Duration
@@ -79,6 +92,9 @@
   if (!DirectProvenNotRun(aRequest) && !direct.mRepeatable) {
     return false;
   }
+  if (CountUnansweredBreaks(direct) >= kMaxUnansweredBreaks) {
+    return false;
+  }
   // A stream can be resumed only after an event whose id is known.
   if (aRequest.mReplyBegun && !direct.mEvents.mLast) {
     return false;
@@ -109,6 +125,10 @@
     { "run_ms", absl::StrCat((aStep.mNow - attempt.mStartedAt).Millis()) },
     { "events", absl::StrCat(aRequest.mDirect.mEvents.mEvents) },
   };
+  if (aLevel == LogLevel::eWarning) {
+    log.mExtra.push_back({ "answered", attempt.mAnswered ? "true" : "false" });
+    log.mExtra.push_back({ "parts", FormatParts(aRequest.mInputParts) });
+  }
   aStep.mOut.emplace_back(std::move(log));
 }
 
@@ -146,6 +166,10 @@
 {
   DirectAttempt& attempt = LiveAttempt(aRequest);
   LogAttempt(aStep, aRequest, LogLevel::eInfo, "answer", "whole");
+  if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
+    attempt.mAnswered = true;
+    RecordAnsweredInput(aStep, aRequest.mInputParts);
+  }
   NoteResult(aStep, attempt, attempt.mStatus < 500);
   CloseAttempt(aStep,
                aRequest,
@@ -163,6 +187,58 @@
               std::move(aRequest.mAnswer.mBody));
 }
 
+// Records the input as answered once the stream has gone on for long enough.
+void
+RecordStreamProgress(EntryStep& aStep, CallerRequest& aRequest)
+{
+  DirectAttempt& attempt = LiveAttempt(aRequest);
+  attempt.mAnsweredSince = std::min(attempt.mAnsweredSince, aStep.mNow);
+  if (!attempt.mAnswered &&
+      aStep.mNow - attempt.mAnsweredSince >= kAnswerSettles) {
+    attempt.mAnswered = true;
+    RecordAnsweredInput(aStep, aRequest.mInputParts);
+  }
+}
+
+// Handles an answer that ended before it was complete.
+void
+HandleBrokenAnswer(EntryStep& aStep,
+                   CallerRequest& aRequest,
+                   const std::string& aReason,
+                   Outcome aOutcome)
+{
+  DirectAttempt& attempt = LiveAttempt(aRequest);
+  if (aOutcome != Outcome::eNotRun && !attempt.mAnswered) {
+    attempt.mBrokeUnanswered = true;
+    RecordBrokenCall(aStep, aRequest, attempt);
+  }
+  DirectAttemptFailed(aStep,
+                      aRequest,
+                      ErrorKind::eTargetFailed,
+                      aReason,
+                      aOutcome == Outcome::eNotRun);
+}
+
+// Returns why a stream that ended is not complete, nullptr if it is. A stream
+// without a length ends with its connection, also when its target ends.
+const char*
+IncompleteStreamReason(const DirectCall& aDirect,
+                       const DirectAttempt& aAttempt,
+                       bool aEndedByClose)
+{
+  if (!IsStream(aDirect) || aAttempt.mStatus / 100 != 2) {
+    return nullptr;
+  }
+  if (HasPartialEvent(aDirect.mEvents)) {
+    return "the stream ended inside an event";
+  }
+  const bool resumed = aDirect.mEvents.mLast || aDirect.mResumeAfter;
+  if (aEndedByClose && !resumed && aAttempt.mAnsweredSince == kNever) {
+    return "the connection closed before the first event";
+  }
+  return nullptr;
+}
+
 // Stops sending requests to this start of the target. If aReport, control is
 // told that it leaves, so that other entries stop as well.
 void
@@ -226,6 +302,8 @@
   attempt.mCall = TargetCallId(entry.mNextTargetCall++);
   attempt.mSlotNode = aSlotNode;
   attempt.mStartedAt = attempt.mLastByte = aStep.mNow;
+  attempt.mTargetStart = aTarget.mStartedAt;
+  attempt.mTargetAddress = aTarget.mAddress;
   StartTargetCall start;
   start.mCall = attempt.mCall;
   start.mUrl = "http://" + aTarget.mAddress;
@@ -408,6 +486,9 @@
       // Bytes that complete no event do not reset the stall timeout.
       attempt.mLastByte = aStep.mNow;
     }
+    if (!events.empty()) {
+      RecordStreamProgress(aStep, *request);
+    }
     SendEvents(aStep, *request, std::move(events));
     if (request->mDirect.mEvents.mPending.size() > kMaxEventBytes) {
       DirectAttemptFailed(aStep,
@@ -439,6 +520,11 @@
     return;
   }
   EventStream& events = request->mDirect.mEvents;
+  if (const char* reason = IncompleteStreamReason(
+        request->mDirect, LiveAttempt(*request), aEvent.mByClose)) {
+    HandleBrokenAnswer(aStep, *request, reason, Outcome::eUnknown);
+    return;
+  }
   if (request->mReplyBegun) {
     SendReplyChunk(aStep, *request, std::move(events.mPending));
   } else if (IsStream(request->mDirect)) {
@@ -455,11 +541,7 @@
   if (request == nullptr) {
     return;
   }
-  DirectAttemptFailed(aStep,
-                      *request,
-                      ErrorKind::eTargetFailed,
-                      aEvent.mReason,
-                      aEvent.mOutcome == Outcome::eNotRun);
+  HandleBrokenAnswer(aStep, *request, aEvent.mReason, aEvent.mOutcome);
 }
 
 void
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -41,10 +41,15 @@
   // Start of the stall timeout: the last byte received, for a stream the last
   // complete event, or the start of the attempt.
   MonoTime mLastByte;
-  bool mSent = false;      // bytes of the request were sent
-  bool mEnded = false;     // its events are ignored from now on
-  bool mNotRun = false;    // proven not to have run
-  bool mUnguarded = false; // started without a slot grant
+  bool mSent = false;               // bytes of the request were sent
+  bool mEnded = false;              // its events are ignored from now on
+  bool mNotRun = false;             // proven not to have run
+  bool mUnguarded = false;          // started without a slot grant
+  int64_t mTargetStart = 0;         // start of the target, Unix milliseconds
+  std::string mTargetAddress;       // "ip:port"
+  MonoTime mAnsweredSince = kNever; // its first complete event
+  bool mAnswered = false; // the answer has gone on for kAnswerSettles, or ended
+  bool mBrokeUnanswered = false; // its connection broke before that
   int mStatus = 0;
   Headers mHeaders;
 };
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -15,6 +15,7 @@
 #include "caraway/entry/drain.h"
 #include "caraway/entry/early_requests.h"
 #include "caraway/entry/forward.h"
+#include "caraway/entry/input_crashes.h"
 #include "caraway/entry/orders.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/relay.h"
@@ -59,6 +60,7 @@
                  { "targets", std::to_string(view.mTargets.size()) } };
   aStep.mOut.emplace_back(std::move(log));
   FailRequestsOfWithdrawnKeys(aStep);
+  FailBlockedRequests(aStep);
   if (aTopology) {
     TopologyChanged(aStep);
     AttemptsTopologyChanged(aStep);
@@ -120,6 +122,10 @@
     HandleControlQuery(aStep, from);
   } else if (const auto* map = std::get_if<ControlMap>(&message)) {
     HandleControlMap(aStep, *map);
+  } else if (const auto* ack = std::get_if<CrashReportAck>(&message)) {
+    HandleReportAck(aStep.mEntry.mCrashReporter, *ack);
+  } else if (const auto* query = std::get_if<SuspectQuery>(&message)) {
+    HandleSuspectQuery(aStep, from, *query);
   }
 }
 
@@ -214,6 +220,8 @@
     HandleTargetEnded(aStep, *ended);
   } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
     HandleTargetFailed(aStep, *failed);
+  } else if (const auto* checked = std::get_if<TargetChecked>(&aEvent)) {
+    HandleCheckedTarget(aStep, *checked);
   }
 }
 
@@ -260,6 +268,7 @@
     SendGrantRequests(step);
     TickReplicaDiscovery(step);
     TickTargetReports(step);
+    TickCrashReports(step);
     TickDirectNodes(step);
     TickDrain(step);
   }
@@ -284,6 +293,7 @@
                              TargetReportsWakeup(aEntry),
                              DirectWakeup(aEntry),
                              EarlyRequestsWakeup(aEntry),
+                             NextWakeup(aEntry.mCrashReporter),
                              DrainWakeup(aEntry) });
   if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
--- a/caraway/entry/entry_io.h
+++ b/caraway/entry/entry_io.h
@@ -26,7 +26,8 @@
                                 TargetCallBegan,
                                 TargetCallBytes,
                                 TargetCallEnded,
-                                TargetCallFailed>;
+                                TargetCallFailed,
+                                TargetChecked>;
 
 using EntryAction = std::variant<SendMessage,
                                  HttpResponse,
@@ -39,6 +40,7 @@
                                  OrderReply,
                                  ReadJobBody,
                                  StartTargetCall,
-                                 CancelTargetCall>;
+                                 CancelTargetCall,
+                                 CheckTarget>;
 
 } // namespace caraway
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -20,6 +20,7 @@
 #include "caraway/entry/session_state.h"
 #include "caraway/entry/target_reports_state.h"
 #include "caraway/entry/timer_set.h"
+#include "caraway/poison/crash_reporter.h"
 #include "caraway/routing/choose.h"
 #include "caraway/routing/placement.h"
 #include "caraway/routing/retry_budget.h"
@@ -109,6 +110,7 @@
   std::deque<EarlyRequest> mEarlyRequests;
   ReplicaDiscovery mReplicaDiscovery;
   TargetReports mReports;
+  CrashReporter mCrashReporter;
 };
 
 } // namespace caraway
--- a/caraway/entry/error_body.cpp
+++ b/caraway/entry/error_body.cpp
@@ -83,6 +83,11 @@
     502,
     kServerType,
     "check whether the request took effect before sending it again" },
+  { ErrorKind::eInputBlocked,
+    400,
+    kRequestType,
+    "do not send this input again; change it, or ask the operator to lift the "
+    "block" },
   { ErrorKind::eTimeout,
     504,
     kServerType,
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/auth.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/early_requests.h"
+#include "caraway/entry/input_crashes.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/session.h"
 
@@ -100,6 +101,16 @@
     }
     request.mWorkspace = *std::move(workspace);
   }
+  request.mInputParts = std::move(aHttp.mPromptParts);
+  request.mInputParts.push_back(
+    WholeInput(aHttp.mMethod, aHttp.mPath, aHttp.mBody));
+  if (const InputBlock* block = FindInputBlock(
+        entry.mConfig, request.mWorkspace, request.mInputParts)) {
+    CallerError error;
+    error.mKind = ErrorKind::eInputBlocked;
+    error.mMessage = InputBlockedMessage(*block);
+    return error;
+  }
   const Duration timeout =
     std::min(aHttp.mDeadline.value_or(route->mTimeout), route->mTimeout);
   request.mSerial = entry.mNextSerial++;
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -12,6 +12,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/config/target.h"
+#include "caraway/poison/input_part.h"
 #include "caraway/wire/call_messages.h"
 
 namespace caraway {
@@ -32,6 +33,8 @@
   std::optional<uint64_t> mResumeAfter; // id of the last event it received
   uint32_t mPromptTokens = 0;
   uint32_t mOutputTokens = 0;
+  // Parts of the prompt that other requests may have as well.
+  InputParts mPromptParts;
 };
 
 // A call by an operator or caller that control answers.
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -12,6 +12,7 @@
 #include "caraway/entry/direct_state.h"
 #include "caraway/entry/order_work.h"
 #include "caraway/entry/session_state.h"
+#include "caraway/poison/input_part.h"
 #include "caraway/wire/dispatch_messages.h"
 
 namespace caraway {
@@ -91,6 +92,8 @@
   bool mCallerGone = false;
   bool mReplyBegun = false; // HttpBegin was sent
   TargetCall mTarget;
+  // Direct requests: parts of the prompt, and the whole input.
+  InputParts mInputParts;
   ControlWork mControl;
   DirectCall mDirect;
   OrderWork mOrder;
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -125,6 +125,7 @@
   HandleGrantorChange(aStep.mEntry.mTokens, aStep.mNow);
   DropUnusedShares(aStep.mEntry.mFallback);
   ResendCalls(aStep);
+  ResendCrashReports(aStep.mEntry.mCrashReporter, aStep.mNow);
 }
 
 void
--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -42,6 +42,10 @@
 
 // Records the results of leased items. Results of a lease that no longer exists
 // are ignored and acknowledged as stale.
+// An input block was lifted: held items may be leased again.
+void
+ReleaseHeldItems(Ledger& aLedger);
+
 ItemResultsAck
 ApplyResults(Ledger& aLedger,
              LogIndex aIndex,
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr uint32_t kFormat = 2;
+constexpr uint32_t kFormat = 3;
+constexpr uint32_t kFormatWithoutHeldItems = 2; // still read
 
 // Bounded so that the sum of two valid times or durations does not overflow.
 bool
@@ -57,7 +58,8 @@
   if (aJob.mStatus != JobStatus::eInProgress || aWork.mCursor > aJob.mTotal ||
       aWork.mItemLimit == 0 ||
       aWork.mDone.size() != (uint64_t{ aJob.mTotal } + 63) / 64 ||
-      !AreValidRanges(aWork.mReturned, aWork.mCursor)) {
+      !AreValidRanges(aWork.mReturned, aWork.mCursor) ||
+      !AreValidRanges(aWork.mHeld, aWork.mCursor)) {
     return false;
   }
   std::vector<uint64_t> seen = aWork.mDone;
@@ -82,7 +84,7 @@
     }
     return CountItems(aRanges);
   };
-  uint64_t expected = done + place(aWork.mReturned);
+  uint64_t expected = done + place(aWork.mReturned) + place(aWork.mHeld);
   for (const auto& [token, lease] : aWork.mLeases) {
     if (lease.mItems.empty() || !AreValidRanges(lease.mItems, aWork.mCursor)) {
       return false;
@@ -276,6 +278,12 @@
            aValue.mAtRisk,
            aValue.mSlackKey,
            aValue.mItemLimit);
+  if constexpr (Archive::is_loading::value) {
+    if (aArchive.mFormat == kFormatWithoutHeldItems) {
+      return;
+    }
+  }
+  aArchive(aValue.mHeld, aValue.mHeldSince);
 }
 
 template<class Archive>
@@ -361,6 +369,27 @@
            aValue.mClaimMarks);
 }
 
+namespace {
+
+struct StoredLedger
+{
+  uint32_t mFormat = kFormat;
+  Ledger mLedger;
+};
+
+template<class Archive>
+void
+serialize(Archive& aArchive, StoredLedger& aValue)
+{
+  aArchive(aValue.mFormat);
+  if constexpr (Archive::is_loading::value) {
+    aArchive.mFormat = aValue.mFormat;
+  }
+  aArchive(aValue.mLedger);
+}
+
+} // namespace
+
 std::string
 EncodeLedger(const Ledger& aLedger)
 {
@@ -373,18 +402,20 @@
 absl::StatusOr<Ledger>
 DecodeLedger(std::string_view aBytes)
 {
-  auto decoded = DecodeWith<std::pair<uint32_t, Ledger>>(aBytes);
+  auto decoded = DecodeWith<StoredLedger>(aBytes);
   if (!decoded.ok()) {
     return decoded.status();
   }
-  if (decoded->first != kFormat || !ValidLedger(decoded->second)) {
+  const bool known =
+    decoded->mFormat == kFormat || decoded->mFormat == kFormatWithoutHeldItems;
+  if (!known || !ValidLedger(decoded->mLedger)) {
     return MakeError(
       ErrorKind::eCorruptData,
       "the encoded ledger is inconsistent or has an unknown format version",
       "restore the snapshot from another replica");
   }
-  RebuildDerived(decoded->second);
-  return std::move(decoded->second);
+  RebuildDerived(decoded->mLedger);
+  return std::move(decoded->mLedger);
 }
 
 } // namespace caraway
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -173,6 +173,15 @@
       }
     }
   }
+  auto parts = aJson.find("parts");
+  if (parts != aJson.end() && parts->is_array()) {
+    for (const Json& part : *parts) {
+      if (part.is_number_unsigned() &&
+          line.mPromptParts.size() < kMaxInputParts) {
+        line.mPromptParts.emplace_back(part.get<uint64_t>());
+      }
+    }
+  }
   auto body = aJson.find("body_base64");
   if (line.mUrl.empty() || !body->is_string() ||
       !absl::Base64Unescape(body->get<std::string>(), &line.mBody)) {
--- a/caraway/node/batch_line.h
+++ b/caraway/node/batch_line.h
@@ -20,6 +20,8 @@
   bool mCanStream = false; // a single text answer, may be requested as SSE
   bool mRaw = false;       // has its own headers and an arbitrary body
   Headers mHeaders;        // raw lines only
+  // Raw lines only: parts of the prompt that other items may have as well.
+  InputParts mPromptParts;
 };
 
 // Parses {"custom_id","method","url","body"}, or a raw line:
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -62,6 +62,10 @@
     OnSlotsHeld(aNode, aNow, from, *held);
   } else if (const auto* map = std::get_if<ControlMap>(&message)) {
     OnControlMap(aNode, aNow, *map);
+  } else if (const auto* query = std::get_if<SuspectQuery>(&message)) {
+    OnSuspectQuery(aNode, aNow, from, *query, aOut);
+  } else if (const auto* ack = std::get_if<CrashReportAck>(&message)) {
+    HandleReportAck(aNode.mCrashReporter, *ack);
   } else if (std::holds_alternative<WorkAvailable>(message)) {
     aNode.mBatch.mNextLeaseAt = std::min(aNode.mBatch.mNextLeaseAt, aNow);
     aNode.mBatch.mPollAt = std::min(aNode.mBatch.mPollAt, aNow);
@@ -184,6 +188,7 @@
   RequestItems(aNode, aNow, aOut);
   SendResults(aNode, aNow, aOut);
   SendReports(aNode, aNow, aOut);
+  SendCrashReports(aNode, aNow, aOut);
   ContinueStop(aNode, aNow, aOut);
 }
 
@@ -237,6 +242,10 @@
     OnTargetEnded(aNode, aNow, *ended, aOut);
   } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
     OnTargetFailed(aNode, aNow, *failed, aOut);
+  } else if (const auto* checked = std::get_if<TargetChecked>(&aEvent)) {
+    if (auto log = HandleTargetChecked(aNode.mCrashReporter, aNow, *checked)) {
+      aOut.emplace_back(*std::move(log));
+    }
   } else if (std::holds_alternative<StopRequested>(aEvent)) {
     OnStop(aNode, aNow, aOut);
   }
@@ -279,7 +288,8 @@
   if (aNode.mStop == StopState::eLeaving) {
     next = std::min(next, aNode.mLeaveAt);
   }
-  return std::min(next, NextBatchWakeup(aNode));
+  return std::min(
+    { next, NextBatchWakeup(aNode), NextWakeup(aNode.mCrashReporter) });
 }
 
 } // namespace caraway
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -102,6 +102,8 @@
                    aNode.mTarget.mAnnounced.mInfo.mKind == TargetKind::eEngine);
   task.mRaw = line->mRaw;
   task.mHeaders = line->mHeaders;
+  task.mInputParts = std::move(line->mPromptParts);
+  task.mInputParts.push_back(WholeInput("POST", task.mPath, task.mBody));
   task.mStatedTokens = aItem.mTokens;
   if (task.mRaw && aItem.mProgress.mLastEvent > 0) {
     task.mEvents.mLast = aItem.mProgress.mLastEvent;
@@ -254,6 +256,7 @@
   for (const BatchItem& item : aBatch.mItems) {
     AddTask(aNode, aNow, lease, item);
   }
+  FailBlockedItems(aNode, aNow, aOut);
   const ErrorKind reason = RefusalReason(aNode, aNow);
   if (reason == ErrorKind::eDraining || reason == ErrorKind::eZoneOut) {
     ReturnWaitingItems(aNode, aNow, aOut);
--- a/caraway/node/node_batch_results.cpp
+++ b/caraway/node/node_batch_results.cpp
@@ -78,7 +78,9 @@
   result.mVerdict = aVerdict;
   result.mStatus = static_cast<uint16_t>(aTask.mStatus);
   result.mBody = std::move(aBody);
-  if (aVerdict == ItemVerdict::eReturned && aTask.mEvents.mLast) {
+  const bool returned =
+    aVerdict == ItemVerdict::eReturned || aVerdict == ItemVerdict::eHeld;
+  if (returned && aTask.mEvents.mLast) {
     result.mProgress = { *aTask.mEvents.mLast, aTask.mText };
   }
   group.mResults.push_back(std::move(result));
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -145,7 +145,9 @@
                  { "status", std::to_string(aTask.mStatus) },
                  { "events", std::to_string(aTask.mEvents.mEvents) },
                  { "online", std::to_string(aNode.mScheduler.mRunningOnline) },
-                 { "batch", std::to_string(BatchCalls(aNode)) } };
+                 { "batch", std::to_string(BatchCalls(aNode)) },
+                 { "answered", aTask.mAnswered ? "true" : "false" },
+                 { "parts", FormatParts(aTask.mInputParts) } };
   aOut.emplace_back(std::move(log));
 }
 
@@ -196,12 +198,31 @@
   }
 }
 
+// Returns why the events of a raw item that ended are not the whole answer,
+// nullptr if they are.
+const char*
+IncompleteRawReason(const BatchTask& aTask, bool aByClose)
+{
+  if (!aTask.mRaw || aTask.mNotRun || aTask.mForeign ||
+      aTask.mStatus / 100 != 2) {
+    return nullptr;
+  }
+  if (HasPartialEvent(aTask.mEvents)) {
+    return "the stream ended inside an event";
+  }
+  return aByClose && !aTask.mEvents.mLast && aTask.mAnsweredSince == kNever
+           ? "the connection closed before the first event"
+           : nullptr;
+}
+
 } // namespace
 
 void
 StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
   BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  task.mAnsweredSince = kNever;
+  task.mAnswered = false;
   if (task.mRaw) {
     StartRawTask(aNode, aNow, task, aOut);
     return;
@@ -287,6 +308,10 @@
   } else if (aTask.mAnswer.size() <= kMaxAnswer) {
     aTask.mAnswer.append(aBytes);
   }
+  aTask.mAnsweredSince = std::min(aTask.mAnsweredSince, aNow);
+  if (aNow - aTask.mAnsweredSince >= kAnswerSettles) {
+    RecordAnsweredItem(aNode, aNow, aTask, aOut);
+  }
   LogLimit(aNode,
            RecordToken(aNode.mScheduler, aNow, aTask.mWork),
            "latency goal missed",
@@ -295,13 +320,24 @@
 }
 
 void
-FinishTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
+FinishTask(Node& aNode,
+           MonoTime aNow,
+           WorkId aWork,
+           bool aByClose,
+           NodeActions& aOut)
 {
   auto found = aNode.mBatch.mTasks.find(aWork);
   if (found == aNode.mBatch.mTasks.end()) {
     return;
   }
   BatchTask& task = found->second;
+  if (const char* reason = IncompleteRawReason(task, aByClose)) {
+    FailTask(aNode, aNow, aWork, Outcome::eUnknown, reason, aOut);
+    return;
+  }
+  if (task.mStatus / 100 == 2) {
+    RecordAnsweredItem(aNode, aNow, task, aOut);
+  }
   const bool truncated =
     task.mEventStream && (!task.mStreamDone || task.mStreamError);
   if (!truncated && !task.mNotRun) {
@@ -378,6 +414,9 @@
     AddBatch(aNode.mScheduler, work);
     return;
   }
+  if (!task.mAnswered) {
+    RecordBrokenItem(aNode, aNow, task, aOut);
+  }
   if (task.mRaw) {
     LogItem(aNode, task, "broken", aReason, aOut);
     ReturnTask(aNode, aNow, aWork);
@@ -390,4 +429,33 @@
           ErrorLine(task, "target_failed", aReason));
 }
 
+void
+FailBlockedTask(Node& aNode,
+                MonoTime aNow,
+                WorkId aWork,
+                const InputBlock& aBlock,
+                NodeActions& aOut)
+{
+  BatchTask& task = aNode.mBatch.mTasks.at(aWork);
+  const std::string reason =
+    "the input has parts under which targets ended without an answer; block " +
+    FormatInputBlockId(aBlock.mId);
+  LogItem(aNode, task, task.mRaw ? "held" : "failed", reason, aOut);
+  ++aNode.mCounters.mItemsBlocked;
+  RemoveWaiting(aNode.mScheduler, aWork);
+  RecordCallEnd(aNode.mScheduler, aNow, aWork, Ending::eCancelled, 0);
+  CloseTargetCall(aNode, task.mTargetCall, aOut);
+  if (task.mRaw) {
+    // The ledger fails it after a while, unless the block is lifted before.
+    AddResult(aNode, aNow, task, ItemVerdict::eHeld, {});
+    aNode.mBatch.mTasks.erase(aWork);
+    return;
+  }
+  EndTask(aNode,
+          aNow,
+          aWork,
+          ItemVerdict::ePermanent,
+          ErrorLine(task, "input_blocked", reason));
+}
+
 } // namespace caraway
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -9,6 +9,7 @@
 
 #include "caraway/base/event_stream.h"
 #include "caraway/node/node_io.h"
+#include "caraway/poison/input_part.h"
 #include "caraway/scheduling/work.h"
 
 namespace caraway {
@@ -63,8 +64,12 @@
   Headers mHeaders;
   EventStream mEvents;         // event position, over all resumes
   size_t mBytesSinceEvent = 0; // of this call, since its last complete event
-  bool mNotRun = false;  // the target answered that it did not run this call
-  bool mForeign = false; // the bytes are not the answer to this request
+  // Parts of the prompt, and the whole input.
+  InputParts mInputParts;
+  MonoTime mAnsweredSince = kNever; // of this call: its first complete event
+  bool mAnswered = false; // this call went on for kAnswerSettles, or ended
+  bool mNotRun = false;   // the target answered that it did not run this call
+  bool mForeign = false;  // the bytes are not the answer to this request
 };
 
 // An ItemResults message, retransmitted until acknowledged.
--- a/caraway/node/node_io.h
+++ b/caraway/node/node_io.h
@@ -20,11 +20,13 @@
                                TargetCallBytes,
                                TargetCallEnded,
                                TargetCallFailed,
+                               TargetChecked,
                                StopRequested>;
 
 using NodeAction = std::variant<SendMessage,
                                 StartTargetCall,
                                 CancelTargetCall,
+                                CheckTarget,
                                 HttpResponse,
                                 DecisionLog,
                                 Stopped>;
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -12,6 +12,7 @@
 #include "caraway/node/node_settings.h"
 #include "caraway/node/node_slots.h"
 #include "caraway/node/node_target.h"
+#include "caraway/poison/crash_reporter.h"
 
 namespace caraway {
 
@@ -29,6 +30,7 @@
   uint64_t mItemsReturned = 0;
   uint64_t mDuplicateDispatches = 0; // dispatches received again
   uint64_t mTurnedCold = 0;
+  uint64_t mItemsBlocked = 0; // failed since their input is blocked
 };
 
 struct WatchState
@@ -85,6 +87,7 @@
   MonoTime mColdUntil{ 0 };    // as stated by the record when it last changed
   MonoTime mQueryAt{ 0 };      // next ControlQuery to a seed
   size_t mNextSeed = 0;
+  CrashReporter mCrashReporter;
   NodeCounters mCounters;
 };
 
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -156,7 +156,7 @@
       }
       break;
     case TargetUse::eBatch:
-      FinishTask(aNode, aNow, info.mWork, aOut);
+      FinishTask(aNode, aNow, info.mWork, aEvent.mByClose, aOut);
       break;
     case TargetUse::eLoad:
       OnLoadAnswer(aNode, aNow, true, aOut);
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -176,6 +176,7 @@
         TranslateAndStartCall(mTargets, mDialect.mTargets, aCall);
       },
       [this](const CancelTargetCall& aCancel) { mTargets.Cancel(aCancel); },
+      [this](const CheckTarget& aCheck) { mTargets.Check(aCheck); },
     },
     aAction);
 }
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -83,6 +83,7 @@
         TranslateAndStartCall(mTarget, mDialect, aCall);
       },
       [this](const CancelTargetCall& aCancel) { mTarget.Cancel(aCancel); },
+      [this](const CheckTarget& aCheck) { mTarget.Check(aCheck); },
       [this](HttpResponse& aResponse) {
         AddProcessMetrics(aResponse, mPeers.Counters());
         mHttp.Respond(aResponse);
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -33,6 +33,8 @@
   // A call is closed by exactly one of mOnEnded, mOnFailed and Cancel.
   void Start(const StartTargetCall& aCall);
   void Cancel(const CancelTargetCall& aCancel);
+  // Ends with exactly one mOnChecked.
+  void Check(const CheckTarget& aCheck);
 
   // Emitted as soon as the first bytes of the request are written to the
   // socket, so always before mOnBegan.
@@ -41,6 +43,7 @@
   sigc::signal<void(const TargetCallBytes&)> mOnBytes;
   sigc::signal<void(const TargetCallEnded&)> mOnEnded;
   sigc::signal<void(const TargetCallFailed&)> mOnFailed;
+  sigc::signal<void(const TargetChecked&)> mOnChecked;
 
 private:
   struct Call
@@ -56,6 +59,14 @@
     uint64_t mBytesBeforeHead = 0; // received before the headers were complete
   };
 
+  // A connection that is opened only to see whether it is accepted.
+  struct Probe
+  {
+    TargetClient* mClient = nullptr;
+    uint64_t mCheck = 0;
+    BufferEventPtr mBuffer;
+  };
+
   struct Idle
   {
     std::string mAuthority;
@@ -73,6 +84,8 @@
                        const evbuffer_cb_info* aInfo,
                        void* aCall);
 
+  static void OnProbeEvent(bufferevent* aBuffer, short aEvents, void* aProbe);
+
   EvHttpConnectionPtr TakeConnection(Call& aCall,
                                      const std::string& aHost,
                                      uint16_t aPort,
@@ -80,12 +93,14 @@
   void Fail(Call& aCall, Outcome aOutcome, std::string aReason);
   // Ends the call without an event, and keeps its connection if it is reusable.
   void CloseCall(TargetCallId aId, bool aReusable);
+  void FinishProbe(uint64_t aCheck, TargetReach aReach);
   // Closes the idle connections that are older than mIdleReuse.
   void DropIdle();
 
   Loop& mLoop;
   TargetClientSettings mSettings;
   std::map<TargetCallId, std::unique_ptr<Call>> mCalls;
+  std::map<uint64_t, std::unique_ptr<Probe>> mProbes; // by check
   std::vector<Idle> mIdle;
   Timer mIdleTimer;
 };
--- a/caraway/runtime/target_events.h
+++ b/caraway/runtime/target_events.h
@@ -28,6 +28,7 @@
   aClient.mOnBytes.connect(post);
   aClient.mOnEnded.connect(post);
   aClient.mOnFailed.connect(post);
+  aClient.mOnChecked.connect(post);
 }
 
 inline void
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -65,6 +65,7 @@
   eRetryable, // failed; counts as an attempt
   ePermanent, // can never succeed, for example malformed
   eReturned,  // returned unstarted or preempted; not counted as an attempt
+  eHeld,      // not run, since its input is blocked
 };
 
 struct ItemResult
--- a/caraway/wire/bounded_archive.h
+++ b/caraway/wire/bounded_archive.h
@@ -50,6 +50,9 @@
   {
   }
 
+  // Format version of the value being read, for types with several. 0: unset.
+  uint32_t mFormat = 0;
+
   void loadBinary(void* aData, size_t aSize)
   {
     if (aSize > mInput.size()) {
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -13,20 +13,21 @@
 MessageName(const Message& aMessage)
 {
   constexpr std::array<std::string_view, std::variant_size_v<Message>> kNames{
-    "RaftMessage",   "Register",       "RegisterReply",
-    "Renew",         "RenewReply",     "NotLeader",
-    "ConfigFetch",   "ConfigDelta",    "ConfigSnapshotPart",
-    "Leave",         "GrantRequest",   "GrantReply",
-    "Dispatch",      "AnswerPart",     "Refusal",
-    "CancelRequest", "OutcomeQuery",   "OutcomeReply",
-    "Watch",         "LoadReport",     "LeaseItems",
-    "ItemBatch",     "ItemResults",    "ItemResultsAck",
-    "ItemsRevoked",  "ControlCall",    "ControlCallReply",
-    "LoadOrder",     "LoadOrderReply", "SlotRequest",
-    "SlotReply",     "SlotRelease",    "SlotsHeld",
-    "ReplicaHello",  "ControlQuery",   "ControlMap",
-    "FoundGroup",    "JoinGroup",      "TargetsHeard",
-    "WorkAvailable", "Leading",
+    "RaftMessage",    "Register",       "RegisterReply",
+    "Renew",          "RenewReply",     "NotLeader",
+    "ConfigFetch",    "ConfigDelta",    "ConfigSnapshotPart",
+    "Leave",          "GrantRequest",   "GrantReply",
+    "Dispatch",       "AnswerPart",     "Refusal",
+    "CancelRequest",  "OutcomeQuery",   "OutcomeReply",
+    "Watch",          "LoadReport",     "LeaseItems",
+    "ItemBatch",      "ItemResults",    "ItemResultsAck",
+    "ItemsRevoked",   "ControlCall",    "ControlCallReply",
+    "LoadOrder",      "LoadOrderReply", "SlotRequest",
+    "SlotReply",      "SlotRelease",    "SlotsHeld",
+    "ReplicaHello",   "ControlQuery",   "ControlMap",
+    "FoundGroup",     "JoinGroup",      "TargetsHeard",
+    "WorkAvailable",  "Leading",        "CrashReport",
+    "CrashReportAck", "SuspectQuery",   "StartedParts",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -16,6 +16,7 @@
 #include "caraway/wire/dispatch_messages.h"
 #include "caraway/wire/grant_messages.h"
 #include "caraway/wire/order_messages.h"
+#include "caraway/wire/poison_messages.h"
 #include "caraway/wire/raft_messages.h"
 #include "caraway/wire/session_messages.h"
 #include "caraway/wire/slot_messages.h"
@@ -62,7 +63,11 @@
                              JoinGroup,
                              TargetsHeard,
                              WorkAvailable,
-                             Leading>;
+                             Leading,
+                             CrashReport,
+                             CrashReportAck,
+                             SuspectQuery,
+                             StartedParts>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -239,6 +239,33 @@
   aArchive(aValue.mTarget, aValue.mStartedAt);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, InputBlock& aValue)
+{
+  aArchive(aValue.mId,
+           aValue.mParts,
+           aValue.mWorkspace,
+           aValue.mCrashes,
+           aValue.mSince,
+           aValue.mLength,
+           aValue.mProbation);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetInputBlock& aValue)
+{
+  aArchive(aValue.mBlock);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveInputBlock& aValue)
+{
+  aArchive(aValue.mBlock);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RevisedChange& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -6,6 +6,7 @@
 #include "caraway/wire/messages.h"
 #include "caraway/wire/serialize_calls.h"
 #include "caraway/wire/serialize_control.h"
+#include "caraway/wire/serialize_poison.h"
 #include "caraway/wire/serialize_slots.h"
 
 namespace caraway {
--- a/fuzz/fleet/fleet.cpp
+++ b/fuzz/fleet/fleet.cpp
@@ -127,6 +127,7 @@
         [](const ReadJobBody&) {},
         [](const StartTargetCall&) {},
         [](const CancelTargetCall&) {},
+        [](const CheckTarget&) {},
       },
       action);
     if (!aProcess.mRole) {
@@ -183,6 +184,7 @@
           [&](const CancelTargetCall& aCancel) {
             aProcess.mTarget.mCalls.erase(aCancel.mCall);
           },
+          [](const CheckTarget&) {},
           [&](const HttpResponse&) {},
           [&](const DecisionLog& aLog) { Trace(aFleet, aAddress, aLog); },
           [&](const Stopped&) { LoseNode(aFleet, aAddress, aProcess); },
--- a/fuzz/ledger_fuzz.cpp
+++ b/fuzz/ledger_fuzz.cpp
@@ -233,6 +233,7 @@
       CountAttempt(aJob, item);
       break;
     case ItemVerdict::eReturned:
+    case ItemVerdict::eHeld:
       break;
   }
 }
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -41,6 +41,7 @@
   bool mStopped = false;
   std::vector<StartTargetCall> mTargetCalls; // started by the entry
   std::vector<TargetCallId> mCancelled;
+  std::vector<CheckTarget> mChecks;
   std::vector<OrderReply> mOrders;
 
   EntryRig()
@@ -156,6 +157,8 @@
       mStopped = true;
     } else if (auto* call = std::get_if<StartTargetCall>(&aAction)) {
       mTargetCalls.push_back(std::move(*call));
+    } else if (auto* check = std::get_if<CheckTarget>(&aAction)) {
+      mChecks.push_back(*check);
     } else if (auto* cancel = std::get_if<CancelTargetCall>(&aAction)) {
       mCancelled.push_back(cancel->mCall);
     } else if (auto* order = std::get_if<OrderReply>(&aAction)) {
