Weigh crash evidence through indexes, and confirm ends by successors

With 512 blocks and 256 crashes one weighing took 2 ms, most of it in comparing each part with each block; the bounded-state test ran 28 s. A target whose supervisor starts it again at once accepts connections, so a later start at its address confirms its end as well. A target that leaves is no evidence.

--- a/caraway/entry/input_crashes.cpp
+++ b/caraway/entry/input_crashes.cpp
@@ -13,6 +13,13 @@
                  const CallerRequest& aRequest,
                  const DirectAttempt& aAttempt)
 {
+  const Entry& entry = aStep.mEntry;
+  auto record = entry.mConfig.mTargets.find(aAttempt.mTarget);
+  if (entry.mGoneTargets.contains(
+        { aAttempt.mTarget, aAttempt.mTargetStart }) ||
+      (record != entry.mConfig.mTargets.end() && record->second.mDraining)) {
+    return; // a target that leaves may cut what it cannot finish
+  }
   auto check = NoteBrokenCall(aStep.mEntry.mCrashReporter,
                               aStep.mNow,
                               aAttempt.mTarget,
--- a/caraway/node/node_input_crashes.cpp
+++ b/caraway/node/node_input_crashes.cpp
@@ -13,6 +13,10 @@
              CrashSuspect aSuspect,
              NodeActions& aOut)
 {
+  // A target that leaves may cut what it cannot finish.
+  if (aNode.mTarget.mLeaving) {
+    return;
+  }
   // Only targets with a record have a start that other members know, too.
   if (!UsesDirectory(aNode) || aNode.mRecord.mId.Empty()) {
     return;
--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -3,6 +3,7 @@
 #include "caraway/poison/crash_evidence.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "absl/strings/str_cat.h"
 
@@ -60,31 +61,46 @@
   return aCrash.mConfirmed && aCrash.mAt > ClearedUntil(aEvidence, aPart);
 }
 
-// True if a request at the ended target is covered by a block that has other
-// parts than aPart: the block's input ended it.
+// Blocks by their first part.
+using BlockIndex = std::map<InputPartId, std::vector<const InputBlock*>>;
+
+// The blocks that cover a request at the ended target.
+std::vector<const InputBlock*>
+BlocksAt(const BlockIndex& aBlocks, const CrashRecord& aCrash)
+{
+  std::vector<const InputBlock*> found;
+  for (const CrashSuspect& suspect : aCrash.mSuspects) {
+    for (const InputPartId& part : suspect.mParts) {
+      auto blocks = aBlocks.find(part);
+      if (blocks == aBlocks.end()) {
+        continue;
+      }
+      for (const InputBlock* block : blocks->second) {
+        if (Covers(*block, suspect.mWorkspace, suspect.mParts)) {
+          found.push_back(block);
+        }
+      }
+    }
+  }
+  return found;
+}
+
+// True if one of the blocks has other parts than aPart: its input ended the
+// target.
 bool
-IsExplained(const std::vector<const InputBlock*>& aBlocks,
-            const CrashRecord& aCrash,
-            InputPartId aPart)
+IsExplained(const std::vector<const InputBlock*>& aBlocks, InputPartId aPart)
 {
   return std::any_of(
     aBlocks.begin(), aBlocks.end(), [&](const InputBlock* aBlock) {
       const InputParts& parts = aBlock->mParts;
-      return std::find(parts.begin(), parts.end(), aPart) == parts.end() &&
-             std::any_of(aCrash.mSuspects.begin(),
-                         aCrash.mSuspects.end(),
-                         [&](const CrashSuspect& aSuspect) {
-                           return Covers(
-                             *aBlock, aSuspect.mWorkspace, aSuspect.mParts);
-                         });
+      return std::find(parts.begin(), parts.end(), aPart) == parts.end();
     });
 }
 
 // The requests that count against each part. Those whose answer had begun count
 // only where no other request waited.
 ExhibitIndex
-ExhibitsByPart(const CrashEvidence& aEvidence,
-               const std::vector<const InputBlock*>& aBlocks)
+ExhibitsByPart(const CrashEvidence& aEvidence, const BlockIndex& aBlocks)
 {
   ExhibitIndex index;
   for (const CrashRecord& crash : aEvidence.mCrashes) {
@@ -92,13 +108,13 @@
       crash.mSuspects.begin(),
       crash.mSuspects.end(),
       [](const CrashSuspect& aSuspect) { return !aSuspect.mBegun; });
+    const std::vector<const InputBlock*> blocks = BlocksAt(aBlocks, crash);
     for (const CrashSuspect& suspect : crash.mSuspects) {
       if (suspect.mBegun && anyWaited) {
         continue;
       }
       for (const InputPartId& part : suspect.mParts) {
-        if (IsSuspectAt(aEvidence, crash, part) &&
-            !IsExplained(aBlocks, crash, part)) {
+        if (IsSuspectAt(aEvidence, crash, part) && !IsExplained(blocks, part)) {
           index[part].push_back({ &crash, &suspect });
         }
       }
@@ -166,20 +182,21 @@
   return Covers(aWide, aNarrow.mWorkspace, aNarrow.mParts);
 }
 
+// True if a block in force covers all requests that aBlock would.
 bool
-IsCoveredByBlock(const CrashEvidence& aEvidence,
-                 const ConfigView& aView,
-                 const InputBlock& aBlock)
+IsCoveredByBlock(const BlockIndex& aBlocks, const InputBlock& aBlock)
 {
-  const auto covers = [&](const InputBlock& aOther) {
-    return !aOther.mProbation && IsWider(aOther, aBlock);
-  };
   return std::any_of(
-           aView.mInputBlocks.begin(),
-           aView.mInputBlocks.end(),
-           [&](const auto& aEntry) { return covers(aEntry.second); }) ||
-         std::any_of(
-           aEvidence.mDecided.begin(), aEvidence.mDecided.end(), covers);
+    aBlock.mParts.begin(), aBlock.mParts.end(), [&](const InputPartId& aPart) {
+      auto blocks = aBlocks.find(aPart);
+      return blocks != aBlocks.end() &&
+             std::any_of(blocks->second.begin(),
+                         blocks->second.end(),
+                         [&](const InputBlock* aOther) {
+                           return !aOther->mProbation &&
+                                  IsWider(*aOther, aBlock);
+                         });
+    });
 }
 
 // The length of a block that follows on a probation is twice the former.
@@ -195,19 +212,31 @@
   return std::min(length, kLongestBlock);
 }
 
-size_t
-CrashesNeeded(const ConfigView& aView, const std::vector<Exhibit>& aExhibits)
+std::vector<const InputBlock*>
+BlocksOnProbation(const ConfigView& aView)
 {
+  std::vector<const InputBlock*> blocks;
   for (const auto& [id, block] : aView.mInputBlocks) {
-    for (const Exhibit& exhibit : aExhibits) {
-      if (block.mProbation && Covers(block,
-                                     exhibit.mSuspect->mWorkspace,
-                                     exhibit.mSuspect->mParts)) {
-        return 1;
-      }
+    if (block.mProbation) {
+      blocks.push_back(&block);
     }
   }
-  return kMinCrashes;
+  return blocks;
+}
+
+size_t
+CrashesNeeded(const std::vector<const InputBlock*>& aOnProbation,
+              const std::vector<Exhibit>& aExhibits)
+{
+  const bool onProbation = std::any_of(
+    aOnProbation.begin(), aOnProbation.end(), [&](const InputBlock* aBlock) {
+      return std::any_of(
+        aExhibits.begin(), aExhibits.end(), [&](const Exhibit& aExhibit) {
+          return Covers(
+            *aBlock, aExhibit.mSuspect->mWorkspace, aExhibit.mSuspect->mParts);
+        });
+    });
+  return onProbation ? 1 : kMinCrashes;
 }
 
 DecisionLog
@@ -259,17 +288,29 @@
   });
 }
 
-// A target also ended if its place was taken by a later start.
+// True if a later start has taken the place of the crashed one: under its id,
+// or under another id at its address.
+bool
+IsSucceeded(const CrashRecord& aCrash, const ConfigView& aView)
+{
+  auto record = aView.mTargets.find(aCrash.mTarget);
+  if (record != aView.mTargets.end()) {
+    return record->second.mStartedAt > aCrash.mStartedAt;
+  }
+  return std::any_of(
+    aView.mTargets.begin(), aView.mTargets.end(), [&](const auto& aEntry) {
+      return aEntry.second.mAddress == aCrash.mAddress &&
+             aEntry.second.mStartedAt > aCrash.mStartedAt;
+    });
+}
+
+// Not every end shows at the address: a supervisor may start the target again
+// at once.
 void
 ConfirmByRecords(CrashEvidence& aEvidence, const ConfigView& aView)
 {
   for (CrashRecord& crash : aEvidence.mCrashes) {
-    if (crash.mConfirmed) {
-      continue;
-    }
-    auto record = aView.mTargets.find(crash.mTarget);
-    crash.mConfirmed = record != aView.mTargets.end() &&
-                       record->second.mStartedAt > crash.mStartedAt;
+    crash.mConfirmed = crash.mConfirmed || IsSucceeded(crash, aView);
   }
 }
 
@@ -320,38 +361,37 @@
   aOut.mBlock.push_back(std::move(aBlock));
 }
 
-std::vector<const InputBlock*>
+BlockIndex
 KnownBlocks(const CrashEvidence& aEvidence, const ConfigView& aView)
 {
-  std::vector<const InputBlock*> blocks;
+  BlockIndex index;
   for (const auto& [id, block] : aView.mInputBlocks) {
-    blocks.push_back(&block);
+    index[block.mParts.front()].push_back(&block);
   }
   for (const InputBlock& block : aEvidence.mDecided) {
-    blocks.push_back(&block);
+    index[block.mParts.front()].push_back(&block);
   }
-  return blocks;
+  return index;
 }
 
-// The part with the most evidence that is not weighed yet, among those that
-// have enough; nullptr if there is none.
-const ExhibitIndex::value_type*
-MostSuspected(const ExhibitIndex& aIndex,
-              const ConfigView& aView,
-              const std::set<InputPartId>& aWeighed)
+// The parts with enough evidence, the most suspected first.
+std::vector<InputPartId>
+SuspectedParts(const ExhibitIndex& aIndex, const ConfigView& aView)
 {
-  const ExhibitIndex::value_type* most = nullptr;
-  std::pair<size_t, size_t> best;
-  for (const auto& entry : aIndex) {
-    const std::pair<size_t, size_t> weight{ CountCrashes(entry.second),
-                                            CountRequests(entry.second) };
-    if (weight > best && !aWeighed.contains(entry.first) &&
-        weight.first >= CrashesNeeded(aView, entry.second)) {
-      best = weight;
-      most = &entry;
+  const std::vector<const InputBlock*> onProbation = BlocksOnProbation(aView);
+  std::vector<std::tuple<size_t, size_t, InputPartId>> weighed;
+  for (const auto& [part, exhibits] : aIndex) {
+    const size_t crashes = CountCrashes(exhibits);
+    if (crashes >= CrashesNeeded(onProbation, exhibits)) {
+      weighed.emplace_back(crashes, CountRequests(exhibits), part);
     }
   }
-  return most;
+  std::sort(weighed.rbegin(), weighed.rend());
+  std::vector<InputPartId> parts;
+  for (const auto& [crashes, requests, part] : weighed) {
+    parts.push_back(part);
+  }
+  return parts;
 }
 
 // True if all parts of the block were answered after the crashes under them.
@@ -417,6 +457,7 @@
     CrashRecord crash;
     crash.mTarget = aReport.mTarget;
     crash.mStartedAt = aReport.mStartedAt;
+    crash.mAddress = aReport.mAddress;
     crash.mAt = at;
     aEvidence.mCrashes.push_back(std::move(crash));
     known = std::prev(aEvidence.mCrashes.end());
@@ -484,14 +525,17 @@
   }
   Prune(aEvidence, aNow);
   ConfirmByRecords(aEvidence, aView);
-  ExhibitIndex index = ExhibitsByPart(aEvidence, KnownBlocks(aEvidence, aView));
+  BlockIndex blocks = KnownBlocks(aEvidence, aView);
+  ExhibitIndex index = ExhibitsByPart(aEvidence, blocks);
   EndBlocks(aEvidence, index, aNow, aLogicalNow, aView, out);
-  std::set<InputPartId> weighed;
-  while (const auto* most = MostSuspected(index, aView, weighed)) {
-    const auto& [part, exhibits] = *most;
-    weighed.insert(part);
+  for (const InputPartId part : SuspectedParts(index, aView)) {
+    auto suspected = index.find(part);
+    if (suspected == index.end()) {
+      continue; // explained by a block of this step
+    }
+    const std::vector<Exhibit>& exhibits = suspected->second;
     InputBlock common = CommonInput(aEvidence, exhibits);
-    if (IsCoveredByBlock(aEvidence, aView, common)) {
+    if (IsCoveredByBlock(blocks, common)) {
       continue;
     }
     auto [asked, first] =
@@ -506,9 +550,12 @@
     }
     // Without answers to other requests, bad input cannot be told from a
     // service that fails as a whole.
-    if (aEvidence.mNewestAnswer > exhibits.front().mCrash->mAt) {
+    if (aEvidence.mNewestAnswer > exhibits.front().mCrash->mAt &&
+        CountCrashes(exhibits) >=
+          CrashesNeeded(BlocksOnProbation(aView), exhibits)) {
       BlockInput(aEvidence, out, aView, aLogicalNow, std::move(common));
-      index = ExhibitsByPart(aEvidence, KnownBlocks(aEvidence, aView));
+      blocks = KnownBlocks(aEvidence, aView);
+      index = ExhibitsByPart(aEvidence, blocks);
     }
   }
   return out;
--- a/caraway/poison/crash_evidence.h
+++ b/caraway/poison/crash_evidence.h
@@ -36,6 +36,7 @@
 {
   TargetId mTarget;
   int64_t mStartedAt = 0; // Unix milliseconds
+  std::string mAddress;   // "ip:port"
   MonoTime mAt;
   bool mConfirmed = false; // the target has ended, not only its connections
   std::vector<CrashSuspect> mSuspects;
--- a/caraway/poison/crash_reporter.cpp
+++ b/caraway/poison/crash_reporter.cpp
@@ -85,6 +85,7 @@
   BrokenTarget broken;
   broken.mTarget = aTarget;
   broken.mStartedAt = aStartedAt;
+  broken.mAddress = aAddress;
   broken.mAt = aNow;
   broken.mCheck = aReporter.mNextCheck++;
   broken.mSendAt = aNow + kGatherTime;
@@ -202,6 +203,7 @@
     report.mNumber = broken.mNumber;
     report.mTarget = broken.mTarget;
     report.mStartedAt = broken.mStartedAt;
+    report.mAddress = broken.mAddress;
     report.mAge = aNow - broken.mAt;
     report.mConfirmed = broken.mConfirmed;
     report.mSuspects = broken.mSuspects;
--- a/caraway/poison/crash_reporter.h
+++ b/caraway/poison/crash_reporter.h
@@ -27,6 +27,7 @@
 {
   TargetId mTarget;
   int64_t mStartedAt = 0;
+  std::string mAddress;  // "ip:port"
   MonoTime mAt;          // the first call broke
   bool mChecked = false; // mCheck has ended
   uint64_t mCheck = 0;   // number of the CheckTarget
--- a/caraway/wire/poison_messages.h
+++ b/caraway/wire/poison_messages.h
@@ -3,6 +3,7 @@
 // targets. See caraway/poison/crash_evidence.h.
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "caraway/base/ids.h"
@@ -28,6 +29,7 @@
   uint64_t mNumber = 0; // of the sender's reports, from 1
   TargetId mTarget;
   int64_t mStartedAt = 0;  // Unix milliseconds, identifies the start that ended
+  std::string mAddress;    // of the target, "ip:port"
   Duration mAge;           // since the calls broke
   bool mConfirmed = false; // the target's address refuses connections
   std::vector<CrashSuspect> mSuspects;
--- a/caraway/wire/serialize_poison.h
+++ b/caraway/wire/serialize_poison.h
@@ -21,6 +21,7 @@
   aArchive(aValue.mNumber,
            aValue.mTarget,
            aValue.mStartedAt,
+           aValue.mAddress,
            aValue.mAge,
            aValue.mConfirmed,
            aValue.mSuspects);
