--- a/tests/ledger_routed_job_test.cpp
+++ b/tests/ledger_routed_job_test.cpp
@@ -209,3 +209,58 @@
   BOOST_TEST(Lease(replica, "n", 1).mItems.empty());
   BOOST_TEST(Describe(replica, "job").mFailed == 2u);
 }
+
+namespace {
+
+void
+HoldItem(LedgerReplica& aReplica, const ItemBatch& aBatch, uint32_t aItem)
+{
+  ItemResults results;
+  results.mNode = InstanceId("n");
+  results.mNodeEpoch = Epoch(10);
+  results.mJob = aBatch.mJob;
+  results.mToken = aBatch.mToken;
+  results.mResults = { { aItem, ItemVerdict::eHeld, 0, "", {} } };
+  std::vector<LedgerEffect> effects;
+  ApplyResults(aReplica.mLedger,
+               LogIndex(++aReplica.mIndex),
+               aReplica.mNow,
+               0,
+               results,
+               effects);
+}
+
+} // namespace
+
+// An item that crashes its targets must not be run by one node after the other.
+BOOST_AUTO_TEST_CASE(held_item_is_not_leased_until_its_block_is_lifted)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, RoutedJob("job", 2));
+  HoldItem(replica, Lease(replica, "n", 1, 1), 0);
+  const ItemBatch other = Lease(replica, "m", 1);
+  BOOST_REQUIRE(other.mItems.size() == 1u);
+  BOOST_TEST(other.mItems[0].mIndex == 1u);
+  auto copy = DecodeLedger(EncodeLedger(replica.mLedger));
+  BOOST_REQUIRE(copy.ok()); // a snapshot keeps what is held
+  replica.mLedger = *std::move(copy);
+  BOOST_TEST(Lease(replica, "m", 2).mItems.empty());
+  ReleaseHeldItems(replica.mLedger);
+  BOOST_TEST(Lease(replica, "m", 3).mItems.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(held_item_fails_with_its_reason_and_others_go_on)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, RoutedJob("job", 2));
+  HoldItem(replica, Lease(replica, "n", 1, 1), 0);
+  Tick(replica, replica.mNow + Seconds(4));
+  BOOST_TEST(Describe(replica, "job").mFailed == 0u);
+  Tick(replica, replica.mNow + Seconds(1));
+  BOOST_TEST(Describe(replica, "job").mFailed == 1u);
+  BOOST_TEST(ResultAt(replica, "job", 0).find("input_blocked") !=
+             std::string::npos);
+  BOOST_TEST(Lease(replica, "m", 1).mItems.size() == 1u);
+}
--- a/tests/node_batch_test.cpp
+++ b/tests/node_batch_test.cpp
@@ -319,3 +319,47 @@
   BOOST_TEST(node.Sent<ItemResults>().empty());
   BOOST_TEST(node.mNode.mBatch.mTasks.size() == 2u);
 }
+
+BOOST_AUTO_TEST_CASE(item_whose_stream_ends_inside_an_event_is_not_completed)
+{
+  NodeFixture node(4);
+  const StartTargetCall call = StartRawItem(node);
+  node.Give(TargetCallBytes{ call.mCall, "id: 2\nda" });
+  node.Give(TargetCallEnded{ call.mCall, true });
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 1u);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::eReturned));
+  BOOST_TEST(results[0].mProgress.mLastEvent == 1u);
+}
+
+// Each run of such an item would end one more target.
+BOOST_AUTO_TEST_CASE(item_whose_input_is_blocked_is_held_and_not_run)
+{
+  NodeFixture node(4);
+  node.MakeReady();
+  const InputPartId poison(5);
+  InputBlock block;
+  block.mParts = { poison };
+  block.mId = InputBlockIdOf(block.mParts, {});
+  ApplyChange(node.mNode.mSession.mView,
+              { Revision(node.mNode.mSession.mView.mRevision.mValue + 1),
+                SetInputBlock{ block } });
+  ItemBatch batch;
+  batch.mNodeEpoch = Epoch(7);
+  batch.mSequence = 1;
+  batch.mJob = JobId("batch_1");
+  batch.mToken = FencingToken(50);
+  batch.mEndpoint = "host";
+  batch.mDeadline = batch.mWindow = Seconds(60);
+  batch.mItems = {
+    { 0, R"({"custom_id":"i","url":"/p/1","body_base64":"","parts":[4,5]})" },
+    { 1, R"({"custom_id":"j","url":"/p/1","body_base64":"","parts":[4]})" }
+  };
+  node.Hear(kTestControl, batch);
+  BOOST_REQUIRE_EQUAL(node.Started().size(), 1u); // the sound item
+  BOOST_TEST(node.Started()[0].mContext.mRequest.mValue == "j");
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 1u);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::eHeld));
+  BOOST_TEST(results[0].mIndex == 0u);
+}
--- a/tools/caraway_main.cpp
+++ b/tools/caraway_main.cpp
@@ -28,6 +28,8 @@
   caraway [options] route remove <route>
   caraway [options] route list
   caraway [options] zone (out | in) <zone>
+  caraway [options] input-block list
+  caraway [options] input-block lift <block>
   caraway [options] target (out | in) <target>
   caraway [options] replica add <id> <address>
   caraway [options] replica (promote | remove) <id>
--- a/tools/operator_commands.cpp
+++ b/tools/operator_commands.cpp
@@ -202,6 +202,13 @@
              "/admin/zones/" + aReader.Optional("<zone>", "") + direction,
              {} };
   }
+  if (aReader.Flag("input-block")) {
+    return aReader.Flag("lift")
+             ? Call{ "DELETE",
+                     "/admin/input-blocks/" + aReader.Optional("<block>", ""),
+                     {} }
+             : Call{ "GET", "/admin/input-blocks", {} };
+  }
   if (aReader.Flag("target")) {
     return { "POST",
              "/admin/targets/" + aReader.Optional("<target>", "") + direction,
