--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -388,6 +388,7 @@
   }
   std::sort(weighed.rbegin(), weighed.rend());
   std::vector<InputPartId> parts;
+  parts.reserve(weighed.size());
   for (const auto& [crashes, requests, part] : weighed) {
     parts.push_back(part);
   }
--- a/tests/poison_evidence_test.cpp
+++ b/tests/poison_evidence_test.cpp
@@ -71,7 +71,7 @@
   }
 
   // A member sees a request with these parts answered.
-  void Answered(InputParts aParts)
+  void Answered(const InputParts& aParts)
   {
     StartedParts started;
     started.mMember = InstanceId("e1");
@@ -98,7 +98,7 @@
     }
   }
 
-  bool IsBlocked(InputParts aParts, const char* aWorkspace = "w") const
+  bool IsBlocked(const InputParts& aParts, const char* aWorkspace = "w") const
   {
     return FindInputBlock(mView, WorkspaceId(aWorkspace), aParts) != nullptr;
   }
