Block input again that crashes targets after a lift

A lifted block stayed among the leader's newest decisions, so its input counted as blocked already when it crashed targets again; the new test failed before.

--- a/caraway/control/input_blocks.cpp
+++ b/caraway/control/input_blocks.cpp
@@ -84,7 +84,9 @@
     }
   }
   for (const InputBlock& block : actions.mBlock) {
-    if (MayPropose(aStep, block.mId)) {
+    // WeighEvidence decides on a new block once, but on a probation until it is
+    // in the configuration.
+    if (MayPropose(aStep, block.mId) || !block.mProbation) {
       change.mSet.push_back(block);
     }
   }
--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -324,6 +324,20 @@
   return aPart.mWaitingFor.empty();
 }
 
+void
+LiftBlock(CrashEvidence& aEvidence,
+          EvidenceActions& aOut,
+          const InputBlock& aBlock,
+          const char* aReason)
+{
+  aOut.mLift.push_back(aBlock);
+  aOut.mLogs.push_back(LogBlock(aBlock, "lifted", aReason));
+  // Otherwise the input would count as blocked when it crashes targets again.
+  std::erase_if(aEvidence.mDecided, [&](const InputBlock& aDecided) {
+    return aDecided.mId == aBlock.mId;
+  });
+}
+
 void
 BlockInput(CrashEvidence& aEvidence,
            EvidenceActions& aOut,
@@ -339,15 +353,11 @@
       oldest = &block;
     }
     if (id != aBlock.mId && IsWider(aBlock, block)) {
-      aOut.mLift.push_back(block);
-      aOut.mLogs.push_back(
-        LogBlock(block, "lifted", "a wider block replaces it"));
+      LiftBlock(aEvidence, aOut, block, "a wider block replaces it");
     }
   }
   if (aView.mInputBlocks.size() >= kMaxInputBlocks) {
-    aOut.mLift.push_back(*oldest);
-    aOut.mLogs.push_back(
-      LogBlock(*oldest, "lifted", "there are too many blocks"));
+    LiftBlock(aEvidence, aOut, *oldest, "there are too many blocks");
   }
   aOut.mLogs.push_back(
     LogBlock(aBlock,
@@ -420,13 +430,10 @@
   for (const auto& [id, block] : aView.mInputBlocks) {
     const bool ended = aLogicalNow - block.mSince >= block.mLength;
     if (IsCleared(aEvidence, aIndex, block)) {
-      aOut.mLift.push_back(block);
-      aOut.mLogs.push_back(
-        LogBlock(block, "lifted", "requests with these parts were answered"));
+      LiftBlock(
+        aEvidence, aOut, block, "requests with these parts were answered");
     } else if (ended && block.mProbation) {
-      aOut.mLift.push_back(block);
-      aOut.mLogs.push_back(
-        LogBlock(block, "lifted", "no crash during the probation"));
+      LiftBlock(aEvidence, aOut, block, "no crash during the probation");
     } else if (ended) {
       aOut.mBlock.push_back(block);
       aOut.mBlock.back().mProbation = true;
--- a/tests/poison_evidence_test.cpp
+++ b/tests/poison_evidence_test.cpp
@@ -275,6 +275,16 @@
   BOOST_TEST(!IsBlocked({ kPoison }));
 }
 
+BOOST_AUTO_TEST_CASE(input_that_crashes_again_after_a_lift_is_blocked_again)
+{
+  BlockPoison();
+  mNow = mNow + Seconds(1);
+  Answered({ kPoison });
+  mNow = mNow + Seconds(5);
+  BlockPoison();
+  BOOST_TEST(IsBlocked({ kPoison }));
+}
+
 BOOST_AUTO_TEST_CASE(block_ends_on_probation_and_one_crash_renews_it_for_longer)
 {
   BlockPoison();
