Do not use ended blocks while others are decided

WeighEvidence indexed the leader's newest decisions by address, and then ended blocks, which erases from that list. In the same step the index referred to moved and destroyed entries; an empty one covers everything, so a wider block was held up until the next step. The index is built again after blocks have ended. The new test failed before. The comment of ApplyResults stood above ReleaseHeldItems; it is back in its place.

--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -40,12 +40,12 @@
            MonoTime aLogicalNow,
            const LeaseItems& aRequest);
 
-// Records the results of leased items. Results of a lease that no longer exists
-// are ignored and acknowledged as stale.
 // An input block was lifted: held items may be leased again.
 void
 ReleaseHeldItems(Ledger& aLedger);
 
+// Records the results of leased items. Results of a lease that no longer exists
+// are ignored and acknowledged as stale.
 ItemResultsAck
 ApplyResults(Ledger& aLedger,
              LogIndex aIndex,
--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -536,6 +536,8 @@
   BlockIndex blocks = KnownBlocks(aEvidence, aView);
   ExhibitIndex index = ExhibitsByPart(aEvidence, blocks);
   EndBlocks(aEvidence, index, aNow, aLogicalNow, aView, out);
+  // Ending a block changes mDecided, to which the index refers.
+  blocks = KnownBlocks(aEvidence, aView);
   for (const InputPartId part : SuspectedParts(index, aView)) {
     auto suspected = index.find(part);
     if (suspected == index.end()) {
--- a/tests/poison_evidence_test.cpp
+++ b/tests/poison_evidence_test.cpp
@@ -307,6 +307,53 @@
   BOOST_TEST(longest.mMicros >= 2 * first.mMicros);
 }
 
+BOOST_AUTO_TEST_CASE(block_ends_on_probation_despite_recent_evidence)
+{
+  BlockPoison();
+  const Duration length = mView.mInputBlocks.begin()->second.mLength;
+  mNow = mView.mInputBlocks.begin()->second.mSince + length - Seconds(3);
+  for (int at = 0; at < 3; ++at) {
+    Crash({ Suspect({ kShared, kPoison }) });
+    Answered({ kShared });
+  }
+  AnswerQueries();
+  mNow = mNow + Seconds(3);
+  Weigh();
+  AnswerQueries();
+  BOOST_TEST(!IsBlocked({ kShared, kPoison }));
+  BOOST_REQUIRE(mView.mInputBlocks.size() == 1u);
+  BOOST_TEST(mView.mInputBlocks.begin()->second.mProbation);
+}
+
+// A lift changes the list of newest decisions, so what refers to its entries
+// must not be used in the same step.
+BOOST_AUTO_TEST_CASE(lift_does_not_hold_up_a_wider_block)
+{
+  const InputPartId other(8);
+  BlockPoison();
+  const CrashSuspect repeated = Suspect({ other });
+  for (int at = 0; at < 3; ++at) {
+    Crash({ repeated });
+    Answered({ kShared });
+  }
+  AnswerQueries();
+  BOOST_REQUIRE(IsBlocked(repeated.mParts));
+  BOOST_REQUIRE(!IsBlocked({ other }));
+  Crash({ Suspect({ other }, "v") });
+  mNow = mNow + Seconds(1);
+  StartedParts started;
+  started.mAsked.swap(mAsked);
+  started.mParts = { { kPoison, Duration{} } };
+  started.mNewest = Duration{};
+  for (const InstanceId& member : mMembers) {
+    started.mMember = member;
+    HandleStartedParts(mEvidence, mNow, started);
+  }
+  Weigh();
+  BOOST_TEST(!IsBlocked({ kPoison }));
+  BOOST_TEST(IsBlocked({ other }, "x"));
+}
+
 BOOST_AUTO_TEST_CASE(probation_without_a_crash_ends_the_block)
 {
   BlockPoison();
