Count a crash from its own time after a lost connection

The leader kept the time and suspects of the first report about a start of a target. If only connections had broken then, an answer given in between cleared the later crash of the same start, and it did not count. Reports that are more than a second apart are separate events, by the same constant as at the members. The new test failed before.

--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -471,6 +471,11 @@
     known = std::prev(aEvidence.mCrashes.end());
     ++aEvidence.mReported;
   }
+  if (at - known->mAt > kSameEvent) {
+    // The target survived what broke before.
+    known->mAt = at;
+    known->mSuspects.clear();
+  }
   known->mConfirmed = known->mConfirmed || aReport.mConfirmed;
   for (const CrashSuspect& suspect : aReport.mSuspects) {
     const bool listed = std::any_of(known->mSuspects.begin(),
--- a/caraway/poison/crash_reporter.cpp
+++ b/caraway/poison/crash_reporter.cpp
@@ -17,9 +17,6 @@
 constexpr Duration kAnsweredKept = Seconds(20);
 // The calls at one target break within milliseconds of each other.
 constexpr Duration kGatherTime = Millis(20);
-// A call that breaks later at the same start is another event: only the
-// connections had broken before.
-constexpr Duration kSameEvent = Seconds(1);
 constexpr Duration kResend = Millis(300);
 // A new leader is told of crashes up to this age.
 constexpr Duration kReportKept = Seconds(60);
--- a/caraway/wire/poison_messages.h
+++ b/caraway/wire/poison_messages.h
@@ -22,6 +22,10 @@
   bool mBegun = false; // some of the answer had arrived
 };
 
+// Calls that break later than this after others at the same start of a target
+// are another event: only connections had broken before.
+constexpr Duration kSameEvent = Seconds(1);
+
 // Member -> leader: calls at a target broke. Sent again until acknowledged, and
 // to each new leader for as long as the evidence counts.
 struct CrashReport
--- a/tests/poison_evidence_test.cpp
+++ b/tests/poison_evidence_test.cpp
@@ -376,6 +376,33 @@
   BOOST_TEST(!IsBlocked({ kPoison }));
 }
 
+// A start of a target whose connections once broke can still crash later.
+BOOST_AUTO_TEST_CASE(crash_after_a_lost_connection_counts_from_its_own_time)
+{
+  std::vector<CrashReport> reports;
+  for (int at = 0; at < 3; ++at) {
+    CrashReport report;
+    report.mTarget = TargetId("t" + std::to_string(at));
+    report.mStartedAt = 1;
+    report.mSuspects = { Suspect({ kPoison }, at == 0 ? "w" : "v") };
+    HandleCrashReport(mEvidence, mNow, report);
+    reports.push_back(report);
+  }
+  mNow = mNow + Seconds(1);
+  Answered({ kPoison });
+  for (CrashReport& report : reports) {
+    mNow = mNow + Seconds(5);
+    report.mConfirmed = true;
+    report.mSuspects = { Suspect({ kPoison },
+                                 &report == &reports[0] ? "w" : "v") };
+    HandleCrashReport(mEvidence, mNow, report);
+    Weigh();
+  }
+  Answered({ InputPartId(9) });
+  AnswerQueries();
+  BOOST_TEST(IsBlocked({ kPoison }, "x"));
+}
+
 // A new leader knows nothing until the members report again.
 BOOST_AUTO_TEST_CASE(reports_to_a_new_leader_lead_to_the_same_block)
 {
