Log how the end of a target's answer is known

The lines of calls, answers and batch items now carry ends_by=close or ends_by=framing. The client of targets states it with the head of the response; a transfer coding other than chunked, and responses without a body, are no longer mistaken.

--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -69,6 +69,9 @@
   TargetCallId mCall;
   int mStatus = 0;
   Headers mHeaders;
+  // The response has no length and no chunks: the end of the connection is its
+  // end, also if the target breaks it off.
+  bool mEndsByClose = false;
   // Set by the runtime's TargetDialect, if targets report it.
   bool mNotRun = false;      // the target did not run the request
   bool mWrongTarget = false; // the address now belongs to another target
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -125,6 +125,10 @@
     { "run_ms", absl::StrCat((aStep.mNow - attempt.mStartedAt).Millis()) },
     { "events", absl::StrCat(aRequest.mDirect.mEvents.mEvents) },
   };
+  if (attempt.mStatus != 0) {
+    log.mExtra.push_back(
+      { "ends_by", attempt.mEndsByClose ? "close" : "framing" });
+  }
   if (aLevel == LogLevel::eWarning) {
     log.mExtra.push_back({ "answered", attempt.mAnswered ? "true" : "false" });
     log.mExtra.push_back({ "parts", FormatParts(aRequest.mInputParts) });
@@ -437,6 +441,7 @@
   attempt.mLastByte = aStep.mNow;
   attempt.mStatus = aEvent.mStatus;
   attempt.mHeaders = aEvent.mHeaders;
+  attempt.mEndsByClose = aEvent.mEndsByClose;
   if (aEvent.mForeign ||
       (aEvent.mEchoesRequestId && aEvent.mAnsweredRequest != request->mId &&
        !aEvent.mNotRun)) {
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -52,6 +52,7 @@
   bool mBrokeUnanswered = false; // its connection broke before that
   int mStatus = 0;
   Headers mHeaders;
+  bool mEndsByClose = false; // the answer has no length and no chunks
 };
 
 struct DirectCall
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -147,6 +147,7 @@
                  { "online", std::to_string(aNode.mScheduler.mRunningOnline) },
                  { "batch", std::to_string(BatchCalls(aNode)) },
                  { "answered", aTask.mAnswered ? "true" : "false" },
+                 { "ends_by", aTask.mEndsByClose ? "close" : "framing" },
                  { "parts", FormatParts(aTask.mInputParts) } };
   aOut.emplace_back(std::move(log));
 }
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -70,6 +70,7 @@
   bool mAnswered = false; // this call went on for kAnswerSettles, or ended
   bool mNotRun = false;   // the target answered that it did not run this call
   bool mForeign = false;  // the bytes are not the answer to this request
+  bool mEndsByClose = false; // the answer has no length and no chunks
 };
 
 // An ItemResults message, retransmitted until acknowledged.
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -76,6 +76,7 @@
     if (BatchTask* task = TaskOf(aNode, info->mWork)) {
       task->mStatus = aEvent.mStatus;
       task->mNotRun = aEvent.mNotRun;
+      task->mEndsByClose = aEvent.mEndsByClose;
       task->mForeign =
         aEvent.mForeign ||
         (task->mRaw && aEvent.mEchoesRequestId && !aEvent.mNotRun &&
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -66,6 +66,24 @@
          absl::EqualsIgnoreCase(aName, "expect");
 }
 
+// True if the end of the connection is the end of the response's body.
+bool
+EndsByClose(evhttp_request* aRequest)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (status == kNoContent || status == kNotModified ||
+      evhttp_request_get_command(aRequest) == EVHTTP_REQ_HEAD) {
+    return false;
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  const char* coding = evhttp_find_header(headers, "Transfer-Encoding");
+  const bool chunked =
+    coding != nullptr && absl::EqualsIgnoreCase(coding, "chunked");
+  return !chunked && evhttp_find_header(headers, "Content-Length") == nullptr;
+}
+
 } // namespace
 
 TargetClient::TargetClient(Loop& aLoop, TargetClientSettings aSettings)
@@ -207,6 +225,7 @@
   TargetCallBegan began;
   began.mCall = call->mId;
   began.mStatus = evhttp_request_get_response_code(aRequest);
+  began.mEndsByClose = EndsByClose(aRequest);
   evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
   for (evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
@@ -255,9 +274,7 @@
   }
   const TargetCallId id = call->mId;
   const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  const bool byClose =
-    evhttp_find_header(headers, "Content-Length") == nullptr &&
-    evhttp_find_header(headers, "Transfer-Encoding") == nullptr;
+  const bool byClose = EndsByClose(aRequest);
   const char* connectionHeader = evhttp_find_header(headers, "Connection");
   const bool keep =
     !byClose && (connectionHeader == nullptr ||
