Send responses that do not state their end

An answer of a target that has neither a length nor chunks has an end that nobody can verify. To pass it on as such, the HTTP server can now send a response that ends with its connection, and resets the connection if the response is aborted. Nothing uses it yet. Tests: runtime_http_test.

--- a/caraway/base/http.h
+++ b/caraway/base/http.h
@@ -38,16 +38,21 @@
   int mStatus = 200;
   Headers mHeaders;
   std::string mBody;
+  bool mEndsByClose = false; // see HttpBegin
 };
 
 // Actions: send a response in parts: HttpBegin, any number of HttpChunk, then
-// HttpEnd. HttpAbort ends a response that cannot be completed: it closes the
-// connection, so that the caller does not take the response as complete.
+// HttpEnd. HttpAbort ends a response that cannot be completed: it closes or
+// resets the connection, so that the caller does not take the response as
+// complete.
 struct HttpBegin
 {
   HttpCallId mCall;
   int mStatus = 200;
   Headers mHeaders;
+  // Sent without a length and without chunks, so that the response does not
+  // state where it ends: for a body of which the sender does not know either.
+  bool mEndsByClose = false;
 };
 
 struct HttpChunk
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -6,7 +6,10 @@
 #include <cstring>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <event2/bufferevent_ssl.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include "absl/strings/str_cat.h"
@@ -109,6 +112,32 @@
   }
 }
 
+// Makes the end of the connection the end of the response, without a length and
+// without chunks. evhttp sends such responses only as HTTP/1.0.
+void
+EndByClose(evhttp_request* aRequest)
+{
+  evhttp_remove_header(evhttp_request_get_input_headers(aRequest),
+                       "Connection");
+  evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
+  evhttp_remove_header(output, "Connection");
+  evhttp_add_header(output, "Connection", "close");
+  aRequest->minor = 0;
+}
+
+// Closing the connection will send a reset.
+void
+ResetOnClose(evhttp_connection* aConnection)
+{
+  const linger abortive{ 1, 0 };
+  (void)setsockopt(
+    bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection)),
+    SOL_SOCKET,
+    SO_LINGER,
+    &abortive,
+    sizeof(abortive));
+}
+
 // Keeps reading while a response is pending, to detect a close. The low read
 // watermark is above the high one, so that evhttp's read callback, which
 // consumes nothing in this state, never runs.
@@ -320,6 +349,16 @@
   evhttp_connection* connection = call->mConnection;
   Finish(aResponse.mCall);
   AddHeaders(request, aResponse.mHeaders);
+  if (aResponse.mEndsByClose) {
+    EndByClose(request);
+    StopWatchingForClose(connection);
+    EvBufferPtr body(evbuffer_new());
+    evbuffer_add(body.get(), aResponse.mBody.data(), aResponse.mBody.size());
+    evhttp_send_reply_start(request, aResponse.mStatus, nullptr);
+    evhttp_send_reply_chunk(request, body.get());
+    evhttp_send_reply_end(request);
+    return;
+  }
   evbuffer_add(evhttp_request_get_output_buffer(request),
                aResponse.mBody.data(),
                aResponse.mBody.size());
@@ -336,6 +375,9 @@
   }
   call->mBegan = true;
   AddHeaders(call->mRequest, aBegin.mHeaders);
+  if (aBegin.mEndsByClose) {
+    EndByClose(call->mRequest);
+  }
   evhttp_send_reply_start(call->mRequest, aBegin.mStatus, nullptr);
 }
 
@@ -384,7 +426,9 @@
   // Closing the connection without the last chunk shows the caller that the
   // response is incomplete. Queued bytes are sent first.
   constexpr Duration kLongestWait = Seconds(2);
-  mAborted.push_back({ call->mConnection, mLoop.Now() + kLongestWait });
+  const bool endsByClose = call->mBegan && call->mRequest->chunked == 0;
+  mAborted.push_back(
+    { call->mConnection, mLoop.Now() + kLongestWait, endsByClose });
   Finish(aAbort.mCall);
   mAbortTimer.ArmAt(mLoop.Now());
 }
@@ -394,17 +438,21 @@
 {
   constexpr Duration kInterval = Millis(5);
   const MonoTime now = mLoop.Now();
-  std::vector<evhttp_connection*> ready;
+  std::vector<AbortedConnection> ready;
   for (const AbortedConnection& aborted : mAborted) {
     bufferevent* buffer =
       evhttp_connection_get_bufferevent(aborted.mConnection);
     if (now >= aborted.mCloseDeadline ||
         evbuffer_get_length(bufferevent_get_output(buffer)) == 0) {
-      ready.push_back(aborted.mConnection);
+      ready.push_back(aborted);
     }
   }
-  for (evhttp_connection* connection : ready) {
-    evhttp_connection_free(connection); // calls OnConnectionClosed
+  for (const AbortedConnection& aborted : ready) {
+    if (aborted.mReset) {
+      ResetOnClose(aborted.mConnection);
+    }
+    // Calls OnConnectionClosed.
+    evhttp_connection_free(aborted.mConnection);
   }
   if (!mAborted.empty()) {
     mAbortTimer.ArmAt(now + kInterval);
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -74,6 +74,9 @@
   {
     evhttp_connection* mConnection = nullptr;
     MonoTime mCloseDeadline;
+    // The response ends with its connection, so that only a reset shows that it
+    // is incomplete.
+    bool mReset = false;
   };
 
   static void OnEvRequest(evhttp_request* aRequest, void* aServer);
--- a/tests/runtime_http_test.cpp
+++ b/tests/runtime_http_test.cpp
@@ -32,8 +32,10 @@
   {
     BOOST_REQUIRE(mServer.Listen().ok());
     mGuard.ArmAt(mLoop.Now() + Seconds(30));
-    mClient.mOnBegan.connect(
-      [this](const TargetCallBegan& aBegan) { mStatus = aBegan.mStatus; });
+    mClient.mOnBegan.connect([this](const TargetCallBegan& aBegan) {
+      mStatus = aBegan.mStatus;
+      mEndsByClose = aBegan.mEndsByClose;
+    });
     mClient.mOnBytes.connect(
       [this](const TargetCallBytes& aBytes) { mBytes += aBytes.mBytes; });
     mClient.mOnEnded.connect([this](const TargetCallEnded&) {
@@ -68,6 +70,7 @@
   Timer mGuard;
   uint64_t mNextCall = 1;
   int mStatus = 0;
+  bool mEndsByClose = false;
   std::string mBytes;
   bool mEnded = false;
   bool mFailed = false;
@@ -162,6 +165,50 @@
   BOOST_TEST((mOutcome == Outcome::eUnknown));
 }
 
+BOOST_FIXTURE_TEST_CASE(response_of_unknown_end_states_no_end, Fixture)
+{
+  mServer.mOnRequest.connect([this](const HttpRequest& aRequest) {
+    if (aRequest.mPath == "/whole") {
+      mServer.Respond({ aRequest.mCall, 200, {}, "body", true });
+      return;
+    }
+    mServer.Begin({ aRequest.mCall, 200, {}, true });
+    mServer.Chunk({ aRequest.mCall, "bo" });
+    mServer.Chunk({ aRequest.mCall, "dy" });
+    mServer.End({ aRequest.mCall });
+  });
+  for (const char* path : { "/whole", "/parts" }) {
+    const std::string output =
+      RawExchange(*this,
+                  std::string("GET ") + path +
+                    " HTTP/1.1\r\nHost: x\r\nConnection: keep-alive\r\n\r\n",
+                  false);
+    BOOST_TEST(output.find(" 200 ") != std::string::npos);
+    BOOST_TEST(output.find("Content-Length") == std::string::npos);
+    BOOST_TEST(output.find("Transfer-Encoding") == std::string::npos);
+    BOOST_TEST(output.find("Connection: close\r\n") != std::string::npos);
+    BOOST_TEST(output.ends_with("\r\n\r\nbody"));
+  }
+  Call("q");
+  BOOST_TEST(mEnded);
+  BOOST_TEST(mEndsByClose);
+  BOOST_TEST(mBytes == "body");
+}
+
+// Guards against a broken response that ends with its connection and looks like
+// a complete one.
+BOOST_FIXTURE_TEST_CASE(aborted_response_of_unknown_end_is_reset, Fixture)
+{
+  mServer.mOnRequest.connect([this](const HttpRequest& aRequest) {
+    mServer.Begin({ aRequest.mCall, 200, {}, true });
+    mServer.Chunk({ aRequest.mCall, "part" });
+    mServer.Abort({ aRequest.mCall });
+  });
+  Call("q");
+  BOOST_TEST(mFailed);
+  BOOST_TEST(!mEnded);
+}
+
 BOOST_FIXTURE_TEST_CASE(refused_connection_has_outcome_not_run, Fixture)
 {
   StartTargetCall call;
