Reset responses of unknown end by closing the socket directly

evhttp shuts a connection down in an orderly way before it closes it, so an aborted response that ends with its connection still looked complete to its caller (runtime_http_test: aborted_response_of_unknown_end_is_reset failed).

--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -125,17 +125,17 @@
   aRequest->minor = 0;
 }
 
-// Closing the connection will send a reset.
+// Closes the socket with a reset. The connection must be freed right after:
+// evhttp would shut the socket down in an orderly way before it closes it.
 void
-ResetOnClose(evhttp_connection* aConnection)
+ResetSocket(evhttp_connection* aConnection)
 {
+  bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
+  const evutil_socket_t socket = bufferevent_getfd(buffer);
   const linger abortive{ 1, 0 };
-  (void)setsockopt(
-    bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection)),
-    SOL_SOCKET,
-    SO_LINGER,
-    &abortive,
-    sizeof(abortive));
+  (void)setsockopt(socket, SOL_SOCKET, SO_LINGER, &abortive, sizeof(abortive));
+  bufferevent_setfd(buffer, -1);
+  evutil_closesocket(socket);
 }
 
 // Keeps reading while a response is pending, to detect a close. The low read
@@ -448,8 +448,9 @@
     }
   }
   for (const AbortedConnection& aborted : ready) {
-    if (aborted.mReset) {
-      ResetOnClose(aborted.mConnection);
+    // A TLS connection shows by itself that it was not ended in an orderly way.
+    if (aborted.mReset && mTls == nullptr) {
+      ResetSocket(aborted.mConnection);
     }
     // Calls OnConnectionClosed.
     evhttp_connection_free(aborted.mConnection);
