--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -36,6 +36,7 @@
   uint64_t mRevision = 0;
   std::vector<std::pair<PeerAddress, Message>> mSent;
   std::map<uint64_t, HttpResponse> mResponses;
+  std::map<uint64_t, HttpBegin> mBegins;
   std::map<uint64_t, std::string> mChunks;
   std::map<uint64_t, std::string> mState; // "begun", "ended", "aborted"
   bool mStopped = false;
@@ -144,6 +145,7 @@
     } else if (auto* begin = std::get_if<HttpBegin>(&aAction)) {
       BOOST_REQUIRE(mResponses.count(begin->mCall.mValue) == 0);
       mState[begin->mCall.mValue] = "begun";
+      mBegins[begin->mCall.mValue] = *begin;
     } else if (auto* chunk = std::get_if<HttpChunk>(&aAction)) {
       BOOST_REQUIRE(mState[chunk->mCall.mValue] == "begun");
       mChunks[chunk->mCall.mValue] += chunk->mBytes;
