Do not pass an end that nobody can verify on as a verified one

What callers saw: an answer that its target had broken off was framed as complete. An answer with neither a length nor chunks ends with its connection, also when its target breaks it off, and the entry closed its own response with a length or a last chunk, which states that the body is whole.

Now, when an answer ends with its connection: - a stream that ends inside an event, or before its first one, is broken (as before); - otherwise the address of the target is connected to once: if nothing accepts there, the target has ended and the answer is broken; it is retried where it may be, else the caller's response is aborted; - if the target lives, the caller gets the answer in a response without a length and chunks, which ends with its connection and is reset if aborted; - a resumed stream whose response began with chunks is aborted instead; - a batch item is continued after its last event, and completed once nothing follows; - answers dispatched through a node carry the same flag to the entry, and an answer of unknown end is not stored under an idempotency key.

Ruled out: ends by length or chunks (evhttp fails short bodies), second attempts (each request of the record ran once).

--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "caraway/base/http.h"
 #include "caraway/base/ids.h"
@@ -108,6 +109,24 @@
   std::string mAddress; // "ip:port"
 };
 
+// Check of the target of a call whose connection has closed. The bit keeps it
+// apart from the other checks of a role.
+constexpr uint64_t kEndCheckBit = uint64_t{ 1 } << 63;
+
+inline CheckTarget
+MakeEndCheck(TargetCallId aCall, std::string aAddress)
+{
+  return { kEndCheckBit | aCall.mValue, std::move(aAddress) };
+}
+
+// The call that the check belongs to; none if it is not a MakeEndCheck.
+inline TargetCallId
+CallOfEndCheck(uint64_t aCheck)
+{
+  return (aCheck & kEndCheckBit) == 0 ? TargetCallId()
+                                      : TargetCallId(aCheck & ~kEndCheckBit);
+}
+
 enum class TargetReach : uint8_t
 {
   eAccepts, // a process accepts connections
--- a/caraway/entry/claims.cpp
+++ b/caraway/entry/claims.cpp
@@ -35,6 +35,20 @@
   return error;
 }
 
+// Returns the error stored in place of an answer that may not be whole.
+CallerError
+UnverifiedAnswerError()
+{
+  CallerError error;
+  error.mKind = ErrorKind::eOutcomeUnknown;
+  error.mMessage = "the request ran, but its answer was not stored since its "
+                   "end could not be verified";
+  error.mRemedy = "read the result from the service";
+  error.mOutcome = Outcome::eRan;
+  error.mStatus = 409;
+  return error;
+}
+
 CompleteClaim
 MakeCompletion(const CallerRequest& aRequest, const CallerError& aError)
 {
@@ -132,6 +146,8 @@
   CompleteClaim complete;
   if (answer.mBody.size() > kMaxPartBytes) {
     complete = MakeCompletion(aRequest, TooLargeAnswerError());
+  } else if (answer.mEndsByClose) {
+    complete = MakeCompletion(aRequest, UnverifiedAnswerError());
   } else {
     complete.mKey = aRequest.mClaimKey;
     complete.mRequest = aRequest.mId;
@@ -159,7 +175,8 @@
               aRequest,
               answer.mStatus,
               std::move(answer.mHeaders),
-              std::move(answer.mBody));
+              std::move(answer.mBody),
+              answer.mEndsByClose);
 }
 
 void
--- a/caraway/entry/direct.h
+++ b/caraway/entry/direct.h
@@ -47,6 +47,9 @@
 HandleTargetEnded(EntryStep& aStep, const TargetCallEnded& aEvent);
 void
 HandleTargetFailed(EntryStep& aStep, const TargetCallFailed& aEvent);
+// Returns false if the check does not concern the end of an answer.
+bool
+HandleEndChecked(EntryStep& aStep, const TargetChecked& aEvent);
 
 // Records a load report of a node for placement.
 void
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -37,18 +37,6 @@
 // Time left to the deadline below which no retry is started.
 constexpr Duration kMinTimeForRetry = Millis(20);
 
-DirectAttempt&
-LiveAttempt(CallerRequest& aRequest)
-{
-  return aRequest.mDirect.mAttempts.back();
-}
-
-bool
-IsStream(const DirectCall& aDirect)
-{
-  return aDirect.mKind == CallKind::eStream;
-}
-
 uint32_t
 CountPossibleRuns(const DirectCall& aDirect)
 {
@@ -157,40 +145,17 @@
     return;
   }
   if (!aRequest.mReplyBegun) {
+    const DirectAttempt& attempt = LiveAttempt(aRequest);
+    aRequest.mDirect.mReplyEndsByClose = attempt.mEndsByClose;
     BeginReply(aStep,
                aRequest,
-               LiveAttempt(aRequest).mStatus,
-               HeadersForCaller(LiveAttempt(aRequest).mHeaders));
+               attempt.mStatus,
+               HeadersForCaller(attempt.mHeaders),
+               attempt.mEndsByClose);
   }
   SendReplyChunk(aStep, aRequest, std::move(aBytes));
 }
 
-void
-FinishAnswer(EntryStep& aStep, CallerRequest& aRequest)
-{
-  DirectAttempt& attempt = LiveAttempt(aRequest);
-  LogAttempt(aStep, aRequest, LogLevel::eInfo, "answer", "whole");
-  if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
-    attempt.mAnswered = true;
-    RecordAnsweredInput(aStep, aRequest.mInputParts);
-  }
-  NoteResult(aStep, attempt, attempt.mStatus < 500);
-  CloseAttempt(aStep,
-               aRequest,
-               attempt.mStatus < 500 ? SlotEnding::eServed
-                                     : SlotEnding::eFailed,
-               false);
-  if (aRequest.mReplyBegun) {
-    EndReply(aStep, aRequest);
-    return;
-  }
-  ReplyInFull(aStep,
-              aRequest,
-              attempt.mStatus,
-              HeadersForCaller(attempt.mHeaders),
-              std::move(aRequest.mAnswer.mBody));
-}
-
 // Records the input as answered once the stream has gone on for long enough.
 void
 RecordStreamProgress(EntryStep& aStep, CallerRequest& aRequest)
@@ -204,45 +169,6 @@
   }
 }
 
-// Handles an answer that ended before it was complete.
-void
-HandleBrokenAnswer(EntryStep& aStep,
-                   CallerRequest& aRequest,
-                   const std::string& aReason,
-                   Outcome aOutcome)
-{
-  DirectAttempt& attempt = LiveAttempt(aRequest);
-  if (aOutcome != Outcome::eNotRun && !attempt.mAnswered) {
-    attempt.mBrokeUnanswered = true;
-    RecordBrokenCall(aStep, aRequest, attempt);
-  }
-  DirectAttemptFailed(aStep,
-                      aRequest,
-                      ErrorKind::eTargetFailed,
-                      aReason,
-                      aOutcome == Outcome::eNotRun);
-}
-
-// Returns why a stream that ended is not complete, nullptr if it is. A stream
-// without a length ends with its connection, also when its target ends.
-const char*
-IncompleteStreamReason(const DirectCall& aDirect,
-                       const DirectAttempt& aAttempt,
-                       bool aEndedByClose)
-{
-  if (!IsStream(aDirect) || aAttempt.mStatus / 100 != 2) {
-    return nullptr;
-  }
-  if (HasPartialEvent(aDirect.mEvents)) {
-    return "the stream ended inside an event";
-  }
-  const bool resumed = aDirect.mEvents.mLast || aDirect.mResumeAfter;
-  if (aEndedByClose && !resumed && aAttempt.mAnsweredSince == kNever) {
-    return "the connection closed before the first event";
-  }
-  return nullptr;
-}
-
 // Stops sending requests to this start of the target. If aReport, control is
 // told that it leaves, so that other entries stop as well.
 void
@@ -292,6 +218,55 @@
   return request == aEntry.mRequests.end() ? nullptr : &request->second;
 }
 
+void
+FinishAnswer(EntryStep& aStep, CallerRequest& aRequest)
+{
+  DirectAttempt& attempt = LiveAttempt(aRequest);
+  LogAttempt(aStep,
+             aRequest,
+             LogLevel::eInfo,
+             "answer",
+             attempt.mEndsByClose ? "ended with its connection" : "whole");
+  if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
+    attempt.mAnswered = true;
+    RecordAnsweredInput(aStep, aRequest.mInputParts);
+  }
+  NoteResult(aStep, attempt, attempt.mStatus < 500);
+  CloseAttempt(aStep,
+               aRequest,
+               attempt.mStatus < 500 ? SlotEnding::eServed
+                                     : SlotEnding::eFailed,
+               false);
+  if (aRequest.mReplyBegun) {
+    EndReply(aStep, aRequest);
+    return;
+  }
+  ReplyInFull(aStep,
+              aRequest,
+              attempt.mStatus,
+              HeadersForCaller(attempt.mHeaders),
+              std::move(aRequest.mAnswer.mBody),
+              attempt.mEndsByClose);
+}
+
+void
+HandleBrokenAnswer(EntryStep& aStep,
+                   CallerRequest& aRequest,
+                   const std::string& aReason,
+                   Outcome aOutcome)
+{
+  DirectAttempt& attempt = LiveAttempt(aRequest);
+  if (aOutcome != Outcome::eNotRun && !attempt.mAnswered) {
+    attempt.mBrokeUnanswered = true;
+    RecordBrokenCall(aStep, aRequest, attempt);
+  }
+  DirectAttemptFailed(aStep,
+                      aRequest,
+                      ErrorKind::eTargetFailed,
+                      aReason,
+                      aOutcome == Outcome::eNotRun);
+}
+
 void
 CallTarget(EntryStep& aStep,
            CallerRequest& aRequest,
@@ -517,28 +492,6 @@
   body += aEvent.mBytes;
 }
 
-void
-HandleTargetEnded(EntryStep& aStep, const TargetCallEnded& aEvent)
-{
-  CallerRequest* request = RequestOfTargetCall(aStep.mEntry, aEvent.mCall);
-  if (request == nullptr) {
-    return;
-  }
-  EventStream& events = request->mDirect.mEvents;
-  if (const char* reason = IncompleteStreamReason(
-        request->mDirect, LiveAttempt(*request), aEvent.mByClose)) {
-    HandleBrokenAnswer(aStep, *request, reason, Outcome::eUnknown);
-    return;
-  }
-  if (request->mReplyBegun) {
-    SendReplyChunk(aStep, *request, std::move(events.mPending));
-  } else if (IsStream(request->mDirect)) {
-    request->mAnswer.mBody += events.mPending;
-  }
-  events.mPending.clear();
-  FinishAnswer(aStep, *request);
-}
-
 void
 HandleTargetFailed(EntryStep& aStep, const TargetCallFailed& aEvent)
 {
@@ -570,7 +523,7 @@
                         true);
     return;
   }
-  if (attempt.mSent && direct.mRepeatable &&
+  if (attempt.mSent && direct.mRepeatable && !attempt.mEndCheck &&
       aStep.mNow - attempt.mLastByte >= StallTimeout(aRequest) &&
       MayRetryDirect(aStep, aRequest, false)) {
     DirectAttemptFailed(aStep,
--- a/caraway/entry/direct_internal.h
+++ b/caraway/entry/direct_internal.h
@@ -19,6 +19,28 @@
   return !aDirect.mAttempts.empty() && !aDirect.mAttempts.back().mEnded;
 }
 
+inline DirectAttempt&
+LiveAttempt(CallerRequest& aRequest)
+{
+  return aRequest.mDirect.mAttempts.back();
+}
+
+inline bool
+IsStream(const DirectCall& aDirect)
+{
+  return aDirect.mKind == CallKind::eStream;
+}
+
+// Passes the end of the live attempt's answer on to the caller.
+void
+FinishAnswer(EntryStep& aStep, CallerRequest& aRequest);
+// Handles an answer that ended before it was complete.
+void
+HandleBrokenAnswer(EntryStep& aStep,
+                   CallerRequest& aRequest,
+                   const std::string& aReason,
+                   Outcome aOutcome);
+
 // Starts a call to the target. aSlotNode is the node that granted the slot,
 // empty for a call without a grant.
 void
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -53,6 +53,8 @@
   int mStatus = 0;
   Headers mHeaders;
   bool mEndsByClose = false; // the answer has no length and no chunks
+  // The connection has closed, and the target is checked, see answer_end.cpp.
+  bool mEndCheck = false;
 };
 
 struct DirectCall
@@ -74,6 +76,8 @@
   std::vector<DirectAttempt> mAttempts; // the last one is the live one
   std::vector<TargetId> mTried;         // excluded from further attempts
   EventStream mEvents;                  // spans all attempts
+  // The response to the caller was begun without a length and chunks.
+  bool mReplyEndsByClose = false;
   // Next check of the slot requests and the live attempt.
   MonoTime mCheckAt;
 };
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -221,7 +221,9 @@
   } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
     HandleTargetFailed(aStep, *failed);
   } else if (const auto* checked = std::get_if<TargetChecked>(&aEvent)) {
-    HandleCheckedTarget(aStep, *checked);
+    if (!HandleEndChecked(aStep, *checked)) {
+      HandleCheckedTarget(aStep, *checked);
+    }
   }
 }
 
--- a/caraway/entry/relay.cpp
+++ b/caraway/entry/relay.cpp
@@ -76,8 +76,13 @@
   }
   aRequest.mAnswer.mStatus = aPart.mStatus;
   aRequest.mAnswer.mHeaders = HeadersForCaller(aPart.mHeaders);
+  aRequest.mAnswer.mEndsByClose = aPart.mEndsByClose;
   if (IsStream(aRequest)) {
-    BeginReply(aStep, aRequest, aPart.mStatus, aRequest.mAnswer.mHeaders);
+    BeginReply(aStep,
+               aRequest,
+               aPart.mStatus,
+               aRequest.mAnswer.mHeaders,
+               aPart.mEndsByClose);
   }
   return true;
 }
@@ -103,7 +108,8 @@
                 aRequest,
                 aRequest.mAnswer.mStatus,
                 std::move(aRequest.mAnswer.mHeaders),
-                std::move(aRequest.mAnswer.mBody));
+                std::move(aRequest.mAnswer.mBody),
+                aRequest.mAnswer.mEndsByClose);
   }
 }
 
--- a/caraway/entry/reply.cpp
+++ b/caraway/entry/reply.cpp
@@ -71,12 +71,18 @@
             CallerRequest& aRequest,
             int aStatus,
             Headers aHeaders,
-            std::string aBody)
+            std::string aBody,
+            bool aEndsByClose)
 {
   if (!aRequest.mCallerGone) {
     aHeaders.emplace_back(kRequestIdHeader, aRequest.mId.mValue);
-    ReplyToHttpCall(
-      aStep, aRequest.mCall, aStatus, std::move(aHeaders), std::move(aBody));
+    CloseWhenDraining(aStep, aHeaders);
+    CountAnswer(aStep, aStatus);
+    aStep.mOut.emplace_back(HttpResponse{ aRequest.mCall,
+                                          aStatus,
+                                          std::move(aHeaders),
+                                          std::move(aBody),
+                                          aEndsByClose });
     aStep.mEntry.mMetrics.mFirstByte.Record(aStep.mNow - aRequest.mReceivedAt);
   }
   aStep.mEntry.mMetrics.mWhole.Record(aStep.mNow - aRequest.mReceivedAt);
@@ -87,7 +93,8 @@
 BeginReply(EntryStep& aStep,
            CallerRequest& aRequest,
            int aStatus,
-           Headers aHeaders)
+           Headers aHeaders,
+           bool aEndsByClose)
 {
   aRequest.mReplyBegun = true;
   aStep.mEntry.mMetrics.mFirstByte.Record(aStep.mNow - aRequest.mReceivedAt);
@@ -98,7 +105,7 @@
   aHeaders.emplace_back(kRequestIdHeader, aRequest.mId.mValue);
   CloseWhenDraining(aStep, aHeaders);
   aStep.mOut.emplace_back(
-    HttpBegin{ aRequest.mCall, aStatus, std::move(aHeaders) });
+    HttpBegin{ aRequest.mCall, aStatus, std::move(aHeaders), aEndsByClose });
 }
 
 void
--- a/caraway/entry/reply.h
+++ b/caraway/entry/reply.h
@@ -19,20 +19,23 @@
 RefuseHttpCall(EntryStep& aStep, HttpCallId aCall, const CallerError& aError);
 
 // Sends the complete response in one action and finishes the request.
+// aEndsByClose: nobody knows whether the body is whole, see HttpBegin.
 void
 ReplyInFull(EntryStep& aStep,
             CallerRequest& aRequest,
             int aStatus,
             Headers aHeaders,
-            std::string aBody);
+            std::string aBody,
+            bool aEndsByClose = false);
 
 // Streams a response: headers, then chunks, then the end, which finishes the
-// request.
+// request. aEndsByClose: see HttpBegin.
 void
 BeginReply(EntryStep& aStep,
            CallerRequest& aRequest,
            int aStatus,
-           Headers aHeaders);
+           Headers aHeaders,
+           bool aEndsByClose = false);
 void
 SendReplyChunk(EntryStep& aStep, CallerRequest& aRequest, std::string aBytes);
 void
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -72,7 +72,8 @@
   size_t mOutOfOrderBytes = 0;
   uint16_t mStatus = 0; // 0 before part 0
   Headers mHeaders;
-  std::string mBody; // of answers that are not streamed
+  bool mEndsByClose = false; // as on part 0
+  std::string mBody;         // of answers that are not streamed
 };
 
 struct CallerRequest
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -308,6 +308,12 @@
     Json{ { "custom_id", aTask.mCustomId }, { "output", aTask.mText } });
 }
 
+bool
+IsWholeJson(std::string_view aAnswer)
+{
+  return Json::accept(aAnswer);
+}
+
 std::string
 OutputLine(const BatchTask& aTask, std::string_view aAnswer)
 {
--- a/caraway/node/batch_line.h
+++ b/caraway/node/batch_line.h
@@ -51,6 +51,10 @@
 std::string
 RawOutputLine(const BatchTask& aTask);
 
+// False for an answer that was cut off.
+bool
+IsWholeJson(std::string_view aAnswer);
+
 // Formats the output line of an item: the response, or an error.
 std::string
 OutputLine(const BatchTask& aTask, std::string_view aAnswer);
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -243,7 +243,11 @@
   } else if (const auto* failed = std::get_if<TargetCallFailed>(&aEvent)) {
     OnTargetFailed(aNode, aNow, *failed, aOut);
   } else if (const auto* checked = std::get_if<TargetChecked>(&aEvent)) {
-    if (auto log = HandleTargetChecked(aNode.mCrashReporter, aNow, *checked)) {
+    const TargetCallId call = CallOfEndCheck(checked->mCheck);
+    if (!call.IsNone()) {
+      OnEndChecked(aNode, aNow, call, checked->mReach, aOut);
+    } else if (auto log =
+                 HandleTargetChecked(aNode.mCrashReporter, aNow, *checked)) {
       aOut.emplace_back(*std::move(log));
     }
   } else if (std::holds_alternative<StopRequested>(aEvent)) {
--- a/caraway/node/node_answers.cpp
+++ b/caraway/node/node_answers.cpp
@@ -56,6 +56,7 @@
   if (part.mPart == 0) {
     part.mStatus = static_cast<uint16_t>(aCall.mStatus);
     part.mHeaders = AnswerHeaders(aCall.mHeaders);
+    part.mEndsByClose = aCall.mEndsByClose;
     aCall.mHeaders.clear();
   }
   part.mBytes = std::string(aBytes);
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -199,10 +199,29 @@
   }
 }
 
-// Returns why the events of a raw item that ended are not the whole answer,
-// nullptr if they are.
+// Lets the item wait for another call. Does not count as an attempt.
+void
+CallTaskAgain(Node& aNode, MonoTime aNow, BatchTask& aTask, const Work& aWork)
+{
+  aTask.mTargetCall = {};
+  aTask.mWaitingSince = aNow;
+  AddBatch(aNode.mScheduler, aWork);
+}
+
+// True if the text of a raw item that ended with its connection may go on: the
+// call brought events, and a call that continues after them can tell.
+bool
+MayGoOn(const BatchTask& aTask)
+{
+  return aTask.mRaw && aTask.mStatus / 100 == 2 && !aTask.mNotRun &&
+         !aTask.mForeign && aTask.mEvents.mLast &&
+         aTask.mAnsweredSince != kNever;
+}
+
+} // namespace
+
 const char*
-IncompleteRawReason(const BatchTask& aTask, bool aByClose)
+IncompleteItemReason(const BatchTask& aTask, bool aByClose)
 {
   if (!aTask.mRaw || aTask.mNotRun || aTask.mForeign ||
       aTask.mStatus / 100 != 2) {
@@ -216,8 +235,6 @@
            : nullptr;
 }
 
-} // namespace
-
 void
 StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut)
 {
@@ -332,15 +349,28 @@
     return;
   }
   BatchTask& task = found->second;
-  if (const char* reason = IncompleteRawReason(task, aByClose)) {
+  if (const char* reason = IncompleteItemReason(task, aByClose)) {
     FailTask(aNode, aNow, aWork, Outcome::eUnknown, reason, aOut);
     return;
   }
+  auto running = aNode.mScheduler.mRunning.find(aWork);
+  if (aByClose && MayGoOn(task) && running != aNode.mScheduler.mRunning.end()) {
+    const Work work = running->second.mWork;
+    LogItem(aNode, task, "continued", "its end cannot be verified", aOut);
+    LogLimit(aNode,
+             RecordCallEnd(aNode.mScheduler, aNow, aWork, Ending::eGood, 0),
+             "item continued",
+             aOut);
+    CallTaskAgain(aNode, aNow, task, work);
+    return;
+  }
   if (task.mStatus / 100 == 2) {
     RecordAnsweredItem(aNode, aNow, task, aOut);
   }
   const bool truncated =
-    task.mEventStream && (!task.mStreamDone || task.mStreamError);
+    task.mEventStream ? !task.mStreamDone || task.mStreamError
+                      : aByClose && !task.mRaw && task.mStatus / 100 == 2 &&
+                          !IsWholeJson(task.mAnswer);
   if (!truncated && !task.mNotRun) {
     UpdateItemTimeEstimate(aNode, aNow, aWork);
   }
@@ -410,9 +440,7 @@
   if (again) {
     // The request did not reach the target: the item waits again, and this does
     // not count as an attempt.
-    task.mTargetCall = {};
-    task.mWaitingSince = aNow;
-    AddBatch(aNode.mScheduler, work);
+    CallTaskAgain(aNode, aNow, task, work);
     return;
   }
   if (!task.mAnswered) {
--- a/caraway/node/node_call.h
+++ b/caraway/node/node_call.h
@@ -35,6 +35,7 @@
   MonoTime mEnded{ 0 };          // time of the final state, 0: still live
   int mStatus = 0;               // HTTP status of the target
   Headers mHeaders;              // response headers, until part 0 is sent
+  bool mEndsByClose = false;     // the answer has no length and no chunks
   std::deque<AnswerPart> mParts; // kept for retransmission
   uint32_t mNextPart = 0;        // number of the next new part
   uint32_t mEvents = 0;          // SSE events relayed, counted as tokens
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -126,6 +126,15 @@
                const TargetCallFailed& aEvent,
                NodeActions& aOut);
 
+// Ends a call whose connection closed as the end of the answer, once it is
+// known how the target responds to a new connection.
+void
+OnEndChecked(Node& aNode,
+             MonoTime aNow,
+             TargetCallId aCall,
+             TargetReach aReach,
+             NodeActions& aOut);
+
 // --- Session (node_session.cpp, node_config.cpp)
 
 void
@@ -293,6 +302,10 @@
                   BatchTask& aTask,
                   std::string_view aBytes,
                   NodeActions& aOut);
+// Returns why the events of a raw item that ended are not the whole answer,
+// nullptr if they may be.
+const char*
+IncompleteItemReason(const BatchTask& aTask, bool aByClose);
 void
 FinishTask(Node& aNode,
            MonoTime aNow,
--- a/caraway/node/node_target.h
+++ b/caraway/node/node_target.h
@@ -54,6 +54,9 @@
   int mStatus = 0;        // orders
   Duration mTimeout;      // without any byte received
   MonoTime mLastByte;
+  // The connection has closed, which ended the answer, and the target is
+  // checked: only a target that still runs may have completed the answer.
+  bool mEndCheck = false;
 };
 
 } // namespace caraway
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -25,6 +25,60 @@
   return found == aNode.mTargetCalls.end() ? nullptr : &found->second;
 }
 
+// "ip:port" of the target.
+std::string
+TargetAddress(const Node& aNode)
+{
+  const std::string& url = aNode.mTarget.mAnnounced.mUrl;
+  const size_t scheme = url.find("://");
+  return scheme == std::string::npos ? url : url.substr(scheme + 3);
+}
+
+// True if an answer that ended with its connection may be complete, which
+// depends on whether the target still runs.
+bool
+NeedsEndCheck(Node& aNode, const TargetCallInfo& aInfo)
+{
+  if (aInfo.mUse == TargetUse::eOnline) {
+    return true;
+  }
+  const BatchTask* task =
+    aInfo.mUse == TargetUse::eBatch ? TaskOf(aNode, aInfo.mWork) : nullptr;
+  return task != nullptr && !task->mNotRun && !task->mForeign &&
+         IncompleteItemReason(*task, true) == nullptr;
+}
+
+void
+FinishTargetCall(Node& aNode,
+                 MonoTime aNow,
+                 const TargetCallInfo& aInfo,
+                 bool aByClose,
+                 NodeActions& aOut)
+{
+  switch (aInfo.mUse) {
+    case TargetUse::eOnline:
+      if (NodeCall* call = FindCallByWork(aNode, aInfo.mWork)) {
+        FinishCall(aNode, aNow, *call, aOut);
+      }
+      break;
+    case TargetUse::eBatch:
+      FinishTask(aNode, aNow, aInfo.mWork, aByClose, aOut);
+      break;
+    case TargetUse::eLoad:
+      OnLoadAnswer(aNode, aNow, true, aOut);
+      break;
+    case TargetUse::eOrder:
+      FinishOrder(aNode,
+                  aInfo,
+                  aInfo.mStatus / 100 == 2,
+                  "the target refused the order",
+                  aOut);
+      break;
+    case TargetUse::eCancel:
+      break;
+  }
+}
+
 } // namespace
 
 TargetCallId
@@ -71,6 +125,7 @@
     if (NodeCall* call = FindCallByWork(aNode, info->mWork)) {
       call->mStatus = aEvent.mStatus;
       call->mHeaders = aEvent.mHeaders;
+      call->mEndsByClose = aEvent.mEndsByClose;
     }
   } else if (info->mUse == TargetUse::eBatch) {
     if (BatchTask* task = TaskOf(aNode, info->mWork)) {
@@ -148,30 +203,41 @@
   if (found == aNode.mTargetCalls.end()) {
     return;
   }
-  const TargetCallInfo info = std::move(found->second);
+  TargetCallInfo& live = found->second;
+  if (aEvent.mByClose && NeedsEndCheck(aNode, live)) {
+    live.mEndCheck = true;
+    live.mLastByte = aNow;
+    aOut.emplace_back(MakeEndCheck(aEvent.mCall, TargetAddress(aNode)));
+    return;
+  }
+  const TargetCallInfo info = std::move(live);
   aNode.mTargetCalls.erase(found);
-  switch (info.mUse) {
-    case TargetUse::eOnline:
-      if (NodeCall* call = FindCallByWork(aNode, info.mWork)) {
-        FinishCall(aNode, aNow, *call, aOut);
-      }
-      break;
-    case TargetUse::eBatch:
-      FinishTask(aNode, aNow, info.mWork, aEvent.mByClose, aOut);
-      break;
-    case TargetUse::eLoad:
-      OnLoadAnswer(aNode, aNow, true, aOut);
-      break;
-    case TargetUse::eOrder:
-      FinishOrder(aNode,
-                  info,
-                  info.mStatus / 100 == 2,
-                  "the target refused the order",
-                  aOut);
-      break;
-    case TargetUse::eCancel:
-      break;
+  FinishTargetCall(aNode, aNow, info, aEvent.mByClose, aOut);
+}
+
+void
+OnEndChecked(Node& aNode,
+             MonoTime aNow,
+             TargetCallId aCall,
+             TargetReach aReach,
+             NodeActions& aOut)
+{
+  auto found = aNode.mTargetCalls.find(aCall);
+  if (found == aNode.mTargetCalls.end() || !found->second.mEndCheck) {
+    return; // the call was given up meanwhile
   }
+  if (aReach != TargetReach::eAccepts) {
+    OnTargetFailed(aNode,
+                   aNow,
+                   { aCall,
+                     Outcome::eUnknown,
+                     "the target ended with the connection of its answer" },
+                   aOut);
+    return;
+  }
+  const TargetCallInfo info = std::move(found->second);
+  aNode.mTargetCalls.erase(found);
+  FinishTargetCall(aNode, aNow, info, true, aOut);
 }
 
 void
--- a/caraway/wire/dispatch_messages.h
+++ b/caraway/wire/dispatch_messages.h
@@ -53,8 +53,11 @@
   uint32_t mPart = 0;   // from 0, no gaps
   uint16_t mStatus = 0; // HTTP status, on part 0
   HeaderList mHeaders;  // on part 0
-  std::string mBytes;   // at most 256 KiB
-  bool mLast = false;   // the response is complete
+  // On part 0: the target's answer has no length and no chunks, so that its end
+  // cannot be verified.
+  bool mEndsByClose = false;
+  std::string mBytes; // at most 256 KiB
+  bool mLast = false; // the response is complete
   // On the last part: load of the node.
   uint32_t mRunning = 0;
   uint32_t mQueued = 0;
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -48,6 +48,7 @@
            aValue.mPart,
            aValue.mStatus,
            aValue.mHeaders,
+           aValue.mEndsByClose,
            aValue.mBytes,
            aValue.mLast,
            aValue.mRunning,
