Let streams go on only at the software version that began them

What callers saw: streams that broke off went on at a target of another software version, within one response or when their caller resumed them at another entry, and held events that do not fit together.

Cause: nothing kept what had written the events that the caller already has; all targets of a service were taken for equal.

A stream now has an origin, the service and version that brought its first event. It goes on only there. The entry knows the origins of its own streams; while a service has had several versions, entries also send them to all control replicas, of which any may name one. An entry that does not know asks; only the leader may say that there has been one version. If nobody knows, or the version has left, the caller gets 503 at once, not run, without Retry-After.

Ruled out as ways: the replicated log (a sync for each stream in a release), records at nodes (they leave with their targets).

--- a/caraway/config/change.h
+++ b/caraway/config/change.h
@@ -2,6 +2,7 @@
 // A change of the configuration: the unit of replication and of distribution to
 // holders. Each change has a revision of its own.
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -101,6 +102,21 @@
   InputBlockId mBlock;
 };
 
+// A software version that streams of the service may have begun at. Targets add
+// theirs by their records; this change adds one that no target has any more.
+struct RememberVersion
+{
+  ServiceId mService;
+  std::string mVersion;
+};
+
+// No stream of the service that began at the version can go on any more.
+struct ForgetVersion
+{
+  ServiceId mService;
+  std::string mVersion;
+};
+
 using ConfigChange = std::variant<SetContract,
                                   WithdrawContract,
                                   CreateKey,
@@ -115,7 +131,9 @@
                                   SetTarget,
                                   RemoveTarget,
                                   SetInputBlock,
-                                  RemoveInputBlock>;
+                                  RemoveInputBlock,
+                                  RememberVersion,
+                                  ForgetVersion>;
 
 // A change and its revision.
 struct RevisedChange
--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -3,6 +3,8 @@
 
 #include "caraway/config/config_view.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
 #include "caraway/base/visitor.h"
@@ -98,6 +100,7 @@
       [&](const SetPlan& aSet) { ApplyPlan(aView, aSet.mPlan); },
       [&](const SetTarget& aSet) {
         aView.mTargets[aSet.mTarget.mId] = aSet.mTarget;
+        aView.mVersions[aSet.mTarget.mService].insert(aSet.mTarget.mVersion);
       },
       [&](const RemoveTarget& aRemove) {
         auto target = aView.mTargets.find(aRemove.mTarget);
@@ -112,8 +115,24 @@
       [&](const RemoveInputBlock& aRemove) {
         aView.mInputBlocks.erase(aRemove.mBlock);
       },
+      [&](const RememberVersion& aRemember) {
+        aView.mVersions[aRemember.mService].insert(aRemember.mVersion);
+      },
+      [&](const ForgetVersion& aForget) {
+        auto versions = aView.mVersions.find(aForget.mService);
+        if (versions != aView.mVersions.end()) {
+          versions->second.erase(aForget.mVersion);
+          if (versions->second.empty()) {
+            aView.mVersions.erase(versions);
+          }
+        }
+      },
     },
     aChange);
+  if (std::holds_alternative<RememberVersion>(aChange) ||
+      std::holds_alternative<ForgetVersion>(aChange)) {
+    return; // no object that operators write
+  }
   if (const auto* lifted = std::get_if<RemoveInputBlock>(&aChange)) {
     // Ids of blocks come without end and are not used again.
     aView.mObjectRevisions.erase(ObjectName(*lifted));
@@ -160,6 +179,25 @@
   return flag == aView.mTargetInService.end() || flag->second;
 }
 
+bool
+HasTargetOf(const ConfigView& aView,
+            const ServiceId& aService,
+            const std::string& aVersion)
+{
+  return std::any_of(
+    aView.mTargets.begin(), aView.mTargets.end(), [&](const auto& aEntry) {
+      return aEntry.second.mService == aService &&
+             aEntry.second.mVersion == aVersion;
+    });
+}
+
+bool
+HasSeveralVersions(const ConfigView& aView, const ServiceId& aService)
+{
+  auto versions = aView.mVersions.find(aService);
+  return versions != aView.mVersions.end() && versions->second.size() > 1;
+}
+
 const InputBlock*
 FindInputBlock(const ConfigView& aView,
                const WorkspaceId& aWorkspace,
@@ -219,6 +257,12 @@
       [](const RemoveInputBlock& aRemove) {
         return InputBlockName(aRemove.mBlock);
       },
+      [](const RememberVersion& aRemember) {
+        return absl::StrCat("version/", aRemember.mService.mValue);
+      },
+      [](const ForgetVersion& aForget) {
+        return absl::StrCat("version/", aForget.mService.mValue);
+      },
     },
     aChange);
 }
@@ -281,6 +325,11 @@
   for (const auto& [id, block] : aView.mInputBlocks) {
     add(SetInputBlock{ block });
   }
+  for (const auto& [service, versions] : aView.mVersions) {
+    for (const std::string& version : versions) {
+      add(RememberVersion{ service, version });
+    }
+  }
   return changes;
 }
 
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
@@ -28,6 +30,9 @@
   std::map<TargetId, bool> mTargetInService; // absent means in service
   std::map<InstanceId, Member> mMembers;
   std::map<TargetId, Target> mTargets;
+  // Software versions at which streams of each service may have begun: those of
+  // its targets, and of former targets until ForgetVersion.
+  std::map<ServiceId, std::set<std::string>> mVersions;
   std::shared_ptr<const ServingPlan> mPlan; // null until the first one is set
   std::map<InputBlockId, InputBlock> mInputBlocks; // at most kMaxInputBlocks
   // Keys of mPlan. Contracts of its workspaces are in mContracts.
@@ -49,6 +54,16 @@
 bool
 TargetInService(const ConfigView& aView, const TargetId& aTarget);
 
+// True if a target of the service has the software version.
+bool
+HasTargetOf(const ConfigView& aView,
+            const ServiceId& aService,
+            const std::string& aVersion);
+
+// True if streams of the service may have begun at different software versions.
+bool
+HasSeveralVersions(const ConfigView& aView, const ServiceId& aService);
+
 // The block in force that covers the request, nullptr if there is none.
 const InputBlock*
 FindInputBlock(const ConfigView& aView,
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -305,6 +305,19 @@
     }
   }
 
+  void operator()(const ForgetVersions& aForget)
+  {
+    for (const ForgetVersion& forget : aForget.mVersions) {
+      const ConfigView& view = mState.mConfig.mView;
+      auto versions = view.mVersions.find(forget.mService);
+      if (versions != view.mVersions.end() &&
+          versions->second.contains(forget.mVersion) &&
+          !HasTargetOf(view, forget.mService, forget.mVersion)) {
+        AppendChange(mState.mConfig, forget);
+      }
+    }
+  }
+
   void operator()(const ControlCall& aCall)
   {
     if (ApplyConfigCall(aCall.mBody)) {
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -65,6 +65,13 @@
   std::vector<InputBlockId> mRemove;
 };
 
+// Drops software versions that no target has had for so long that no stream
+// which began at them goes on. A version that a target has by now stays.
+struct ForgetVersions
+{
+  std::vector<ForgetVersion> mVersions;
+};
+
 using CommandBody = std::variant<ConfigOperation,
                                  RegisterMember,
                                  UpdateMember,
@@ -74,7 +81,8 @@
                                  ItemResults,
                                  LedgerTick,
                                  RemoveTargets,
-                                 ChangeInputBlocks>;
+                                 ChangeInputBlocks,
+                                 ForgetVersions>;
 
 struct ControlCommand
 {
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -69,6 +69,13 @@
   aArchive(aValue.mSet, aValue.mRemove);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ForgetVersions& aValue)
+{
+  aArchive(aValue.mVersions);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCommand& aValue)
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -47,7 +47,8 @@
   std::is_same_v<T, ControlCall> || std::is_same_v<T, ControlMap> ||
   std::is_same_v<T, JoinGroup> || std::is_same_v<T, FoundGroup> ||
   std::is_same_v<T, TargetsHeard> || std::is_same_v<T, CrashReport> ||
-  std::is_same_v<T, StartedParts>;
+  std::is_same_v<T, StartedParts> || std::is_same_v<T, StreamsBegun> ||
+  std::is_same_v<T, OriginQuery>;
 
 struct EventHandler
 {
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -88,6 +88,10 @@
   PendingReply mPendingReply;
 };
 
+// Origins of streams kept by one replica: of some hundred streams a second for
+// as long as callers resume them. Takes up 5 MB.
+constexpr size_t kMaxStreamOrigins = 65536;
+
 // Soft state that only the leader has; cleared when the leadership ends.
 struct Leadership
 {
@@ -110,6 +114,8 @@
   CrashEvidence mEvidence;
   // When a change of the block was last proposed.
   std::map<InputBlockId, MonoTime> mBlockProposedAt;
+  // Since when no target has had a software version that is still remembered.
+  std::map<std::pair<ServiceId, std::string>, MonoTime> mVersionUnusedSince;
   std::set<PeerAddress> mIdleNodes; // asked for items when none were ready
 };
 
@@ -139,6 +145,8 @@
   MonoTime mEntryLeft; // when an entry last left the configuration, or the
                        // state was loaded
   BlobFetches mFetches;
+  // Soft state of every replica, as entries report it.
+  StreamOrigins mStreamOrigins{ kMaxStreamOrigins };
   std::optional<SnapshotMark> mSaving; // snapshot being written
   uint64_t mKeyNumber = 0;             // keys derived since the start
   bool mHalted = false; // disk failed or data is corrupt; answers HTTP only
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -170,6 +170,7 @@
     RemoveSilentTargets(aStep);
     ReconcileReplicas(aStep);
     DecideInputBlocks(aStep);
+    ForgetUnusedVersions(aStep);
     ProposeTick(aStep);
   }
 }
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -173,6 +173,17 @@
 void
 DecideInputBlocks(ControlStep& aStep);
 
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const StreamsBegun& aMessage); // stream_versions.cpp
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const OriginQuery& aMessage);
+void
+ForgetUnusedVersions(ControlStep& aStep);
+
 void
 HandleHttp(ControlStep& aStep,
            const HttpRequest& aRequest); // operator_http.cpp
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/input_crashes.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
+#include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/target_reports.h"
 
 namespace caraway {
@@ -283,6 +284,7 @@
   attempt.mStartedAt = attempt.mLastByte = aStep.mNow;
   attempt.mTargetStart = aTarget.mStartedAt;
   attempt.mTargetAddress = aTarget.mAddress;
+  attempt.mTargetVersion = aTarget.mVersion;
   StartTargetCall start;
   start.mCall = attempt.mCall;
   start.mUrl = "http://" + aTarget.mAddress;
@@ -468,6 +470,7 @@
     }
     if (!events.empty()) {
       RecordStreamProgress(aStep, *request);
+      RecordStreamEvent(aStep, *request);
     }
     SendEvents(aStep, *request, std::move(events));
     if (request->mDirect.mEvents.mPending.size() > kMaxEventBytes) {
@@ -510,6 +513,10 @@
     ScheduleRequest(aStep, aRequest);
     return;
   }
+  if (NeedsOrigin(aRequest)) {
+    TickOriginSearch(aStep, aRequest);
+    return;
+  }
   if (!IsCalling(direct)) {
     TickSlotRequests(aStep, aRequest);
     return;
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
+#include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
 
@@ -36,13 +37,35 @@
 constexpr int64_t kRetryAfterDivisor = 3;
 constexpr Duration kMinRetryAfter = Millis(100);
 
+// True if the target may be given this request.
+bool
+AcceptsRequest(const Entry& aEntry,
+               const DirectCall& aDirect,
+               const Target& aTarget)
+{
+  return aTarget.mService == aDirect.mService &&
+         AcceptsNewWork(aEntry, aTarget) && MayContinueAt(aDirect, aTarget);
+}
+
+// False if the request continues a stream and no target of its version takes
+// requests, however busy they are.
+bool
+AnyAccepts(const Entry& aEntry, const DirectCall& aDirect)
+{
+  const auto& targets = aEntry.mConfig.mTargets;
+  return !aDirect.mOrigin ||
+         std::any_of(targets.begin(), targets.end(), [&](const auto& aOne) {
+           return AcceptsRequest(aEntry, aDirect, aOne.second);
+         });
+}
+
 std::vector<PlacementCandidate>
-CandidatesOf(EntryStep& aStep, const ServiceId& aService)
+CandidatesOf(EntryStep& aStep, const DirectCall& aDirect)
 {
   const Entry& entry = aStep.mEntry;
   std::vector<PlacementCandidate> candidates;
   for (const auto& [id, target] : entry.mConfig.mTargets) {
-    if (target.mService == aService && AcceptsNewWork(entry, target) &&
+    if (AcceptsRequest(entry, aDirect, target) &&
         (NodeOfTarget(entry, target) != nullptr ||
          MayCallWithoutGrant(aStep, target))) {
       candidates.push_back({ id, target.mZone, target.mSlots });
@@ -122,7 +145,7 @@
     query.mExclude.push_back(slotRequest.mTarget);
   }
   const std::vector<PlacementCandidate> candidates =
-    CandidatesOf(aStep, direct.mService);
+    CandidatesOf(aStep, direct);
   Placement placement = ChoosePlacement(
     candidates, entry.mPlacement, query, aStep.mNow, entry.mRandom);
   placement.mLog.mExtra.push_back(
@@ -216,7 +239,8 @@
       ++at;
       continue;
     }
-    if (MayCallWithoutGrant(aStep, target->second)) {
+    if (MayContinueAt(direct, target->second) &&
+        MayCallWithoutGrant(aStep, target->second)) {
       const Target chosen = target->second;
       CancelSlotRequests(aStep, aRequest);
       CallTarget(aStep, aRequest, chosen, {});
@@ -268,7 +292,15 @@
   DirectCall& direct = aRequest.mDirect;
   aRequest.mPhase = RequestPhase::eDirect;
   direct.mSlotRequests.clear();
+  if (NeedsOrigin(aRequest)) {
+    FindOrigin(aStep, aRequest);
+    return;
+  }
   if (!RequestNextSlot(aStep, aRequest)) {
+    if (!AnyAccepts(aStep.mEntry, direct)) {
+      RefuseContinuation(aStep, aRequest);
+      return;
+    }
     RefuseDirect(aStep,
                  aRequest,
                  ErrorKind::eUnavailable,
@@ -367,7 +399,7 @@
   slotRequest->mExpectedWait = aReply.mExpectedWait;
   if (aReply.mState == SlotState::eGranted) {
     if (target == entry.mConfig.mTargets.end() ||
-        !AcceptsNewWork(entry, target->second)) {
+        !AcceptsRequest(entry, request->mDirect, target->second)) {
       CancelSlotRequests(aStep, *request);
       StartDirect(aStep, *request);
       return;
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -10,6 +10,7 @@
 #include "caraway/base/event_stream.h"
 #include "caraway/base/target_call.h"
 #include "caraway/config/plan_route.h"
+#include "caraway/routing/stream_origins.h"
 
 namespace caraway {
 
@@ -47,6 +48,7 @@
   bool mUnguarded = false;          // started without a slot grant
   int64_t mTargetStart = 0;         // start of the target, Unix milliseconds
   std::string mTargetAddress;       // "ip:port"
+  std::string mTargetVersion;       // of its software
   MonoTime mAnsweredSince = kNever; // its first complete event
   bool mAnswered = false; // the answer has gone on for kAnswerSettles, or ended
   bool mBrokeUnanswered = false; // its connection broke before that
@@ -66,6 +68,16 @@
   uint32_t mMaxAttempts = 1;
   std::string mHost;
   std::optional<uint64_t> mResumeAfter; // last event id that the caller has
+  StreamId mResumes; // with mResumeAfter: the stream; none: not named
+  // Which service and version began the stream: known once its first event has
+  // arrived, or found for a stream that the caller resumes.
+  std::optional<StreamOrigin> mOrigin;
+  bool mOriginRecorded = false;
+  // While the origin is looked for: when to give up, the replies to the last
+  // question, and whether the leader has said that it does not know.
+  MonoTime mOriginBy;
+  size_t mOriginReplies = 0;
+  bool mOriginUnknown = false;
   Duration mLatencyGoal;
   Duration mGapGoal;
   MonoTime mGoalAt;            // time of receipt plus the latency goal
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -21,6 +21,7 @@
 #include "caraway/entry/relay.h"
 #include "caraway/entry/replica_discovery.h"
 #include "caraway/entry/reply.h"
+#include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/target_reports.h"
 #include "caraway/entry/targets.h"
@@ -42,7 +43,8 @@
              std::holds_alternative<SetZoneService>(aChange.mChange) ||
              std::holds_alternative<SetTargetService>(aChange.mChange) ||
              std::holds_alternative<SetTarget>(aChange.mChange) ||
-             std::holds_alternative<RemoveTarget>(aChange.mChange);
+             std::holds_alternative<RemoveTarget>(aChange.mChange) ||
+             std::holds_alternative<ForgetVersion>(aChange.mChange);
     });
 }
 
@@ -64,6 +66,7 @@
   if (aTopology) {
     TopologyChanged(aStep);
     AttemptsTopologyChanged(aStep);
+    VersionsChanged(aStep);
   }
   RenewNow(aStep);
   ProcessEarlyRequests(aStep);
@@ -126,6 +129,8 @@
     HandleReportAck(aStep.mEntry.mCrashReporter, *ack);
   } else if (const auto* query = std::get_if<SuspectQuery>(&message)) {
     HandleSuspectQuery(aStep, from, *query);
+  } else if (const auto* origin = std::get_if<OriginReply>(&message)) {
+    HandleOriginReply(aStep, *origin);
   }
 }
 
@@ -271,6 +276,7 @@
     TickReplicaDiscovery(step);
     TickTargetReports(step);
     TickCrashReports(step);
+    TickResumedStreams(step);
     TickDirectNodes(step);
     TickDrain(step);
   }
@@ -296,6 +302,7 @@
                              DirectWakeup(aEntry),
                              EarlyRequestsWakeup(aEntry),
                              NextWakeup(aEntry.mCrashReporter),
+                             aEntry.mStreams.mTellAt,
                              DrainWakeup(aEntry) });
   if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -17,6 +17,7 @@
 #include "caraway/entry/forward_request.h"
 #include "caraway/entry/replica_discovery_state.h"
 #include "caraway/entry/request_state.h"
+#include "caraway/entry/resumed_streams_state.h"
 #include "caraway/entry/session_state.h"
 #include "caraway/entry/target_reports_state.h"
 #include "caraway/entry/timer_set.h"
@@ -111,6 +112,7 @@
   ReplicaDiscovery mReplicaDiscovery;
   TargetReports mReports;
   CrashReporter mCrashReporter;
+  ResumedStreams mStreams;
 };
 
 } // namespace caraway
--- a/caraway/entry/error_body.cpp
+++ b/caraway/entry/error_body.cpp
@@ -142,7 +142,8 @@
   Headers headers{ { "Content-Type", "application/json" } };
   const int status =
     aError.mStatus != 0 ? aError.mStatus : HttpStatusOf(aError.mKind);
-  const bool mayRetry = status == 429 || status == 503;
+  const bool mayRetry =
+    (status == 429 || status == 503) && aError.mRetryAfter >= Duration{};
   if (mayRetry || aError.mRetryAfter > Duration{}) {
     const Duration wait =
       aError.mRetryAfter > Duration{} ? aError.mRetryAfter : kDefaultRetryAfter;
--- a/caraway/entry/error_body.h
+++ b/caraway/entry/error_body.h
@@ -17,8 +17,8 @@
   std::string mRemedy;  // what to do; empty: the default of the kind
   Outcome mOutcome = Outcome::eNotRun;
   // 0: the default, which is 1 s with status 429 or 503, else no header.
-  Duration mRetryAfter;
-  int mStatus = 0; // HTTP status; 0: the default of the kind
+  Duration mRetryAfter; // negative: another attempt cannot help
+  int mStatus = 0;      // HTTP status; 0: the default of the kind
   // Retry-After with milliseconds, for callers that parse fractions.
   bool mFractionalRetryAfter = false;
 };
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -67,6 +67,9 @@
   direct.mMaxAttempts = std::max<uint32_t>(1, aRoute.mMaxAttempts);
   direct.mHost = aRequest.mHost;
   direct.mResumeAfter = aRequest.mResumeAfter;
+  if (!aRequest.mResumes.Empty()) {
+    direct.mResumes = StreamIdOf(aRequest.mResumes);
+  }
   direct.mLatencyGoal = aRoute.mLatencyGoal;
   direct.mGapGoal = aRoute.mGapGoal;
   direct.mGoalAt = aReceivedAt + aRoute.mLatencyGoal;
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -31,6 +31,8 @@
   std::string mBody;
   std::optional<Duration> mDeadline;    // how long the caller waits
   std::optional<uint64_t> mResumeAfter; // id of the last event it received
+  // With mResumeAfter: its earlier request that brought the first event.
+  RequestId mResumes;
   uint32_t mPromptTokens = 0;
   uint32_t mOutputTokens = 0;
   // Parts of the prompt that other requests may have as well.
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -28,6 +28,7 @@
     "FoundGroup",     "JoinGroup",      "TargetsHeard",
     "WorkAvailable",  "Leading",        "CrashReport",
     "CrashReportAck", "SuspectQuery",   "StartedParts",
+    "StreamsBegun",   "OriginQuery",    "OriginReply",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -20,6 +20,7 @@
 #include "caraway/wire/raft_messages.h"
 #include "caraway/wire/session_messages.h"
 #include "caraway/wire/slot_messages.h"
+#include "caraway/wire/stream_messages.h"
 
 namespace caraway {
 
@@ -67,7 +68,10 @@
                              CrashReport,
                              CrashReportAck,
                              SuspectQuery,
-                             StartedParts>;
+                             StartedParts,
+                             StreamsBegun,
+                             OriginQuery,
+                             OriginReply>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -266,6 +266,20 @@
   aArchive(aValue.mBlock);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, RememberVersion& aValue)
+{
+  aArchive(aValue.mService, aValue.mVersion);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ForgetVersion& aValue)
+{
+  aArchive(aValue.mService, aValue.mVersion);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RevisedChange& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -8,6 +8,7 @@
 #include "caraway/wire/serialize_control.h"
 #include "caraway/wire/serialize_poison.h"
 #include "caraway/wire/serialize_slots.h"
+#include "caraway/wire/serialize_streams.h"
 
 namespace caraway {
 
--- a/tests/entry_version_test.cpp
+++ b/tests/entry_version_test.cpp
@@ -25,8 +25,9 @@
     Change(SetTarget{ target });
   }
 
-  // Sends a request that continues a stream after its first event.
-  uint64_t SendResume()
+  // Sends a request that continues a stream after its first event. aResumes is
+  // the request that brought it.
+  uint64_t SendResume(const std::string& aResumes = {})
   {
     ForwardRequest request;
     const uint64_t call = mNextCall++;
@@ -37,9 +38,30 @@
     request.mMethod = "POST";
     request.mPath = "/resume/x";
     request.mResumeAfter = 1;
+    request.mResumes = RequestId(aResumes);
     Step(request);
     return call;
   }
+
+  // Replies to the question of the request as one replica.
+  void ReplyOrigin(uint64_t aCall,
+                   OriginState aState,
+                   bool aLeader,
+                   const char* aVersion = "")
+  {
+    OriginReply reply;
+    reply.mRequest = RequestId("r" + std::to_string(aCall));
+    reply.mState = aState;
+    reply.mLeader = aLeader;
+    reply.mOrigin = { ServiceId("engine"), aVersion };
+    Receive(kControl, reply);
+  }
+
+  std::string RequestedTarget()
+  {
+    const PeerAddress node = RequestedNode();
+    return node.Empty() ? "" : "t-" + node.mValue;
+  }
 };
 
 } // namespace
@@ -76,4 +98,124 @@
   BOOST_TEST(mTargetCalls.empty());
 }
 
+BOOST_AUTO_TEST_CASE(stream_goes_on_at_another_target_of_its_version)
+{
+  SetVersion("t-a2", "v1");
+  uint64_t call = 0;
+  const StartTargetCall first = StartCall("resume", call);
+  Begin(first, 200);
+  Bytes(first, "id: 1\ndata: a\n\n");
+  Break(first, Outcome::eUnknown);
+  BOOST_TEST(*GrantNext(call).mContext.mResumeAfter == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(own_record_decides_where_a_resumed_stream_goes_on)
+{
+  for (int round = 0; round < 4; ++round) {
+    uint64_t call = 0;
+    const StartTargetCall first = StartCall("resume", call);
+    const std::string began = first.mContext.mExpected.mValue;
+    Begin(first, 200);
+    Bytes(first, "id: 1\ndata: a\n\n");
+    Step(HttpClosed{ HttpCallId(call) });
+    mSent.clear();
+    const uint64_t again = SendResume("r" + std::to_string(call));
+    BOOST_TEST(RequestedTarget() == began);
+    Step(HttpClosed{ HttpCallId(again) });
+    mSent.clear();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(record_of_any_replica_decides)
+{
+  const uint64_t call = SendResume("r-elsewhere");
+  const auto asked = Sent<OriginQuery>();
+  BOOST_REQUIRE_EQUAL(asked.size(), 1u);
+  BOOST_TEST((asked[0].mStream == StreamIdOf(RequestId("r-elsewhere"))));
+  BOOST_TEST(Sent<SlotRequest>().empty());
+  ReplyOrigin(call, OriginState::eKnown, false, "v2");
+  BOOST_TEST(RequestedTarget() == "t-a2");
+}
+
+BOOST_AUTO_TEST_CASE(only_the_leader_can_say_that_there_is_one_version)
+{
+  const uint64_t call = SendResume();
+  ReplyOrigin(call, OriginState::eOneVersion, false, "v1");
+  BOOST_TEST(Sent<SlotRequest>().empty());
+  ReplyOrigin(call, OriginState::eOneVersion, true, "v1");
+  BOOST_TEST(RequestedTarget() == "t-a1");
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_refused_at_once_if_nobody_knows_its_version)
+{
+  const uint64_t call = SendResume("r-elsewhere");
+  ReplyOrigin(call, OriginState::eUnknown, true);
+  BOOST_TEST(Status(call) == 503);
+  BOOST_TEST(ErrorField(call, "outcome") == "not_run");
+  BOOST_TEST(HeaderOf(call, "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_refused_at_once_if_its_version_has_left)
+{
+  const uint64_t call = SendResume("r-elsewhere");
+  Change(RemoveTarget{ TargetId("t-a1"), 1 });
+  ReplyOrigin(call, OriginState::eKnown, true, "v1");
+  BOOST_TEST(Status(call) == 503);
+  BOOST_TEST(mTargetCalls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(question_is_repeated_until_a_leader_answers)
+{
+  const uint64_t call = SendResume("r-elsewhere");
+  Advance(Millis(250));
+  BOOST_TEST(Sent<OriginQuery>().size() == 3u);
+  ReplyOrigin(call, OriginState::eKnown, true, "v1");
+  BOOST_TEST(RequestedTarget() == "t-a1");
+}
+
+// A target that restarts under its id with another version while the slot
+// request is on its way must not get the stream.
+BOOST_AUTO_TEST_CASE(grant_of_a_target_that_changed_its_version_is_not_used)
+{
+  const uint64_t call = SendResume("r-elsewhere");
+  ReplyOrigin(call, OriginState::eKnown, true, "v1");
+  const PeerAddress node = RequestedNode();
+  SetVersion("t-a1", "v2");
+  ReplySlot(node, call, SlotState::eGranted);
+  BOOST_TEST(mTargetCalls.empty());
+  BOOST_TEST(Status(call) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(replicas_learn_of_streams_while_there_are_two_versions)
+{
+  uint64_t call = 0;
+  const StartTargetCall first = StartCall("resume", call);
+  Begin(first, 200);
+  Bytes(first, "id: 1\ndata: a\n\n");
+  Advance(Millis(100));
+  const auto told = Sent<StreamsBegun>();
+  BOOST_REQUIRE_EQUAL(told.size(), 1u);
+  BOOST_REQUIRE_EQUAL(told[0].mStreams.size(), 1u);
+  BOOST_TEST((told[0].mStreams[0].mStream ==
+              StreamIdOf(RequestId("r" + std::to_string(call)))));
+  BOOST_TEST(told[0].mOrigins[0].mVersion ==
+             (first.mContext.mExpected.mValue == "t-a1" ? "v1" : "v2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
+
+// Streams that began before the second version came are told when it comes.
+BOOST_FIXTURE_TEST_CASE(replicas_learn_of_earlier_streams, Direct)
+{
+  uint64_t call = 0;
+  const StartTargetCall first = StartCall("resume", call);
+  Begin(first, 200);
+  Bytes(first, "id: 1\ndata: a\n\n");
+  Advance(Millis(100));
+  BOOST_TEST(Sent<StreamsBegun>().empty());
+  Target target = mEntry.mConfig.mTargets.at(TargetId("t-a2"));
+  target.mVersion = "v2";
+  Change(SetTarget{ target });
+  Advance(Millis(100));
+  BOOST_TEST(Sent<StreamsBegun>().size() == 1u);
+}
