Start a batch item anew if another software version began its text

The ledger kept the text of an item that broke, and a node went on with it whatever version had written it. The progress now names its version; a node with another one starts the item from the beginning. An item whose events had no ids kept its text as well and would have repeated it; it starts anew, too.

Tests: node_version_test (item_of_another_version_starts_anew would go on after event 3 before), ledger_routed_job_test.

--- a/caraway/ledger/results.cpp
+++ b/caraway/ledger/results.cpp
@@ -102,7 +102,9 @@
       aChange.mWork.mHeldSince = aChange.mLedger.mNow;
     }
     if (aResult.mProgress.mLastEvent > 0) {
-      aChange.mWork.mProgress[item] = aResult.mProgress;
+      ItemProgress& progress = aChange.mWork.mProgress[item];
+      progress = aResult.mProgress;
+      progress.mVersion = aResult.mBody;
     }
     return;
   }
--- a/caraway/ledger/snapshot.cpp
+++ b/caraway/ledger/snapshot.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-constexpr uint32_t kFormat = 3;
-constexpr uint32_t kFormatWithoutHeldItems = 2; // still read
+constexpr uint32_t kFormat = 4;
+// Earlier formats that are still read.
+constexpr uint32_t kFormatWithoutVersions = 3;
+constexpr uint32_t kFormatWithoutHeldItems = 2;
 
 // Bounded so that the sum of two valid times or durations does not overflow.
 bool
@@ -284,6 +286,14 @@
     }
   }
   aArchive(aValue.mHeld, aValue.mHeldSince);
+  if constexpr (Archive::is_loading::value) {
+    if (aArchive.mFormat == kFormatWithoutVersions) {
+      return;
+    }
+  }
+  for (auto& [item, progress] : aValue.mProgress) {
+    aArchive(progress.mVersion);
+  }
 }
 
 template<class Archive>
@@ -406,8 +416,9 @@
   if (!decoded.ok()) {
     return decoded.status();
   }
-  const bool known =
-    decoded->mFormat == kFormat || decoded->mFormat == kFormatWithoutHeldItems;
+  const bool known = decoded->mFormat == kFormat ||
+                     decoded->mFormat == kFormatWithoutVersions ||
+                     decoded->mFormat == kFormatWithoutHeldItems;
   if (!known || !ValidLedger(decoded->mLedger)) {
     return MakeError(
       ErrorKind::eCorruptData,
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -108,6 +108,7 @@
   if (task.mRaw && aItem.mProgress.mLastEvent > 0) {
     task.mEvents.mLast = aItem.mProgress.mLastEvent;
     task.mText = aItem.mProgress.mText;
+    task.mVersion = aItem.mProgress.mVersion;
   }
   Work work;
   work.mId = task.mWork;
--- a/caraway/node/node_batch_results.cpp
+++ b/caraway/node/node_batch_results.cpp
@@ -81,7 +81,8 @@
   const bool returned =
     aVerdict == ItemVerdict::eReturned || aVerdict == ItemVerdict::eHeld;
   if (returned && aTask.mEvents.mLast) {
-    result.mProgress = { *aTask.mEvents.mLast, aTask.mText };
+    result.mProgress = { *aTask.mEvents.mLast, aTask.mText, {} };
+    result.mBody = aTask.mVersion;
   }
   group.mResults.push_back(std::move(result));
 }
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -97,10 +97,16 @@
   return aTask.mAnswer.substr(0, kMaxErrorText);
 }
 
-// Starts a raw item. A resumed one continues after the last event received.
+// Starts a raw item. It continues after the last event received, unless another
+// software version wrote that, or the event had no id.
 void
 StartRawTask(Node& aNode, MonoTime aNow, BatchTask& aTask, NodeActions& aOut)
 {
+  if (!aTask.mEvents.mLast || aTask.mVersion != aNode.mRecord.mVersion) {
+    aTask.mEvents = {};
+    aTask.mText.clear();
+    aTask.mVersion = aNode.mRecord.mVersion;
+  }
   aTask.mStatus = 0;
   aTask.mEventStream = false;
   aTask.mNotRun = aTask.mForeign = false;
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -31,6 +31,9 @@
 {
   uint64_t mLastEvent = 0; // id of the last event in mText, 0: none
   std::string mText;       // concatenated data of the events so far
+  // Software version of the target that wrote mText. Another version cannot
+  // continue it. Stored apart from the other members, see serialize_items.h.
+  std::string mVersion;
 };
 
 struct BatchItem
@@ -73,7 +76,9 @@
   uint32_t mIndex = 0;
   ItemVerdict mVerdict = ItemVerdict::eDone;
   uint16_t mStatus = 0;   // HTTP status of the target, 0 if none
-  std::string mBody;      // response JSON, or the reason for a failure
+  // Response JSON, or the reason for a failure. Of a returned item: the version
+  // of its progress.
+  std::string mBody;
   ItemProgress mProgress; // of returned items
 };
 
--- a/caraway/wire/serialize_items.h
+++ b/caraway/wire/serialize_items.h
@@ -14,6 +14,8 @@
   aArchive(aValue.mId, aValue.mTokens);
 }
 
+// Without the version, which log entries and snapshots of earlier releases do
+// not have: ItemResult carries it in its body, and snapshots after the rest.
 template<class Archive>
 void
 serialize(Archive& aArchive, ItemProgress& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -144,7 +144,11 @@
 void
 serialize(Archive& aArchive, BatchItem& aValue)
 {
-  aArchive(aValue.mIndex, aValue.mBody, aValue.mTokens, aValue.mProgress);
+  aArchive(aValue.mIndex,
+           aValue.mBody,
+           aValue.mTokens,
+           aValue.mProgress,
+           aValue.mProgress.mVersion);
 }
 
 template<class Archive>
