--- a/tests/platform_soak_test.cpp
+++ b/tests/platform_soak_test.cpp
@@ -14,7 +14,7 @@
 Request(RouteKind aKind, int aStatus)
 {
   RequestRecord request;
-  request.mId = "r1";
+  request.mId = request.mContent = "r1";
   request.mKind = aKind;
   request.mWorkspace = "w";
   request.mPath = "/p/r1";
@@ -113,16 +113,52 @@
   request = Request(RouteKind::eStream, 200);
   request.mAnswer.clear();
   for (uint64_t event = 1; event <= kStreamEvents; ++event) {
-    request.mAnswer += StreamEvent("r1", event);
+    request.mAnswer += StreamEvent("r1", event, "v1");
   }
   BOOST_TEST(FindingsOfAnswer(request) == 0u);
-  request.mAnswer += StreamEvent("r1", kStreamEvents);
+  request.mAnswer += StreamEvent("r1", kStreamEvents, "v1");
   BOOST_TEST(FindingsOfAnswer(request) == 1u);
   request.mStatus = 0; // a broken stream with a repeated event
-  request.mAnswer = StreamEvent("r1", 1) + StreamEvent("r1", 1);
+  request.mAnswer = StreamEvent("r1", 1, "v1") + StreamEvent("r1", 1, "v1");
   BOOST_TEST(FindingsOfAnswer(request) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(short_answer_is_found_only_if_its_end_is_stated)
+{
+  RequestRecord request = Request(RouteKind::eOnce, 200);
+  request.mAnswer.pop_back();
+  request.mEndStated = false;
+  BOOST_TEST(FindingsOfAnswer(request) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_two_versions_is_found)
+{
+  RequestRecord request = Request(RouteKind::eResumable, 0);
+  request.mAnswer = StreamEvent("r1", 1, "v1") + StreamEvent("r1", 2, "v2");
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+  request.mAnswer = StreamEvent("r1", 1, "v2") + StreamEvent("r1", 2, "v2");
+  BOOST_TEST(FindingsOfAnswer(request) == 0u);
+  BOOST_TEST(VersionOfEvents(request) == "v2");
+  BOOST_TEST(CountEvents(request) == 2u);
+  request.mResumedAfter = 2;
+  request.mBegunVersion = "v1";
+  request.mAnswer = StreamEvent("r1", 3, "v2");
+  BOOST_TEST(FindingsOfAnswer(request) == 1u);
+  request.mAnswer = StreamEvent("r1", 3, "v1");
+  BOOST_TEST(FindingsOfAnswer(request) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(item_of_two_versions_is_found)
+{
+  std::string whole;
+  for (uint64_t event = 1; event <= kStreamEvents; ++event) {
+    whole += (event > 1 ? "\ni/" : "i/") + std::to_string(event) + "/v1";
+  }
+  BOOST_TEST(IsItemOutput("i", whole));
+  whole.back() = '2';
+  BOOST_TEST(!IsItemOutput("i", whole));
+}
+
 BOOST_AUTO_TEST_CASE(rate_and_cold_start_bounds_are_checked)
 {
   Record record;
