--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -75,7 +75,7 @@
 {
   uint32_t mIndex = 0;
   ItemVerdict mVerdict = ItemVerdict::eDone;
-  uint16_t mStatus = 0;   // HTTP status of the target, 0 if none
+  uint16_t mStatus = 0; // HTTP status of the target, 0 if none
   // Response JSON, or the reason for a failure. Of a returned item: the version
   // of its progress.
   std::string mBody;
