Do not continue a stream at a service whose weight is 0

A route keeps a service under weight 0 after it was moved away; a resumed stream that began there went on there. Test: entry_version_test (stream_of_a_service_that_lost_the_route_is_refused).

--- a/caraway/entry/resumed_streams.cpp
+++ b/caraway/entry/resumed_streams.cpp
@@ -24,7 +24,7 @@
 constexpr Duration kOtherReplicasTimeout = Millis(50);
 // Retry-After if nobody answers: by then there is usually a leader.
 constexpr Duration kOriginRetry = Millis(300);
-constexpr Duration kNoRetry = Micros(-1);
+constexpr Duration kNoRetry = Micros(-1); // no Retry-After
 // Caller retries follow a break within this time.
 constexpr Duration kRecentStreams = Seconds(10);
 // Between two messages of one entry, for each entry of the fleet. Bounds what
@@ -83,7 +83,8 @@
   return route != nullptr && std::any_of(route->mShares.begin(),
                                          route->mShares.end(),
                                          [&](const RouteShare& aShare) {
-                                           return aShare.mService == aService;
+                                           return aShare.mService == aService &&
+                                                  aShare.mWeight > 0;
                                          });
 }
 
--- a/tests/entry_version_test.cpp
+++ b/tests/entry_version_test.cpp
@@ -164,6 +164,22 @@
   BOOST_TEST(mTargetCalls.empty());
 }
 
+BOOST_AUTO_TEST_CASE(stream_of_a_service_that_lost_the_route_is_refused)
+{
+  ServingPlan plan = *mEntry.mConfig.mPlan;
+  ++plan.mVersion;
+  plan.mServices.push_back(plan.mServices[0]);
+  plan.mServices[1].mId = ServiceId("other");
+  for (PlanRoute& route : plan.mRoutes) {
+    route.mShares = { { ServiceId("engine"), 0 }, { ServiceId("other"), 1 } };
+  }
+  Change(SetPlan{ plan });
+  const uint64_t call = SendResume("r-elsewhere");
+  ReplyOrigin(call, OriginState::eKnown, true, "v1");
+  BOOST_TEST(Status(call) == 503);
+  BOOST_TEST(mTargetCalls.empty());
+}
+
 BOOST_AUTO_TEST_CASE(question_is_repeated_until_a_leader_answers)
 {
   const uint64_t call = SendResume("r-elsewhere");
