--- a/tests/entry_answer_end_test.cpp
+++ b/tests/entry_answer_end_test.cpp
@@ -17,7 +17,7 @@
   // Sends a request, and starts an answer without a length and chunks.
   StartTargetCall BeginAnswer(const char* aRoute, uint64_t& aCall)
   {
-    const StartTargetCall start = StartCall(aRoute, aCall);
+    StartTargetCall start = StartCall(aRoute, aCall);
     BeginByClose(start);
     return start;
   }
