End the resumed stream of a test with a stated end

resumable_stream_that_ends_inside_an_event_is_resumed let the second answer end with its connection and expected a response with chunks to be completed at once. The answer now ends by its chunks; that an end by the connection aborts the response is checked by entry_answer_end_test (unknown_end_of_a_resumed_stream_aborts_a_framed_response), and that it is completed where it may be by the other cases there.

--- a/tests/entry_input_block_test.cpp
+++ b/tests/entry_input_block_test.cpp
@@ -226,7 +226,7 @@
   BOOST_TEST(*second.mContext.mResumeAfter == 1u);
   Begin(second, 200);
   Bytes(second, "id: 2\ndata: b\n\n");
-  Step(TargetCallEnded{ second.mCall, true });
+  Step(TargetCallEnded{ second.mCall });
   BOOST_TEST(mState[call] == "ended");
   BOOST_TEST(mChunks[call] == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
