Take an item of unknown end as whole only after three calls without an event

One such call proves nothing; three in a row are needed now, unless one states its end. Test: node_answer_end_test (the case with one call, which expected the item to be completed, became the case with three).

--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -19,6 +19,9 @@
 // Timeout of a raw item without a complete event. Events arrive every few tens
 // of milliseconds, and within seconds even from a slow target.
 constexpr Duration kRawItemTimeout = Seconds(4);
+// Calls in a row without an event after which a text is taken as whole although
+// no call has stated its end.
+constexpr uint32_t kEmptyEndsOfWholeText = 3;
 
 void
 ClearProgress(BatchTask& aTask)
@@ -214,14 +217,19 @@
   AddBatch(aNode.mScheduler, aWork);
 }
 
-// True if the text of a raw item that ended with its connection may go on: the
-// call brought events, and a call that continues after them can tell.
+// Records that a call ended with its connection. Returns true if the text of a
+// raw item may go on after it, which a call that continues it can tell. That
+// call may be broken off before its first event, too, so one that brings
+// nothing is not enough.
 bool
-MayGoOn(const BatchTask& aTask)
+MayGoOn(BatchTask& aTask)
 {
-  return aTask.mRaw && aTask.mStatus / 100 == 2 && !aTask.mNotRun &&
-         !aTask.mForeign && aTask.mEvents.mLast &&
-         aTask.mAnsweredSince != kNever;
+  if (!aTask.mRaw || aTask.mStatus / 100 != 2 || aTask.mNotRun ||
+      aTask.mForeign || !aTask.mEvents.mLast) {
+    return false;
+  }
+  aTask.mEmptyEnds = aTask.mAnsweredSince == kNever ? aTask.mEmptyEnds + 1 : 0;
+  return aTask.mEmptyEnds < kEmptyEndsOfWholeText;
 }
 
 } // namespace
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -72,6 +72,8 @@
   bool mNotRun = false;   // the target answered that it did not run this call
   bool mForeign = false;  // the bytes are not the answer to this request
   bool mEndsByClose = false; // the answer has no length and no chunks
+  // Calls in a row that ended with their connection and brought no event.
+  uint32_t mEmptyEnds = 0;
 };
 
 // An ItemResults message, retransmitted until acknowledged.
--- a/tests/node_answer_end_test.cpp
+++ b/tests/node_answer_end_test.cpp
@@ -101,14 +101,30 @@
   BOOST_TEST(result.mBody.find("e\\ne") != std::string::npos);
 }
 
-BOOST_FIXTURE_TEST_CASE(item_is_completed_if_nothing_follows_its_end, RawItem)
+// A call that continues the item may be broken off before its first event, so
+// one that brings nothing does not show that the text is whole.
+BOOST_FIXTURE_TEST_CASE(item_is_completed_if_nothing_follows_for_long, RawItem)
 {
   Begin(true);
   Event(1);
   Close(TargetReach::eAccepts);
-  TakeCall();
+  for (int call = 0; call < 3; ++call) {
+    TakeCall();
+    BOOST_TEST(*mCall.mContext.mResumeAfter == 1u);
+    Begin(true);
+    Close(TargetReach::eAccepts);
+  }
+  BOOST_TEST((Result().mVerdict == ItemVerdict::eDone));
+}
+
+BOOST_FIXTURE_TEST_CASE(stated_end_after_nothing_completes_an_item, RawItem)
+{
   Begin(true);
+  Event(1);
   Close(TargetReach::eAccepts);
+  TakeCall();
+  Begin(false);
+  Give(TargetCallEnded{ mCall.mCall });
   BOOST_TEST((Result().mVerdict == ItemVerdict::eDone));
 }
 
