--- a/standins/caraway_standin_engine_main.cpp
+++ b/standins/caraway_standin_engine_main.cpp
@@ -30,6 +30,8 @@
   --cold-bearable=N    Concurrent calls above which a cold engine crashes [1].
   --cold-ms=N          Time from start to warm [10000].
   --warm               Start warm.
+  --ends-by-close      Answer without a length and chunks; a crash then ends
+                       streams in the same way as their last byte does.
   --fencing            Refuse orders with an old fencing token.)") +
   kStandinUsage;
 
@@ -53,10 +55,11 @@
     reader.Milliseconds("cold-ms", engine.mColdFor, Millis(0), Seconds(3600));
   engine.mChecksFencing = reader.Flag("fencing");
   const bool warm = reader.Flag("warm");
+  const bool endsByClose = reader.Flag("ends-by-close");
   reader.Finish();
 
   Loop loop;
-  EngineServer server(loop, common.mHttp, engine, model, !warm);
+  EngineServer server(loop, common.mHttp, engine, model, !warm, endsByClose);
   if (const absl::Status status = server.Start(); !status.ok()) {
     std::cerr << status.message() << '\n';
     return 1;
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -74,11 +74,13 @@
                            const HttpServerSettings& aHttp,
                            const EngineSettings& aEngine,
                            const std::string& aModel,
-                           bool aCold)
+                           bool aCold,
+                           bool aEndsByClose)
   : mLoop(aLoop)
   , mHttp(aLoop, aHttp)
   , mSettings(aEngine)
   , mModel(aModel)
+  , mEndsByClose(aEndsByClose)
   , mEngine(MakeEngine(aEngine, aLoop.Now(), aCold))
   , mTimer(aLoop, [this] { Advance(); })
 {
@@ -158,8 +160,10 @@
     return;
   }
   if (call.mStream) {
-    mHttp.Begin(
-      { call.mHttp, 200, { { "Content-Type", "text/event-stream" } } });
+    mHttp.Begin({ call.mHttp,
+                  200,
+                  { { "Content-Type", "text/event-stream" } },
+                  mEndsByClose });
   }
   mCalls[id] = std::move(call);
   Advance();
@@ -247,7 +251,12 @@
   }
   Call& call = found->second;
   if (aOutput.mKind == EngineOutputKind::eBroken) {
-    mHttp.Abort({ call.mHttp });
+    // A process that ends closes its connections in order.
+    if (mEndsByClose && call.mStream) {
+      mHttp.End({ call.mHttp });
+    } else {
+      mHttp.Abort({ call.mHttp });
+    }
     mCalls.erase(found);
     return;
   }
@@ -287,7 +296,8 @@
     mHttp.Respond({ aCall.mHttp,
                     200,
                     { { "Content-Type", "application/json" } },
-                    body.dump() });
+                    body.dump(),
+                    mEndsByClose });
   }
   mCalls.erase(aId);
 }
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -17,7 +17,8 @@
                const HttpServerSettings& aHttp,
                const EngineSettings& aEngine,
                const std::string& aModel,
-               bool aCold);
+               bool aCold,
+               bool aEndsByClose = false);
 
   absl::Status Start();
 
@@ -53,6 +54,7 @@
   HttpServer mHttp;
   EngineSettings mSettings;
   std::string mModel;
+  bool mEndsByClose; // answers have neither a length nor chunks
   EngineModel mEngine;
   std::map<uint64_t, Call> mCalls;
   uint64_t mNextCall = 1;
