Ask for a stream's origin on routes of several services

What callers saw: a caller that resumed a stream of a route with two services could get events of the other service. The entry chose a service by weight, control said that this service has had one software version, and the stream went on there, wherever it had begun.

Cause: control answered for one service, while the request is routed to any service of its route. A service that had lost the route (weight 0) was forgotten as well.

A service that shares a route of streams with another one that has targets now counts like a service of several versions: entries send the origins of its streams to control, and control names none without a record. Such a stream goes on at the service that began it.

Ruled out: naming the services in the question, since an entry may have an older plan than control. Not covered: a service that is no longer listed at the route, if the record is lost as well.

Tests: replicas_learn_of_streams_of_a_split_route and split_route_needs_a_record failed before (no message to control; eOneVersion).

--- a/caraway/config/target.h
+++ b/caraway/config/target.h
@@ -15,7 +15,7 @@
   ServiceId mService;
   std::string mAddress; // "ip:port"; may be reused by another target later
   ZoneId mZone;
-  std::string mVersion;   // of the software, for logs
+  std::string mVersion;   // of the software, see routing/stream_origins.h
   uint32_t mSlots = 1;    // requests that it processes concurrently
   bool mDraining = false; // leaving: no new work
   int64_t mStartedAt = 0; // Unix milliseconds of its start, by its own clock
--- a/caraway/control/stream_versions.cpp
+++ b/caraway/control/stream_versions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "caraway/config/stream_versions.h"
 #include "caraway/control/step.h"
 
 namespace caraway {
@@ -56,7 +57,7 @@
     reply.mState = OriginState::eKnown;
     reply.mOrigin = *std::move(origin);
   } else if (reply.mLeader && versions != view.mVersions.end() &&
-             versions->second.size() == 1) {
+             !NeedsStreamRecords(view, aMessage.mService)) {
     reply.mState = OriginState::eOneVersion;
     reply.mOrigin = { aMessage.mService, *versions->second.begin() };
   }
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -66,8 +66,8 @@
   if (aTopology) {
     TopologyChanged(aStep);
     AttemptsTopologyChanged(aStep);
-    VersionsChanged(aStep);
   }
+  VersionsChanged(aStep);
   RenewNow(aStep);
   ProcessEarlyRequests(aStep);
 }
--- a/caraway/entry/resumed_streams.cpp
+++ b/caraway/entry/resumed_streams.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "caraway/config/stream_versions.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/outcome.h"
@@ -133,6 +134,24 @@
   aStreams.mTellAt = std::min(aStreams.mTellAt, aTellAt);
 }
 
+// Tells replicas of the streams of the services that may still run or be
+// resumed.
+void
+TellRecentStreams(EntryStep& aStep, const std::set<ServiceId>& aServices)
+{
+  ResumedStreams& streams = aStep.mEntry.mStreams;
+  if (aServices.empty()) {
+    return;
+  }
+  for (const auto& [stream, record] : streams.mOrigins.mRecords) {
+    const StreamOrigin& origin = streams.mOrigins.mOrigins[record.mOrigin];
+    if (aServices.contains(origin.mService) && !record.mAmbiguous &&
+        aStep.mNow - record.mNotedAt <= kRecentStreams) {
+      TellReplicas(streams, aStep.mNow, stream, origin);
+    }
+  }
+}
+
 // Takes up to kMaxBegunStreams records from the end of the untold ones.
 StreamsBegun
 NextMessage(ResumedStreams& aStreams)
@@ -283,20 +302,16 @@
   const ConfigView& view = aStep.mEntry.mConfig;
   ResumedStreams& streams = aStep.mEntry.mStreams;
   std::erase_if(streams.mTold, [&](const ServiceId& aService) {
-    return !HasSeveralVersions(view, aService);
+    return !NeedsStreamRecords(view, aService);
   });
+  std::set<ServiceId> added;
   for (const auto& [service, versions] : view.mVersions) {
-    if (versions.size() < 2 || !streams.mTold.insert(service).second) {
-      continue;
-    }
-    for (const auto& [stream, record] : streams.mOrigins.mRecords) {
-      const StreamOrigin& origin = streams.mOrigins.mOrigins[record.mOrigin];
-      if (origin.mService == service && !record.mAmbiguous &&
-          aStep.mNow - record.mNotedAt <= kRecentStreams) {
-        TellReplicas(streams, aStep.mNow, stream, origin);
-      }
+    if (NeedsStreamRecords(view, service) &&
+        streams.mTold.insert(service).second) {
+      added.insert(service);
     }
   }
+  TellRecentStreams(aStep, added);
 }
 
 void
--- a/caraway/entry/resumed_streams.h
+++ b/caraway/entry/resumed_streams.h
@@ -38,7 +38,8 @@
 void
 RefuseContinuation(EntryStep& aStep, CallerRequest& aRequest);
 
-// Tells replicas of streams of services that have got another version.
+// Tells replicas of streams of services that have got another version, or a
+// route together with another service.
 void
 VersionsChanged(EntryStep& aStep);
 
--- a/tests/control_stream_versions_test.cpp
+++ b/tests/control_stream_versions_test.cpp
@@ -40,23 +40,28 @@
     BOOST_REQUIRE(!mEpoch.IsNone());
   }
 
-  void Report(ReportTargets aReport)
+  void Report(ReportTargets aReport) { Call(std::move(aReport)); }
+
+  // Sends an order to the leader, as the entry.
+  void Call(CallBody aBody)
   {
     ControlCall call;
     call.mCall = ++mCalls;
     call.mEntry = InstanceId("entry-1");
     call.mEntryEpoch = mEpoch;
-    call.mBody = std::move(aReport);
+    call.mBody = std::move(aBody);
     mLink.SendFrom(
       kEntry, ControlLink::AddressOf(mLink.Leader().value()), std::move(call));
     mLink.Run(Millis(300));
   }
 
-  void AddTarget(const char* aId, const char* aVersion)
+  void AddTarget(const char* aId,
+                 const char* aVersion,
+                 const ServiceId& aService = kService)
   {
     Target target;
     target.mId = TargetId(aId);
-    target.mService = kService;
+    target.mService = aService;
     target.mAddress = std::string("10.0.2.1:") + aId;
     target.mVersion = aVersion;
     target.mStartedAt = 1;
@@ -136,6 +141,32 @@
   BOOST_TEST((Ask().mState == OriginState::eKnown));
 }
 
+// The stream may have begun at the other service of its route.
+BOOST_FIXTURE_TEST_CASE(split_route_needs_a_record, Group)
+{
+  const ServiceId other("other");
+  ServingPlan plan;
+  plan.mVersion = 1;
+  plan.mServices.resize(2);
+  plan.mServices[0].mId = kService;
+  plan.mServices[1].mId = other;
+  PlanRoute route;
+  route.mId = RouteId("r");
+  route.mHost = "h";
+  route.mPathPrefix = "/r/";
+  route.mKind = CallKind::eStream;
+  route.mShares = { { kService, 1 }, { other, 0 } };
+  route.mTimeout = Seconds(5);
+  plan.mRoutes = { route };
+  AddTarget("1", "v1");
+  Call(ReplacePlan{ plan });
+  BOOST_TEST((Ask().mState == OriginState::eOneVersion));
+  AddTarget("2", "v1", other);
+  BOOST_TEST((Ask().mState == OriginState::eUnknown));
+  BeginStream("v1");
+  BOOST_TEST((Ask().mState == OriginState::eKnown));
+}
+
 BOOST_FIXTURE_TEST_CASE(version_that_has_left_is_remembered, Group)
 {
   AddTarget("1", "v1");
--- a/tests/entry_version_test.cpp
+++ b/tests/entry_version_test.cpp
@@ -220,6 +220,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A request that resumes a stream may be given to the other service of its
+// route, which cannot go on with the stream.
+BOOST_FIXTURE_TEST_CASE(replicas_learn_of_streams_of_a_split_route, Direct)
+{
+  ServingPlan plan = *mEntry.mConfig.mPlan;
+  ++plan.mVersion;
+  plan.mServices.push_back(plan.mServices[0]);
+  plan.mServices[1].mId = ServiceId("other");
+  for (PlanRoute& route : plan.mRoutes) {
+    route.mShares = { { ServiceId("engine"), 1 }, { ServiceId("other"), 0 } };
+  }
+  Target target = mEntry.mConfig.mTargets.at(TargetId("t-a2"));
+  target.mService = ServiceId("other");
+  Change(SetTarget{ target });
+  Change(SetPlan{ plan });
+  uint64_t call = 0;
+  const StartTargetCall first = StartCall("resume", call);
+  Begin(first, 200);
+  Bytes(first, "id: 1\ndata: a\n\n");
+  Advance(Millis(100));
+  BOOST_TEST(Sent<StreamsBegun>().size() == 1u);
+}
+
 // Streams that began before the second version came are told when it comes.
 BOOST_FIXTURE_TEST_CASE(replicas_learn_of_earlier_streams, Direct)
 {
