Tell control of all streams that may still run when a version comes

What callers saw: a stream that had begun more than 10 s before a second software version came, and broke off after that, could not be resumed at another entry, although its version was still served.

Cause: an entry that learned of the second version told control of the streams of the last 10 s only, whatever time-out their route has. It now goes by the longest time-out of a route of streams.

Test: replicas_learn_of_long_streams (time-out of 30 s, stream of 20 s) failed before: control was told of none.

--- a/caraway/config/stream_versions.cpp
+++ b/caraway/config/stream_versions.cpp
@@ -49,4 +49,18 @@
                      });
 }
 
+Duration
+LongestStream(const ConfigView& aView)
+{
+  Duration longest;
+  if (aView.mPlan) {
+    for (const PlanRoute& route : aView.mPlan->mRoutes) {
+      if (route.mKind == CallKind::eStream) {
+        longest = std::max(longest, route.mTimeout);
+      }
+    }
+  }
+  return longest;
+}
+
 } // namespace caraway
--- a/caraway/config/stream_versions.h
+++ b/caraway/config/stream_versions.h
@@ -1,6 +1,6 @@
 #pragma once
 // What a configuration tells about streams that are resumed: where they may
-// have begun.
+// have begun, and for how long they may run.
 
 #include "caraway/config/config_view.h"
 
@@ -11,4 +11,8 @@
 bool
 NeedsStreamRecords(const ConfigView& aView, const ServiceId& aService);
 
+// The longest time-out of a route of streams; 0 without one.
+Duration
+LongestStream(const ConfigView& aView);
+
 } // namespace caraway
--- a/caraway/control/stream_versions.cpp
+++ b/caraway/control/stream_versions.cpp
@@ -9,25 +9,6 @@
 
 namespace caraway {
 
-namespace {
-
-// How long a stream of the plan may last, its caller's attempts included.
-Duration
-StreamLifetime(const ConfigView& aView)
-{
-  Duration longest = kStreamMemory;
-  if (aView.mPlan) {
-    for (const PlanRoute& route : aView.mPlan->mRoutes) {
-      if (route.mKind == CallKind::eStream) {
-        longest = std::max(longest, route.mTimeout);
-      }
-    }
-  }
-  return longest;
-}
-
-} // namespace
-
 void
 HandleMessage(ControlStep& aStep,
               const PeerAddress& /*aFrom*/,
@@ -68,6 +49,8 @@
 ForgetUnusedVersions(ControlStep& aStep)
 {
   const ConfigView& view = aStep.mControl.mState.mConfig.mView;
+  // A stream may last that long, its caller's attempts included.
+  const Duration lifetime = std::max(kStreamMemory, LongestStream(view));
   auto& unusedSince = aStep.mControl.mLeadership.mVersionUnusedSince;
   ForgetVersions forget;
   for (const auto& [service, versions] : view.mVersions) {
@@ -79,7 +62,7 @@
       }
       MonoTime& since =
         unusedSince.try_emplace({ service, version }, aStep.mNow).first->second;
-      if (aStep.mNow - since > StreamLifetime(view)) {
+      if (aStep.mNow - since > lifetime) {
         forget.mVersions.push_back({ service, version });
         since = aStep.mNow; // proposed again after as long a time
       }
--- a/caraway/entry/resumed_streams.cpp
+++ b/caraway/entry/resumed_streams.cpp
@@ -26,7 +26,8 @@
 // Retry-After if nobody answers: by then there is usually a leader.
 constexpr Duration kOriginRetry = Millis(300);
 constexpr Duration kNoRetry = Micros(-1); // no Retry-After
-// Caller retries follow a break within this time.
+// Streams that began earlier have ended, if their route lets them run no
+// longer, and their callers have resumed them.
 constexpr Duration kRecentStreams = Seconds(10);
 // Between two messages of one entry, for each entry of the fleet. Bounds what
 // each replica receives, whatever the number of entries.
@@ -143,10 +144,12 @@
   if (aServices.empty()) {
     return;
   }
+  const Duration recent =
+    std::max(kRecentStreams, LongestStream(aStep.mEntry.mConfig));
   for (const auto& [stream, record] : streams.mOrigins.mRecords) {
     const StreamOrigin& origin = streams.mOrigins.mOrigins[record.mOrigin];
     if (aServices.contains(origin.mService) && !record.mAmbiguous &&
-        aStep.mNow - record.mNotedAt <= kRecentStreams) {
+        aStep.mNow - record.mNotedAt <= recent) {
       TellReplicas(streams, aStep.mNow, stream, origin);
     }
   }
--- a/tests/entry_version_test.cpp
+++ b/tests/entry_version_test.cpp
@@ -243,6 +243,28 @@
   BOOST_TEST(Sent<StreamsBegun>().size() == 1u);
 }
 
+// Streams that may still run are told, however long ago they began.
+BOOST_FIXTURE_TEST_CASE(replicas_learn_of_long_streams, Direct)
+{
+  ServingPlan plan = *mEntry.mConfig.mPlan;
+  ++plan.mVersion;
+  for (PlanRoute& route : plan.mRoutes) {
+    route.mTimeout = Seconds(30);
+  }
+  Change(SetPlan{ plan });
+  uint64_t call = 0;
+  const StartTargetCall first = StartCall("resume", call);
+  Begin(first, 200);
+  Bytes(first, "id: 1\ndata: a\n\n");
+  Step(HttpClosed{ HttpCallId(call) });
+  Advance(Seconds(20));
+  Target target = mEntry.mConfig.mTargets.at(TargetId("t-a2"));
+  target.mVersion = "v2";
+  Change(SetTarget{ target });
+  Advance(Millis(100));
+  BOOST_TEST(Sent<StreamsBegun>().size() == 1u);
+}
+
 // Streams that began before the second version came are told when it comes.
 BOOST_FIXTURE_TEST_CASE(replicas_learn_of_earlier_streams, Direct)
 {
