Tell a new control leader of the newest streams again

What callers saw: after all control replicas had restarted at once, streams of a service of two software versions could not be resumed at another entry, although the entries that they began at had their origins.

Cause: the records of replicas are in memory only, and entries sent each once. They now send those of the newest streams again to all replicas when a replica announces itself as the leader of a new term.

Ruled out: records in the replicated log, which cost a sync for each stream in a release. Streams of which the entry and all replicas lost the record at the same time are still refused.

Test: new_leader_is_told_of_the_newest_streams failed before (no message).

--- a/caraway/entry/resumed_streams.cpp
+++ b/caraway/entry/resumed_streams.cpp
@@ -317,6 +317,12 @@
   TellRecentStreams(aStep, added);
 }
 
+void
+TellStreamsAgain(EntryStep& aStep)
+{
+  TellRecentStreams(aStep, aStep.mEntry.mStreams.mTold);
+}
+
 void
 TickResumedStreams(EntryStep& aStep)
 {
--- a/caraway/entry/resumed_streams.h
+++ b/caraway/entry/resumed_streams.h
@@ -43,6 +43,11 @@
 void
 VersionsChanged(EntryStep& aStep);
 
+// Tells replicas of the newest streams again. A new leader may have lost what
+// it was told.
+void
+TellStreamsAgain(EntryStep& aStep);
+
 void
 TickResumedStreams(EntryStep& aStep);
 
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -12,6 +12,7 @@
 #include "caraway/entry/config_fetch.h"
 #include "caraway/entry/control_calls.h"
 #include "caraway/entry/replica_discovery.h"
+#include "caraway/entry/resumed_streams.h"
 
 namespace caraway {
 
@@ -261,6 +262,7 @@
   }
   session.mTerm = aMessage.mTerm;
   NoteLeaderAddress(aStep, aFrom);
+  TellStreamsAgain(aStep);
   if (session.mConfirmedLeader == aFrom) {
     return;
   }
--- a/tests/entry_version_test.cpp
+++ b/tests/entry_version_test.cpp
@@ -57,6 +57,16 @@
     Receive(kControl, reply);
   }
 
+  void BeginStream()
+  {
+    uint64_t call = 0;
+    const StartTargetCall first = StartCall("resume", call);
+    Begin(first, 200);
+    Bytes(first, "id: 1\ndata: a\n\n");
+    Step(HttpClosed{ HttpCallId(call) });
+    Advance(Millis(100));
+  }
+
   std::string RequestedTarget()
   {
     const PeerAddress node = RequestedNode();
@@ -218,6 +228,18 @@
              (first.mContext.mExpected.mValue == "t-a1" ? "v1" : "v2"));
 }
 
+// Records are lost when all replicas restart, and only the entries have them.
+BOOST_AUTO_TEST_CASE(new_leader_is_told_of_the_newest_streams)
+{
+  BeginStream();
+  mSent.clear();
+  Receive(kControl, Leading{ Term(9) });
+  Advance(Millis(100));
+  const auto told = Sent<StreamsBegun>();
+  BOOST_REQUIRE_EQUAL(told.size(), 1u);
+  BOOST_TEST(told[0].mStreams.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A request that resumes a stream may be given to the other service of its
