--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,6 @@
-// A worker crashes while it runs eight items of a batch job, far into their
-// texts. Checks that each item of the job is listed once finishS is over.
+// A worker crashes while it runs eight items of a batch job, either with long
+// prompts or far into long texts. Checks that each item of the job is listed
+// once finishS is over.
 
 #include "../standin/fleet.hpp"
 
@@ -7,22 +8,34 @@
 
 namespace {
 
-constexpr int kEvents = 400;
-constexpr size_t kEventBytes = 360;
-constexpr double kPause = 0.02;
-constexpr int kItems = 20;
-constexpr int kCrashAfter = 340; // events of the slowest item at the worker
+struct Scene
+{
+  int mItems = 0;
+  size_t mBodyBytes = 0;  // of an item's prompt
+  int mEvents = 0;        // of an item's text
+  size_t mEventBytes = 0; // of an event's data
+  int mCrashAfter = 0;    // events of the slowest item at the worker
+};
+
+// The site's limits: 950,000 bytes a job, 413 events of 360 bytes.
+const Scene kLongPrompts{ 8, 88500, 258, 60, 225 };
+const Scene kLongTexts{ 20, 40, 400, 360, 340 };
+Scene gScene;
+
+constexpr double kPause = 0.02; // between events
 constexpr double kDown = 3.0;
 constexpr double kFinish = 18.0;
+// Items that failed at a worker in the last 20 s don't count.
+constexpr double kFailedCounts = 20.0;
 
 std::string
 Data(const std::string& aId, int aAt)
 {
   std::string data = aId + " piece " + std::to_string(aAt) + " ";
-  while (data.size() < kEventBytes) {
+  while (data.size() < gScene.mEventBytes) {
     data += "profile ";
   }
-  data.resize(kEventBytes);
+  data.resize(gScene.mEventBytes);
   return data;
 }
 
@@ -30,12 +43,23 @@
 Output(const std::string& aId)
 {
   std::string output;
-  for (int at = 1; at <= kEvents; ++at) {
+  for (int at = 1; at <= gScene.mEvents; ++at) {
     output += (at == 1 ? "" : "\n") + Data(aId, at);
   }
   return output;
 }
 
+std::string
+Prompt(const std::string& aId)
+{
+  std::string prompt = "prompt of " + aId + " ";
+  while (prompt.size() < gScene.mBodyBytes) {
+    prompt += "profile ";
+  }
+  prompt.resize(gScene.mBodyBytes);
+  return prompt;
+}
+
 struct Runs
 {
   std::mutex mMutex;
@@ -58,7 +82,7 @@
                            "Content-Type: text/event-stream\r\n"
                            "Transfer-Encoding: chunked\r\n"));
   int at = static_cast<int>(aCall.mAfter) + 1;
-  for (; at <= kEvents && open; ++at) {
+  for (; at <= gScene.mEvents && open; ++at) {
     Sleep(kPause);
     if (!aWorker.Runs(incarnation)) {
       open = false;
@@ -92,7 +116,7 @@
     const auto& items = gRuns.mAt[worker->Id()];
     bool far = items.size() == 8;
     for (const auto& [item, at] : items) {
-      far = far && at >= kCrashAfter;
+      far = far && at >= gScene.mCrashAfter;
     }
     if (far) {
       return worker.get();
@@ -109,7 +133,10 @@
   signal(SIGPIPE, SIG_IGN);
   const char* setting = getenv("TROUBLE");
   const bool trouble = setting == nullptr || std::string(setting) != "0";
-  Record record("record.txt");
+  const bool prompts = std::string(aWords[2]) == "long-prompts";
+  gScene = prompts ? kLongPrompts : kLongTexts;
+  Record record("record.txt", !prompts);
+  record.Line("scene: ", aWords[2]);
   Fleet fleet(record, aWords[1]);
   fleet.Add("entry", 3);
   fleet.Add("control", 3);
@@ -128,17 +155,17 @@
   Json body;
   std::vector<std::string> items;
   body["requests"] = Json::array();
-  for (int at = 0; at < kItems; ++at) {
+  for (int at = 0; at < gScene.mItems; ++at) {
     items.push_back(NewId());
     body["requests"].push_back(
       { { "id", items.back() },
         { "path", "/pule252/3/" + items.back() },
         { "headers",
           { { "Model", "m" },
-            { "Token-Usage", "350,2400" },
-            { "Prefix-Hash", "9c2e41:100,5d07b8:250" } } },
-        { "body", Base64("prompt of " + items.back()) },
-        { "tokenCount", 2750 } });
+            { "Token-Usage", "8000,600" },
+            { "Prefix-Hash", "9c2e41:100,5d07b8:7900" } } },
+        { "body", Base64(Prompt(items.back())) },
+        { "tokenCount", 8600 } });
   }
   const std::string bearer = std::string("Bearer ") + kKey;
   int status = 0;
@@ -176,7 +203,7 @@
   const double end = Now();
   std::map<std::string, Json> listed;
   Json page;
-  while (Now() < end + kFinish + 12) {
+  while (Now() < end + std::max(kFinish, kFailedCounts) + 2) {
     Node& entry = *fleet.Of("entry")[static_cast<size_t>(Now() * 2) % 3];
     const Answer answer =
       Call(entry.mIp, kFrontPort, "GET",
@@ -219,9 +246,9 @@
   const double calm = Now() - std::max(gRuns.mLastRun, gRuns.mLastDone);
   record.Line(missing, " items are not listed, ", wrong, " are wrong; ", running,
               " items run at workers, none for ", calm, " s");
-  std::printf("%d of %d items not listed, %d wrong, %zu at workers, none ran "
-              "for %.1f s\n",
-              missing, kItems, wrong, running, calm);
+  std::printf("%s: %d of %d items not listed, %d wrong, %zu at workers, none "
+              "ran for %.1f s\n",
+              aWords[2], missing, gScene.mItems, wrong, running, calm);
   workers.clear();
   if (missing > 0 && (running > 0 || calm < 5)) {
     return 2; // the rule's own condition does not hold
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -59,8 +59,8 @@
 class Record
 {
 public:
-  explicit Record(const std::string& aPath)
-    : mFile(aPath)
+  explicit Record(const std::string& aPath, bool aAppend = false)
+    : mFile(aPath, aAppend ? std::ios::app : std::ios::trunc)
   {
   }
   template<class... Parts>
