--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -599,7 +599,7 @@
   Record& Log() { return mRecord; }
 
 private:
-  static constexpr double kLongest = 115;
+  static constexpr double kLongest = 75;
   static Fleet*& Running()
   {
     static Fleet* fleet = nullptr;
