A new control leader does not report a voter as gone

Callers saw: the operator retires a control replica; right after the acknowledgement the leader loses its disk. The new leader answers "completed" for the retiring replica, which still votes.

Cause: which instance a replica runs on is known from its JoinGroup messages, which only a leader keeps. "No replica known there" was read as "no replica there", and a question that waited for the election is answered at once.

Ruled out: a removal by the new leader (it plans none; the set still holds the replica when the answer is sent).

Change: the look-up has three results; unknown is not absent. A set that is not committed removes nobody. A request to retire an instance that is not known yet is not denied.

--- a/caraway/control/config_calls.cpp
+++ b/caraway/control/config_calls.cpp
@@ -31,7 +31,8 @@
   if (!control.mState.mRetiring.contains(aInstance)) {
     return NoSuchInstance(aInstance);
   }
-  return RetirementReply{ !ReplicaOfInstance(control, aInstance).has_value() };
+  return RetirementReply{ ReplicaOfInstance(control, aInstance).mPresence ==
+                          Presence::eAbsent };
 }
 
 // Returns the reply, or nullopt if the retirement must be proposed.
@@ -42,8 +43,15 @@
   if (control.mState.mRetiring.contains(aInstance)) {
     return CallDone{};
   }
-  if (!ReplicaOfInstance(control, aInstance)) {
-    return NoSuchInstance(aInstance);
+  switch (ReplicaOfInstance(control, aInstance).mPresence) {
+    case Presence::eAbsent:
+      return NoSuchInstance(aInstance);
+    case Presence::eUnknown:
+      return CallFailed{ ErrorKind::eUnavailable,
+                         "not every control replica has told its instance to "
+                         "the new leader yet; try again" };
+    case Presence::ePresent:
+      break;
   }
   if (!MayRetireInstance(aStep, aInstance)) {
     return CallFailed{ ErrorKind::eConflict,
--- a/caraway/control/discovery.cpp
+++ b/caraway/control/discovery.cpp
@@ -27,6 +27,18 @@
 // Joining replicas repeat their request every half second.
 constexpr Duration kJoinRequestTtl = Seconds(3);
 
+// Null if the replica has not told this process its instance yet.
+const InstanceId*
+InstanceOf(const Control& aControl, ReplicaId aReplica)
+{
+  if (aReplica == aControl.mSettings.mReplica) {
+    return &aControl.mSettings.mInstance;
+  }
+  const auto known = aControl.mDiscovery.mKnown.find(aReplica);
+  return known == aControl.mDiscovery.mKnown.end() ? nullptr
+                                                   : &known->second.mInstance;
+}
+
 bool
 HasGroup(const Control& aControl)
 {
@@ -247,25 +259,30 @@
 bool
 MayRetireInstance(const ControlStep& aStep, const InstanceId& aInstance)
 {
-  const std::optional<ReplicaId> id =
-    ReplicaOfInstance(aStep.mControl, aInstance);
-  return id && MayRetire(ObserveReplicaGroup(aStep), *id);
+  const InstanceReplica found = ReplicaOfInstance(aStep.mControl, aInstance);
+  return found.mPresence == Presence::ePresent &&
+         MayRetire(ObserveReplicaGroup(aStep), found.mId);
 }
 
-std::optional<ReplicaId>
+InstanceReplica
 ReplicaOfInstance(const Control& aControl, const InstanceId& aInstance)
 {
-  if (aInstance == aControl.mSettings.mInstance) {
-    return aControl.mSettings.mReplica;
-  }
-  for (const Replica& replica : ReplicasOf(aControl.mRaft).mReplicas) {
-    auto known = aControl.mDiscovery.mKnown.find(replica.mId);
-    if (known != aControl.mDiscovery.mKnown.end() &&
-        known->second.mInstance == aInstance) {
-      return replica.mId;
+  // The newest set may not be committed yet. Until it is, replicas that only
+  // the applied set has still belong to the group.
+  std::vector<Replica> replicas = ReplicasOf(aControl.mRaft).mReplicas;
+  replicas.insert(replicas.end(),
+                  aControl.mAppliedReplicas.mReplicas.begin(),
+                  aControl.mAppliedReplicas.mReplicas.end());
+  InstanceReplica found;
+  for (const Replica& replica : replicas) {
+    const InstanceId* instance = InstanceOf(aControl, replica.mId);
+    if (instance == nullptr) {
+      found.mPresence = Presence::eUnknown;
+    } else if (*instance == aInstance) {
+      return { Presence::ePresent, replica.mId };
     }
   }
-  return std::nullopt;
+  return found;
 }
 
 } // namespace caraway
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -131,8 +131,21 @@
 TickDiscovery(ControlStep& aStep);
 void
 ReconcileReplicas(ControlStep& aStep);
-// The replica of the group that runs on the instance, if known.
-std::optional<ReplicaId>
+// Whether a replica of the group runs on an instance.
+enum class Presence : uint8_t
+{
+  eAbsent,  // each replica is known to run on another instance
+  eUnknown, // some replica has not told its instance since the election
+  ePresent,
+};
+
+struct InstanceReplica
+{
+  Presence mPresence = Presence::eAbsent;
+  ReplicaId mId; // with ePresent
+};
+
+InstanceReplica
 ReplicaOfInstance(const Control& aControl, const InstanceId& aInstance);
 bool
 MayRetireInstance(const ControlStep& aStep, const InstanceId& aInstance);
--- /dev/null
+++ b/tests/control_retirement_test.cpp
@@ -0,0 +1,141 @@
+// Guards against a new leader that reports a retiring replica as gone because
+// the replicas have not told it their instances yet. The operator then removes
+// an instance that still votes, and the group loses its majority.
+#define BOOST_TEST_MODULE control_retirement
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "tests/control_entry.h"
+
+using namespace caraway;
+
+namespace {
+
+InstanceId
+InstanceAt(size_t aReplica)
+{
+  return InstanceId("store-" + std::to_string(aReplica + 1));
+}
+
+// Four replicas, of which three vote, and an entry that calls the leader.
+struct RetirementGroup
+{
+  ControlLink mLink;
+  ControlEntry mEntry{ mLink };
+
+  explicit RetirementGroup(uint64_t aSeed)
+    : mLink(4, aSeed)
+  {
+    for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
+      ControlSettings& settings = mLink.mReplicas[at].mSettings;
+      settings.mInstance = InstanceAt(at);
+      settings.mZone = ZoneId("z");
+      settings.mSeeds = { mEntry.mAddress };
+    }
+    mLink.StartAll();
+    BOOST_REQUIRE(mLink.AwaitLeader());
+    mEntry.RegisterAtLeader();
+    mLink.Run(Seconds(3));
+    BOOST_REQUIRE(CountVoters() == 3);
+  }
+
+  const ReplicaSet& Replicas()
+  {
+    return mLink.LeaderControl().mAppliedReplicas;
+  }
+
+  std::ptrdiff_t CountVoters()
+  {
+    const auto& replicas = Replicas().mReplicas;
+    return std::count_if(replicas.begin(),
+                         replicas.end(),
+                         [](const Replica& aOne) { return aOne.mVoter; });
+  }
+
+  bool Belongs(size_t aReplica)
+  {
+    const auto& replicas = Replicas().mReplicas;
+    return std::any_of(
+      replicas.begin(), replicas.end(), [&](const Replica& aOne) {
+        return aOne.mId == ReplicaId(aReplica + 1);
+      });
+  }
+
+  size_t FollowingVoter()
+  {
+    for (const Replica& replica : Replicas().mReplicas) {
+      const size_t at = replica.mId.mValue - 1;
+      if (replica.mVoter && at != mLink.Leader().value()) {
+        return at;
+      }
+    }
+    return mLink.mReplicas.size();
+  }
+
+  bool ReportedAsGone(size_t aReplica)
+  {
+    const auto reply = mEntry.Call(DescribeRetirement{ InstanceAt(aReplica) });
+    const auto* state = reply ? std::get_if<RetirementReply>(&*reply) : nullptr;
+    return state != nullptr && state->mDone;
+  }
+};
+
+} // namespace
+
+// The leader is lost right after it acknowledged a retirement. Which of the
+// remaining voters is elected depends on the seed.
+BOOST_AUTO_TEST_CASE(new_leader_does_not_report_a_voter_as_gone)
+{
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      RetirementGroup group(seed);
+      const size_t retiring = group.FollowingVoter();
+      const size_t lost = group.mLink.Leader().value();
+      const auto accepted =
+        group.mEntry.Call(RetireReplica{ InstanceAt(retiring) });
+      BOOST_REQUIRE((accepted && std::holds_alternative<CallDone>(*accepted)));
+      group.mLink.Kill(lost);
+      BOOST_REQUIRE(group.mLink.AwaitLeader());
+      for (int asked = 0; asked < 100; ++asked) {
+        if (group.ReportedAsGone(retiring)) {
+          BOOST_TEST(!group.Belongs(retiring));
+        }
+      }
+      group.mLink.Start(lost);
+      group.mLink.Run(Seconds(10));
+      BOOST_REQUIRE(group.mLink.Leader().has_value());
+      BOOST_TEST(group.ReportedAsGone(retiring));
+      BOOST_TEST(!group.Belongs(retiring));
+    }
+  }
+}
+
+// A retirement that reaches a new leader early must not be refused for good:
+// the instance exists, the leader just has not heard from it.
+BOOST_AUTO_TEST_CASE(new_leader_does_not_deny_an_instance_it_has_not_heard_from)
+{
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      RetirementGroup group(seed);
+      const size_t lost = group.mLink.Leader().value();
+      group.mLink.Kill(lost);
+      BOOST_REQUIRE(group.mLink.AwaitLeader());
+      const auto reply =
+        group.mEntry.Call(RetireReplica{ InstanceAt(group.FollowingVoter()) });
+      const auto* failed = reply ? std::get_if<CallFailed>(&*reply) : nullptr;
+      BOOST_TEST((failed == nullptr || failed->mKind != ErrorKind::eNotFound));
+      // An instance that runs no replica is denied once all are known.
+      group.mLink.Start(lost);
+      group.mLink.Run(Seconds(5));
+      const auto other =
+        group.mEntry.Call(RetireReplica{ InstanceId("store-99") });
+      const auto* denied = other ? std::get_if<CallFailed>(&*other) : nullptr;
+      BOOST_REQUIRE(denied != nullptr);
+      BOOST_TEST((denied->mKind == ErrorKind::eNotFound));
+    }
+  }
+}
+
