Batch items with large prompts or partial outputs are run again

Cause: the partial output of an item was not counted where messages and commands are split: the leader's batch exceeded a frame and was dropped, the node's results exceeded a log entry and were refused without an answer. Both sides then repeated the same message. Items that did not fit were returned by a proposal whose loss nobody handled.

Ruled out: the return itself and the lease; with short texts all items come back.

Change: EncodedBound counts every string of an element; one element always fits, if need be without its partial output. A batch is sent once the return of the rest is applied. The test link drops messages above the transport's limit.

Test: items_with_large_partial_outputs_are_run_again and items_of_random_sizes_are_run_again failed before and pass.

--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -87,6 +87,7 @@
                                   PendingReplicasReply,
                                   PendingCallReply,
                                   PendingLeaseReply,
+                                  PendingBatchReply,
                                   PendingResultsReply,
                                   PendingTick>;
 
--- a/caraway/control/item_bodies.cpp
+++ b/caraway/control/item_bodies.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
 #include "caraway/control/step.h"
 #include "caraway/ledger/ledger.h"
 
@@ -12,15 +13,13 @@
 constexpr Duration kNodeRetryDelay = Seconds(1);
 
 // Returns items to the ledger on behalf of the node, because they are not sent
-// to it. Otherwise they would stay leased until its session ends.
+// to it, and sends the others once that is applied. If it is not, the node asks
+// again for the same lease.
 void
-ReturnUnsentItems(ControlStep& aStep,
-                  const ItemBodies& aBodies,
-                  std::vector<ItemResult> aResults)
+SendAfterReturn(ControlStep& aStep,
+                ItemBodies aBodies,
+                std::vector<ItemResult> aResults)
 {
-  if (aResults.empty()) {
-    return;
-  }
   ItemResults results;
   results.mGroup = aBodies.mBatch.mGroup;
   results.mNode = aBodies.mNode;
@@ -28,7 +27,8 @@
   results.mJob = aBodies.mBatch.mJob;
   results.mToken = aBodies.mBatch.mToken;
   results.mResults = std::move(aResults);
-  (void)Propose(aStep, std::move(results), {});
+  PendingBatchReply reply{ aBodies.mTo, std::move(aBodies.mBatch) };
+  (void)Propose(aStep, std::move(results), std::move(reply));
 }
 
 // Handles input that could not be read. If the job has ended meanwhile, its
@@ -67,8 +67,10 @@
     });
 }
 
-// The ledger limits a lease so that its lines fit into a frame. Items that
-// nevertheless do not fit are returned.
+// The ledger limits a lease so that its lines fit into a frame, but not the
+// partial outputs that come with them. Items that do not fit are returned; an
+// item that does not fit by itself is sent without its partial output. Items of
+// a job that has moved are all returned.
 void
 FinishItems(ControlStep& aStep, ItemBodies aBodies, BlobFetch& aFetch)
 {
@@ -81,14 +83,16 @@
     if (bytes + body.size() > kMaxLineBytes) {
       back.push_back({ item.mIndex, ItemVerdict::eReturned, 0, {} });
     } else {
-      bytes += body.size();
-      item.mBody = std::move(body);
+      bytes += size;
       kept.push_back(std::move(item));
     }
   }
   aBodies.mBatch.mItems = std::move(kept);
-  ReturnUnsentItems(aStep, aBodies, std::move(back));
-  Send(aStep, aBodies.mTo, std::move(aBodies.mBatch));
+  if (back.empty()) {
+    Send(aStep, aBodies.mTo, std::move(aBodies.mBatch));
+  } else {
+    SendAfterReturn(aStep, std::move(aBodies), std::move(back));
+  }
 }
 
 void
@@ -202,14 +206,14 @@
               const InstanceId& aNode,
               ItemBatch aBatch)
 {
-  if (aBatch.mItems.empty()) {
-    if (aBatch.mRetryAfter <= Duration{}) {
-      aBatch.mRetryAfter = kNodeRetryDelay;
+  ItemBatch& batch = aBodies.mBatch;
+  if (batch.mItems.empty()) {
+    if (batch.mRetryAfter <= Duration{}) {
+      batch.mRetryAfter = kNodeRetryDelay;
     }
-    Send(aStep, aTo, std::move(aBatch));
+    Send(aStep, aBodies.mTo, std::move(batch));
     return;
   }
-  ItemBodies bodies{ aTo, aNode, std::move(aBatch) };
   std::vector<BlobRange> records;
   for (const BatchItem& item : bodies.mBatch.mItems) {
     absl::StatusOr<BlobRange> record = ItemIndexRecord(
@@ -220,7 +224,7 @@
     }
     records.push_back(*std::move(record));
   }
-  StartReads(aStep, std::move(bodies), true, records);
+  StartReads(aStep, std::move(aBodies), true, records);
 }
 
 void
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -14,11 +14,12 @@
 constexpr uint32_t kMaxLeasedItems = 64;
 constexpr Duration kNoWorkRetry = Seconds(1);
 
-// Results are proposed in commands of about this size.
+// Results are proposed in commands of up to this size; one that is larger has a
+// command of its own.
 constexpr size_t kResultsPerCommandBytes = 512 * 1024;
 
 // A single result above this does not fit into a log entry.
-constexpr size_t kMaxLoggedResult = 640 * 1024;
+constexpr size_t kMaxLoggedResult = kMaxEntryBytes - 16 * 1024;
 
 // Starts the reply to a read whose bytes are still to be fetched.
 FilePiece
@@ -185,29 +186,54 @@
   return true;
 }
 
+// The result in a form that fits into a log entry. An item whose partial output
+// is too large is run again from its begin.
+ItemResult
+LoggedResult(ControlStep& aStep, const JobId& aJob, const ItemResult& aResult)
+{
+  if (EncodedBound(aResult) <= kMaxLoggedResult) {
+    return aResult;
+  }
+  Log(aStep,
+      "item_result",
+      "too_large",
+      absl::StrCat(aJob.mValue,
+                   "/",
+                   aResult.mIndex,
+                   " has ",
+                   EncodedBound(aResult),
+                   " bytes"));
+  ItemResult logged;
+  logged.mIndex = aResult.mIndex;
+  logged.mVerdict = aResult.mVerdict;
+  logged.mStatus = aResult.mStatus;
+  if (aResult.mVerdict != ItemVerdict::eReturned) {
+    logged.mVerdict = ItemVerdict::ePermanent;
+    logged.mBody = "the response is too large; ask for a shorter one";
+  }
+  return logged;
+}
+
 // Splits results into commands that fit into log entries.
 std::vector<ItemResults>
-SplitResults(const ItemResults& aMessage)
+SplitResults(ControlStep& aStep, const ItemResults& aMessage)
 {
+  ItemResults head = aMessage;
+  head.mResults.clear();
   std::vector<ItemResults> commands;
   size_t bytes = 0;
   for (const ItemResult& result : aMessage.mResults) {
-    if (commands.empty() || bytes > kResultsPerCommandBytes) {
-      commands.push_back(aMessage);
-      commands.back().mResults.clear();
+    ItemResult logged = LoggedResult(aStep, aMessage.mJob, result);
+    const size_t size = EncodedBound(logged);
+    if (commands.empty() || bytes + size > kResultsPerCommandBytes) {
+      commands.push_back(head);
       bytes = 0;
     }
-    commands.back().mResults.push_back(result);
-    if (result.mBody.size() > kMaxLoggedResult) {
-      ItemResult& stored = commands.back().mResults.back();
-      stored.mVerdict = ItemVerdict::ePermanent;
-      stored.mBody = "the response is larger than 640 KiB; ask for a shorter "
-                     "one";
-    }
-    bytes += commands.back().mResults.back().mBody.size();
+    bytes += size;
+    commands.back().mResults.push_back(std::move(logged));
   }
   if (commands.empty()) {
-    commands.push_back(aMessage);
+    commands.push_back(std::move(head));
   }
   return commands;
 }
@@ -312,7 +338,7 @@
     return;
   }
   // Log entries are applied in order, so the last one acknowledges all.
-  std::vector<ItemResults> commands = SplitResults(aMessage);
+  std::vector<ItemResults> commands = SplitResults(aStep, aMessage);
   for (size_t at = 0; at < commands.size(); ++at) {
     const bool last = at + 1 == commands.size();
     PendingReply pendingReply;
--- a/caraway/node/node_batch_results.cpp
+++ b/caraway/node/node_batch_results.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "caraway/node/batch_line.h"
 #include "caraway/node/node_internal.h"
 
 namespace caraway {
@@ -10,6 +11,8 @@
 
 constexpr size_t kGroupItems = 32;
 constexpr size_t kGroupBytes = 768 * 1024; // keeps a message below 1 MiB
+// Of one result; a group of one still fits into a message.
+constexpr size_t kMaxResult = kGroupBytes - 16 * 1024;
 constexpr Duration kGroupWait = Millis(100);
 constexpr Duration kResend = Millis(500);
 
@@ -34,9 +37,8 @@
     while (next < aGroup.mResults.size() &&
            message.mResults.size() < kGroupItems &&
            (bytes == 0 ||
-            bytes + aGroup.mResults[next].mBody.size() <= kGroupBytes)) {
-      bytes += aGroup.mResults[next].mBody.size() +
-               aGroup.mResults[next].mProgress.mText.size() + 1;
+            bytes + EncodedBound(aGroup.mResults[next]) <= kGroupBytes)) {
+      bytes += EncodedBound(aGroup.mResults[next]);
       message.mResults.push_back(std::move(aGroup.mResults[next++]));
     }
     pending.mSendAt = aNow;
@@ -53,7 +55,7 @@
   }
   size_t bytes = 0;
   for (const ItemResult& result : aGroup.mResults) {
-    bytes += result.mBody.size();
+    bytes += EncodedBound(result);
   }
   return bytes >= kGroupBytes / 2;
 }
@@ -82,6 +84,12 @@
     result.mProgress = { *aTask.mEvents.mLast, aTask.mText, {} };
     result.mBody = aTask.mVersion;
   }
+  if (EncodedBound(result) > kMaxResult) {
+    result.mVerdict = ItemVerdict::ePermanent;
+    result.mBody = ErrorLine(
+      aTask, "too_large", "the answer exceeds 752 KiB; ask for less output");
+    result.mProgress = {};
+  }
   group.mResults.push_back(std::move(result));
 }
 
--- a/caraway/wire/batch_messages.h
+++ b/caraway/wire/batch_messages.h
@@ -44,6 +44,23 @@
   ItemProgress mProgress;
 };
 
+// EncodedBound: upper bound of the encoded size of one element of a message.
+// Senders split messages by it, so it counts every string of the element.
+constexpr size_t kMaxElementOverhead = 64; // numbers, and lengths of strings
+
+inline size_t
+EncodedBound(const ItemProgress& aProgress)
+{
+  return aProgress.mText.size() + aProgress.mVersion.size();
+}
+
+inline size_t
+EncodedBound(const BatchItem& aItem)
+{
+  return kMaxElementOverhead + aItem.mBody.size() +
+         EncodedBound(aItem.mProgress);
+}
+
 struct ItemBatch
 {
   GroupId mGroup;
@@ -82,6 +99,13 @@
   ItemProgress mProgress; // of returned items
 };
 
+inline size_t
+EncodedBound(const ItemResult& aResult)
+{
+  return kMaxElementOverhead + aResult.mBody.size() +
+         EncodedBound(aResult.mProgress);
+}
+
 // Node -> leader. Retransmitted until acknowledged.
 struct ItemResults
 {
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -4,7 +4,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <set>
 
+#include "caraway/base/random.h"
 #include "caraway/control/blob_fetch.h"
 #include "tests/control_link.h"
 
@@ -134,6 +137,49 @@
     mNode.emplace(mLink, "node-1", MemberRole::eNode);
   }
 
+  // Leases items like a node whose target ends in the middle of the first
+  // answer to each item: returns it with aText as its partial output, and
+  // finishes it the next time. Stops once nothing is leased any more.
+  void RunWithOneReturnEach(const std::function<size_t(uint32_t)>& aTextBytes)
+  {
+    std::set<uint32_t> returned;
+    uint64_t sequence = 0;
+    for (int round = 0; round < 200; ++round) {
+      const ItemBatch batch =
+        mNode->Ask<ItemBatch>(mNode->LeaseOf(++sequence, 64));
+      if (batch.mItems.empty()) {
+        return;
+      }
+      ItemResults results = mNode->ResultsOf(batch, sequence);
+      for (ItemResult& result : results.mResults) {
+        if (returned.insert(result.mIndex).second) {
+          result.mVerdict = ItemVerdict::eReturned;
+          result.mBody = "v1";
+          result.mProgress.mLastEvent = 5;
+          result.mProgress.mText.assign(aTextBytes(result.mIndex), 't');
+        }
+      }
+      // As many in one message as a frame holds.
+      ItemResults message = results;
+      message.mResults.clear();
+      size_t bytes = 0;
+      uint64_t number = sequence * 100;
+      for (size_t at = 0; at < results.mResults.size(); ++at) {
+        message.mResults.push_back(results.mResults[at]);
+        bytes += EncodedBound(results.mResults[at]);
+        const bool last = at + 1 == results.mResults.size();
+        if (last || bytes + EncodedBound(results.mResults[at + 1]) >
+                      kMaxFrameBytes - 1024) {
+          message.mSequence = ++number;
+          BOOST_TEST(!mNode->Ask<ItemResultsAck>(message).mStale);
+          message.mResults.clear();
+          bytes = 0;
+        }
+      }
+    }
+    BOOST_ERROR("items are leased without end");
+  }
+
   void Upload(const std::string& aFile, const std::string& aBytes)
   {
     for (size_t at = 0; at < aBytes.size(); at += kMaxPartBytes) {
@@ -330,6 +376,80 @@
   }
 }
 
+// Guards against items that stay leased for good because the message that
+// brings them, or the command that returns them, is too large once their
+// partial outputs are counted. Sizes of a prompt, of a text and of both, up to
+// the largest line and text.
+BOOST_AUTO_TEST_CASE(items_with_large_partial_outputs_are_run_again)
+{
+  struct Sizes
+  {
+    uint32_t mItems;
+    size_t mLine;
+    size_t mText;
+  };
+  constexpr size_t kMaxText = 700 * 1024;
+  for (const Sizes& sizes : { Sizes{ 8, 118000, 14000 },
+                              Sizes{ 20, 800, 123000 },
+                              Sizes{ 24, 39000, 149000 },
+                              Sizes{ 3, kMaxLineBytes, 1 },
+                              Sizes{ 3, kMaxLineBytes, kMaxText },
+                              Sizes{ 3, 10, kMaxText },
+                              Sizes{ 3, 400000, kMaxText } }) {
+    BOOST_TEST_CONTEXT(sizes.mItems << " lines of " << sizes.mLine
+                                    << ", texts of " << sizes.mText)
+    {
+      Batch batch;
+      std::string bytes;
+      for (uint32_t item = 0; item < sizes.mItems; ++item) {
+        bytes += std::string(sizes.mLine, 'x') + "\n";
+      }
+      batch.Upload("file-1", bytes);
+      BOOST_REQUIRE(
+        std::holds_alternative<JobReply>(batch.Create("batch_1", "file-1")));
+      batch.RunWithOneReturnEach([&](uint32_t) { return sizes.mText; });
+      const std::string output = batch.ReadOutput();
+      BOOST_TEST(std::count(output.begin(), output.end(), '\n') ==
+                 sizes.mItems);
+      BOOST_TEST(batch.mLink.mTooLarge == 0u);
+    }
+  }
+}
+
+// The same with sizes that differ between the items of a job, the smallest and
+// the largest preferred.
+BOOST_AUTO_TEST_CASE(items_of_random_sizes_are_run_again)
+{
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      Random random(seed);
+      const auto sizeUpTo = [&](uint64_t aMost) {
+        const uint64_t kind = DrawBelow(random, 4);
+        return kind == 0   ? uint64_t{ 1 }
+               : kind == 1 ? aMost
+                           : 1 + DrawBelow(random, aMost);
+      };
+      Batch batch;
+      const uint64_t items = 2 + DrawBelow(random, 30);
+      const uint64_t longest = sizeUpTo(200000);
+      const uint64_t text = sizeUpTo(700 * 1024);
+      std::string bytes;
+      for (uint64_t item = 0; item < items; ++item) {
+        bytes += std::string(sizeUpTo(longest), 'x') + "\n";
+      }
+      batch.Upload("file-1", bytes);
+      BOOST_REQUIRE(
+        std::holds_alternative<JobReply>(batch.Create("batch_1", "file-1")));
+      batch.RunWithOneReturnEach([&](uint32_t) { return sizeUpTo(text); });
+      const std::string output = batch.ReadOutput();
+      BOOST_TEST(static_cast<uint64_t>(
+                   std::count(output.begin(), output.end(), '\n')) == items);
+      BOOST_TEST(batch.mLink.mTooLarge == 0u);
+    }
+  }
+}
+
 // Results of one message that exceed a log entry must be split.
 BOOST_FIXTURE_TEST_CASE(large_results_are_split_over_log_entries, Batch)
 {
--- a/tests/control_link.h
+++ b/tests/control_link.h
@@ -62,6 +62,7 @@
   uint64_t mOrder = 0;
   uint64_t mLastCall = 0;
   uint64_t mControlBytes = 0; // size of encoded messages to peers
+  uint64_t mTooLarge = 0;     // messages dropped because of their size
 
   explicit ControlLink(size_t aReplicas, uint64_t aSeed = 1)
   {
@@ -134,6 +135,10 @@
   // Delivers a message from a process to a replica.
   void SendFrom(const PeerAddress& aFrom, const PeerAddress& aTo, Message aOne)
   {
+    if (EncodeMessage(aOne).size() > kMaxFrameBytes) {
+      ++mTooLarge;
+      return;
+    }
     for (size_t at = 0; at < mReplicas.size(); ++at) {
       if (AddressOf(at) == aTo && !mCut.contains(aFrom) &&
           !mCut.contains(aTo)) {
@@ -179,7 +184,12 @@
       SendFrom(AddressOf(aReplica), aSend.mTo, std::move(aSend.mMessage));
       return;
     }
-    mControlBytes += EncodeMessage(aSend.mMessage).size();
+    const size_t bytes = EncodeMessage(aSend.mMessage).size();
+    if (bytes > kMaxFrameBytes) {
+      ++mTooLarge;
+      return;
+    }
+    mControlBytes += bytes;
     At(mNow + mDelay,
        [this, to = aSend.mTo, from = AddressOf(aReplica), aSend] {
          if (!mCut.contains(to)) {
