Any early end of a response that lasts until its connection closes is a reset

Cause: the entry resets such a connection when it breaks the response off, but the kernel closes the sockets of a killed process in order.

Change: SO_LINGER with 0 s from the head of such a response on, taken back when the socket has taken its last byte; for streams, plain responses, shutdown of the server and the idle timeout. A stream to an HTTP/1.0 caller says Connection: close and is treated alike; it left such a caller waiting.

--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -125,15 +125,37 @@
   aRequest->minor = 0;
 }
 
+// With aReset, any close of the socket resets the connection, also the one that
+// the kernel makes when the process is killed.
+void
+SetResetOnClose(evhttp_connection* aConnection, bool aReset)
+{
+  const linger setting{ aReset ? 1 : 0, 0 };
+  (void)setsockopt(
+    bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection)),
+    SOL_SOCKET,
+    SO_LINGER,
+    &setting,
+    sizeof(setting));
+}
+
+// True if only the end of the connection ends the response, which has begun.
+bool
+LastsUntilClose(evhttp_request* aRequest)
+{
+  return aRequest->chunked == 0 &&
+         evhttp_find_header(evhttp_request_get_output_headers(aRequest),
+                            "Content-Length") == nullptr;
+}
+
 // Closes the socket with a reset. The connection must be freed right after:
 // evhttp would shut the socket down in an orderly way before it closes it.
 void
 ResetSocket(evhttp_connection* aConnection)
 {
+  SetResetOnClose(aConnection, true);
   bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
   const evutil_socket_t socket = bufferevent_getfd(buffer);
-  const linger abortive{ 1, 0 };
-  (void)setsockopt(socket, SOL_SOCKET, SO_LINGER, &abortive, sizeof(abortive));
   bufferevent_setfd(buffer, -1);
   evutil_closesocket(socket);
 }
@@ -168,6 +190,10 @@
 {
   // evhttp_free closes all connections and calls OnConnectionClosed for each;
   // with empty maps, that emits no signal.
+  while (!mUnverified.empty()) {
+    const auto connection = mUnverified.extract(mUnverified.begin());
+    ResetSocket(connection.value());
+  }
   mCalls.clear();
   mCallByConnection.clear();
   mAborted.clear();
@@ -296,6 +322,9 @@
 HttpServer::OnConnectionClosed(evhttp_connection* aConnection, void* aServer)
 {
   auto* server = static_cast<HttpServer*>(aServer);
+  if (server->mUnverified.erase(aConnection) > 0) {
+    ResetSocket(aConnection);
+  }
   std::erase_if(server->mAborted, [&](const AbortedConnection& aAborted) {
     return aAborted.mConnection == aConnection;
   });
@@ -355,6 +384,7 @@
     EvBufferPtr body(evbuffer_new());
     evbuffer_add(body.get(), aResponse.mBody.data(), aResponse.mBody.size());
     evhttp_send_reply_start(request, aResponse.mStatus, nullptr);
+    ResetUnlessComplete(request, connection);
     evhttp_send_reply_chunk(request, body.get());
     evhttp_send_reply_end(request);
     return;
@@ -375,10 +405,35 @@
   }
   call->mBegan = true;
   AddHeaders(call->mRequest, aBegin.mHeaders);
-  if (aBegin.mEndsByClose) {
+  // HTTP/1.0 has no chunks.
+  if (aBegin.mEndsByClose || call->mRequest->minor == 0) {
     EndByClose(call->mRequest);
   }
   evhttp_send_reply_start(call->mRequest, aBegin.mStatus, nullptr);
+  ResetUnlessComplete(call->mRequest, call->mConnection);
+}
+
+void
+HttpServer::ResetUnlessComplete(evhttp_request* aRequest,
+                                evhttp_connection* aConnection)
+{
+  // A TLS connection shows by itself whether it was ended in an orderly way.
+  if (!LastsUntilClose(aRequest) || mTls != nullptr) {
+    return;
+  }
+  SetResetOnClose(aConnection, true);
+  mUnverified.insert(aConnection);
+  evhttp_request_set_on_complete_cb(
+    aRequest, &HttpServer::OnResponseSent, this);
+}
+
+// The socket has taken every byte of the response, so its close is the end.
+void
+HttpServer::OnResponseSent(evhttp_request* aRequest, void* aServer)
+{
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  static_cast<HttpServer*>(aServer)->mUnverified.erase(connection);
+  SetResetOnClose(connection, false);
 }
 
 void
@@ -426,9 +481,7 @@
   // Closing the connection without the last chunk shows the caller that the
   // response is incomplete. Queued bytes are sent first.
   constexpr Duration kLongestWait = Seconds(2);
-  const bool endsByClose = call->mBegan && call->mRequest->chunked == 0;
-  mAborted.push_back(
-    { call->mConnection, mLoop.Now() + kLongestWait, endsByClose });
+  mAborted.push_back({ call->mConnection, mLoop.Now() + kLongestWait });
   Finish(aAbort.mCall);
   mAbortTimer.ArmAt(mLoop.Now());
 }
@@ -448,11 +501,8 @@
     }
   }
   for (const AbortedConnection& aborted : ready) {
-    // A TLS connection shows by itself that it was not ended in an orderly way.
-    if (aborted.mReset && mTls == nullptr) {
-      ResetSocket(aborted.mConnection);
-    }
-    // Calls OnConnectionClosed.
+    // Calls OnConnectionClosed, which resets a connection whose response would
+    // look complete otherwise.
     evhttp_connection_free(aborted.mConnection);
   }
   if (!mAborted.empty()) {
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,19 +75,21 @@
   {
     evhttp_connection* mConnection = nullptr;
     MonoTime mCloseDeadline;
-    // The response ends with its connection, so that only a reset shows that it
-    // is incomplete.
-    bool mReset = false;
   };
 
   static void OnEvRequest(evhttp_request* aRequest, void* aServer);
   static void OnConnectionClosed(evhttp_connection* aConnection, void* aServer);
+  static void OnResponseSent(evhttp_request* aRequest, void* aServer);
   static bufferevent* MakeBufferEvent(event_base* aBase, void* aServer);
 
   void Accept(evhttp_request* aRequest);
   Call* Find(HttpCallId aId);
   void Finish(HttpCallId aId);
   void StopWatchingForClose(evhttp_connection* aConnection) const;
+  // Makes every early end of a response that lasts until its connection closes
+  // a reset. Call after evhttp_send_reply_start.
+  void ResetUnlessComplete(evhttp_request* aRequest,
+                           evhttp_connection* aConnection);
   void LimitConnections();
   void CloseAborted();
 
@@ -102,6 +105,9 @@
   // the response to the previous one.
   std::map<evhttp_connection*, HttpCallId> mCallByConnection;
   std::vector<AbortedConnection> mAborted;
+  // Connections whose response lasts until they close and is not sent in full
+  // yet. Their sockets are set to reset on close.
+  std::set<evhttp_connection*> mUnverified;
   Timer mConnectionTimer;
   Timer mAbortTimer;
 };
