Nodes check batch leases against the state in force before items start

Cause: leased items were checked when they were handed out and never again. Nodes get no plans, and the end of a job was told by one message.

Change: a renewal names the leases of all items at the node; the reply names those that have ended or moved, from replicated state. Waiting items of a moved job are returned, items of an ended one stop. Without a valid lease of its session a node starts no item. Bodies that were read while the job ended or moved are not sent. A text goes on only at the service that began it.

node_version_test: stored texts name the service beside the version now, so its literals do; the test also covers texts of another service.

Tests: node_lease_check_test, ledger_routed_job_test, control_batch_test.

--- a/caraway/control/answers.cpp
+++ b/caraway/control/answers.cpp
@@ -65,8 +65,20 @@
   void operator()(const PendingLeaseReply& aPendingReply) const
   {
     if (auto* batch = std::get_if<ItemBatch>(&mReply)) {
-      SendItemBatch(
-        mStep, aPendingReply.mFrom, aPendingReply.mNode, std::move(*batch));
+      SendItemBatch(mStep,
+                    { aPendingReply.mFrom,
+                      aPendingReply.mNode,
+                      aPendingReply.mServed,
+                      std::move(*batch) });
+    }
+  }
+
+  // Nothing is sent if the lease has ended meanwhile.
+  void operator()(const PendingBatchReply& aPendingReply) const
+  {
+    const auto* ack = std::get_if<ItemResultsAck>(&mReply);
+    if (ack != nullptr && !ack->mStale) {
+      Send(mStep, aPendingReply.mTo, aPendingReply.mBatch);
     }
   }
 
--- a/caraway/control/blob_fetch.h
+++ b/caraway/control/blob_fetch.h
@@ -19,7 +19,8 @@
 {
   PeerAddress mTo;
   InstanceId mNode;
-  ItemBatch mBatch; // its items get their bodies from the fetch
+  std::vector<ModelId> mServed; // by the node's target
+  ItemBatch mBatch;             // its items get their bodies from the fetch
 };
 
 // The reply to an entry's ReadFile or ReadItem, sent once its bytes are read.
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -70,6 +70,14 @@
 {
   PeerAddress mFrom;
   InstanceId mNode;
+  std::vector<ModelId> mServed; // by the node's target
+};
+
+// Sends a batch once the items that do not fit into it are returned.
+struct PendingBatchReply
+{
+  PeerAddress mTo;
+  ItemBatch mBatch;
 };
 
 struct PendingResultsReply
--- a/caraway/control/item_bodies.cpp
+++ b/caraway/control/item_bodies.cpp
@@ -11,6 +11,21 @@
 namespace {
 
 constexpr Duration kNodeRetryDelay = Seconds(1);
+// Leaves 8 KiB of a frame for the fields that the items share.
+constexpr size_t kMaxBatchBytes = kMaxFrameBytes - 8 * 1024;
+static_assert(kMaxLineBytes + kMaxElementOverhead <= kMaxBatchBytes);
+
+// Answers a lease request without items.
+ItemBatch
+WithoutItems(const ItemBatch& aBatch)
+{
+  ItemBatch none;
+  none.mGroup = aBatch.mGroup;
+  none.mNodeEpoch = aBatch.mNodeEpoch;
+  none.mSequence = aBatch.mSequence;
+  none.mRetryAfter = kNodeRetryDelay;
+  return none;
+}
 
 // Returns items to the ledger on behalf of the node, because they are not sent
 // to it, and sends the others once that is applied. If it is not, the node asks
@@ -50,12 +65,19 @@
             "new id" });
     return;
   }
-  ItemBatch none;
-  none.mGroup = batch.mGroup;
-  none.mNodeEpoch = batch.mNodeEpoch;
-  none.mSequence = batch.mSequence;
-  none.mRetryAfter = kNodeRetryDelay;
-  Send(aStep, aBodies.mTo, std::move(none));
+  Send(aStep, aBodies.mTo, WithoutItems(batch));
+}
+
+// The bodies were read after the lease was granted. Meanwhile the job may have
+// ended, or a new plan may have moved it to another service.
+LeaseState
+CurrentLeaseState(const ControlStep& aStep, const ItemBodies& aBodies)
+{
+  return StateOfLease(aStep.mControl.mState.mLedger,
+                      aBodies.mNode,
+                      aBodies.mBatch.mNodeEpoch,
+                      aBodies.mBatch.mToken,
+                      aBodies.mServed);
 }
 
 bool
@@ -74,13 +96,32 @@
 void
 FinishItems(ControlStep& aStep, ItemBodies aBodies, BlobFetch& aFetch)
 {
+  const LeaseState lease = CurrentLeaseState(aStep, aBodies);
+  if (lease == LeaseState::eEnded) {
+    Send(aStep, aBodies.mTo, WithoutItems(aBodies.mBatch));
+    return;
+  }
   std::vector<BatchItem> kept;
   std::vector<ItemResult> back;
   size_t bytes = 0;
   for (size_t at = 0; at < aBodies.mBatch.mItems.size(); ++at) {
     BatchItem& item = aBodies.mBatch.mItems[at];
-    std::string& body = aFetch.mRanges[at].mBytes;
-    if (bytes + body.size() > kMaxLineBytes) {
+    item.mBody = std::move(aFetch.mRanges[at].mBytes);
+    if (EncodedBound(item) > kMaxBatchBytes) {
+      Log(aStep,
+          "item_lease",
+          "restarted",
+          absl::StrCat(aBodies.mBatch.mJob.mValue,
+                       "/",
+                       item.mIndex,
+                       " has ",
+                       EncodedBound(item),
+                       " bytes with its partial output"));
+      item.mProgress = {};
+    }
+    const size_t size = EncodedBound(item);
+    if (lease == LeaseState::eMoved ||
+        (bytes > 0 && bytes + size > kMaxBatchBytes)) {
       back.push_back({ item.mIndex, ItemVerdict::eReturned, 0, {} });
     } else {
       bytes += size;
@@ -201,10 +242,7 @@
 }
 
 void
-SendItemBatch(ControlStep& aStep,
-              const PeerAddress& aTo,
-              const InstanceId& aNode,
-              ItemBatch aBatch)
+SendItemBatch(ControlStep& aStep, ItemBodies aBodies)
 {
   ItemBatch& batch = aBodies.mBatch;
   if (batch.mItems.empty()) {
@@ -215,11 +253,11 @@
     return;
   }
   std::vector<BlobRange> records;
-  for (const BatchItem& item : bodies.mBatch.mItems) {
-    absl::StatusOr<BlobRange> record = ItemIndexRecord(
-      aStep.mControl.mState.mLedger, bodies.mBatch.mJob, item.mIndex);
+  for (const BatchItem& item : batch.mItems) {
+    absl::StatusOr<BlobRange> record =
+      ItemIndexRecord(aStep.mControl.mState.mLedger, batch.mJob, item.mIndex);
     if (!record.ok()) {
-      FailItems(aStep, bodies);
+      FailItems(aStep, aBodies);
       return;
     }
     records.push_back(*std::move(record));
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -319,7 +319,8 @@
   }
   LeaseItems lease = aMessage;
   lease.mWanted = std::min(lease.mWanted, kMaxLeasedItems);
-  (void)Propose(aStep, lease, PendingLeaseReply{ aFrom, lease.mNode });
+  (void)Propose(
+    aStep, lease, PendingLeaseReply{ aFrom, lease.mNode, lease.mModels });
 }
 
 void
--- a/caraway/control/member_messages.cpp
+++ b/caraway/control/member_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "caraway/admission/grantor.h"
 #include "caraway/control/step.h"
+#include "caraway/ledger/ledger.h"
 
 namespace caraway {
 
@@ -56,6 +57,33 @@
                 {});
 }
 
+// Tells the node which of its batch leases have ended or moved. A lease that
+// this replica has not applied yet is neither.
+void
+CheckLeases(const ControlStep& aStep, const Renew& aRenew, RenewReply& aReply)
+{
+  const ControlState& state = aStep.mControl.mState;
+  for (const FencingToken token : aRenew.mLeases) {
+    if (token.mValue > state.mApplied.mValue) {
+      continue;
+    }
+    switch (StateOfLease(state.mLedger,
+                         aRenew.mInstance,
+                         aRenew.mEpoch,
+                         token,
+                         aRenew.mTarget.mModels)) {
+      case LeaseState::eHeld:
+        break;
+      case LeaseState::eMoved:
+        aReply.mMovedLeases.push_back(token);
+        break;
+      case LeaseState::eEnded:
+        aReply.mEndedLeases.push_back(token);
+        break;
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -97,10 +125,13 @@
     return;
   }
   ++aStep.mControl.mCounters.mRenewals;
-  const RenewReply reply = HandleRenew(aStep.mControl.mLeadership.mSessions,
-                                       aStep.mNow,
-                                       aMessage,
-                                       ViewOf(aStep).mRevision);
+  RenewReply reply = HandleRenew(aStep.mControl.mLeadership.mSessions,
+                                 aStep.mNow,
+                                 aMessage,
+                                 ViewOf(aStep).mRevision);
+  if (reply.mVerdict == RenewVerdict::eGranted) {
+    CheckLeases(aStep, aMessage, reply);
+  }
   Send(aStep, aFrom, reply);
   if (reply.mVerdict != RenewVerdict::eUnknownSession) {
     UpdateFromRenewal(aStep, aMessage);
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -162,10 +162,7 @@
 RemoveSilentTargets(ControlStep& aStep);
 
 void
-SendItemBatch(ControlStep& aStep,
-              const PeerAddress& aTo,
-              const InstanceId& aNode,
-              ItemBatch aBatch); // item_bodies.cpp
+SendItemBatch(ControlStep& aStep, ItemBodies aBodies); // item_bodies.cpp
 // aRanges must not be empty.
 void
 StartReads(ControlStep& aStep,
--- a/caraway/ledger/leases.cpp
+++ b/caraway/ledger/leases.cpp
@@ -241,6 +241,32 @@
     });
 }
 
+LeaseState
+StateOfLease(const Ledger& aLedger,
+             const InstanceId& aNode,
+             Epoch aNodeEpoch,
+             FencingToken aToken,
+             const std::vector<ModelId>& aServed)
+{
+  const auto session = aLedger.mNodes.find({ aNode, aNodeEpoch });
+  if (session == aLedger.mNodes.end()) {
+    return LeaseState::eEnded;
+  }
+  const auto& leases = session->second.mLeases;
+  const auto lease =
+    std::find_if(leases.begin(), leases.end(), [&](const LeaseRef& aRef) {
+      return aRef.mToken == aToken;
+    });
+  if (lease == leases.end()) {
+    return LeaseState::eEnded;
+  }
+  const Job& job =
+    aLedger.mWorkspaces.at(lease->mWorkspace).mJobs.at(lease->mJob);
+  return std::find(aServed.begin(), aServed.end(), job.mModel) == aServed.end()
+           ? LeaseState::eMoved
+           : LeaseState::eHeld;
+}
+
 ItemBatch
 ApplyLease(Ledger& aLedger,
            LogIndex aIndex,
--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -40,6 +40,21 @@
            MonoTime aLogicalNow,
            const LeaseItems& aRequest);
 
+enum class LeaseState : uint8_t
+{
+  eHeld,
+  eMoved, // held, but its job now runs at a model that is not served there
+  eEnded,
+};
+
+// The lease of a node's session, whose target serves these models.
+LeaseState
+StateOfLease(const Ledger& aLedger,
+             const InstanceId& aNode,
+             Epoch aNodeEpoch,
+             FencingToken aToken,
+             const std::vector<ModelId>& aServed);
+
 // Records the results of leased items. Results of a lease that no longer exists
 // are ignored and acknowledged as stale.
 ItemResultsAck
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -158,13 +158,15 @@
 }
 
 // Without a lease or out of service nothing is started: batch work waits,
-// online work has been refused.
+// online work has been refused. A node that serves without a lease still needs
+// one for batch work, which control may have ended or moved.
 void
 ScheduleIfInService(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
   Scheduler& scheduler = aNode.mScheduler;
   const bool held = scheduler.mHeld;
   scheduler.mHeld = held || RefusalReason(aNode, aNow) != ErrorKind::eNone;
+  scheduler.mBatchHeld = !MayStartItems(aNode, aNow);
   RunSchedule(aNode, aNow, aOut);
   scheduler.mHeld = held;
 }
@@ -184,6 +186,7 @@
   MaintainSession(aNode, aNow, aOut);
   PollLoad(aNode, aNow, aOut);
   RefuseOnLeaseExpiry(aNode, aNow, aOut);
+  ReturnMovedItems(aNode, aNow);
   ScheduleIfInService(aNode, aNow, aOut);
   RequestItems(aNode, aNow, aOut);
   SendResults(aNode, aNow, aOut);
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kResend = Millis(500);
 constexpr Duration kMinLeasePause = Millis(50); // after an answer without items
 constexpr Duration kPollEvery = Millis(200);
+// Items that come this long after they were asked for are checked before they
+// start: their job may have ended or moved on their way.
+constexpr Duration kMaxLeaseAge = Seconds(1);
 constexpr size_t kMaxUnacked = 8; // result messages; at this, leasing stops
 
 // Number of waiting items to keep: those that finish within mPrefetchSeconds at
@@ -129,13 +132,15 @@
   aNode.mBatch.mTasks.emplace(task.mWork, std::move(task));
 }
 
+// Returns the waiting items that aReturned accepts.
+template<class Predicate>
 void
-ReturnItems(Node& aNode, MonoTime aNow, Duration aWaited)
+ReturnItems(Node& aNode, MonoTime aNow, Predicate aReturned)
 {
   auto& tasks = aNode.mBatch.mTasks;
   for (auto task = tasks.begin(); task != tasks.end();) {
     const bool waiting = task->second.mTargetCall.IsNone();
-    if (!waiting || aNow - task->second.mWaitingSince < aWaited) {
+    if (!waiting || !aReturned(task->second)) {
       ++task;
       continue;
     }
@@ -173,6 +178,7 @@
   ++batch.mLeaseSequence;
   batch.mLeasing = true;
   batch.mLeaseWanted = wanted;
+  batch.mLeaseAskedAt = aNow;
   SendLease(aNode, aNow, aOut);
 }
 
@@ -257,6 +263,10 @@
   for (const BatchItem& item : aBatch.mItems) {
     AddTask(aNode, aNow, lease, item);
   }
+  if (aNow - batch.mLeaseAskedAt > kMaxLeaseAge) {
+    batch.mCheckLeasesAfter = aNow;
+    SendRenew(aNode, aNow, aOut);
+  }
   const ErrorKind reason = RefusalReason(aNode, aNow);
   if (reason == ErrorKind::eDraining || reason == ErrorKind::eZoneOut) {
     ReturnWaitingItems(aNode, aNow, aOut);
@@ -313,13 +323,66 @@
 void
 ReturnWaitingItems(Node& aNode, MonoTime aNow, NodeActions&)
 {
-  ReturnItems(aNode, aNow, Duration{ 0 });
+  ReturnItems(aNode, aNow, [](const BatchTask&) { return true; });
 }
 
 void
 ReturnOverdueItems(Node& aNode, MonoTime aNow, NodeActions&)
 {
-  ReturnItems(aNode, aNow, aNode.mSettings.mMaxItemWait);
+  ReturnItems(aNode, aNow, [&](const BatchTask& aTask) {
+    return aNow - aTask.mWaitingSince >= aNode.mSettings.mMaxItemWait;
+  });
+}
+
+std::vector<FencingToken>
+HeldLeases(const Node& aNode)
+{
+  std::set<FencingToken> leases;
+  for (const auto& [work, task] : aNode.mBatch.mTasks) {
+    leases.insert(task.mLease.mToken);
+  }
+  return { leases.begin(), leases.end() };
+}
+
+void
+OnLeasesChecked(Node& aNode,
+                MonoTime aNow,
+                const RenewReply& aReply,
+                NodeActions& aOut)
+{
+  NodeBatch& batch = aNode.mBatch;
+  const MonoTime sent{ aReply.mSentAt };
+  if (sent < batch.mLeasesCheckedAt) {
+    return; // overtaken by a newer reply
+  }
+  batch.mLeasesCheckedAt = sent;
+  batch.mMovedLeases = { aReply.mMovedLeases.begin(),
+                         aReply.mMovedLeases.end() };
+  for (const FencingToken token : aReply.mEndedLeases) {
+    DropTasks(aNode, aNow, nullptr, &token, aOut);
+    std::erase_if(batch.mGroups, [&](const auto& aGroup) {
+      return aGroup.first.second == token;
+    });
+  }
+}
+
+void
+ReturnMovedItems(Node& aNode, MonoTime aNow)
+{
+  const auto& moved = aNode.mBatch.mMovedLeases;
+  if (!moved.empty()) {
+    ReturnItems(aNode, aNow, [&](const BatchTask& aTask) {
+      return moved.contains(aTask.mLease.mToken);
+    });
+  }
+}
+
+bool
+MayStartItems(const Node& aNode, MonoTime aNow)
+{
+  const NodeBatch& batch = aNode.mBatch;
+  return aNode.mSession.mLive && aNow < aNode.mSession.mLeaseEnd &&
+         batch.mLeasesCheckedAt >= batch.mCheckLeasesAfter;
 }
 
 MonoTime
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -100,12 +100,20 @@
   return aTask.mAnswer.substr(0, kMaxErrorText);
 }
 
+// What wrote a text: only the same service and software version continue it.
+std::string
+TextOrigin(const Node& aNode, const BatchTask& aTask)
+{
+  return aTask.mLease.mModel.mValue + "/" + aNode.mRecord.mVersion;
+}
+
 // Starts a raw item. It continues after the last event received, unless another
-// software version wrote that, or the event had no id.
+// service or software version wrote that, or the event had no id.
 void
 StartRawTask(Node& aNode, MonoTime aNow, BatchTask& aTask, NodeActions& aOut)
 {
-  if (!aTask.mEvents.mLast || aTask.mVersion != aNode.mRecord.mVersion) {
+  if (const std::string origin = TextOrigin(aNode, aTask);
+      !aTask.mEvents.mLast || aTask.mVersion != origin) {
     aTask.mEvents = {};
     aTask.mText.clear();
     aTask.mVersion = aNode.mRecord.mVersion;
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -3,6 +3,7 @@
 // not acknowledged yet.
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -98,11 +99,18 @@
   std::map<uint64_t, PendingResults> mUnacked;  // by result sequence
   uint64_t mResultSequence = 0;
   uint64_t mLeaseSequence = 0;
-  bool mLeasing = false;      // a LeaseItems request is outstanding
-  uint32_t mLeaseWanted = 0;  // items wanted by the outstanding request
-  MonoTime mLeaseSendAt{ 0 }; // next retransmission of the outstanding request
-  MonoTime mNextLeaseAt{ 0 }; // earliest time of a new LeaseItems request
-  MonoTime mPollAt{ 0 };      // next check whether items are wanted
+  bool mLeasing = false;       // a LeaseItems request is outstanding
+  uint32_t mLeaseWanted = 0;   // items wanted by the outstanding request
+  MonoTime mLeaseSendAt{ 0 };  // next retransmission of the outstanding request
+  MonoTime mNextLeaseAt{ 0 };  // earliest time of a new LeaseItems request
+  MonoTime mPollAt{ 0 };       // next check whether items are wanted
+  MonoTime mLeaseAskedAt{ 0 }; // first transmission of the outstanding request
+  // Leases whose items may not start here any more, as of the newest reply to a
+  // Renew, which was sent at mLeasesCheckedAt.
+  std::set<FencingToken> mMovedLeases;
+  MonoTime mLeasesCheckedAt{ 0 };
+  // Items start only under a check of a Renew sent then or later.
+  MonoTime mCheckLeasesAfter{ 0 };
   MonoTime mNoRoomSince{ 0 }; // no room for waiting items since, 0: has room
   double mItemSeconds = 0;    // moving average of the time per item, 0: unknown
   double mTokenSeconds = 0;   // the same per stated token, 0: unknown
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -312,6 +312,23 @@
 ReturnWaitingItems(Node& aNode, MonoTime aNow, NodeActions& aOut);
 void
 ReturnOverdueItems(Node& aNode, MonoTime aNow, NodeActions& aOut);
+// The leases of all items here, waiting or running.
+std::vector<FencingToken>
+HeldLeases(const Node& aNode);
+// Stops the items of leases that have ended.
+void
+OnLeasesChecked(Node& aNode,
+                MonoTime aNow,
+                const RenewReply& aReply,
+                NodeActions& aOut);
+// Returns waiting items whose job has moved to a service that the target does
+// not run.
+void
+ReturnMovedItems(Node& aNode, MonoTime aNow);
+// False while control may have ended or moved the items without this node
+// knowing it.
+bool
+MayStartItems(const Node& aNode, MonoTime aNow);
 void
 StartBatchTask(Node& aNode, MonoTime aNow, WorkId aWork, NodeActions& aOut);
 void
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -206,6 +206,7 @@
   }
   session.mLeaseEnd =
     std::max(session.mLeaseEnd, HolderLeaseEnd(sent, aReply.mLease));
+  OnLeasesChecked(aNode, aNow, aReply, aOut);
   session.mRenewAt = std::max(aNow, sent + kRenewEvery);
   const bool drainWasSent = IsDraining(aNode) && sent >= aNode.mStopSince;
   if (drainWasSent && aNode.mDrainAckedAt.mMicros == 0) {
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -67,8 +67,9 @@
   std::set<std::pair<MonoTime, WorkId>> mBatch;  // waiting batch, by deadline
   std::map<WorkId, RunningWork> mRunning; // by id, that is, in arrival order
   uint32_t mRunningOnline = 0;            // of mRunning
-  uint32_t mForeign = 0; // calls at the target that this node did not start
-  bool mHeld = true;     // nothing starts while the target's state is unknown
+  uint32_t mForeign = 0;   // calls at the target that this node did not start
+  bool mHeld = true;       // nothing starts while the target's state is unknown
+  bool mBatchHeld = false; // no batch work starts
 };
 
 Scheduler
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -169,7 +169,7 @@
 {
   const uint32_t bound = BatchBound(aScheduler, aNow);
   PendingFirstTokens awaiting = CountPendingFirstTokens(aScheduler);
-  while (!aScheduler.mBatch.empty()) {
+  while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld) {
     if (CallsAtTarget(aScheduler) >= bound ||
         !MayStart(aScheduler.mPace, aNow, StartKind::eBatch)) {
       return;
@@ -243,7 +243,7 @@
          aScheduler.mRunningOnline + aScheduler.mForeign < online) {
     Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
   }
-  while (!aScheduler.mBatch.empty() &&
+  while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld &&
          aScheduler.mRunning.size() - aScheduler.mRunningOnline <
            std::max<uint32_t>(1, limit - online)) {
     const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -124,7 +124,9 @@
            aValue.mVerdict,
            aValue.mLease,
            aValue.mRevision,
-           aValue.mSentAt);
+           aValue.mSentAt,
+           aValue.mEndedLeases,
+           aValue.mMovedLeases);
 }
 
 template<class Archive>
--- a/caraway/wire/session_messages.h
+++ b/caraway/wire/session_messages.h
@@ -58,6 +58,10 @@
   Duration mLease;     // from mSentAt, before the correction for clock drift
   Revision mRevision;  // newest revision of the leader
   int64_t mSentAt = 0; // echo
+  // Of Renew::mLeases. Ended: the items stop. Moved: the target does not serve
+  // the job any more, so items that do not run are returned.
+  std::vector<FencingToken> mEndedLeases;
+  std::vector<FencingToken> mMovedLeases;
 };
 
 // Reply of a replica that is not the leader to a message for the leader. The
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -330,6 +330,53 @@
   BOOST_TEST(ReadOutput().empty());
 }
 
+// Guards against items of an ended job that a node starts again since the
+// message about its end was lost: each renewal is told what has ended, by any
+// leader.
+BOOST_FIXTURE_TEST_CASE(renewal_is_told_which_leases_have_ended, Batch)
+{
+  Start(10);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 4));
+  Renew renew;
+  renew.mInstance = mNode->mMember.mInstance;
+  renew.mEpoch = mNode->mEpoch;
+  renew.mTarget.mModels = { kModel };
+  // The second lease is one that the leader has not applied yet.
+  const FencingToken later(batch.mToken.mValue + 1000000);
+  renew.mLeases = { batch.mToken, later };
+  RenewReply reply = mNode->Ask<RenewReply>(renew);
+  BOOST_REQUIRE((reply.mVerdict == RenewVerdict::eGranted));
+  BOOST_TEST(reply.mEndedLeases.empty());
+  BOOST_TEST(reply.mMovedLeases.empty());
+  mEntry->Call(CancelJob{ JobId("batch_1") });
+  const auto isEnded = [&](const RenewReply& aReply) {
+    return aReply.mEndedLeases == std::vector{ batch.mToken };
+  };
+  BOOST_TEST(isEnded(mNode->Ask<RenewReply>(renew)));
+  mLink.Kill(mLink.Leader().value());
+  BOOST_REQUIRE(mLink.AwaitLeader());
+  renew.mRevision = mLink.LeaderControl().mState.mConfig.mView.mRevision;
+  BOOST_TEST(isEnded(mNode->Ask<RenewReply>(renew)));
+}
+
+// Items whose bodies are read while their job ends must not be sent out.
+BOOST_FIXTURE_TEST_CASE(items_of_a_job_that_ends_during_the_read_stay, Batch)
+{
+  Start(10);
+  mLink.mSync = Millis(40); // of reads, too
+  mNode->mAnswers.clear();
+  mNode->Send(mNode->LeaseOf(1, 4));
+  while (mLink.LeaderControl().mFetches.mLastFetch == 0) {
+    mLink.Run(Millis(1));
+  }
+  mLink.mSync = Millis(1);
+  mEntry->Call(CancelJob{ JobId("batch_1") });
+  mLink.Run(Millis(300));
+  const auto* batch = mNode->Find<ItemBatch>();
+  BOOST_REQUIRE(batch != nullptr);
+  BOOST_TEST(batch->mItems.empty());
+}
+
 // A cancelled job must keep its accepted results, in item order.
 BOOST_FIXTURE_TEST_CASE(output_of_a_cancelled_job_skips_open_items, Batch)
 {
--- a/tests/ledger_routed_job_test.cpp
+++ b/tests/ledger_routed_job_test.cpp
@@ -210,6 +210,41 @@
   BOOST_TEST(Describe(replica, "job").mFailed == 2u);
 }
 
+// Guards against items that go on at the service that lost their route.
+BOOST_AUTO_TEST_CASE(lease_of_a_job_that_moves_is_known_as_moved)
+{
+  LedgerReplica replica;
+  Upload(replica, 2);
+  Call(replica, RoutedJob("job", 2));
+  const ItemBatch batch = Lease(replica, "n", 1);
+  const auto state = [&](const char* aModel, uint64_t aEpoch = 10) {
+    return StateOfLease(replica.mLedger,
+                        InstanceId("n"),
+                        Epoch(aEpoch),
+                        batch.mToken,
+                        { ModelId(aModel) });
+  };
+  BOOST_TEST((state(kModel.mValue.c_str()) == LeaseState::eHeld));
+  BOOST_TEST((state(kModel.mValue.c_str(), 11) == LeaseState::eEnded));
+  ServingPlan plan;
+  plan.mRoutes.resize(1);
+  plan.mRoutes[0].mId = RouteId("night");
+  plan.mRoutes[0].mShares = { { ServiceId("other"), 1 } };
+  ApplyPlanToJobs(replica.mLedger,
+                  LogIndex(++replica.mIndex),
+                  replica.mNow,
+                  0,
+                  plan,
+                  replica.mEffects);
+  BOOST_TEST((state(kModel.mValue.c_str()) == LeaseState::eMoved));
+  BOOST_TEST((state("other") == LeaseState::eHeld));
+  // Returned items are leased for the other service only.
+  Answer(replica, "n", batch, ItemVerdict::eReturned);
+  BOOST_TEST((state("other") == LeaseState::eEnded));
+  BOOST_TEST(Lease(replica, "n", 2).mItems.empty());
+  BOOST_TEST(HasItemsToLease(replica.mLedger, { ModelId("other") }));
+}
+
 namespace {
 
 void
--- a/tests/node_version_test.cpp
+++ b/tests/node_version_test.cpp
@@ -18,20 +18,22 @@
     mNode.mRecord.mVersion = "v2";
   }
 
-  // Leases an item with progress that the version made. Returns its call.
-  StartTargetCall Lease(const char* aVersion)
+  // Leases an item with progress that the version of its service made. Returns
+  // its call.
+  StartTargetCall Lease(const char* aOrigin)
   {
     ItemBatch batch;
     batch.mNodeEpoch = Epoch(7);
     batch.mSequence = 1;
     batch.mJob = JobId("batch_1");
     batch.mToken = FencingToken(50);
+    batch.mModel = ModelId("m");
     batch.mEndpoint = "host";
     batch.mDeadline = batch.mWindow = Seconds(60);
     batch.mItems = { { 0,
                        R"({"custom_id":"i","url":"/p/1","body_base64":""})",
                        0,
-                       { 3, "old", aVersion } } };
+                       { 3, "old", aOrigin } } };
     Hear(kTestControl, batch);
     BOOST_REQUIRE_EQUAL(Started().size(), 1u);
     return Started()[0];
@@ -64,25 +66,29 @@
 
 BOOST_FIXTURE_TEST_CASE(item_goes_on_at_the_version_that_began_it, Item)
 {
-  const StartTargetCall call = Lease("v2");
+  const StartTargetCall call = Lease("m/v2");
   BOOST_TEST(*call.mContext.mResumeAfter == 3u);
   const ItemResult result = Finish(call, "id: 4\ndata: new\n\n", false);
   BOOST_TEST(result.mBody.find("old\\nnew") != std::string::npos);
 }
 
-BOOST_FIXTURE_TEST_CASE(item_of_another_version_starts_anew, Item)
+// A job may have moved to another service, with versions of the same names.
+BOOST_AUTO_TEST_CASE(item_of_another_version_or_service_starts_anew)
 {
-  const StartTargetCall call = Lease("v1");
-  BOOST_TEST(!call.mContext.mResumeAfter.has_value());
-  const ItemResult result = Finish(call, "id: 1\ndata: new\n\n", false);
-  BOOST_TEST(result.mBody.find("old") == std::string::npos);
-  BOOST_TEST(result.mBody.find("new") != std::string::npos);
+  for (const char* origin : { "m/v1", "other/v2", "v2", "" }) {
+    Item item;
+    const StartTargetCall call = item.Lease(origin);
+    BOOST_TEST(!call.mContext.mResumeAfter.has_value());
+    const ItemResult result = item.Finish(call, "id: 1\ndata: new\n\n", false);
+    BOOST_TEST(result.mBody.find("old") == std::string::npos);
+    BOOST_TEST(result.mBody.find("new") != std::string::npos);
+  }
 }
 
 BOOST_FIXTURE_TEST_CASE(returned_item_names_its_version, Item)
 {
-  const ItemResult result = Finish(Lease("v2"), "id: 4\ndata: new\n\n", true);
+  const ItemResult result = Finish(Lease("m/v2"), "id: 4\ndata: new\n\n", true);
   BOOST_TEST((result.mVerdict == ItemVerdict::eReturned));
   BOOST_TEST(result.mProgress.mLastEvent == 4u);
-  BOOST_TEST(result.mBody == "v2");
+  BOOST_TEST(result.mBody == "m/v2");
 }
