An error of the next target does not end a stream as complete

Cause: a stream breaks and is resumed at a target that answers with an error, and no attempt is left, or the status is below 500. The end of the error's body ended the caller's response with a last chunk.

Change: once a response has begun, an answer with another status fails its attempt.

Test: error_of_the_next_target_does_not_complete_the_stream failed before.

--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -148,6 +148,7 @@
   }
   if (!aRequest.mReplyBegun) {
     const DirectAttempt& attempt = LiveAttempt(aRequest);
+    aRequest.mDirect.mReplyStatus = attempt.mStatus;
     aRequest.mDirect.mReplyEndsByClose = attempt.mEndsByClose;
     BeginReply(aStep,
                aRequest,
@@ -444,6 +445,18 @@
       true);
     return;
   }
+  // Nothing of such an answer, its end least of all, belongs to the stream that
+  // the caller is receiving.
+  if (request->mReplyBegun && aEvent.mStatus != request->mDirect.mReplyStatus) {
+    DirectAttemptFailed(
+      aStep,
+      *request,
+      ErrorKind::eTargetFailed,
+      absl::StrCat("the target answered the resumed stream with status ",
+                   aEvent.mStatus),
+      false);
+    return;
+  }
   const bool broken = aEvent.mStatus >= 500;
   if (broken && MayRetryDirect(aStep, *request, false)) {
     DirectAttemptFailed(
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -92,8 +92,9 @@
   std::vector<DirectAttempt> mAttempts; // the last one is the live one
   std::vector<TargetId> mTried;         // excluded from further attempts
   EventStream mEvents;                  // spans all attempts
-  // The response to the caller was begun without a length and chunks.
-  bool mReplyEndsByClose = false;
+  // Of the response to the caller, once it has begun.
+  int mReplyStatus = 0;
+  bool mReplyEndsByClose = false; // it has no length and no chunks
   // Next check of the slot requests and the live attempt.
   MonoTime mCheckAt;
 };
--- a/tests/entry_answer_end_test.cpp
+++ b/tests/entry_answer_end_test.cpp
@@ -131,6 +131,27 @@
   BOOST_TEST(mState[call] == "aborted");
 }
 
+// Guards against a stream that breaks off and looks complete to its caller: the
+// next target answers with an error, and the end of the error was passed on as
+// the end of the stream.
+BOOST_AUTO_TEST_CASE(error_of_the_next_target_does_not_complete_the_stream)
+{
+  for (const int status : { 500, 503, 504, 400, 404, 422, 204, 302 }) {
+    uint64_t call = 0;
+    const StartTargetCall first = StartCall("resume", call);
+    Begin(first, 200);
+    Bytes(first, kEvent);
+    Break(first, Outcome::eUnknown);
+    const StartTargetCall second = GrantNext(call);
+    Begin(second, status);
+    Bytes(second, "HTTP/1.1 500 Error\r\nX: y\r\n\r\nid: 2\ndata: e\n\n");
+    Step(TargetCallEnded{ second.mCall });
+    BOOST_TEST(mState[call] == "aborted", "status " << status);
+    BOOST_TEST(mChunks[call] == kEvent);
+    mSent.clear();
+  }
+}
+
 BOOST_AUTO_TEST_CASE(resumed_stream_with_a_stated_end_completes_the_response)
 {
   uint64_t call = 0;
