A refusal that names another request proves nothing

A report of other operators: a target wrote an earlier refusal once more; callers were told "not run" for requests that ran, or they ran twice.

Here each call has a connection of its own, so a kept connection cannot bring one. But a refusal was accepted whatever request it named. It now counts only if it names this request or none, since a target may refuse before it reads the id. Entry and node use one function.

--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -88,6 +88,20 @@
   std::optional<double> mStatedRate;
 };
 
+// True if the response is not the one to the request, for example an earlier
+// one that the target has sent once more. A target that refuses a request may
+// not have read its id, so such a refusal states none.
+inline bool
+AnswersAnother(const TargetCallBegan& aBegan, const RequestId& aRequest)
+{
+  if (aBegan.mForeign) {
+    return true;
+  }
+  const bool unread = aBegan.mNotRun && aBegan.mAnsweredRequest.Empty();
+  return aBegan.mEchoesRequestId && !unread &&
+         aBegan.mAnsweredRequest != aRequest;
+}
+
 // Event: part of the response body arrived.
 struct TargetCallBytes
 {
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -421,9 +421,7 @@
   attempt.mStatus = aEvent.mStatus;
   attempt.mHeaders = aEvent.mHeaders;
   attempt.mEndsByClose = aEvent.mEndsByClose;
-  if (aEvent.mForeign ||
-      (aEvent.mEchoesRequestId && aEvent.mAnsweredRequest != request->mId &&
-       !aEvent.mNotRun)) {
+  if (AnswersAnother(aEvent, request->mId)) {
     DirectAttemptFailed(aStep,
                         *request,
                         ErrorKind::eTargetFailed,
--- a/caraway/node/node_target_calls.cpp
+++ b/caraway/node/node_target_calls.cpp
@@ -135,12 +135,12 @@
       task->mStatus = aEvent.mStatus;
       task->mNotRun = aEvent.mNotRun;
       task->mEndsByClose = aEvent.mEndsByClose;
-      task->mForeign =
-        aEvent.mForeign ||
-        (task->mRaw && aEvent.mEchoesRequestId && !aEvent.mNotRun &&
-         aEvent.mAnsweredRequest.mValue != task->mCustomId);
+      task->mForeign = task->mRaw
+                         ? AnswersAnother(aEvent, RequestId(task->mCustomId))
+                         : aEvent.mForeign;
       if (task->mForeign) {
         task->mStatus = 0; // the answer is ignored
+        task->mNotRun = false;
       }
       task->mEventStream =
         !task->mRaw && task->mStreamed &&
--- a/tests/entry_direct_test.cpp
+++ b/tests/entry_direct_test.cpp
@@ -70,6 +70,30 @@
   BOOST_TEST(Status(call) == 200);
 }
 
+// Guards against a caller that is told "not run", or a second run, because the
+// target wrote an earlier refusal once more in place of the answer.
+BOOST_AUTO_TEST_CASE(refusal_of_another_request_proves_nothing)
+{
+  uint64_t call = 0;
+  const StartTargetCall start = StartCall("once", call);
+  TargetCallBegan began;
+  began.mCall = start.mCall;
+  began.mStatus = 503;
+  began.mNotRun = true;
+  began.mEchoesRequestId = true;
+  began.mAnsweredRequest = RequestId("another");
+  Step(began);
+  BOOST_TEST(Status(call) == 502);
+  BOOST_TEST(mTargetCalls.size() == 1u);
+  // A refusal without an id comes from a target that has read none.
+  uint64_t second = 0;
+  began.mCall = StartCall("once", second).mCall;
+  began.mAnsweredRequest = {};
+  Step(began);
+  BOOST_TEST(Status(second) == 0);
+  GrantNext(second);
+}
+
 BOOST_AUTO_TEST_CASE(refusal_says_not_run_only_if_nothing_ran)
 {
   uint64_t call = 0;
