A learner is promoted under steady load

Cause: a learner was promoted only while it held the leader's newest commit. Under a steady load its replies always trail it, so a lost voter was not replaced and the next loss cost the majority.

Change: it has caught up if it holds what was committed one to two heartbeats ago. Entries log the loss of the leader on a redirect.

Test: learner_replaces_a_lost_voter_under_steady_load failed before.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -1,6 +1,7 @@
 // Entry points of the Raft state machine.
 
 #include <algorithm>
+#include <utility>
 
 #include "caraway/base/error.h"
 #include "caraway/base/lease.h"
@@ -89,6 +90,8 @@
   } else {
     if (aNow >= aRaft.mHeartbeatDue) {
       aRaft.mHeartbeatDue = aNow + aRaft.mSettings.mHeartbeat;
+      aRaft.mCommitBeforeHeartbeat =
+        std::exchange(aRaft.mCommitAtHeartbeat, aRaft.mCommit);
       SendAppends(aRaft, aNow, true, aOut);
     }
     RetrySnapshotTransfers(aRaft, aNow, aOut);
--- a/caraway/consensus/raft_membership.cpp
+++ b/caraway/consensus/raft_membership.cpp
@@ -147,13 +147,13 @@
   const auto found = aRaft.mPeers.find(aId);
   const bool caughtUp =
     found != aRaft.mPeers.end() && !found->second.mTransfer &&
-    found->second.mMatch >= aRaft.mCommit &&
+    found->second.mMatch >= aRaft.mCommitBeforeHeartbeat &&
     found->second.mLastReplyAt + aRaft.mSettings.mElectionMin >= aNow;
   if (caughtUp) {
     return absl::OkStatus();
   }
   return MakeError(ErrorKind::eUnavailable,
-                   "the learner does not hold every committed entry yet",
+                   "the learner has not caught up with the log yet",
                    "retry the promotion after a short delay");
 }
 
--- a/caraway/consensus/raft_replication.cpp
+++ b/caraway/consensus/raft_replication.cpp
@@ -47,6 +47,7 @@
   noop.mTerm = aRaft.mTerm;
   noop.mKind = LogEntryKind::eNoop;
   aRaft.mTermFirstIndex = noop.mIndex;
+  aRaft.mCommitAtHeartbeat = aRaft.mCommitBeforeHeartbeat = noop.mIndex;
   AppendToLog(aRaft, std::move(noop));
   if (first) {
     RecordVoterDisks(aRaft, aNow);
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -111,6 +111,10 @@
   std::set<ReplicaId> mLostDiskVoters;
   LogIndex mTermFirstIndex; // first entry of this term
   MonoTime mHeartbeatDue;
+  // Committed at the last heartbeat and at the one before. A learner that holds
+  // the latter has caught up: under load its replies always trail mCommit.
+  LogIndex mCommitAtHeartbeat;
+  LogIndex mCommitBeforeHeartbeat;
 
   // Snapshots.
   bool mTakingSnapshot = false;
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -285,8 +285,8 @@
     TryNextReplica(aStep, kRedirectPause);
     return;
   }
+  MarkLeaderLost(aStep);
   session.mLeader = aReply.mLeader;
-  session.mConfirmedLeader = {};
   session.mReplyBy = kNever;
   // The first redirect is followed at once, further ones at intervals.
   const MonoTime earliest = session.mRedirectedAt + kRedirectPause;
--- a/tests/control_retirement_test.cpp
+++ b/tests/control_retirement_test.cpp
@@ -139,3 +139,27 @@
   }
 }
 
+// Guards against a group that stays short of a voter: a learner whose replies
+// always trail the newest commit by a few entries was never promoted while
+// proposals kept coming, so that the next loss cost the majority.
+BOOST_AUTO_TEST_CASE(learner_replaces_a_lost_voter_under_steady_load)
+{
+  RetirementGroup group(1);
+  size_t learner = 0;
+  for (const Replica& replica : group.Replicas().mReplicas) {
+    learner = replica.mVoter ? learner : replica.mId.mValue - 1;
+  }
+  group.mLink.mSyncOf[learner] = Millis(6);
+  const size_t lost = group.FollowingVoter();
+  group.mLink.Kill(lost);
+  for (int write = 0; write < 5000; ++write) {
+    group.mLink.Ask(group.mLink.Leader().value(),
+                    "PUT",
+                    "/admin/contracts/w" + std::to_string(write % 10),
+                    R"({"rate":10,"burst":20})",
+                    { { "X-Operation-Id", "op" + std::to_string(write) } });
+    group.mLink.Run(Millis(2));
+  }
+  BOOST_TEST(!group.Belongs(lost));
+  BOOST_TEST(group.CountVoters() == 3);
+}
