Odd JSON, numbers and names cost nobody else

A report of other operators: one odd entry ended the machines that read it.

Here deeply nested JSON in a heartbeat, a batch job or a plan overflowed the stack of the entry when it was copied; a start time out of range wrapped; names of any length were passed on in messages that hold many targets.

Test: platform_odd_input_test ended with a stack overflow before.

--- a/caraway/control/operator_parse.cpp
+++ b/caraway/control/operator_parse.cpp
@@ -12,6 +12,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
+#include "caraway/base/json_text.h"
 
 namespace caraway {
 
@@ -148,7 +149,7 @@
 absl::StatusOr<FieldReader>
 OpenObject(const std::string& aBody, std::initializer_list<const char*> aFields)
 {
-  Json object = Json::parse(aBody, nullptr, false);
+  Json object = ParseJson(aBody);
   if (!object.is_object()) {
     return Invalid("the body is not a JSON object", "send one JSON object");
   }
--- a/caraway/entry/completion_request.cpp
+++ b/caraway/entry/completion_request.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "caraway/base/error.h"
+#include "caraway/base/json_text.h"
 #include "caraway/routing/hash.h"
 
 namespace caraway {
@@ -129,7 +130,7 @@
                const std::string& aBody,
                TargetCall& aCall)
 {
-  const Json body = Json::parse(aBody, nullptr, false);
+  const Json body = ParseJson(aBody);
   if (body.is_discarded() || !body.is_object()) {
     return Invalid("the body is not a JSON object");
   }
@@ -159,7 +160,7 @@
 absl::StatusOr<ModelId>
 ModelOfBatchLine(const std::string& aLine)
 {
-  const Json line = Json::parse(aLine, nullptr, false);
+  const Json line = ParseJson(aLine);
   if (line.is_discarded() || !line.is_object() || !line.contains("body") ||
       !line["body"].is_object()) {
     return Invalid("the first line of the input file is not a request with a "
--- a/caraway/entry/control_request.cpp
+++ b/caraway/entry/control_request.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/numbers.h"
 #include "caraway/base/error.h"
+#include "caraway/base/json_text.h"
 #include "caraway/entry/batch_window.h"
 #include "caraway/entry/form.h"
 #include "caraway/entry/upload_id.h"
@@ -43,7 +44,7 @@
 absl::Status
 ReadObject(const std::string& aBody, Json& aOut)
 {
-  aOut = Json::parse(aBody, nullptr, false);
+  aOut = ParseJson(aBody);
   if (aOut.is_discarded() || !aOut.is_object()) {
     return Invalid("the body is not a JSON object");
   }
--- a/caraway/entry/object_json.cpp
+++ b/caraway/entry/object_json.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "caraway/base/json_text.h"
 #include "caraway/entry/batch_window.h"
 
 namespace caraway {
@@ -58,7 +59,7 @@
 Json
 JobObject(const JobInfo& aJob)
 {
-  Json metadata = Json::parse(aJob.mMetadata, nullptr, false);
+  Json metadata = ParseJson(aJob.mMetadata);
   if (metadata.is_discarded()) {
     metadata = nullptr;
   }
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "caraway/base/absl_view.h"
 #include "caraway/base/error.h"
+#include "caraway/base/json_text.h"
 
 namespace caraway {
 
@@ -117,7 +118,7 @@
     aTask.mStreamDone = true;
     return 0;
   }
-  const Json json = Json::parse(aData, nullptr, false);
+  const Json json = ParseJson(aData);
   if (!json.is_object() || json.contains("error")) {
     aTask.mStreamError = true;
     return 0;
@@ -197,7 +198,7 @@
 absl::StatusOr<BatchLine>
 ParseBatchLine(std::string_view aLine, std::string_view aEndpoint)
 {
-  const Json json = Json::parse(aLine, nullptr, false);
+  const Json json = ParseJson(aLine);
   if (!json.is_object()) {
     return Invalid("the line is not a JSON object",
                    "write one object per line");
@@ -242,7 +243,7 @@
   if (!aTask.mStreamed) {
     return aTask.mBody;
   }
-  Json body = Json::parse(aTask.mBody, nullptr, false);
+  Json body = ParseJson(aTask.mBody);
   body["stream"] = true;
   body["stream_options"] = { { "include_usage", true } };
   if (aResume) {
@@ -296,7 +297,7 @@
                   { "model", aTask.mLease.mModel.mValue },
                   { "choices", Json::array({ choice }) } };
   if (!aTask.mUsage.empty()) {
-    answer["usage"] = Json::parse(aTask.mUsage, nullptr, false);
+    answer["usage"] = ParseJson(aTask.mUsage);
   }
   return Dump(answer);
 }
@@ -317,7 +318,7 @@
 std::string
 OutputLine(const BatchTask& aTask, std::string_view aAnswer)
 {
-  Json body = Json::parse(aAnswer, nullptr, false);
+  Json body = ParseJson(aAnswer);
   if (body.is_discarded()) {
     body = std::string(aAnswer);
   }
--- a/caraway/node/target_json.cpp
+++ b/caraway/node/target_json.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "caraway/base/absl_view.h"
 #include "caraway/base/error.h"
+#include "caraway/base/json_text.h"
 
 namespace caraway {
 
@@ -91,7 +92,7 @@
 absl::StatusOr<Announcement>
 ParseAnnouncement(std::string_view aBody)
 {
-  const Json json = Json::parse(aBody, nullptr, false);
+  const Json json = ParseJson(aBody);
   if (!json.is_object()) {
     return MakeError(ErrorKind::eInvalidArgument,
                      "announcement is not a JSON object",
@@ -137,7 +138,7 @@
 absl::StatusOr<TargetLoad>
 ParseLoad(std::string_view aBody)
 {
-  const Json json = Json::parse(aBody, nullptr, false);
+  const Json json = ParseJson(aBody);
   if (!json.is_object()) {
     return MakeError(ErrorKind::eInvalidArgument,
                      "load report is not a JSON object",
--- /dev/null
+++ b/tests/platform_odd_input_test.cpp
@@ -0,0 +1,144 @@
+// Guards against input of faulty or foreign writers that ends a process, or
+// that costs other writers their place: JSON nested so deeply that copying it
+// overflows the stack, numbers out of range, and names that fill a message.
+#define BOOST_TEST_MODULE platform_odd_input
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "caraway/base/json_text.h"
+#include "platform/heartbeat_json.h"
+#include "platform/jobs_json.h"
+#include "platform/plan_json.h"
+
+using namespace caraway;
+
+namespace {
+
+constexpr size_t kDeep = 200000; // levels; far more than a stack holds
+
+std::string
+Nested(size_t aLevels)
+{
+  return std::string(aLevels, '[') + std::string(aLevels, ']');
+}
+
+std::string
+DeepObject(size_t aLevels)
+{
+  std::string text;
+  for (size_t level = 0; level < aLevels; ++level) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(aLevels, '}');
+}
+
+std::string
+Heartbeat(const std::string& aField, const std::string& aValue)
+{
+  nlohmann::json json = { { "service", "s" }, { "address", "10.0.0.1:80" },
+                          { "zone", "a" },    { "version", "v1" },
+                          { "slots", 8 },     { "state", "ready" },
+                          { "callSeq", 4 },   { "born", 1700000000000 } };
+  json[aField] = "MARK";
+  std::string text = json.dump();
+  text.replace(text.find("\"MARK\""), 6, aValue);
+  return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(json_is_read_up_to_its_depth_limit)
+{
+  BOOST_TEST(ParseJson(Nested(kMaxJsonDepth)).is_array());
+  BOOST_TEST(ParseJson(DeepObject(kMaxJsonDepth)).is_object());
+  BOOST_TEST(ParseJson(DeepObject(kMaxJsonDepth + 1)).is_discarded());
+  BOOST_TEST(ParseJson(Nested(kMaxJsonDepth + 1)).is_discarded());
+  BOOST_TEST(ParseJson(Nested(kDeep)).is_discarded());
+  BOOST_TEST(ParseJson(DeepObject(kDeep)).is_discarded());
+  BOOST_TEST(ParseJson(std::string(kDeep, '[')).is_discarded());
+  BOOST_TEST(ParseJson(R"({"a":[1,{"b":"]]]}}}"}],"c":null})").is_object());
+  BOOST_TEST(ParseJson("[1,]").is_discarded());
+  BOOST_TEST(ParseJson("").is_discarded());
+}
+
+BOOST_AUTO_TEST_CASE(odd_heartbeat_is_refused)
+{
+  BOOST_REQUIRE(
+    platform::ReadHeartbeat("i-1", Heartbeat("version", "\"v2\"")).ok());
+  const std::string longName = "\"" + std::string(5000, 'n') + "\"";
+  for (const char* field : { "service",
+                             "address",
+                             "zone",
+                             "version",
+                             "slots",
+                             "state",
+                             "callSeq",
+                             "born",
+                             "models" }) {
+    for (const std::string& value : { Nested(kDeep), DeepObject(kDeep) }) {
+      BOOST_TEST(!platform::ReadHeartbeat("i-1", Heartbeat(field, value)).ok(),
+                 field);
+      platform::ReadFarewell("i-1", Heartbeat(field, value));
+    }
+  }
+  for (const char* field : { "service", "address", "zone", "version" }) {
+    BOOST_TEST(!platform::ReadHeartbeat("i-1", Heartbeat(field, longName)).ok(),
+               field);
+  }
+  for (const char* field : { "slots", "callSeq", "born" }) {
+    for (const char* value : { "-1",
+                               "18446744073709551615",
+                               "99999999999999999999999999",
+                               "1e300",
+                               "1e999",
+                               "9223372036854775807" }) {
+      BOOST_TEST(!platform::ReadHeartbeat("i-1", Heartbeat(field, value)).ok(),
+                 field << " " << value);
+    }
+  }
+  for (const char* address : { "\"10.0.0.1:65536\"",
+                               "\"10.0.0.1:99999999999999999999\"",
+                               "\"10.0.0.1:-1\"",
+                               "\"10.0.0.1\"",
+                               "\"[::1\"",
+                               "\"\"" }) {
+    BOOST_TEST(
+      !platform::ReadHeartbeat("i-1", Heartbeat("address", address)).ok(),
+      address);
+  }
+  BOOST_TEST(!platform::ReadHeartbeat(std::string(5000, 'i'),
+                                      Heartbeat("version", "\"v1\""))
+                .ok());
+}
+
+// The start time of a target orders its heartbeats. One that is far in the
+// future would keep the real ones out.
+BOOST_AUTO_TEST_CASE(farewell_with_an_impossible_start_names_none)
+{
+  for (const char* born : { "-5", "18446744073709551615", "1e300", "\"x\"" }) {
+    BOOST_TEST(
+      platform::ReadFarewell("i-1", Heartbeat("born", born)).mStartedAt == 0,
+      born);
+  }
+  BOOST_TEST(
+    platform::ReadFarewell("i-1", Heartbeat("born", "17")).mStartedAt == 17);
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_jobs_and_plans_are_refused)
+{
+  const std::string head =
+    R"({"requests":[{"id":"i","path":"/p","body":"","tokenCount":1,)";
+  ForwardRequest request;
+  request.mId = RequestId("j");
+  request.mBody = head + R"("headers":)" + DeepObject(kDeep) + "}]}";
+  BOOST_TEST(!platform::ReadJob(request).ok());
+  request.mBody = head + R"("other":)" + Nested(kDeep) + "}]}";
+  BOOST_TEST(!platform::ReadJob(request).ok());
+  request.mBody = head + R"("headers":{"Model":"m"}}]})";
+  BOOST_TEST(platform::ReadJob(request).ok());
+  const std::string plan =
+    R"({"version":1,"routeTable":[],"services":[],"tenants":)";
+  BOOST_TEST(!platform::ReadPlan(plan + Nested(kDeep) + "}").ok());
+  BOOST_TEST(platform::ReadPlan(plan + "[]}").ok());
+}
