A part that a whole service shares is not blamed for its crashes

Cause: the shared part has evidence from every crash, and answers of another service counted as proof that requests without it are still answered.

Change: a part that was answered before is blocked only beside answers of the same service.

Tests: two of poison_evidence_test failed before.

--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -168,7 +168,7 @@
   if (!attempt.mAnswered &&
       aStep.mNow - attempt.mAnsweredSince >= kAnswerSettles) {
     attempt.mAnswered = true;
-    RecordAnsweredInput(aStep, aRequest.mInputParts);
+    RecordAnsweredInput(aStep, aRequest);
   }
 }
 
@@ -232,7 +232,7 @@
              attempt.mEndsByClose ? "ended with its connection" : "whole");
   if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
     attempt.mAnswered = true;
-    RecordAnsweredInput(aStep, aRequest.mInputParts);
+    RecordAnsweredInput(aStep, aRequest);
   }
   NoteResult(aStep, attempt, attempt.mStatus < 500);
   CloseAttempt(aStep,
--- a/caraway/entry/input_crashes.cpp
+++ b/caraway/entry/input_crashes.cpp
@@ -22,9 +22,10 @@
   }
   auto check = NoteBrokenCall(aStep.mEntry.mCrashReporter,
                               aStep.mNow,
-                              aAttempt.mTarget,
-                              aAttempt.mTargetStart,
-                              aAttempt.mTargetAddress,
+                              { aAttempt.mTarget,
+                                aAttempt.mTargetStart,
+                                aAttempt.mTargetAddress,
+                                aRequest.mDirect.mService },
                               { aRequest.mId,
                                 aRequest.mWorkspace,
                                 aRequest.mInputParts,
@@ -35,10 +36,13 @@
 }
 
 void
-RecordAnsweredInput(EntryStep& aStep, const InputParts& aParts)
+RecordAnsweredInput(EntryStep& aStep, const CallerRequest& aRequest)
 {
   Entry& entry = aStep.mEntry;
-  if (auto started = NoteAnswered(entry.mCrashReporter, aStep.mNow, aParts)) {
+  if (auto started = NoteAnswered(entry.mCrashReporter,
+                                  aStep.mNow,
+                                  aRequest.mDirect.mService,
+                                  aRequest.mInputParts)) {
     started->mMember = entry.mSettings.mInstance;
     Send(aStep, entry.mSession.mLeader, *std::move(started));
   }
--- a/caraway/entry/input_crashes.h
+++ b/caraway/entry/input_crashes.h
@@ -14,7 +14,7 @@
                  const DirectAttempt& aAttempt);
 
 void
-RecordAnsweredInput(EntryStep& aStep, const InputParts& aParts);
+RecordAnsweredInput(EntryStep& aStep, const CallerRequest& aRequest);
 
 void
 HandleCheckedTarget(EntryStep& aStep, const TargetChecked& aEvent);
--- a/caraway/node/node_input_crashes.cpp
+++ b/caraway/node/node_input_crashes.cpp
@@ -16,8 +16,10 @@
     return;
   }
   aTask.mAnswered = true;
-  if (auto started =
-        NoteAnswered(aNode.mCrashReporter, aNow, aTask.mInputParts)) {
+  if (auto started = NoteAnswered(aNode.mCrashReporter,
+                                  aNow,
+                                  ServiceId(aTask.mLease.mModel.mValue),
+                                  aTask.mInputParts)) {
     started->mMember = aNode.mSettings.mInstance;
     SendToLeader(aNode, *std::move(started), aOut);
   }
--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -133,6 +133,31 @@
   return crashes.size();
 }
 
+// When requests without the part were last answered, as far as that tells it
+// from the loss of a service.
+MonoTime
+OthersAnsweredAt(const CrashEvidence& aEvidence,
+                 InputPartId aPart,
+                 const std::vector<Exhibit>& aExhibits)
+{
+  MonoTime oldest = aEvidence.mNewestAnswer;
+  if (!aEvidence.mAnsweredAt.contains(aPart)) {
+    return oldest;
+  }
+  for (const Exhibit& exhibit : aExhibits) {
+    const ServiceId& service = exhibit.mCrash->mService;
+    if (service.Empty()) {
+      continue;
+    }
+    const auto newest = aEvidence.mNewestOf.find(service);
+    oldest =
+      std::min(oldest,
+               newest == aEvidence.mNewestOf.end() ? MonoTime{ -kNever.mMicros }
+                                                   : newest->second);
+  }
+  return oldest;
+}
+
 size_t
 CountRequests(const std::vector<Exhibit>& aExhibits)
 {
@@ -466,6 +491,7 @@
     crash.mTarget = aReport.mTarget;
     crash.mStartedAt = aReport.mStartedAt;
     crash.mAddress = aReport.mAddress;
+    crash.mService = aReport.mService;
     crash.mAt = at;
     aEvidence.mCrashes.push_back(std::move(crash));
     known = std::prev(aEvidence.mCrashes.end());
@@ -506,6 +532,13 @@
     aEvidence.mNewestAnswer =
       std::max(aEvidence.mNewestAnswer, aNow - aStarted.mNewest);
   }
+  for (const ServiceAnswer& answer : aStarted.mServices) {
+    MonoTime& newest =
+      aEvidence.mNewestOf
+        .try_emplace(answer.mService, MonoTime{ -kNever.mMicros })
+        .first->second;
+    newest = std::max(newest, aNow - answer.mAge);
+  }
   for (const InputPartId& part : aStarted.mAsked) {
     auto asked = aEvidence.mAsked.find(part);
     if (asked != aEvidence.mAsked.end()) {
@@ -572,7 +605,8 @@
     }
     // Without answers to other requests, bad input cannot be told from a
     // service that fails as a whole.
-    if (aEvidence.mNewestAnswer > exhibits.front().mCrash->mAt &&
+    if (OthersAnsweredAt(aEvidence, part, exhibits) >
+          exhibits.front().mCrash->mAt &&
         CountCrashes(exhibits) >=
           CrashesNeeded(BlocksOnProbation(aView), exhibits)) {
       BlockInput(aEvidence, out, aView, aLogicalNow, std::move(common));
--- a/caraway/poison/crash_evidence.h
+++ b/caraway/poison/crash_evidence.h
@@ -6,7 +6,10 @@
 // A part is suspected after kMinCrashes ended targets at which a request with
 // it waited for its answer. It is blocked only if no member has seen it
 // answered since, and if requests without it are still answered; otherwise
-// nothing but the loss of targets is known. What is blocked are requests with
+// nothing but the loss of targets is known. For a part that was answered
+// before, those requests must be of the same service: a part that all requests
+// of a service share has evidence from every crash there, whatever its cause,
+// and is not answered while targets are lost. What is blocked are requests with
 // all parts, and the workspace, that the suspected requests had in common. So
 // one repeated request is blocked as such, and a part that others use as well
 // stays open to them until their requests crash targets too.
@@ -38,6 +41,7 @@
   TargetId mTarget;
   int64_t mStartedAt = 0; // Unix milliseconds
   std::string mAddress;   // "ip:port"
+  ServiceId mService;     // empty: not known
   MonoTime mAt;
   bool mConfirmed = false; // the target has ended, not only its connections
   std::vector<CrashSuspect> mSuspects;
@@ -62,6 +66,7 @@
   std::deque<InputBlock> mDecided;
   // When any member last saw any request answered.
   MonoTime mNewestAnswer{ -kNever.mMicros };
+  std::map<ServiceId, MonoTime> mNewestOf; // the same by service
   uint64_t mReported = 0; // ended targets reported with suspects
 };
 
--- a/caraway/poison/crash_reporter.cpp
+++ b/caraway/poison/crash_reporter.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kWatchTime = Seconds(30);
 // Answers of a watched part are reported at this interval.
 constexpr Duration kTellInterval = Millis(200);
+// Answers of other parts, while any part is watched.
+constexpr Duration kTellNewestInterval = Seconds(1);
 
 bool
 IsDue(const BrokenTarget& aBroken, MonoTime aNow)
@@ -54,14 +56,25 @@
   }
 }
 
+void
+AddNewestAnswers(const CrashReporter& aReporter,
+                 MonoTime aNow,
+                 StartedParts& aStarted)
+{
+  if (aReporter.mNewestAnswer != kNever) {
+    aStarted.mNewest = aNow - aReporter.mNewestAnswer;
+  }
+  for (const auto& [service, at] : aReporter.mNewestOf) {
+    aStarted.mServices.push_back({ service, aNow - at });
+  }
+}
+
 } // namespace
 
 std::optional<CheckTarget>
 NoteBrokenCall(CrashReporter& aReporter,
                MonoTime aNow,
-               const TargetId& aTarget,
-               int64_t aStartedAt,
-               const std::string& aAddress,
+               const TargetStart& aTarget,
                CrashSuspect aSuspect)
 {
   DropOldReports(aReporter, aNow);
@@ -69,7 +82,8 @@
     aSuspect.mParts.resize(kMaxInputParts);
   }
   for (BrokenTarget& broken : aReporter.mBroken) {
-    if (broken.mTarget == aTarget && broken.mStartedAt == aStartedAt &&
+    if (broken.mTarget == aTarget.mTarget &&
+        broken.mStartedAt == aTarget.mStartedAt &&
         aNow - broken.mAt < kSameEvent) {
       if (broken.mSuspects.size() < kMaxSuspects) {
         broken.mSuspects.push_back(std::move(aSuspect));
@@ -80,15 +94,16 @@
     }
   }
   BrokenTarget broken;
-  broken.mTarget = aTarget;
-  broken.mStartedAt = aStartedAt;
-  broken.mAddress = aAddress;
+  broken.mTarget = aTarget.mTarget;
+  broken.mStartedAt = aTarget.mStartedAt;
+  broken.mAddress = aTarget.mAddress;
+  broken.mService = aTarget.mService;
   broken.mAt = aNow;
   broken.mCheck = aReporter.mNextCheck++;
   broken.mSendAt = aNow + kGatherTime;
   broken.mSuspects.push_back(std::move(aSuspect));
   aReporter.mBroken.push_back(std::move(broken));
-  return CheckTarget{ aReporter.mBroken.back().mCheck, aAddress };
+  return CheckTarget{ aReporter.mBroken.back().mCheck, aTarget.mAddress };
 }
 
 std::optional<DecisionLog>
@@ -120,10 +135,14 @@
 }
 
 std::optional<StartedParts>
-NoteAnswered(CrashReporter& aReporter, MonoTime aNow, const InputParts& aParts)
+NoteAnswered(CrashReporter& aReporter,
+             MonoTime aNow,
+             const ServiceId& aService,
+             const InputParts& aParts)
 {
   MakeRoomForAnswers(aReporter, aNow);
   aReporter.mNewestAnswer = aNow;
+  aReporter.mNewestOf[aService] = aNow;
   StartedParts started;
   for (const InputPartId& part : aParts) {
     aReporter.mAnswered[part] = aNow;
@@ -134,10 +153,17 @@
       started.mParts.push_back({ part, Duration{} });
     }
   }
-  if (started.mParts.empty()) {
+  const bool watches =
+    std::any_of(aReporter.mWatched.begin(),
+                aReporter.mWatched.end(),
+                [&](auto& aWatched) { return aNow < aWatched.second.mUntil; });
+  const bool tellNewest =
+    watches && aNow - aReporter.mToldNewestAt >= kTellNewestInterval;
+  if (started.mParts.empty() && !tellNewest) {
     return std::nullopt;
   }
-  started.mNewest = Duration{};
+  aReporter.mToldNewestAt = aNow;
+  AddNewestAnswers(aReporter, aNow, started);
   return started;
 }
 
@@ -158,9 +184,7 @@
       started.mParts.push_back({ part, aNow - answered->second });
     }
   }
-  if (aReporter.mNewestAnswer != kNever) {
-    started.mNewest = aNow - aReporter.mNewestAnswer;
-  }
+  AddNewestAnswers(aReporter, aNow, started);
   return started;
 }
 
@@ -203,6 +227,7 @@
     report.mAddress = broken.mAddress;
     report.mAge = aNow - broken.mAt;
     report.mConfirmed = broken.mConfirmed;
+    report.mService = broken.mService;
     report.mSuspects = broken.mSuspects;
     due.push_back(std::move(report));
   }
--- a/caraway/poison/crash_reporter.h
+++ b/caraway/poison/crash_reporter.h
@@ -27,7 +27,8 @@
 {
   TargetId mTarget;
   int64_t mStartedAt = 0;
-  std::string mAddress;  // "ip:port"
+  std::string mAddress; // "ip:port"
+  ServiceId mService;
   MonoTime mAt;          // the first call broke
   bool mChecked = false; // mCheck has ended
   uint64_t mCheck = 0;   // number of the CheckTarget
@@ -52,8 +53,19 @@
   // When requests with the part were last answered. Bounded; old entries go
   // first.
   absl::flat_hash_map<InputPartId, MonoTime> mAnswered;
-  MonoTime mNewestAnswer = kNever; // of any request, kNever: none yet
+  MonoTime mNewestAnswer = kNever;         // of any request, kNever: none yet
+  std::map<ServiceId, MonoTime> mNewestOf; // the same by service
   std::map<InputPartId, WatchedPart> mWatched; // asked about by the leader
+  MonoTime mToldNewestAt; // mNewestOf was last reported unasked
+};
+
+// One start of a target.
+struct TargetStart
+{
+  TargetId mTarget;
+  int64_t mStartedAt = 0; // Unix milliseconds
+  std::string mAddress;   // "ip:port"
+  ServiceId mService;
 };
 
 // Records a broken call. Returns the check to start, for the first call of a
@@ -61,9 +73,7 @@
 std::optional<CheckTarget>
 NoteBrokenCall(CrashReporter& aReporter,
                MonoTime aNow,
-               const TargetId& aTarget,
-               int64_t aStartedAt,
-               const std::string& aAddress,
+               const TargetStart& aTarget,
                CrashSuspect aSuspect);
 
 // Returns a line for the log if the check was one of this reporter.
@@ -72,10 +82,14 @@
                     MonoTime aNow,
                     const TargetChecked& aEvent);
 
-// Records that a target answers a request with these parts. Returns the message
-// to the leader if it watches one of them.
+// Records that a target of the service answers a request with these parts.
+// Returns the message to the leader if it watches one of them, or if it waits
+// for a sign that other requests are answered.
 std::optional<StartedParts>
-NoteAnswered(CrashReporter& aReporter, MonoTime aNow, const InputParts& aParts);
+NoteAnswered(CrashReporter& aReporter,
+             MonoTime aNow,
+             const ServiceId& aService,
+             const InputParts& aParts);
 
 StartedParts
 AnswerSuspectQuery(CrashReporter& aReporter,
--- a/caraway/wire/poison_messages.h
+++ b/caraway/wire/poison_messages.h
@@ -36,6 +36,7 @@
   std::string mAddress;    // of the target, "ip:port"
   Duration mAge;           // since the calls broke
   bool mConfirmed = false; // the target's address refuses connections
+  ServiceId mService;      // of the target; empty: not known
   std::vector<CrashSuspect> mSuspects;
 };
 
@@ -58,6 +59,12 @@
   Duration mAge; // since a target last answered a request with this part
 };
 
+struct ServiceAnswer
+{
+  ServiceId mService;
+  Duration mAge; // since a target of the service last answered any request
+};
+
 // Member -> leader.
 struct StartedParts
 {
@@ -66,6 +73,7 @@
   std::vector<PartStart> mParts;
   // Since any request of this member was last answered, negative: never.
   Duration mNewest = Micros(-1);
+  std::vector<ServiceAnswer> mServices; // the same by service
 };
 
 } // namespace caraway
--- a/caraway/wire/serialize_poison.h
+++ b/caraway/wire/serialize_poison.h
@@ -24,6 +24,7 @@
            aValue.mAddress,
            aValue.mAge,
            aValue.mConfirmed,
+           aValue.mService,
            aValue.mSuspects);
 }
 
@@ -48,11 +49,22 @@
   aArchive(aValue.mPart, aValue.mAge);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ServiceAnswer& aValue)
+{
+  aArchive(aValue.mService, aValue.mAge);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, StartedParts& aValue)
 {
-  aArchive(aValue.mMember, aValue.mAsked, aValue.mParts, aValue.mNewest);
+  aArchive(aValue.mMember,
+           aValue.mAsked,
+           aValue.mParts,
+           aValue.mNewest,
+           aValue.mServices);
 }
 
 } // namespace caraway
--- a/tests/poison_evidence_test.cpp
+++ b/tests/poison_evidence_test.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE poison_evidence
 #include <boost/test/unit_test.hpp>
 
+#include "caraway/base/random.h"
 #include "caraway/poison/crash_evidence.h"
 
 using namespace caraway;
@@ -23,6 +24,8 @@
   int64_t mStarts = 0;
   uint64_t mRequests = 0;
   InputParts mAsked;
+  ServiceId mService;                   // of the targets that end
+  std::vector<ServiceAnswer> mServices; // that still answer, in answers
 
   CrashSuspect Suspect(InputParts aParts, const char* aWorkspace = "w")
   {
@@ -58,6 +61,7 @@
     report.mTarget = TargetId("t" + std::to_string(mStarts % 9));
     report.mStartedAt = ++mStarts;
     report.mConfirmed = aConfirmed;
+    report.mService = mService;
     report.mSuspects = std::move(aSuspects);
     HandleCrashReport(mEvidence, mNow, report);
     Weigh();
@@ -76,6 +80,7 @@
     StartedParts started;
     started.mMember = InstanceId("e1");
     started.mNewest = Duration{};
+    started.mServices = mServices;
     for (const InputPartId& part : aParts) {
       started.mParts.push_back({ part, Duration{} });
     }
@@ -90,6 +95,7 @@
       StartedParts started;
       started.mAsked.swap(mAsked);
       started.mNewest = Duration{};
+      started.mServices = mServices;
       for (const InstanceId& member : mMembers) {
         started.mMember = member;
         HandleStartedParts(mEvidence, mNow, started);
@@ -325,6 +331,101 @@
   BOOST_TEST(mView.mInputBlocks.begin()->second.mProbation);
 }
 
+// Several inputs crash all targets of a service in the same moment, so that no
+// request is answered there, and the part that all of them share has more
+// evidence than any of the causes. Another service still answers.
+BOOST_AUTO_TEST_CASE(
+  shared_part_is_not_blamed_for_the_crashes_of_several_inputs)
+{
+  mService = ServiceId("engine");
+  mServices = { { mService, Duration{} } };
+  Answered({ kShared });
+  mNow = mNow + Seconds(5);
+  mServices = { { ServiceId("plain"), Duration{} } };
+  const CrashSuspect first = Suspect({ kShared });
+  const CrashSuspect second = Suspect({ kShared });
+  for (int wave = 0; wave < 3; ++wave) {
+    mNow = mNow + Seconds(3);
+    Report({ Suspect({ kShared, kPoison }, wave == 0 ? "v" : "w"),
+             Suspect({ kShared }) });
+    Report({ first, Suspect({ kShared }) });
+    Report({ second });
+    AnswerQueries();
+    BOOST_TEST(!IsBlocked({ kShared }));
+  }
+  BOOST_TEST(IsBlocked({ kShared, kPoison }));
+  BOOST_TEST(IsBlocked(first.mParts));
+  BOOST_TEST(IsBlocked(second.mParts));
+}
+
+// The same with the causes at random moments, beside sound requests that wait
+// at the same targets and are answered at times.
+BOOST_AUTO_TEST_CASE(any_two_causes_are_found_and_the_shared_part_stays)
+{
+  constexpr uint32_t kMostCrashes = 5; // of one cause until it is blocked
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    Random random(seed);
+    World world;
+    world.mService = ServiceId("engine");
+    world.mServices = { { world.mService, Duration{} } };
+    world.Answered({ kShared });
+    world.mNow = world.mNow + Seconds(5);
+    const CrashSuspect request = world.Suspect({ kShared });
+    uint32_t ofPart = 0;
+    uint32_t ofRequest = 0;
+    const auto part = [&] {
+      return world.Suspect({ kShared, kPoison }, ofPart % 2 == 0 ? "v" : "w");
+    };
+    for (int step = 0; step < 60; ++step) {
+      world.mNow = world.mNow + Millis(1 + DrawBelow(random, 3000));
+      std::vector<CrashSuspect> suspects;
+      const bool byPart = DrawBelow(random, 2) == 0;
+      if (byPart && !world.IsBlocked({ kShared, kPoison })) {
+        suspects.push_back(part());
+        ++ofPart;
+      } else if (!byPart && !world.IsBlocked(request.mParts)) {
+        suspects.push_back(request);
+        ++ofRequest;
+      }
+      if (!suspects.empty()) {
+        for (uint64_t sound = DrawBelow(random, 4); sound > 0; --sound) {
+          suspects.push_back(world.Suspect({ kShared }));
+        }
+        world.Report(std::move(suspects));
+      }
+      const bool answers = DrawBelow(random, 3) == 0;
+      world.mServices = { { ServiceId("plain"), Duration{} } };
+      if (answers) {
+        world.mServices.push_back({ world.mService, Duration{} });
+        world.Answered({ kShared });
+      }
+      world.AnswerQueries();
+      BOOST_TEST(!world.IsBlocked({ kShared }), "seed " << seed);
+    }
+    BOOST_TEST(world.IsBlocked({ kShared, kPoison }), "seed " << seed);
+    BOOST_TEST(world.IsBlocked(request.mParts), "seed " << seed);
+    BOOST_TEST(ofPart <= kMostCrashes, "seed " << seed);
+    BOOST_TEST(ofRequest <= kMostCrashes, "seed " << seed);
+  }
+}
+
+// A part that was answered once may crash targets later. Requests of the same
+// service without it tell it from the loss of the service.
+BOOST_AUTO_TEST_CASE(part_that_was_answered_before_is_blocked_beside_others)
+{
+  mService = ServiceId("engine");
+  mServices = { { mService, Duration{} } };
+  Answered({ kPoison });
+  mNow = mNow + Seconds(5);
+  for (int at = 0; at < 3; ++at) {
+    Crash({ Suspect({ kPoison }, at == 0 ? "v" : "w") });
+    Answered({ kShared });
+  }
+  AnswerQueries();
+  BOOST_TEST(IsBlocked({ kPoison }));
+  BOOST_TEST(!IsBlocked({ kShared }));
+}
+
 // A lift changes the list of newest decisions, so what refers to its entries
 // must not be used in the same step.
 BOOST_AUTO_TEST_CASE(lift_does_not_hold_up_a_wider_block)
