--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -92,17 +92,12 @@
       ReplaceGrantorSession(leadership.mGrantor, aStep.mNow, ended.mEpoch);
     } else {
       EndGrantorSession(leadership.mGrantor, ended.mInstance, ended.mEpoch);
-      if (!aLeft && ended.mEntry) {
-        leadership.mExpiredEntries[ended.mInstance] = aStep.mNow;
-      }
     }
     aStep.mControl.mCounters.mRemoved += ended.mReplaced || aLeft ? 0 : 1;
   }
   const auto* registered = std::get_if<RegisterResult>(&aOutcome.mReply);
   if (registered != nullptr &&
       registered->mEpoch == Epoch(aBefore.mIndex.mValue)) {
-    leadership.mExpiredEntries.erase(
-      std::get<RegisterMember>(aCommand.mBody).mMember.mInstance);
     SessionStarted(leadership.mSessions,
                    aStep.mNow,
                    std::get<RegisterMember>(aCommand.mBody).mMember.mInstance,
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -90,6 +90,7 @@
       mState.mReplaced[instance] = present->second.mIncarnation;
       EndMemberSession(present->second, true);
     }
+    mState.mExpiredEntries.erase(instance);
     Member member = aRegister.mMember;
     member.mEpoch = Epoch(mIndex.mValue);
     AppendChange(mState.mConfig, SetMember{ std::move(member) });
@@ -119,6 +120,13 @@
     const Member member = mState.mConfig.mView.mMembers.at(aEnd.mInstance);
     AppendChange(mState.mConfig, RemoveMember{ aEnd.mInstance, aEnd.mEpoch });
     mState.mReplaced.erase(aEnd.mInstance);
+    std::erase_if(mState.mExpiredEntries, [&](const auto& aExpired) {
+      return mState.mLogical - aExpired.second >= kExpiredEntryTtl;
+    });
+    // An entry that leaves on purpose has drained first.
+    if (member.mRole == MemberRole::eEntry && !member.mDraining) {
+      mState.mExpiredEntries[aEnd.mInstance] = mState.mLogical;
+    }
     EndMemberSession(member, false);
   }
 
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -105,8 +105,14 @@
   std::deque<EndedTarget> mGoneTargets;
   std::set<InstanceId> mRetiring; // instances whose control replica is to be
                                   // removed from the group
+  // Entries whose session expired, and the logical time of that. They may be
+  // cut off and still admit their share of each rate.
+  std::map<InstanceId, MonoTime> mExpiredEntries;
 };
 
+// An entry that has been absent for this long is taken to have stopped.
+constexpr Duration kExpiredEntryTtl = Seconds(60);
+
 struct RegisterResult
 {
   Epoch mEpoch; // none: refused because the incarnation was replaced
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -85,7 +85,8 @@
 
 namespace {
 
-constexpr uint32_t kStateVersion = 2;
+constexpr uint32_t kStateVersion = 3;
+constexpr uint32_t kOldestStateVersion = 2;
 
 // The stored form of the durable state. The configuration is stored as the
 // changes that rebuild it.
@@ -103,6 +104,7 @@
   std::deque<EndedTarget> mGoneTargets;
   std::set<InstanceId> mRetiring;
   std::string mLedger;
+  std::map<InstanceId, MonoTime> mExpiredEntries; // from version 3 on
 };
 
 template<class Archive>
@@ -121,6 +123,9 @@
            aValue.mGoneTargets,
            aValue.mRetiring,
            aValue.mLedger);
+  if (aValue.mVersion > kOldestStateVersion) {
+    aArchive(aValue.mExpiredEntries);
+  }
 }
 
 absl::Status
@@ -173,6 +178,7 @@
   stored.mGoneTargets = aState.mGoneTargets;
   stored.mRetiring = aState.mRetiring;
   stored.mLedger = EncodeLedger(aState.mLedger);
+  stored.mExpiredEntries = aState.mExpiredEntries;
   return EncodeWith(stored);
 }
 
@@ -187,7 +193,8 @@
   if (!stored.ok()) {
     return stored.status();
   }
-  if (stored->mVersion != kStateVersion) {
+  if (stored->mVersion < kOldestStateVersion ||
+      stored->mVersion > kStateVersion) {
     return MakeError(ErrorKind::eCorruptData,
                      "the snapshot has an unknown version",
                      "start the version that wrote it");
@@ -202,6 +209,7 @@
   state.mReplaced = std::move(stored->mReplaced);
   state.mGoneTargets = std::move(stored->mGoneTargets);
   state.mRetiring = std::move(stored->mRetiring);
+  state.mExpiredEntries = std::move(stored->mExpiredEntries);
   absl::Status restored = RestoreConfig(*stored, state.mConfig);
   if (!restored.ok()) {
     return restored;
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -129,9 +129,6 @@
   // When an entry last reported a heartbeat of the target, or when the removal
   // of the target was last proposed.
   std::map<TargetId, MonoTime> mTargetHeardAt;
-  // Entries that were removed because their lease expired, and when. They may
-  // be cut off and still admit requests.
-  std::map<InstanceId, MonoTime> mExpiredEntries;
   // When a change of the block was last proposed.
   std::map<InputBlockId, MonoTime> mBlockProposedAt;
   // Since when no target has had a software version that is still remembered.
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -108,6 +108,9 @@
   message.mRevision = entry.mConfig.mRevision;
   message.mSentAt = aStep.mNow.mMicros;
   message.mDraining = entry.mDrain.mSince != kNever;
+  message.mLeaseLeft = HasValidLease(entry, aStep.mNow)
+                         ? entry.mSession.mLeaseEnd - aStep.mNow
+                         : Duration{};
   entry.mSession.mRenewedRevision = message.mRevision;
   Send(aStep, entry.mSession.mLeader, std::move(message));
 }
@@ -232,6 +235,10 @@
   FetchFromLeaderIfNewer(aStep, aFrom, aReply.mRevision);
   switch (aReply.mVerdict) {
     case RenewVerdict::eGranted:
+      if (!HasValidLease(entry, aStep.mNow)) {
+        // The grantor counts the lease once a renewal has stated it.
+        session.mNextSend = aStep.mNow;
+      }
       session.mLeaseEnd = std::max(
         session.mLeaseEnd, HolderLeaseEnd({ aReply.mSentAt }, aReply.mLease));
       break;
--- a/caraway/membership/sessions.cpp
+++ b/caraway/membership/sessions.cpp
@@ -113,6 +113,7 @@
   session.mRunning = aRenew.mRunning;
   session.mLimit = aRenew.mLimit;
   session.mHeld = std::max(session.mHeld, aRenew.mRevision);
+  session.mHoldsUntil = aNow + aRenew.mLeaseLeft - kRenewalDelay;
   if (aRenew.mRevision < std::max(aSessions.mRequired, aSessions.mReported)) {
     reply.mVerdict = RenewVerdict::eRevisionTooOld;
     return reply;
--- a/caraway/membership/sessions.h
+++ b/caraway/membership/sessions.h
@@ -21,10 +21,13 @@
 {
   Epoch mEpoch;
   MonoTime mStarted;
-  MonoTime mLeaseEnd;    // at the grantor; mStarted before the first renewal
-  Revision mHeld;        // highest revision it renewed with
-  uint32_t mRunning = 0; // nodes: calls running at the target
-  uint32_t mLimit = 0;   // nodes: concurrency limit
+  MonoTime mLeaseEnd; // at the grantor; mStarted before the first renewal
+  Revision mHeld;     // highest revision it renewed with
+  // Until when it holds a lease by its own account. Earlier than mLeaseEnd if
+  // replies do not arrive.
+  MonoTime mHoldsUntil;
+  uint32_t mRunning = 0;            // nodes: calls running at the target
+  uint32_t mLimit = 0;              // nodes: concurrency limit
   uint64_t mLeaseItemsSequence = 0; // highest LeaseItems sequence proposed
   bool mLeaseItemsSequenceKnown =
     false;                    // mLeaseItemsSequence is valid under this leader
@@ -63,6 +66,9 @@
   Epoch mEpoch;
 };
 
+// Longest time that a renewal is assumed to be on its way.
+constexpr Duration kRenewalDelay = Millis(300);
+
 // How long a holder may take to fetch a change. A holder that renews without
 // having fetched it gets no further lease after that, so that it cannot keep
 // the change from coming into force.
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -115,6 +115,8 @@
   renew.mRunning = RunningCalls(aNode);
   renew.mLimit = CallLimit(aNode.mScheduler);
   renew.mDraining = IsDraining(aNode);
+  renew.mLeases = HeldLeases(aNode);
+  renew.mLeaseLeft = std::max(Duration{}, session.mLeaseEnd - aNow);
   session.mRenewAt = aNow + kAnswerTimeout;
   SendToLeader(aNode, std::move(renew), aOut);
 }
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -112,7 +112,9 @@
            aValue.mTarget,
            aValue.mRunning,
            aValue.mLimit,
-           aValue.mDraining);
+           aValue.mDraining,
+           aValue.mLeases,
+           aValue.mLeaseLeft);
 }
 
 template<class Archive>
--- a/caraway/wire/session_messages.h
+++ b/caraway/wire/session_messages.h
@@ -41,6 +41,10 @@
   uint32_t mRunning = 0; // nodes: calls at the target
   uint32_t mLimit = 0;   // nodes: present concurrency limit
   bool mDraining = false;
+  std::vector<FencingToken> mLeases; // nodes: batch leases with items here
+  // Left of the configuration lease by the sender's clock, 0: none. The grantor
+  // may have sent more, in replies that did not arrive.
+  Duration mLeaseLeft;
 };
 
 enum class RenewVerdict : uint8_t
--- a/tests/control_holder.h
+++ b/tests/control_holder.h
@@ -57,6 +57,7 @@
     renew.mRevision = mView.mRevision;
     renew.mSentAt = mLink->mNow.mMicros;
     renew.mTarget = mMember.mTarget;
+    renew.mLeaseLeft = std::max(Duration{}, mLeaseEnd - mLink->mNow);
     Send(std::move(renew));
   }
 
--- a/tests/control_replicas_test.cpp
+++ b/tests/control_replicas_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -18,11 +19,15 @@
 
 struct ThreeReplicas
 {
-  ControlLink mLink{ 3 };
+  ControlLink mLink;
   std::deque<LinkHolder> mHolders;
 
-  ThreeReplicas()
+  explicit ThreeReplicas(uint64_t aSeed = 1)
+    : mLink(3, aSeed)
   {
+    for (LinkReplica& replica : mLink.mReplicas) {
+      replica.mSettings.mEntriesAdmitWhenCutOff = true;
+    }
     mLink.StartAll();
     BOOST_REQUIRE(mLink.AwaitLeader());
   }
@@ -252,6 +257,72 @@
   }
 }
 
+namespace {
+
+// Checks that what the leader grants and what cut-off entries admit on their
+// own make up no more than the rate.
+void
+CheckRateShares(ThreeReplicas& aGroup)
+{
+  if (!aGroup.mLink.Leader()) {
+    return;
+  }
+  const Control& control = aGroup.mLink.LeaderControl();
+  // The leader looks at the leases every 200 ms.
+  const MonoTime before = aGroup.mLink.mNow - Millis(300);
+  size_t cutOff = 0;
+  for (const LinkHolder& holder : aGroup.mHolders) {
+    cutOff += holder.mLeaseEnd <= before ? 1 : 0;
+  }
+  const double shares =
+    static_cast<double>(cutOff) / static_cast<double>(aGroup.mHolders.size());
+  BOOST_TEST(control.mLeadership.mGrantor.mRateShare + shares <= 1 + 1e-9);
+}
+
+} // namespace
+
+// Guards against a quota that two holders use: an entry that is cut off admits
+// its share, and a leader that was elected since does not know of it.
+BOOST_AUTO_TEST_CASE(new_leader_leaves_cut_off_entries_their_share)
+{
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      ThreeReplicas group(seed);
+      for (int at = 0; at < 5; ++at) {
+        group.Join("z1");
+      }
+      group.mLink.Run(Seconds(3));
+      Random random(seed);
+      std::optional<size_t> killed;
+      for (int step = 0; step < 25; ++step) {
+        LinkHolder& holder =
+          group.mHolders[DrawBelow(random, group.mHolders.size())];
+        switch (DrawBelow(random, 3)) {
+          case 0:
+            holder.mSilent = true;
+            break;
+          case 1:
+            holder.mSilent = false;
+            break;
+          default:
+            if (killed) {
+              group.mLink.Start(*killed);
+              killed.reset();
+            } else if (group.mLink.Leader()) {
+              killed = group.mLink.Leader();
+              group.mLink.Kill(*killed);
+            }
+        }
+        for (uint64_t part = 1 + DrawBelow(random, 40); part > 0; --part) {
+          group.mLink.Run(Millis(100));
+          CheckRateShares(group);
+        }
+      }
+    }
+  }
+}
+
 // A replica that missed more entries than the log keeps must catch up by a
 // snapshot.
 BOOST_AUTO_TEST_CASE(lagging_replica_gets_a_snapshot_and_serves_it)
