Events with empty data keep their line feeds in an item's output

An output "", "one", "", "two" lost its first line feed, since the text was still empty when the second event came; a comment added one. The node now keeps whether data has come.

Test: events_with_empty_data_keep_their_line_feeds failed before.

--- a/caraway/base/event_stream.cpp
+++ b/caraway/base/event_stream.cpp
@@ -94,17 +94,24 @@
 EventData(std::string_view aEvents)
 {
   std::string data;
-  bool first = true;
+  AppendEventData(aEvents, false, data);
+  return data;
+}
+
+bool
+AppendEventData(std::string_view aEvents, bool aContinues, std::string& aText)
+{
+  bool continues = aContinues;
   ForEachLine(aEvents, [&](std::string_view aLine) {
     if (auto value = FieldValue(aLine, "data")) {
-      if (!first) {
-        data.push_back('\n');
+      if (continues) {
+        aText.push_back('\n');
       }
-      first = false;
-      data.append(*value);
+      continues = true;
+      aText.append(*value);
     }
   });
-  return data;
+  return continues;
 }
 
 } // namespace caraway
--- a/caraway/base/event_stream.h
+++ b/caraway/base/event_stream.h
@@ -28,4 +28,10 @@
 std::string
 EventData(std::string_view aEvents);
 
+// Appends the values of the "data:" lines of complete events to aText, with
+// line feeds between them. aContinues: aText holds such values already, which
+// may be empty. Returns whether it does now.
+bool
+AppendEventData(std::string_view aEvents, bool aContinues, std::string& aText);
+
 } // namespace caraway
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -111,6 +111,7 @@
   if (task.mRaw && aItem.mProgress.mLastEvent > 0) {
     task.mEvents.mLast = aItem.mProgress.mLastEvent;
     task.mText = aItem.mProgress.mText;
+    task.mHasData = true;
     task.mVersion = aItem.mProgress.mVersion;
   }
   Work work;
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -116,7 +116,8 @@
       !aTask.mEvents.mLast || aTask.mVersion != origin) {
     aTask.mEvents = {};
     aTask.mText.clear();
-    aTask.mVersion = aNode.mRecord.mVersion;
+    aTask.mHasData = false;
+    aTask.mVersion = origin;
   }
   aTask.mStatus = 0;
   aTask.mEventStream = false;
@@ -339,8 +340,7 @@
     if (events.empty()) {
       return BatchProgress::eNone;
     }
-    const std::string data = EventData(events);
-    aTask.mText += (aTask.mText.empty() ? "" : "\n") + data;
+    aTask.mHasData = AppendEventData(events, aTask.mHasData, aTask.mText);
   } else if (aTask.mEventStream) {
     if (ParseStreamBytes(aTask, aBytes) == 0) {
       return BatchProgress::eNone;
--- a/caraway/node/node_batch_state.h
+++ b/caraway/node/node_batch_state.h
@@ -64,7 +64,8 @@
   uint32_t mStatedTokens = 0; // as stated in the item, 0: not stated
   Headers mHeaders;
   EventStream mEvents;         // event position, over all resumes
-  std::string mVersion;        // software version that wrote mText
+  bool mHasData = false;       // mText holds data of events, maybe empty
+  std::string mVersion;        // what wrote mText, see TextOrigin
   size_t mBytesSinceEvent = 0; // of this call, since its last complete event
   // Parts of the prompt, and the whole input.
   InputParts mInputParts;
--- a/tests/node_batch_test.cpp
+++ b/tests/node_batch_test.cpp
@@ -189,7 +189,9 @@
 
 // Starts a raw item and its answer. Returns the call.
 StartTargetCall
-StartRawItem(NodeFixture& aNode)
+StartRawItem(NodeFixture& aNode,
+             const char* aBytes = "id: 1\ndata: a\n\n",
+             const ItemProgress& aProgress = {})
 {
   aNode.MakeReady();
   ItemBatch batch;
@@ -199,8 +201,9 @@
   batch.mToken = FencingToken(50);
   batch.mEndpoint = "host";
   batch.mDeadline = batch.mWindow = Seconds(60);
-  batch.mItems = { { 0,
-                     R"({"custom_id":"i","url":"/p/1","body_base64":""})" } };
+  batch.mItems = {
+    { 0, R"({"custom_id":"i","url":"/p/1","body_base64":""})", 0, aProgress }
+  };
   aNode.Hear(kTestControl, batch);
   BOOST_REQUIRE_EQUAL(aNode.Started().size(), 1u);
   StartTargetCall call = aNode.Started()[0];
@@ -210,7 +213,7 @@
   began.mEchoesRequestId = true;
   began.mAnsweredRequest = RequestId("i");
   aNode.Give(began);
-  aNode.Give(TargetCallBytes{ call.mCall, "id: 1\ndata: a\n\n" });
+  aNode.Give(TargetCallBytes{ call.mCall, aBytes });
   return call;
 }
 
@@ -224,6 +227,30 @@
     });
 }
 
+// Guards against an output that lacks a line feed: the text so far may be empty
+// although events have come, and a comment is no event with data.
+BOOST_AUTO_TEST_CASE(events_with_empty_data_keep_their_line_feeds)
+{
+  for (const bool resumed : { false, true }) {
+    NodeFixture node(4);
+    const StartTargetCall call = resumed
+                                   ? StartRawItem(node, "", { 1, "", "/" })
+                                   : StartRawItem(node, "id: 1\ndata:\n\n");
+    BOOST_TEST(call.mContext.mResumeAfter.has_value() == resumed);
+    for (const char* bytes : { "id: 2\ndata: one\n\n",
+                               ": alive\n\n",
+                               "id: 3\ndata: \n\n",
+                               "id: 4\ndata: two\n\n" }) {
+      node.Give(TargetCallBytes{ call.mCall, bytes });
+    }
+    node.Give(TargetCallEnded{ call.mCall });
+    const std::vector<ItemResult> results = ResultsAfterGrouping(node);
+    BOOST_REQUIRE_EQUAL(results.size(), 1u);
+    BOOST_TEST(results[0].mBody.find(R"("output":"\none\n\ntwo")") !=
+               std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(item_times_out_if_its_bytes_complete_no_event)
 {
   NodeFixture node(4);
