A leader that retires resigns instead of removing another voter

Seen: the retirement of the replica that leads stays active (17 s and more); the leader, which never removes itself, removed another voter, which joined again.

Change: once enough others vote it resigns, waits out three elections, and its successor removes it.

Tests: retiring_leader_resigns_once_its_successor_votes, retiring_leader_is_removed_by_its_successor failed before.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -215,6 +215,20 @@
   return index;
 }
 
+void
+RaftResign(Raft& aRaft, MonoTime aNow, std::vector<RaftAction>& aOut)
+{
+  // The others become candidates within one election timeout of the last
+  // heartbeat, and may need a second attempt.
+  constexpr int64_t kElections = 3;
+  if (!IsLeader(aRaft)) {
+    return;
+  }
+  BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
+  aRaft.mElectionDue = aNow + aRaft.mSettings.mElectionMax * kElections;
+  FinishStep(aRaft, aOut);
+}
+
 void
 FinishStep(Raft& aRaft, RaftActions& aOut)
 {
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -48,6 +48,11 @@
             std::string aPayload,
             std::vector<RaftAction>& aOut);
 
+// Ends the leadership of this replica, and gives the others time to elect one
+// of them.
+void
+RaftResign(Raft& aRaft, MonoTime aNow, std::vector<RaftAction>& aOut);
+
 // Replaces the replica set by one that differs in one replica; fails with
 // eNotLeader except on the leader. New replicas must be added as learners first
 // and can be promoted once they have caught up.
--- a/caraway/control/discovery.cpp
+++ b/caraway/control/discovery.cpp
@@ -156,6 +156,8 @@
       std::erase_if(replicas,
                     [&](const Replica& aOne) { return aOne.mId == aStep.mId; });
       break;
+    case ReplicaStepKind::eResign:
+      break;
   }
   return changed;
 }
@@ -170,6 +172,8 @@
       return "promote";
     case ReplicaStepKind::eRemove:
       return "remove";
+    case ReplicaStepKind::eResign:
+      return "resign";
   }
   return "none";
 }
@@ -241,6 +245,14 @@
     return;
   }
   for (const ReplicaStep& next : PlanReplicaSteps(ObserveReplicaGroup(aStep))) {
+    if (next.mKind == ReplicaStepKind::eResign) {
+      Log(aStep,
+          "replica_change",
+          StepName(next.mKind),
+          "this replica retires and is to be removed by another leader");
+      RaftResign(control.mRaft, aStep.mNow, aStep.mRaft);
+      return;
+    }
     const absl::StatusOr<LogIndex> index =
       RaftChangeReplicas(control.mRaft,
                          aStep.mNow,
--- a/caraway/membership/replica_steps.cpp
+++ b/caraway/membership/replica_steps.cpp
@@ -57,6 +57,15 @@
                      [&](const ReplicaView& aOne) { return aOne.mId == aId; });
 }
 
+bool
+IsRetiring(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId)
+{
+  return std::any_of(
+    aGroupStatus.mReplicas.begin(),
+    aGroupStatus.mReplicas.end(),
+    [&](const ReplicaView& aOne) { return aOne.mId == aId && aOne.mRetiring; });
+}
+
 // Plans to add joining replicas. A replica that returns at its address under a
 // new id has lost its disk, and its former id, which will never answer again,
 // is removed first.
@@ -149,7 +158,12 @@
   if (CountVoters(aGroupStatus) > aGroupStatus.mWantedVoters &&
       CountUsable(aGroupStatus) >= aGroupStatus.mWantedVoters) {
     const ReplicaView* surplus = SurplusVoter(aGroupStatus);
-    if (surplus != nullptr && MajorityWithout(aGroupStatus, surplus->mId)) {
+    const bool others =
+      surplus != nullptr && (surplus->mLost || surplus->mRetiring);
+    if (!others && IsRetiring(aGroupStatus, aGroupStatus.mSelf)) {
+      aSteps.push_back({ ReplicaStepKind::eResign, {}, {} });
+    } else if (surplus != nullptr &&
+               MajorityWithout(aGroupStatus, surplus->mId)) {
       aSteps.push_back({ ReplicaStepKind::eRemove, surplus->mId, {} });
     }
   }
--- a/caraway/membership/replica_steps.h
+++ b/caraway/membership/replica_steps.h
@@ -45,6 +45,7 @@
   eAdd,     // as a learner
   ePromote, // to a voter
   eRemove,
+  eResign, // the leader retires: another replica has to lead and remove it
 };
 
 struct ReplicaStep
--- a/tests/control_retirement_test.cpp
+++ b/tests/control_retirement_test.cpp
@@ -139,6 +139,29 @@
   }
 }
 
+// The leader itself retires. It must hand over and be removed, and no other
+// replica may lose its place.
+BOOST_AUTO_TEST_CASE(retiring_leader_is_removed_by_its_successor)
+{
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      RetirementGroup group(seed);
+      const size_t retiring = group.mLink.Leader().value();
+      const auto accepted =
+        group.mEntry.Call(RetireReplica{ InstanceAt(retiring) });
+      BOOST_REQUIRE((accepted && std::holds_alternative<CallDone>(*accepted)));
+      group.mLink.Run(Seconds(10));
+      BOOST_REQUIRE(group.mLink.Leader().has_value());
+      BOOST_TEST(group.mLink.Leader().value() != retiring);
+      BOOST_TEST(group.ReportedAsGone(retiring));
+      BOOST_TEST(!group.Belongs(retiring));
+      BOOST_TEST(group.CountVoters() == 3);
+      BOOST_TEST(group.Replicas().mReplicas.size() == 3u);
+    }
+  }
+}
+
 // Guards against a group that stays short of a voter: a learner whose replies
 // always trail the newest commit by a few entries was never promoted while
 // proposals kept coming, so that the next loss cost the majority.
--- a/tests/membership_replica_care_test.cpp
+++ b/tests/membership_replica_care_test.cpp
@@ -53,6 +53,7 @@
   for (const ReplicaStep& step : PlanReplicaSteps(aGroupStatus)) {
     text += step.mKind == ReplicaStepKind::eAdd       ? "+"
             : step.mKind == ReplicaStepKind::ePromote ? "^"
+            : step.mKind == ReplicaStepKind::eResign  ? "resign "
                                                       : "-";
     text += std::to_string(step.mId.mValue) + " ";
   }
@@ -119,6 +120,22 @@
   BOOST_TEST(Steps(groupStatus) == "-2 ");
 }
 
+// Guards against a retirement that never ends: the leader cannot remove itself,
+// and removed another voter instead, which then joined again.
+BOOST_AUTO_TEST_CASE(retiring_leader_resigns_once_its_successor_votes)
+{
+  ReplicaGroupStatus groupStatus = Three();
+  groupStatus.mReplicas[0].mRetiring = true;
+  groupStatus.mReplicas.push_back(Learner(4, "a"));
+  BOOST_TEST(Steps(groupStatus) == "^4 ");
+  groupStatus.mReplicas[3].mVoter = true;
+  BOOST_TEST(Steps(groupStatus) == "resign 0 ");
+  // Others that have to leave as well go first.
+  groupStatus.mReplicas.push_back(Voter(5, "b"));
+  groupStatus.mReplicas[1].mRetiring = true;
+  BOOST_TEST(Steps(groupStatus) == "-2 ");
+}
+
 BOOST_AUTO_TEST_CASE(leader_never_removes_itself)
 {
   ReplicaGroupStatus groupStatus = Three();
