An order about a zone that was overtaken changes nothing

By reading: an order to end an evacuation that waits in a frozen entry was carried out after a later evacuation, since orders have no number.

Change: the entry states the revision that it has seen; control refuses the order as not carried out if the zone was changed since and the order does not hold.

--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -154,6 +154,22 @@
     }
   }
 
+  CallReplyBody ApplyZoneOrder(const OrderZone& aOrder)
+  {
+    const ConfigView& view = mState.mConfig.mView;
+    const SetZoneService change{ aOrder.mSet.mZone, aOrder.mSet.mInService };
+    const auto changed = view.mObjectRevisions.find(ObjectName(change));
+    const bool overtaken =
+      changed != view.mObjectRevisions.end() && changed->second > aOrder.mSeen;
+    if (overtaken && ZoneInService(view, change.mZone) != change.mInService) {
+      return CallFailed{ ErrorKind::eRevisionConflict,
+                         "the zone was changed since this entry last heard "
+                         "from control; send the order again if it holds" };
+    }
+    ApplyZone(aOrder.mSet);
+    return CallDone{};
+  }
+
   bool IsGone(const Target& aTarget) const
   {
     return std::any_of(mState.mGoneTargets.begin(),
@@ -265,6 +281,9 @@
       ApplyPlan(*plan);
     } else if (const auto* zone = std::get_if<SetZone>(&aBody)) {
       ApplyZone(*zone);
+    } else if (const auto* order = std::get_if<OrderZone>(&aBody)) {
+      mOutcome.mReply = ApplyZoneOrder(*order);
+      return true;
     } else if (const auto* report = std::get_if<ReportTargets>(&aBody)) {
       for (const Target& target : report->mSeen) {
         ApplyTargetSeen(target);
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -30,6 +30,7 @@
       [](const ReplacePlan&) { return OrderTopic::eReplacePlan; },
       [](const ReadPlan&) { return OrderTopic::eReadPlan; },
       [](const SetZone&) { return OrderTopic::eSetZone; },
+      [](const OrderZone&) { return OrderTopic::eSetZone; },
       [](const RetireReplica&) { return OrderTopic::eRetire; },
       [](const DescribeRetirement&) { return OrderTopic::eRetirement; },
       [](const ReadFile&) { return OrderTopic::eReadResults; },
@@ -166,7 +167,11 @@
   CallerRequest& request =
     NewOrder(aStep, aOrder.mCall, TopicOf(aOrder.mBody), kOrderTimeout);
   request.mWorkspace = workspace;
-  SendOrderCall(aStep, request, aOrder.mBody);
+  CallBody body = aOrder.mBody;
+  if (const auto* zone = std::get_if<SetZone>(&aOrder.mBody)) {
+    body = OrderZone{ *zone, aStep.mEntry.mConfig.mRevision };
+  }
+  SendOrderCall(aStep, request, std::move(body));
 }
 
 void
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -216,6 +216,15 @@
   InstanceId mInstance;
 };
 
+// SetZone as an operator asks for it at an entry. It changes nothing if the
+// zone was changed after the revision that the entry had seen: the order may
+// have waited in a frozen process while others overtook it.
+struct OrderZone
+{
+  SetZone mSet;
+  Revision mSeen;
+};
+
 using CallBody = std::variant<PutFilePart,
                               ReadFile,
                               DescribeFile,
@@ -234,7 +243,8 @@
                               SetZone,
                               ReportTargets,
                               RetireReplica,
-                              DescribeRetirement>;
+                              DescribeRetirement,
+                              OrderZone>;
 
 struct ControlCall
 {
--- a/caraway/wire/serialize_calls.h
+++ b/caraway/wire/serialize_calls.h
@@ -190,6 +190,13 @@
   aArchive(aValue.mSeen, aValue.mDeregistered);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, OrderZone& aValue)
+{
+  aArchive(aValue.mSet, aValue.mSeen);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RetireReplica& aValue)
