A batch job is refused only once each copy of the call is

By reading: a copy of CreateJob that was sent again after 500 ms could be accepted after the first one was refused; the caller got 429 and the job ran (REFUSED).

Change: the entry waits for a refusal of each copy that it has sent under one number. If one is lost, the outcome is unknown, which promises nothing.

--- a/caraway/entry/control_calls.cpp
+++ b/caraway/entry/control_calls.cpp
@@ -22,6 +22,7 @@
 {
   SetTimer(aStep.mEntry.mCallTimers, aNumber, aStep.mNow + kResendInterval);
   if (!aCall.mMessage.mEntryEpoch.IsNone()) {
+    ++aCall.mCopies;
     Send(aStep, aStep.mEntry.mSession.mLeader, aCall.mMessage);
   }
 }
@@ -58,6 +59,18 @@
                                failed->mKind == ErrorKind::eStaleEpoch);
 }
 
+// A refused job must never run. Another copy of the call may be accepted after
+// the first was refused, so a refusal counts only once each copy has one.
+bool
+MayStillBeAccepted(PendingCall& aCall, const CallReplyBody& aBody)
+{
+  if (!std::holds_alternative<CreateJob>(aCall.mMessage.mBody) ||
+      !std::holds_alternative<CallFailed>(aBody)) {
+    return false;
+  }
+  return ++aCall.mRefusals < aCall.mCopies;
+}
+
 } // namespace
 
 void
@@ -114,6 +127,7 @@
     const uint64_t newNumber = entry.mNextCall++;
     call.mMessage.mCall = newNumber;
     call.mMessage.mEntryEpoch = entry.mSession.mEpoch;
+    call.mCopies = call.mRefusals = 0;
     auto request = entry.mRequests.find(call.mRequest);
     if (request != entry.mRequests.end()) {
       request->second.mPendingCall = newNumber;
@@ -136,7 +150,8 @@
   auto call = entry.mCalls.find(aReply.mCall);
   if (call == entry.mCalls.end() ||
       call->second.mMessage.mEntryEpoch != aReply.mEntryEpoch ||
-      IsTransient(aReply.mBody)) {
+      IsTransient(aReply.mBody) ||
+      MayStillBeAccepted(call->second, aReply.mBody)) {
     return;
   }
   auto request = entry.mRequests.find(call->second.mRequest);
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -45,8 +45,10 @@
 struct PendingCall
 {
   ControlCall mMessage;
-  uint64_t mRequest = 0; // serial of the waiting request, 0: none
-  MonoTime mDeadline;    // dropped then; the request's own deadline is earlier
+  uint64_t mRequest = 0;  // serial of the waiting request, 0: none
+  MonoTime mDeadline;     // dropped then; the request's own deadline is earlier
+  uint32_t mCopies = 0;   // sent under this number
+  uint32_t mRefusals = 0; // replies that refused one of them
 };
 
 // A request held until the first configuration arrives, see early_requests.h.
