Free the request of an aborted response whose caller closes first

Seen: the soak under the leak sanitizer reported requests of its servers, 8 in 10 s. evhttp detaches the request of a connection that its caller closes before the response has ended; for a response that was aborted and still had bytes to send nobody freed it. Entries abort streams in the same way.

The stand-in's ServiceAnswer becomes ServiceModelAnswer, since the wire has a struct of that name now.

Test: aborted_response_is_freed_if_its_caller_closes_first (the sanitizer reports the leak at its end).

--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -326,7 +326,11 @@
     ResetSocket(aConnection);
   }
   std::erase_if(server->mAborted, [&](const AbortedConnection& aAborted) {
-    return aAborted.mConnection == aConnection;
+    if (aAborted.mConnection != aConnection) {
+      return false;
+    }
+    FreeDetached(aAborted.mRequest);
+    return true;
   });
   const auto known = server->mCallByConnection.find(aConnection);
   if (known == server->mCallByConnection.end()) {
@@ -335,13 +339,19 @@
   const HttpCallId id = known->second;
   evhttp_request* request = server->mCalls.at(id).mRequest;
   server->Finish(id);
-  if (evhttp_request_get_connection(request) == nullptr) {
-    // evhttp has detached the request, so this code must free it.
-    evhttp_request_free(request);
-  }
+  FreeDetached(request);
   server->mOnClosed.emit({ id });
 }
 
+// evhttp detaches a request whose caller closes before its response has ended.
+void
+HttpServer::FreeDetached(evhttp_request* aRequest)
+{
+  if (evhttp_request_get_connection(aRequest) == nullptr) {
+    evhttp_request_free(aRequest);
+  }
+}
+
 HttpServer::Call*
 HttpServer::Find(HttpCallId aId)
 {
@@ -481,7 +491,8 @@
   // Closing the connection without the last chunk shows the caller that the
   // response is incomplete. Queued bytes are sent first.
   constexpr Duration kLongestWait = Seconds(2);
-  mAborted.push_back({ call->mConnection, mLoop.Now() + kLongestWait });
+  mAborted.push_back(
+    { call->mRequest, call->mConnection, mLoop.Now() + kLongestWait });
   Finish(aAbort.mCall);
   mAbortTimer.ArmAt(mLoop.Now());
 }
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -73,6 +73,7 @@
   // mCloseDeadline.
   struct AbortedConnection
   {
+    evhttp_request* mRequest = nullptr;
     evhttp_connection* mConnection = nullptr;
     MonoTime mCloseDeadline;
   };
@@ -85,6 +86,8 @@
   void Accept(evhttp_request* aRequest);
   Call* Find(HttpCallId aId);
   void Finish(HttpCallId aId);
+  // Frees a request that evhttp has detached from its closed connection.
+  static void FreeDetached(evhttp_request* aRequest);
   void StopWatchingForClose(evhttp_connection* aConnection) const;
   // Makes every early end of a response that lasts until its connection closes
   // a reset. Call after evhttp_send_reply_start.
--- a/standins/caraway_standin_service_main.cpp
+++ b/standins/caraway_standin_service_main.cpp
@@ -65,7 +65,7 @@
                       R"({"running":0,"waiting":0,"cold":false})" });
       return;
     }
-    const ServiceAnswer answer =
+    const ServiceModelAnswer answer =
       Execute(mService,
               HeaderValue(aRequest.mHeaders, "X-Request-Id"),
               aRequest.mMethod,
--- a/standins/service_model.cpp
+++ b/standins/service_model.cpp
@@ -15,7 +15,7 @@
   return service;
 }
 
-ServiceAnswer
+ServiceModelAnswer
 Execute(ServiceModel& aService,
         const std::string& aRequestId,
         const std::string& aMethod,
@@ -25,7 +25,7 @@
   const ServiceSettings& settings = aService.mSettings;
   const uint32_t times = ++aService.mExecutions[aRequestId];
   ++aService.mRequests;
-  ServiceAnswer answer;
+  ServiceModelAnswer answer;
   const double jitter =
     1.0 + settings.mJitter * (2 * DrawUnit(aService.mRandom) - 1);
   answer.mAfter = Micros(
--- a/standins/service_model.h
+++ b/standins/service_model.h
@@ -27,7 +27,7 @@
   uint64_t mRequests = 0;
 };
 
-struct ServiceAnswer
+struct ServiceModelAnswer
 {
   Duration mAfter;
   bool mBroken = false; // ran, but the connection breaks unanswered
@@ -39,7 +39,7 @@
 MakeService(const ServiceSettings& aSettings);
 
 // Runs a request once. Returns the answer and after how long to send it.
-ServiceAnswer
+ServiceModelAnswer
 Execute(ServiceModel& aService,
         const std::string& aRequestId,
         const std::string& aMethod,
--- a/tests/runtime_http_test.cpp
+++ b/tests/runtime_http_test.cpp
@@ -209,6 +209,32 @@
   BOOST_TEST(!mEnded);
 }
 
+// Guards against a leak, which the sanitizer reports at the end: the caller
+// closes while an aborted response still has bytes to send.
+BOOST_FIXTURE_TEST_CASE(aborted_response_is_freed_if_its_caller_closes_first,
+                        Fixture)
+{
+  mServer.mOnRequest.connect([this](const HttpRequest& aRequest) {
+    mServer.Begin({ aRequest.mCall, 200, {}, true });
+    mServer.Chunk({ aRequest.mCall, std::string(6 << 20, 'x') });
+    mServer.Abort({ aRequest.mCall });
+  });
+  const auto address = ParseSocketAddress(mServer.Address());
+  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  BOOST_REQUIRE(connect(handle,
+                        reinterpret_cast<const sockaddr*>(&address->mStorage),
+                        address->mLength) == 0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  BOOST_REQUIRE(write(handle, request.data(), request.size()) ==
+                static_cast<ssize_t>(request.size()));
+  Timer closeSocket(mLoop, [&] { close(handle); });
+  Timer exitLoop(mLoop, [&] { mLoop.Exit(); });
+  closeSocket.ArmAt(mLoop.Now() + Millis(100));
+  exitLoop.ArmAt(mLoop.Now() + Millis(300));
+  mLoop.Run();
+  BOOST_TEST(mServer.OpenCalls() == 0u);
+}
+
 BOOST_FIXTURE_TEST_CASE(refused_connection_has_outcome_not_run, Fixture)
 {
   StartTargetCall call;
