Weigh the rate share at each renewal, not only at the next scan

Entries report what is left of each burst in the same milliseconds, and the credit for it is given once, by the share of that moment: a share of 0 lost the burst.

--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -33,44 +33,6 @@
                                          {} };
 }
 
-// Entries that are cut off admit their share of each rate on their own, so the
-// grantor distributes only the rest. That holds for entries that an earlier
-// leader gave up as well.
-//
-// Invariant, for N entries: mRateShare <= 1 - C / N, where C is the number of
-// entries whose lease ended, by their own clocks, more than a scan and less
-// than kExpiredEntryTtl ago.
-void
-UpdateRateShare(ControlStep& aStep)
-{
-  Leadership& leadership = aStep.mControl.mLeadership;
-  if (!aStep.mControl.mSettings.mEntriesAdmitWhenCutOff) {
-    return;
-  }
-  const auto& expired = aStep.mControl.mState.mExpiredEntries;
-  size_t present = 0;
-  auto away = static_cast<size_t>(
-    std::count_if(expired.begin(), expired.end(), [&](const auto& aExpired) {
-      return LogicalNow(aStep) - aExpired.second < kExpiredEntryTtl;
-    }));
-  for (const auto& [id, member] :
-       aStep.mControl.mState.mConfig.mView.mMembers) {
-    if (member.mRole != MemberRole::eEntry) {
-      continue;
-    }
-    auto session = leadership.mSessions.mSessions.find(id);
-    // One that has not renewed under this leader may have been cut off before
-    // its election.
-    const bool holds = session != leadership.mSessions.mSessions.end() &&
-                       session->second.mHoldsUntil > aStep.mNow;
-    ++(holds ? present : away);
-  }
-  leadership.mGrantor.mRateShare =
-    present + away == 0
-      ? 1.0
-      : static_cast<double>(present) / static_cast<double>(present + away);
-}
-
 void
 BeginLeadership(ControlStep& aStep)
 {
@@ -145,6 +107,44 @@
 
 } // namespace
 
+// Entries that are cut off admit their share of each rate on their own, so the
+// grantor distributes only the rest. That holds for entries that an earlier
+// leader gave up as well.
+//
+// Invariant, for N entries: mRateShare <= 1 - C / N, where C is the number of
+// entries whose lease ended, by their own clocks, more than a scan and less
+// than kExpiredEntryTtl ago.
+void
+UpdateRateShare(ControlStep& aStep)
+{
+  Leadership& leadership = aStep.mControl.mLeadership;
+  if (!aStep.mControl.mSettings.mEntriesAdmitWhenCutOff) {
+    return;
+  }
+  const auto& expired = aStep.mControl.mState.mExpiredEntries;
+  size_t present = 0;
+  auto away = static_cast<size_t>(
+    std::count_if(expired.begin(), expired.end(), [&](const auto& aExpired) {
+      return LogicalNow(aStep) - aExpired.second < kExpiredEntryTtl;
+    }));
+  for (const auto& [id, member] :
+       aStep.mControl.mState.mConfig.mView.mMembers) {
+    if (member.mRole != MemberRole::eEntry) {
+      continue;
+    }
+    auto session = leadership.mSessions.mSessions.find(id);
+    // One that has not renewed under this leader may have been cut off before
+    // its election.
+    const bool holds = session != leadership.mSessions.mSessions.end() &&
+                       session->second.mHoldsUntil > aStep.mNow;
+    ++(holds ? present : away);
+  }
+  leadership.mGrantor.mRateShare =
+    present + away == 0
+      ? 1.0
+      : static_cast<double>(present) / static_cast<double>(present + away);
+}
+
 void
 UpdateLeadership(ControlStep& aStep)
 {
--- a/caraway/control/member_messages.cpp
+++ b/caraway/control/member_messages.cpp
@@ -131,6 +131,9 @@
                                  ViewOf(aStep).mRevision);
   if (reply.mVerdict == RenewVerdict::eGranted) {
     CheckLeases(aStep, aMessage, reply);
+    // What entries report next is weighed by the share: a new leader credits
+    // the bursts once.
+    UpdateRateShare(aStep);
   }
   Send(aStep, aFrom, reply);
   if (reply.mVerdict != RenewVerdict::eUnknownSession) {
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -82,6 +82,10 @@
 
 void
 UpdateLeadership(ControlStep& aStep); // leadership.cpp
+// Sets the share of each rate that the leader grants, by the entries that hold
+// a lease now.
+void
+UpdateRateShare(ControlStep& aStep);
 void
 RunLeaderDuties(ControlStep& aStep);
 
