--- a/caraway/poison/crash_evidence.cpp
+++ b/caraway/poison/crash_evidence.cpp
@@ -282,6 +282,15 @@
   return log;
 }
 
+// Records the time unless a later one is known.
+template<class Key>
+void
+RaiseTime(std::map<Key, MonoTime>& aTimes, const Key& aKey, MonoTime aAt)
+{
+  MonoTime& known = aTimes.try_emplace(aKey, aAt).first->second;
+  known = std::max(known, aAt);
+}
+
 // Drops what is too old or too much, and what refers to dropped crashes.
 void
 Prune(CrashEvidence& aEvidence, MonoTime aNow)
@@ -522,22 +531,14 @@
                    const StartedParts& aStarted)
 {
   for (const PartStart& start : aStarted.mParts) {
-    MonoTime& answered =
-      aEvidence.mAnsweredAt
-        .try_emplace(start.mPart, MonoTime{ -kNever.mMicros })
-        .first->second;
-    answered = std::max(answered, aNow - start.mAge);
+    RaiseTime(aEvidence.mAnsweredAt, start.mPart, aNow - start.mAge);
   }
   if (aStarted.mNewest >= Duration{}) {
     aEvidence.mNewestAnswer =
       std::max(aEvidence.mNewestAnswer, aNow - aStarted.mNewest);
   }
   for (const ServiceAnswer& answer : aStarted.mServices) {
-    MonoTime& newest =
-      aEvidence.mNewestOf
-        .try_emplace(answer.mService, MonoTime{ -kNever.mMicros })
-        .first->second;
-    newest = std::max(newest, aNow - answer.mAge);
+    RaiseTime(aEvidence.mNewestOf, answer.mService, aNow - answer.mAge);
   }
   for (const InputPartId& part : aStarted.mAsked) {
     auto asked = aEvidence.mAsked.find(part);
