Frame HTTP messages by RFC 9112 before evhttp does

Callers saw: a cut answer as a whole 200 (two lengths, the first one smaller), an empty 200 (no length on a kept connection); requests that two readers frame differently were run, some as two.

Cause: the framing was left to evhttp, which takes the first of several fields and ignores what it does not know.

Change: one decision module and a reader that gets each byte before evhttp. Invalid answers are broken ones, invalid requests end their connection. evhttp gets whole final heads of answers only, so interim responses are skipped.

--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -15,6 +15,7 @@
 
 #include "absl/status/status.h"
 #include "caraway/base/http.h"
+#include "caraway/base/message_reader.h"
 #include "caraway/runtime/libevent_handles.h"
 #include "caraway/runtime/loop.h"
 #include "caraway/runtime/tls.h"
@@ -30,8 +31,11 @@
   int mIdleSeconds = 60; // timeout, also for slow requests and responses
   size_t mMaxQueuedBytes = 8
                            << 20; // unsent bytes of one response; then aborted
-  int mMaxConnections = 8192;     // beyond it, new ones wait in the backlog
-  uint64_t mFirstCallId = 1;      // makes the ids of several servers distinct
+  // Unsent bytes of all streamed responses; beyond it, those with the most are
+  // aborted.
+  size_t mMaxQueuedTotalBytes = 32 << 20;
+  int mMaxConnections = 8192; // beyond it, new ones wait in the backlog
+  uint64_t mFirstCallId = 1;  // makes the ids of several servers distinct
 };
 
 class HttpServer
@@ -49,6 +53,8 @@
   // "ip:port" as bound.
   const std::string& Address() const { return mAddress; }
   size_t OpenCalls() const { return mCalls.size(); }
+  // Bytes of all responses that no socket has taken yet.
+  size_t UnsentBytes() const;
 
   // Respond sends a complete response. Begin, Chunk and End stream one; Abort
   // closes the connection without ending it. All ignore calls already closed.
@@ -78,12 +84,35 @@
     MonoTime mCloseDeadline;
   };
 
+  // The bytes that a connection receives, judged before evhttp reads them. Once
+  // they are invalid, evhttp gets nothing more of the connection.
+  struct Inbound
+  {
+    HttpServer* mServer = nullptr;
+    bufferevent* mBuffer = nullptr;
+    MessageReader mReader;
+    bool mWatched = false;  // the end of the connection removes this entry
+    bool mTrimming = false; // its input is changed by DropInvalid
+    // Nothing more is read: the connection ends when its output is sent.
+    bool mRejected = false;
+  };
+
+  static void OnInput(evbuffer* aInput,
+                      const evbuffer_cb_info* aInfo,
+                      void* aInbound);
+  static void OnOutput(evbuffer* aOutput,
+                       const evbuffer_cb_info* aInfo,
+                       void* aInbound);
   static void OnEvRequest(evhttp_request* aRequest, void* aServer);
   static void OnConnectionClosed(evhttp_connection* aConnection, void* aServer);
   static void OnResponseSent(evhttp_request* aRequest, void* aServer);
   static bufferevent* MakeBufferEvent(event_base* aBase, void* aServer);
 
   void Accept(evhttp_request* aRequest);
+  void WatchInbound(Inbound& aInbound);
+  void ForgetInbound(bufferevent* aBuffer);
+  void DropInvalid(Inbound& aInbound, evbuffer* aInput);
+  void RejectInvalid(Inbound& aInbound);
   Call* Find(HttpCallId aId);
   void Finish(HttpCallId aId);
   // Frees a request that evhttp has detached from its closed connection.
@@ -94,6 +123,9 @@
   void ResetUnlessComplete(evhttp_request* aRequest,
                            evhttp_connection* aConnection);
   void LimitConnections();
+  // Aborts responses to slow readers while all together exceed their limit.
+  void LimitQueuedBytes();
+  void AbortSlowReader(HttpCallId aId);
   void CloseAborted();
 
   Loop& mLoop;
@@ -107,6 +139,9 @@
   // At most one call per connection: evhttp reads the next request only after
   // the response to the previous one.
   std::map<evhttp_connection*, HttpCallId> mCallByConnection;
+  // By the connection's buffer. An entry of a connection that closed without
+  // sending a byte is replaced when its address is used again.
+  std::map<bufferevent*, Inbound> mInbound;
   std::vector<AbortedConnection> mAborted;
   // Connections whose response lasts until they close and is not sent in full
   // yet. Their sockets are set to reset on close.
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -4,11 +4,15 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include <event2/keyvalq_struct.h>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "caraway/runtime/input_bytes.h"
 #include "caraway/runtime/socket_address.h"
 
 namespace caraway {
@@ -66,22 +70,48 @@
          absl::EqualsIgnoreCase(aName, "expect");
 }
 
-// True if the end of the connection is the end of the response's body.
-bool
-EndsByClose(evhttp_request* aRequest)
+// The lower-case names of the fields that belong to this connection only, by
+// its Connection fields, and the options there.
+std::vector<std::string>
+ConnectionOptions(const evkeyvalq* aHeaders)
+{
+  std::vector<std::string> options;
+  for (const evkeyval* header = aHeaders->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    if (absl::EqualsIgnoreCase(header->key, "connection")) {
+      for (const absl::string_view one : absl::StrSplit(header->value, ',')) {
+        options.push_back(
+          absl::AsciiStrToLower(absl::StripAsciiWhitespace(one)));
+      }
+    }
+  }
+  return options;
+}
+
+void
+RemoveAll(evkeyvalq* aHeaders, const char* aName)
 {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  const int status = evhttp_request_get_response_code(aRequest);
-  if (status == kNoContent || status == kNotModified ||
-      evhttp_request_get_command(aRequest) == EVHTTP_REQ_HEAD) {
-    return false;
-  }
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  const char* coding = evhttp_find_header(headers, "Transfer-Encoding");
-  const bool chunked =
-    coding != nullptr && absl::EqualsIgnoreCase(coding, "chunked");
-  return !chunked && evhttp_find_header(headers, "Content-Length") == nullptr;
+  while (evhttp_remove_header(aHeaders, aName) == 0) {
+  }
+}
+
+// Makes evhttp frame the body as the reader has. By itself it takes an answer
+// without a length for an empty one if its connection is kept.
+void
+SetFraming(evkeyvalq* aHeaders, const Framing& aFraming)
+{
+  for (const char* name :
+       { "Connection", "Content-Length", "Transfer-Encoding" }) {
+    RemoveAll(aHeaders, name);
+  }
+  if (aFraming.mBody == BodyFraming::eChunks) {
+    evhttp_add_header(aHeaders, "Transfer-Encoding", "chunked");
+  } else if (aFraming.mBody == BodyFraming::eUntilClose) {
+    evhttp_add_header(aHeaders, "Connection", "close");
+  } else {
+    evhttp_add_header(
+      aHeaders, "Content-Length", absl::StrCat(aFraming.mLength).c_str());
+  }
 }
 
 } // namespace
@@ -123,6 +153,9 @@
   Call& call = *owned;
   call.mClient = this;
   call.mId = aStart.mCall;
+  call.mHeld.reset(evbuffer_new());
+  call.mReader.mKind = MessageKind::eResponse;
+  call.mReader.mToHead = aStart.mMethod == "HEAD";
   mCalls[aStart.mCall] = std::move(owned);
   const std::unique_ptr<evhttp_uri, UriFree> uri(
     evhttp_uri_parse(aStart.mUrl.c_str()));
@@ -197,7 +230,7 @@
                       void* aCall)
 {
   auto* call = static_cast<Call*>(aCall);
-  if (call->mClosed) {
+  if (call->mClosed || call->mPassing || aInfo->n_added == 0) {
     return;
   }
   if (!call->mBegan) {
@@ -209,45 +242,110 @@
       *call,
       Outcome::eUnknown,
       "the target sent too many bytes without a complete answer");
+    return;
+  }
+  ForEachAddedPiece(aBuffer, aInfo->n_added, [&](std::string_view aPiece) {
+    ReadBytes(call->mReader, aPiece);
+  });
+  if (call->mReader.mState == ReadState::eInvalid) {
+    call->mClient->Fail(*call, Outcome::eUnknown, call->mReader.mError);
+  } else if (!call->mHeadPassed) {
+    PassWholeHead(*call, aBuffer);
+  }
+}
+
+// evhttp gets the final response only, with its whole head: it cannot skip
+// interim responses.
+void
+TargetClient::PassWholeHead(Call& aCall, evbuffer* aInput)
+{
+  const ReadState state = aCall.mReader.mState;
+  evbuffer* held = aCall.mHeld.get();
+  aCall.mPassing = true; // changes of the input call OnInput again
+  evbuffer_add_buffer(held, aInput);
+  if (state != ReadState::eStartLine && state != ReadState::eFields) {
+    evbuffer_drain(held, aCall.mReader.mInterimBytes);
+    evbuffer_prepend_buffer(aInput, held);
+    aCall.mHeadPassed = true;
   }
+  aCall.mPassing = false;
 }
 
 int
 TargetClient::OnHeaders(evhttp_request* aRequest, void* aCall)
 {
   auto* call = static_cast<Call*>(aCall);
-  constexpr int kContinue = 100; // interim; the final answer follows
-  if (call->mClosed || call->mBegan ||
-      evhttp_request_get_response_code(aRequest) == kContinue) {
+  if (call->mClosed || call->mBegan) {
     return 0;
   }
   call->mBegan = true;
   TargetCallBegan began;
   began.mCall = call->mId;
   began.mStatus = evhttp_request_get_response_code(aRequest);
-  began.mEndsByClose = EndsByClose(aRequest);
+  const Framing& framing = call->mReader.mFraming;
+  began.mEndsByClose = framing.mBody == BodyFraming::eUntilClose;
   evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  const std::vector<std::string> options = ConnectionOptions(headers);
+  const auto isOption = [&](const char* aName) {
+    return std::find(options.begin(),
+                     options.end(),
+                     absl::AsciiStrToLower(aName)) != options.end();
+  };
+  call->mKeep = !isOption("close") && !began.mEndsByClose;
   for (evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
-    if (!IsConnectionHeader(header->key)) {
+    if (!IsConnectionHeader(header->key) && !isOption(header->key)) {
       began.mHeaders.emplace_back(header->key, header->value);
     }
   }
+  SetFraming(headers, framing);
   call->mClient->mOnBegan.emit(began);
   return 0;
 }
 
+void
+TargetClient::TakeBody(evhttp_request* aRequest, Call& aCall)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  const size_t before = aCall.mReceived.size();
+  aCall.mReceived.resize(before + evbuffer_get_length(input));
+  evbuffer_remove(
+    input, aCall.mReceived.data() + before, aCall.mReceived.size() - before);
+}
+
+// Called for each chunk. The chunks of one read are emitted together, since an
+// event costs many times the bytes of a small chunk.
 void
 TargetClient::OnChunk(evhttp_request* aRequest, void* aCall)
 {
+  constexpr size_t kLineEnd = 2; // of the chunk that was read
   auto* call = static_cast<Call*>(aCall);
-  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
-  TargetCallBytes bytes;
-  bytes.mCall = call->mId;
-  bytes.mBytes.resize(evbuffer_get_length(input));
-  evbuffer_remove(input, bytes.mBytes.data(), bytes.mBytes.size());
-  if (!call->mClosed && !bytes.mBytes.empty()) {
-    call->mClient->mOnBytes.emit(bytes);
+  if (call->mClosed) {
+    return;
+  }
+  TakeBody(aRequest, *call);
+  TargetClient* client = call->mClient;
+  const evbuffer* unread = bufferevent_get_input(
+    evhttp_connection_get_bufferevent(call->mConnection.get()));
+  if (evbuffer_get_length(unread) <= kLineEnd) {
+    client->Flush(*call);
+  } else if (!call->mFlushQueued) {
+    call->mFlushQueued = true;
+    client->mLoop.Defer([client, id = call->mId] {
+      auto known = client->mCalls.find(id);
+      if (known != client->mCalls.end()) {
+        known->second->mFlushQueued = false;
+        client->Flush(*known->second);
+      }
+    });
+  }
+}
+
+void
+TargetClient::Flush(Call& aCall)
+{
+  if (!aCall.mReceived.empty()) {
+    mOnBytes.emit({ aCall.mId, std::exchange(aCall.mReceived, {}) });
   }
 }
 
@@ -268,17 +366,21 @@
                       : "the connection failed before the request was sent");
     return;
   }
-  OnChunk(aRequest, aCall); // bytes not yet passed to the chunk callback
+  TakeBody(aRequest, *call); // bytes not yet passed to the chunk callback
+  client->Flush(*call);
   if (call->mClosed) {
     return;
   }
   const TargetCallId id = call->mId;
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  const bool byClose = EndsByClose(aRequest);
-  const char* connectionHeader = evhttp_find_header(headers, "Connection");
-  const bool keep =
-    !byClose && (connectionHeader == nullptr ||
-                 !absl::EqualsIgnoreCase(connectionHeader, "close"));
+  const ReadState end = call->mReader.mState;
+  const bool byClose = end == ReadState::eUntilClose;
+  if (!byClose && end != ReadState::eComplete) {
+    client->Fail(*call,
+                 Outcome::eUnknown,
+                 "the connection closed before the answer was complete");
+    return;
+  }
+  const bool keep = call->mKeep && !call->mReader.mTooMuch;
   client->CloseCall(id, keep);
   client->mOnEnded.emit({ id, byClose });
 }
@@ -287,10 +389,18 @@
 TargetClient::Fail(Call& aCall, Outcome aOutcome, std::string aReason)
 {
   const TargetCallId id = aCall.mId;
+  std::string received = std::move(aCall.mReceived);
   CloseCall(id, false);
   // Deferred, so that the role gets no event while its actions are still being
   // carried out.
-  mLoop.Defer([this, id, aOutcome, reason = std::move(aReason)] {
+  mLoop.Defer([this,
+               id,
+               aOutcome,
+               received = std::move(received),
+               reason = std::move(aReason)] {
+    if (!received.empty()) {
+      mOnBytes.emit({ id, received });
+    }
     mOnFailed.emit({ id, aOutcome, reason });
   });
 }
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -9,6 +9,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include "caraway/base/message_reader.h"
 #include "caraway/base/target_call.h"
 #include "caraway/runtime/libevent_handles.h"
 #include "caraway/runtime/loop.h"
@@ -57,6 +58,14 @@
     bool mClosed = false;          // no further events
     uint64_t mBytesSent = 0;       // drained from the output buffer
     uint64_t mBytesBeforeHead = 0; // received before the headers were complete
+    MessageReader mReader;         // of the answer's bytes
+    // Holds the input until the head of the final response is complete.
+    EvBufferPtr mHeld;
+    bool mHeadPassed = false; // evhttp has the head
+    bool mPassing = false;    // PassWholeHead changes the input
+    bool mKeep = false;       // the target keeps the connection open
+    std::string mReceived;    // bytes of the body not yet emitted
+    bool mFlushQueued = false;
   };
 
   // A connection that is opened only to see whether it is accepted.
@@ -80,6 +89,7 @@
   static void OnInput(evbuffer* aBuffer,
                       const evbuffer_cb_info* aInfo,
                       void* aCall);
+  static void PassWholeHead(Call& aCall, evbuffer* aInput);
   static void OnOutput(evbuffer* aBuffer,
                        const evbuffer_cb_info* aInfo,
                        void* aCall);
@@ -91,6 +101,10 @@
                                      uint16_t aPort,
                                      bool aFresh);
   void Fail(Call& aCall, Outcome aOutcome, std::string aReason);
+  // Collects bytes of the body that evhttp has read.
+  static void TakeBody(evhttp_request* aRequest, Call& aCall);
+  // Emits the bytes collected so far.
+  void Flush(Call& aCall);
   // Ends the call without an event, and keeps its connection if it is reusable.
   void CloseCall(TargetCallId aId, bool aReusable);
   void FinishProbe(uint64_t aCheck, TargetReach aReach);
