Every request has an answer before a stopping process is killed

Cause: entries and nodes did not know when they would be killed, and planned by the requests' deadlines only. A repeatable call was dropped after two goals, also where answers usually take longer, and waited again.

--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -369,7 +369,7 @@
     return error;
   }
   request.mCall = aHttp.mCall;
-  request.mDeadline = aStep.mNow + deadline;
+  request.mDeadline = DeadlineBeforeStop(aStep.mEntry, aStep.mNow + deadline);
   if (auto error =
         FillRequest(aStep, pathMatch, aHttp, caller.mContract, request)) {
     return error;
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -2,6 +2,7 @@
 // calls.
 
 #include "caraway/entry/control_replies.h"
+#include "caraway/entry/drain.h"
 
 #include <algorithm>
 
@@ -46,8 +47,11 @@
 void
 ExtendDeadline(EntryStep& aStep, CallerRequest& aRequest)
 {
-  aRequest.mDeadline = std::max(
-    aRequest.mDeadline, aStep.mNow + aStep.mEntry.mSettings.mDefaultDeadline);
+  const Entry& entry = aStep.mEntry;
+  aRequest.mDeadline =
+    DeadlineBeforeStop(entry,
+                       std::max(aRequest.mDeadline,
+                                aStep.mNow + entry.mSettings.mDefaultDeadline));
   ScheduleRequest(aStep, aRequest);
 }
 
--- a/caraway/entry/direct.h
+++ b/caraway/entry/direct.h
@@ -54,6 +54,10 @@
 bool
 HandleEndChecked(EntryStep& aStep, const TargetChecked& aEvent);
 
+// Forgets how long answers take on routes that are gone.
+void
+ForgetAnswerTimes(Entry& aEntry);
+
 // Records a load report of a node for placement.
 void
 RecordDirectLoad(EntryStep& aStep, const LoadReport& aReport);
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -1,10 +1,13 @@
 // Calls of direct requests to targets: start, answer, failure and timeouts.
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
+#include "caraway/entry/drain.h"
 #include "caraway/entry/header_filter.h"
 #include "caraway/entry/input_crashes.h"
 #include "caraway/entry/outcome.h"
@@ -60,13 +63,23 @@
 // Returns the time without progress after which a repeatable request is retried
 // elsewhere.
 Duration
-StallTimeout(const CallerRequest& aRequest)
+StallTimeout(const Entry& aEntry, const CallerRequest& aRequest)
 {
   const DirectCall& direct = aRequest.mDirect;
   const bool begun = direct.mEvents.mEvents > 0;
   const Duration usual = begun ? direct.mGapGoal * kStallGapGoals
                                : direct.mLatencyGoal * kStallLatencyGoals;
-  return std::clamp(usual, kMinStallTimeout, kMaxStallTimeout);
+  const Duration timeout =
+    std::clamp(usual, kMinStallTimeout, kMaxStallTimeout);
+  if (IsStream(direct)) {
+    return timeout;
+  }
+  // A plain answer shows no progress before its end. Where answers usually take
+  // longer, a second call would only double the work.
+  const auto times = aEntry.mAnswerTimes.find(direct.mRoute);
+  return times == aEntry.mAnswerTimes.end()
+           ? timeout
+           : std::max(timeout, UsuallyWithin(times->second, timeout));
 }
 
 bool
@@ -76,7 +89,8 @@
 {
   const DirectCall& direct = aRequest.mDirect;
   if (aRequest.mCallerGone || direct.mAttempts.size() >= kMaxDirectAttempts ||
-      aRequest.mDeadline - aStep.mNow < kMinTimeForRetry) {
+      aRequest.mDeadline - aStep.mNow < kMinTimeForRetry ||
+      StopsBeforeAnswer(aStep, aRequest, Duration{})) {
     return false;
   }
   if (!DirectProvenNotRun(aRequest) && !direct.mRepeatable) {
@@ -210,6 +224,20 @@
 
 } // namespace
 
+void
+ForgetAnswerTimes(Entry& aEntry)
+{
+  if (aEntry.mConfig.mPlan == nullptr) {
+    return;
+  }
+  std::set<RouteId> routes;
+  for (const PlanRoute& route : aEntry.mConfig.mPlan->mRoutes) {
+    routes.insert(route.mId);
+  }
+  std::erase_if(aEntry.mAnswerTimes,
+                [&](const auto& aOne) { return !routes.contains(aOne.first); });
+}
+
 CallerRequest*
 RequestOfTargetCall(Entry& aEntry, TargetCallId aCall)
 {
@@ -230,6 +258,10 @@
              LogLevel::eInfo,
              "answer",
              attempt.mEndsByClose ? "ended with its connection" : "whole");
+  if (attempt.mStatus / 100 == 2) {
+    RecordTime(aStep.mEntry.mAnswerTimes[aRequest.mDirect.mRoute],
+               aStep.mNow - attempt.mStartedAt);
+  }
   if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
     attempt.mAnswered = true;
     RecordAnsweredInput(aStep, aRequest);
@@ -475,18 +507,24 @@
   }
   DirectAttempt& attempt = LiveAttempt(*request);
   if (IsStream(request->mDirect) && attempt.mStatus / 100 == 2) {
+    const uint64_t before = request->mDirect.mEvents.mEvents;
     std::string events =
       TakeWholeEvents(request->mDirect.mEvents, aEvent.mBytes);
-    if (!events.empty()) {
-      // Bytes that complete no event do not reset the stall timeout.
+    // Bytes that complete no event do not reset the stall timeout.
+    if (request->mDirect.mEvents.mEvents > before) {
       attempt.mLastByte = aStep.mNow;
-    }
-    if (!events.empty()) {
       RecordStreamProgress(aStep, *request);
       RecordStreamEvent(aStep, *request);
     }
-    SendEvents(aStep, *request, std::move(events));
-    if (request->mDirect.mEvents.mPending.size() > kMaxEventBytes) {
+    // Comments before the first event wait for it, so that a call that brings
+    // nothing else can be retried.
+    std::string& comments = request->mAnswer.mBody;
+    comments += events;
+    if (request->mReplyBegun || request->mDirect.mEvents.mEvents > before) {
+      SendEvents(aStep, *request, std::exchange(comments, {}));
+    }
+    if (request->mDirect.mEvents.mPending.size() + comments.size() >
+        kMaxEventBytes) {
       DirectAttemptFailed(aStep,
                           *request,
                           ErrorKind::eTargetFailed,
@@ -544,7 +582,7 @@
     return;
   }
   if (attempt.mSent && direct.mRepeatable && !attempt.mEndCheck &&
-      aStep.mNow - attempt.mLastByte >= StallTimeout(aRequest) &&
+      aStep.mNow - attempt.mLastByte >= StallTimeout(aStep.mEntry, aRequest) &&
       MayRetryDirect(aStep, aRequest, false)) {
     DirectAttemptFailed(aStep,
                         aRequest,
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -2,11 +2,13 @@
 // are handled.
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
+#include "caraway/entry/drain.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/resumed_streams.h"
@@ -138,6 +140,26 @@
                      });
 }
 
+// How long the request still waits at least, by the replies to its slot
+// requests. 0 while one of them is not answered.
+Duration
+ExpectedWait(const EntryStep& aStep, const DirectCall& aDirect)
+{
+  std::optional<Duration> shortest;
+  for (const PendingSlotRequest& slotRequest : aDirect.mSlotRequests) {
+    if (slotRequest.mState != SlotRequestState::eRefused) {
+      Duration wait;
+      if (slotRequest.mState == SlotRequestState::eQueued) {
+        wait = slotRequest.mExpectedWait;
+      } else if (slotRequest.mState == SlotRequestState::eReserved) {
+        wait = slotRequest.mStartAt - aStep.mNow;
+      }
+      shortest = shortest ? std::min(*shortest, wait) : wait;
+    }
+  }
+  return shortest.value_or(Duration{});
+}
+
 Duration
 ShortestWait(const DirectCall& aDirect)
 {
@@ -320,6 +342,10 @@
   DirectCall& direct = aRequest.mDirect;
   aRequest.mPhase = RequestPhase::eDirect;
   direct.mSlotRequests.clear();
+  if (StopsBeforeAnswer(aStep, aRequest, Duration{})) {
+    FailStoppingRequest(aStep, aRequest);
+    return;
+  }
   if (NeedsOrigin(aRequest)) {
     FindOrigin(aStep, aRequest);
     return;
@@ -350,6 +376,10 @@
     StartDirect(aStep, aRequest);
     return;
   }
+  if (StopsBeforeAnswer(aStep, aRequest, Duration{})) {
+    FailStoppingRequest(aStep, aRequest);
+    return;
+  }
   if (TickReservedStart(aStep, aRequest) ||
       ReplaceUnansweredSlotRequests(aStep, aRequest)) {
     return;
@@ -478,6 +508,12 @@
   slotRequest->mState =
     refused ? SlotRequestState::eRefused : SlotRequestState::eQueued;
   NoSlotAtOnce(aStep, *request);
+  if (request->mPhase == RequestPhase::eDirect &&
+      !IsCalling(request->mDirect) &&
+      StopsBeforeAnswer(
+        aStep, *request, ExpectedWait(aStep, request->mDirect))) {
+    FailStoppingRequest(aStep, *request);
+  }
 }
 
 void
--- a/caraway/entry/drain.cpp
+++ b/caraway/entry/drain.cpp
@@ -2,6 +2,10 @@
 
 #include "caraway/entry/drain.h"
 
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/entry/attempts.h"
 #include "caraway/entry/session.h"
 
 namespace caraway {
@@ -12,9 +16,18 @@
 // starts to fail.
 constexpr Duration kBalancerGrace = Seconds(2);
 constexpr Duration kLeaveInterval = Millis(500);
+constexpr int64_t kBalancerGraceDivisor = 4; // of a short grace
 // Stop without confirmation from control after this time.
 constexpr Duration kLeaveTimeout = Seconds(5);
 
+MonoTime
+BalancerGraceEnd(const Entry& aEntry)
+{
+  return aEntry.mDrain.mSince +
+         std::min(kBalancerGrace,
+                  aEntry.mSettings.mStopGrace / kBalancerGraceDivisor);
+}
+
 bool
 IsIdle(const Entry& aEntry)
 {
@@ -53,18 +66,71 @@
     log.mEvent = "stopping";
     log.mChoice = "drain";
     log.mReason = "stop was requested";
-    log.mExtra = { { "requests",
-                     std::to_string(aStep.mEntry.mRequests.size()) } };
+    const Duration grace = aStep.mEntry.mSettings.mStopGrace;
+    log.mExtra = {
+      { "requests", absl::StrCat(aStep.mEntry.mRequests.size()) },
+      { "grace_ms", absl::StrCat(grace.Millis()) },
+      { "answers_due_ms",
+        absl::StrCat((AnswersDue(drain.mSince, grace) - aStep.mNow).Millis()) },
+    };
     aStep.mOut.emplace_back(std::move(log));
+    for (auto& [serial, request] : aStep.mEntry.mRequests) {
+      request.mDeadline = DeadlineBeforeStop(aStep.mEntry, request.mDeadline);
+      ScheduleRequest(aStep, request);
+    }
     RenewNow(aStep);
   }
 }
 
+MonoTime
+DeadlineBeforeStop(const Entry& aEntry, MonoTime aDeadline)
+{
+  return std::min(
+    aDeadline, AnswersDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace));
+}
+
+bool
+AreAnswersDue(const Entry& aEntry, MonoTime aNow)
+{
+  return aNow >= AnswersDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace);
+}
+
+bool
+StopsBeforeAnswer(const EntryStep& aStep,
+                  const CallerRequest& aRequest,
+                  Duration aWait)
+{
+  const Entry& entry = aStep.mEntry;
+  if (entry.mDrain.mSince == kNever) {
+    return false;
+  }
+  const DirectCall& direct = aRequest.mDirect;
+  const auto usual = entry.mAnswerTimes.find(direct.mRoute);
+  Duration needed = usual == entry.mAnswerTimes.end()
+                      ? direct.mLatencyGoal
+                      : UsuallyWithin(usual->second, direct.mLatencyGoal);
+  if (aRequest.mReplyBegun) {
+    // Part of a resumed stream has been served already.
+    needed = std::max(Duration{}, needed - (aStep.mNow - aRequest.mReceivedAt));
+  }
+  return AreAnswersDue(entry, aStep.mNow + aWait + needed);
+}
+
+CallerError
+StoppingError()
+{
+  CallerError error;
+  error.mKind = ErrorKind::eDraining;
+  error.mMessage = "this instance stops before it can serve the request";
+  error.mRetryAfter = kStoppingRetry;
+  error.mFractionalRetryAfter = true;
+  return error;
+}
+
 bool
 RefusesNewWork(const Entry& aEntry, MonoTime aNow)
 {
-  return aEntry.mDrain.mSince != kNever &&
-         aNow >= aEntry.mDrain.mSince + kBalancerGrace;
+  return aEntry.mDrain.mSince != kNever && aNow >= BalancerGraceEnd(aEntry);
 }
 
 void
@@ -76,6 +142,10 @@
     return;
   }
   drain.mBalancerGraceOver = true;
+  if (aStep.mNow >= ExitDue(drain.mSince, entry.mSettings.mStopGrace)) {
+    Stop(aStep);
+    return;
+  }
   if (!IsIdle(entry)) {
     return;
   }
@@ -101,11 +171,14 @@
   if (drain.mSince == kNever) {
     return kNever;
   }
-  // While requests are in progress, their own timers wake the entry.
-  if (drain.mNextLeave != kNever) {
-    return IsIdle(aEntry) ? drain.mNextLeave : kNever;
+  const MonoTime exit = ExitDue(drain.mSince, aEntry.mSettings.mStopGrace);
+  if (!drain.mBalancerGraceOver) {
+    return std::min(exit, BalancerGraceEnd(aEntry));
   }
-  return drain.mBalancerGraceOver ? kNever : drain.mSince + kBalancerGrace;
+  // While requests are in progress, their own timers wake the entry.
+  return drain.mNextLeave != kNever && IsIdle(aEntry)
+           ? std::min(exit, drain.mNextLeave)
+           : exit;
 }
 
 } // namespace caraway
--- a/caraway/entry/drain.h
+++ b/caraway/entry/drain.h
@@ -2,10 +2,15 @@
 // Graceful shutdown of the entry.
 
 #include "caraway/entry/entry_step.h"
+#include "caraway/entry/error_body.h"
 
 namespace caraway {
 
-// Starts to drain: /readyz fails from now on. No effect if already draining.
+// Retry-After of a stopping entry: the caller finds another one at once.
+constexpr Duration kStoppingRetry = Millis(100);
+
+// Starts to drain: /readyz fails from now on, and the deadline of each request
+// is at most the time when all answers are due. No effect if already draining.
 void
 StartDrain(EntryStep& aStep);
 
@@ -14,8 +19,28 @@
 bool
 RefusesNewWork(const Entry& aEntry, MonoTime aNow);
 
+// The deadline of a request that may take until aDeadline.
+MonoTime
+DeadlineBeforeStop(const Entry& aEntry, MonoTime aDeadline);
+
+// True if all answers are due because the entry stops.
+bool
+AreAnswersDue(const Entry& aEntry, MonoTime aNow);
+
+// True if the entry stops before a call that starts after aWait would usually
+// have brought the request's answer. Another entry may still serve it.
+bool
+StopsBeforeAnswer(const EntryStep& aStep,
+                  const CallerRequest& aRequest,
+                  Duration aWait);
+
+// The error of a request that this entry can no longer serve.
+CallerError
+StoppingError();
+
 // When no request or control call is in progress, ends the session with
-// control, then reports Stopped.
+// control, then reports Stopped; at the end of the grace it does so in any
+// case.
 void
 TickDrain(EntryStep& aStep);
 
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -68,6 +68,7 @@
     TopologyChanged(aStep);
     AttemptsTopologyChanged(aStep);
   }
+  ForgetAnswerTimes(aStep.mEntry);
   VersionsChanged(aStep);
   RenewNow(aStep);
   ProcessEarlyRequests(aStep);
@@ -165,6 +166,10 @@
     FailOrder(aStep, aRequest);
     return;
   }
+  if (AreAnswersDue(aStep.mEntry, aStep.mNow)) {
+    FailStoppingRequest(aStep, aRequest);
+    return;
+  }
   CallerError error;
   error.mKind = ErrorKind::eTimeout;
   error.mMessage = "the deadline passed";
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "caraway/base/ids.h"
+#include "caraway/base/stop_times.h"
 #include "caraway/base/time.h"
 #include "caraway/routing/choose.h"
 #include "caraway/scheduling/start_pace.h"
@@ -38,6 +39,7 @@
   // unreachable. If false, requests with a key are refused once the
   // configuration lease has expired.
   bool mServeWithoutLease = false;
+  Duration mStopGrace = kDefaultStopGrace; // from the request to stop to a kill
 };
 
 } // namespace caraway
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -27,6 +27,7 @@
 #include "caraway/routing/placement.h"
 #include "caraway/routing/retry_budget.h"
 #include "caraway/routing/target_state.h"
+#include "caraway/scheduling/usual_time.h"
 #include "caraway/wire/call_messages.h"
 
 namespace caraway {
@@ -110,6 +111,8 @@
   // or another target answers at their address.
   std::set<std::pair<TargetId, int64_t>> mGoneTargets;
   FallbackShares mFallback;
+  // Of calls that were answered, from their start to the end of the answer.
+  std::map<RouteId, UsualTime> mAnswerTimes;
 
   // Requests received before the first configuration, in order of arrival.
   std::deque<EarlyRequest> mEarlyRequests;
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -53,7 +53,7 @@
 {
   const Entry& entry = aStep.mEntry;
   if (RefusesNewWork(entry, aStep.mNow)) {
-    return Refusal(ErrorKind::eDraining, "this instance is leaving");
+    return StoppingError();
   }
   if (entry.mRequests.size() >= entry.mSettings.mMaxActiveRequests) {
     return Refusal(ErrorKind::eOverloaded,
@@ -138,7 +138,7 @@
   request.mId = aHttp.mId;
   request.mCall = aHttp.mCall;
   request.mReceivedAt = aReceivedAt;
-  request.mDeadline = aReceivedAt + timeout;
+  request.mDeadline = DeadlineBeforeStop(entry, aReceivedAt + timeout);
   request.mDirect = DirectCallFor(*route, aHttp, aReceivedAt, entry.mRandom);
   TargetCall& call = request.mTarget;
   call.mService = request.mDirect.mService;
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/auth.h"
 #include "caraway/entry/control_calls.h"
+#include "caraway/entry/drain.h"
 #include "caraway/entry/forward.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/session.h"
@@ -67,7 +68,7 @@
   request.mCallerGone = aCall.IsNone();
   request.mPhase = RequestPhase::eOrder;
   request.mReceivedAt = aStep.mNow;
-  request.mDeadline = aStep.mNow + aTimeout;
+  request.mDeadline = DeadlineBeforeStop(entry, aStep.mNow + aTimeout);
   request.mOrder.mKind = aKind;
   entry.mById[request.mId] = serial;
   if (!aCall.IsNone()) {
--- a/caraway/entry/outcome.cpp
+++ b/caraway/entry/outcome.cpp
@@ -7,6 +7,7 @@
 #include "caraway/admission/token_holder.h"
 #include "caraway/entry/claims.h"
 #include "caraway/entry/direct.h"
+#include "caraway/entry/drain.h"
 #include "caraway/entry/reply.h"
 
 namespace caraway {
@@ -123,4 +124,20 @@
   ReplyError(aStep, aRequest, aError);
 }
 
+void
+FailStoppingRequest(EntryStep& aStep, CallerRequest& aRequest)
+{
+  CallerError error = StoppingError();
+  if (IsDirect(aRequest.mDirect)) {
+    EndDirect(aStep, aRequest); // proves that an unsent call has not run
+  }
+  if (OutcomeOf(aRequest) != Outcome::eNotRun) {
+    // eDraining would imply that nothing ran.
+    error = {};
+    error.mKind = ErrorKind::eTargetFailed;
+    error.mMessage = "this instance stops before the target has answered";
+  }
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
 } // namespace caraway
--- a/caraway/entry/outcome.h
+++ b/caraway/entry/outcome.h
@@ -33,4 +33,9 @@
             CallerError aError,
             bool aCancelAll = false);
 
+// Fails a request that a stopping entry can no longer serve: as not run if that
+// is proven, so that another entry may, else with the outcome unknown.
+void
+FailStoppingRequest(EntryStep& aStep, CallerRequest& aRequest);
+
 } // namespace caraway
--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -288,9 +288,7 @@
   if (!aNode.mReports.mWatchers.empty()) {
     next = std::min(next, NextReport(aNode));
   }
-  if (aNode.mStop == StopState::eLeaving) {
-    next = std::min(next, aNode.mLeaveAt);
-  }
+  next = std::min(next, StopWakeup(aNode));
   return std::min(next, NextBatchWakeup(aNode));
 }
 
--- a/caraway/node/node_calls_group.cpp
+++ b/caraway/node/node_calls_group.cpp
@@ -106,4 +106,26 @@
   }
 }
 
+void
+EndRunningCalls(Node& aNode,
+                MonoTime aNow,
+                ErrorKind aKind,
+                const std::string& aMessage,
+                NodeActions& aOut)
+{
+  const auto keys = LiveCalls(aNode, [](const NodeCall& aCall) {
+    return aCall.mState == CallState::eRunning;
+  });
+  for (const AttemptKey& key : keys) {
+    RefuseCall(aNode,
+               aNow,
+               aNode.mCalls.at(key),
+               aKind,
+               Outcome::eUnknown,
+               aMessage,
+               {},
+               aOut);
+  }
+}
+
 } // namespace caraway
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -256,6 +256,13 @@
                   ErrorKind aKind,
                   std::string_view aMessage,
                   NodeActions& aOut);
+// Ends the running calls with the outcome unknown.
+void
+EndRunningCalls(Node& aNode,
+                MonoTime aNow,
+                ErrorKind aKind,
+                const std::string& aMessage,
+                NodeActions& aOut);
 NodeCall*
 FindCallByWork(Node& aNode, WorkId aWork);
 void
@@ -417,6 +424,9 @@
 OnStop(Node& aNode, MonoTime aNow, NodeActions& aOut);
 void
 ContinueStop(Node& aNode, MonoTime aNow, NodeActions& aOut);
+// When ContinueStop is due next; kNever before a stop.
+MonoTime
+StopWakeup(const Node& aNode);
 
 // --- Scheduling (node_schedule.cpp)
 
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "caraway/base/ids.h"
+#include "caraway/base/stop_times.h"
 #include "caraway/base/time.h"
 #include "caraway/scheduling/scheduler.h"
 
@@ -43,6 +44,7 @@
   double mPrefetchSeconds = 2;
   // Items that wait longer for room are returned to the ledger.
   Duration mMaxItemWait = Seconds(10);
+  Duration mStopGrace = kDefaultStopGrace; // from the request to stop to a kill
 };
 
 } // namespace caraway
--- a/caraway/node/node_stop.cpp
+++ b/caraway/node/node_stop.cpp
@@ -1,5 +1,7 @@
 // Graceful stop: drain calls, return items, leave the session.
 
+#include <algorithm>
+
 #include "caraway/node/node_internal.h"
 
 namespace caraway {
@@ -47,6 +49,26 @@
   SendRenew(aNode, aNow, aOut);
 }
 
+// Ends what the target still works on: items go back with their progress, and
+// callers learn that the outcome is unknown.
+void
+EndRunningWork(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  DecisionLog log;
+  log.mEvent = "stopping";
+  log.mChoice = "ended running work";
+  log.mReason = "the process is killed soon";
+  log.mExtra = { { "calls", std::to_string(aNode.mAttemptByWork.size()) },
+                 { "items", std::to_string(aNode.mBatch.mTasks.size()) } };
+  aOut.emplace_back(std::move(log));
+  ReturnAllItems(aNode, aNow, aOut);
+  EndRunningCalls(aNode,
+                  aNow,
+                  ErrorKind::eTargetFailed, // eDraining would imply not run
+                  "this node stops before the target has answered",
+                  aOut);
+}
+
 } // namespace
 
 void
@@ -69,6 +91,18 @@
 void
 ContinueStop(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
+  if (aNode.mStop == StopState::eServing ||
+      aNode.mStop == StopState::eStopped) {
+    return;
+  }
+  const Duration grace = aNode.mSettings.mStopGrace;
+  if (aNow >= ExitDue(aNode.mStopSince, grace)) {
+    aNode.mStop = StopState::eStopped;
+    return;
+  }
+  if (aNow >= AnswersDue(aNode.mStopSince, grace) && !IsIdle(aNode)) {
+    EndRunningWork(aNode, aNow, aOut);
+  }
   if (aNode.mStop == StopState::eDraining && IsIdle(aNode)) {
     const bool known = aNode.mDrainAckedAt.mMicros != 0 &&
                        aNow - aNode.mDrainAckedAt >= kDrainPropagationTime;
@@ -89,4 +123,19 @@
   }
 }
 
+MonoTime
+StopWakeup(const Node& aNode)
+{
+  if (aNode.mStop == StopState::eServing ||
+      aNode.mStop == StopState::eStopped) {
+    return kNever;
+  }
+  const Duration grace = aNode.mSettings.mStopGrace;
+  const MonoTime due =
+    IsIdle(aNode) ? kNever : AnswersDue(aNode.mStopSince, grace);
+  const MonoTime leave =
+    aNode.mStop == StopState::eLeaving ? aNode.mLeaveAt : kNever;
+  return std::min({ due, leave, ExitDue(aNode.mStopSince, grace) });
+}
+
 } // namespace caraway
--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// For the last replies to operators, once the role has stopped.
+constexpr Duration kReplyTime = Seconds(1);
+
 // This file marks a replica that created its group as the only member.
 constexpr const char* kFounderFileName = "founder";
 constexpr const char* kFounderPathSuffix = "/founder";
@@ -40,6 +43,7 @@
             [this](ControlAction& aAction) { CarryOut(aAction); },
             [this] { return NextWakeup(*mControl); },
             [this] { ScheduleSync(); } })
+  , mExit(aLoop, [this] { return mHttp.UnsentBytes(); })
 {
 }
 
@@ -272,7 +276,7 @@
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
       [this](const Halt& aHalt) { Fail(aHalt.mReason); },
       [this](const BeginGroup&) { CreateGroup(); },
-      [this](const Stopped&) { mLoop.Exit(); },
+      [this](const Stopped&) { mExit.Begin(mLoop.Now() + kReplyTime); },
     },
     aAction);
 }
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -9,6 +9,7 @@
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/peer_transport.h"
 #include "caraway/runtime/role_pump.h"
+#include "caraway/runtime/sent_exit.h"
 
 namespace caraway {
 
@@ -64,6 +65,7 @@
   uint64_t mDisk = 0;          // identity of the data folder
   bool mFailed = false;
   RolePump<ControlEvent, ControlAction> mPump;
+  SentExit mExit;
 };
 
 } // namespace caraway
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -3,6 +3,9 @@
 
 #include "caraway/runtime/entry_host.h"
 
+#include <algorithm>
+
+#include "caraway/base/stop_times.h"
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
@@ -52,6 +55,13 @@
             [this](EntryAction& aAction) { CarryOut(aAction); },
             [this] { return NextWakeup(*mEntry); },
             nullptr })
+  , mExit(aLoop, [this] {
+    size_t unsent = 0;
+    for (const Server& server : mServers) {
+      unsent += server.mServer->UnsentBytes();
+    }
+    return unsent;
+  })
 {
   for (const ListenerSettings& listener : aListeners) {
     HttpServerSettings http = listener.mHttp;
@@ -92,7 +102,10 @@
   mTargets.mOnSent.connect(
     [this](const TargetCallSent& aEvent) { mPump.Post(aEvent); });
   PostTargetEvents(mTargets, mDialect.mTargets, mPump);
-  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
+  mLoop.mOnStop.connect([this] {
+    mStopSince = std::min(mStopSince, mLoop.Now());
+    mPump.Post(StopRequested{});
+  });
   mLoop.mOnReload.connect([this] {
     LogReload("peers", mPeers.ReloadTls());
     for (Server& server : mServers) {
@@ -161,7 +174,9 @@
         ServerForCall(aAbort.mCall).Abort(aAbort);
       },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
-      [this](const Stopped&) { mLoop.Exit(); },
+      [this](const Stopped&) {
+        mExit.Begin(ExitDue(mStopSince, mSettings.mStopGrace));
+      },
       [this](const OrderReply& aReply) {
         if (mDialect.mWriteReply) {
           ServerForCall(aReply.mCall).Respond(mDialect.mWriteReply(aReply));
--- a/caraway/runtime/entry_host.h
+++ b/caraway/runtime/entry_host.h
@@ -10,6 +10,7 @@
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/peer_transport.h"
 #include "caraway/runtime/role_pump.h"
+#include "caraway/runtime/sent_exit.h"
 #include "caraway/runtime/target_client.h"
 
 namespace caraway {
@@ -58,6 +59,8 @@
   TargetClient mTargets;
   std::unique_ptr<Entry> mEntry;
   RolePump<EntryEvent, EntryAction> mPump;
+  MonoTime mStopSince = kNever; // of the request to stop
+  SentExit mExit;
 };
 
 } // namespace caraway
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -2,6 +2,9 @@
 
 #include "caraway/runtime/node_host.h"
 
+#include <algorithm>
+
+#include "caraway/base/stop_times.h"
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
@@ -31,6 +34,7 @@
             [this](NodeAction& aAction) { CarryOut(aAction); },
             [this] { return NextWakeup(*mNode); },
             nullptr })
+  , mExit(aLoop, [this] { return mHttp.UnsentBytes(); })
 {
 }
 
@@ -57,7 +61,10 @@
   mHttp.mOnClosed.connect(
     [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
   PostTargetEvents(mTarget, mDialect, mPump);
-  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
+  mLoop.mOnStop.connect([this] {
+    mStopSince = std::min(mStopSince, mLoop.Now());
+    mPump.Post(StopRequested{});
+  });
   mLoop.mOnReload.connect([this] { LogReload("peers", mPeers.ReloadTls()); });
   WriteLog(
     LogLevel::eInfo,
@@ -89,7 +96,9 @@
         mHttp.Respond(aResponse);
       },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
-      [this](const Stopped&) { mLoop.Exit(); },
+      [this](const Stopped&) {
+        mExit.Begin(ExitDue(mStopSince, mSettings.mStopGrace));
+      },
     },
     aAction);
 }
--- a/caraway/runtime/node_host.h
+++ b/caraway/runtime/node_host.h
@@ -7,6 +7,7 @@
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/peer_transport.h"
 #include "caraway/runtime/role_pump.h"
+#include "caraway/runtime/sent_exit.h"
 #include "caraway/runtime/target_client.h"
 
 namespace caraway {
@@ -38,6 +39,8 @@
   TargetDialect mDialect;
   std::unique_ptr<Node> mNode;
   RolePump<NodeEvent, NodeAction> mPump;
+  MonoTime mStopSince = kNever; // of the request to stop
+  SentExit mExit;
 };
 
 } // namespace caraway
--- a/daemons/caraway_entry_main.cpp
+++ b/daemons/caraway_entry_main.cpp
@@ -25,7 +25,9 @@
   --deadline-ms=N          Deadline of requests that set none [60000].
   --subset=N               Targets watched per model or service [6].
   --retry-budget=X         Retries per request, as a fraction [0.1].
-  --max-active=N           Requests in progress at most [4096].)") +
+  --max-active=N           Requests in progress at most [4096].
+  --grace=SECONDS          Time from SIGTERM until the process is killed [10]. All
+                           requests that it has read are answered before.)") +
   kCommonUsage;
 
 EntrySettings
@@ -55,6 +57,7 @@
     aReader.Fraction("retry-budget", settings.mRetryBudget);
   settings.mMaxActiveRequests = static_cast<uint32_t>(
     aReader.Number("max-active", settings.mMaxActiveRequests, 1, 100000));
+  settings.mStopGrace = ReadStopGrace(aReader);
   settings.mSeed = SystemRandom();
   return settings;
 }
--- a/daemons/caraway_node_main.cpp
+++ b/daemons/caraway_node_main.cpp
@@ -30,7 +30,9 @@
   --first-token-goal-ms=N  Goal for the time to the first token, p95 [750].
   --max-queue=N            Online requests that may wait [512].
   --target-fencing=WORD    checked or ignored: whether the target refuses orders with
-                           an old fencing token [ignored].)") +
+                           an old fencing token [ignored].
+  --grace=SECONDS          Time from SIGTERM until the process is killed [10]. All
+                           requests that it has read are answered before.)") +
   kCommonUsage;
 
 NodeSettings
@@ -65,6 +67,7 @@
   settings.mTargetChecksFencing =
     aReader.Choice("target-fencing", "ignored", { "checked", "ignored" }) ==
     "checked";
+  settings.mStopGrace = ReadStopGrace(aReader);
   settings.mSeed = SystemRandom();
   return settings;
 }
--- a/daemons/daemon_settings.cpp
+++ b/daemons/daemon_settings.cpp
@@ -4,6 +4,8 @@
 
 #include <openssl/rand.h>
 
+#include "caraway/base/stop_times.h"
+
 namespace caraway {
 
 namespace {
@@ -45,6 +47,17 @@
   return word == "error" ? LogLevel::eError : LogLevel::eInfo;
 }
 
+Duration
+ReadStopGrace(SettingsReader& aReader)
+{
+  constexpr double kShortest = 1;
+  constexpr double kLongest = 3600;
+  constexpr double kMicros = 1e6;
+  return Micros(static_cast<int64_t>(
+    kMicros * aReader.Decimal(
+                "grace", kDefaultStopGrace.Seconds(), kShortest, kLongest)));
+}
+
 DaemonSettings
 ReadDaemonSettings(SettingsReader& aReader)
 {
--- a/daemons/daemon_settings.h
+++ b/daemons/daemon_settings.h
@@ -42,6 +42,10 @@
 LogLevel
 ReadLogLevel(SettingsReader& aReader);
 
+// Reads --grace, which every usage text of an entry or node declares.
+Duration
+ReadStopGrace(SettingsReader& aReader);
+
 // A random number other than 0 from OpenSSL, for incarnations and seeds.
 uint64_t
 SystemRandom();
