--- a/caraway/base/event_stream.cpp
+++ b/caraway/base/event_stream.cpp
@@ -13,18 +13,21 @@
 namespace {
 
 // The position after the blank line that ends the last complete event; 0 if
-// there is none.
+// there is none. The bytes before aNew hold none.
 size_t
-EndOfLastEvent(std::string_view aBytes)
+EndOfLastEvent(std::string_view aBytes, size_t aNew)
 {
-  const size_t plain = aBytes.rfind("\n\n");
-  const size_t carriage = aBytes.rfind("\r\n\r\n");
+  constexpr size_t kLongestEnd = 4;
+  const size_t from = aNew < kLongestEnd ? 0 : aNew - kLongestEnd + 1;
+  const std::string_view searched = aBytes.substr(from);
+  const size_t plain = searched.rfind("\n\n");
+  const size_t carriage = searched.rfind("\r\n\r\n");
   size_t end = 0;
   if (plain != std::string_view::npos) {
-    end = plain + 2;
+    end = from + plain + 2;
   }
   if (carriage != std::string_view::npos) {
-    end = std::max(end, carriage + 4);
+    end = std::max(end, from + carriage + kLongestEnd);
   }
   return end;
 }
@@ -65,8 +68,9 @@
 std::string
 TakeWholeEvents(EventStream& aStream, std::string_view aBytes)
 {
+  const size_t before = aStream.mPending.size();
   aStream.mPending.append(aBytes);
-  const size_t end = EndOfLastEvent(aStream.mPending);
+  const size_t end = EndOfLastEvent(aStream.mPending, before);
   std::string whole = aStream.mPending.substr(0, end);
   aStream.mPending.erase(0, end);
   bool inEvent = false;
@@ -79,7 +83,8 @@
     }
     const bool blank = aLine.empty() || aLine == "\r";
     aStream.mEvents += blank && inEvent ? 1 : 0;
-    inEvent = !blank;
+    // Comments, which start with a colon, are part of no event.
+    inEvent = !blank && (inEvent || !aLine.starts_with(':'));
   });
   return whole;
 }
--- a/caraway/base/event_stream.h
+++ b/caraway/base/event_stream.h
@@ -16,7 +16,8 @@
   uint64_t mEvents = 0;          // complete events so far
 };
 
-// Adds bytes; returns the bytes of the events that are complete now.
+// Adds bytes; returns the bytes of the events and comments that are complete
+// now. Only events count in mEvents.
 std::string
 TakeWholeEvents(EventStream& aStream, std::string_view aBytes);
 
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -328,16 +328,18 @@
   aTask.mLastByte = aNow;
   if (aTask.mRaw) {
     std::string events;
+    const uint64_t before = aTask.mEvents.mEvents;
     if (aTask.mStatus / 100 == 2) {
       events = TakeWholeEvents(aTask.mEvents, aBytes);
     }
+    const bool progress = aTask.mEvents.mEvents > before;
     aTask.mBytesSinceEvent =
-      events.empty() ? aTask.mBytesSinceEvent + aBytes.size() : 0;
+      progress ? 0 : aTask.mBytesSinceEvent + aBytes.size();
     if (aTask.mBytesSinceEvent > kMaxBytesSinceEvent ||
         aTask.mText.size() + events.size() > kMaxAnswer) {
       return BatchProgress::eLimitExceeded;
     }
-    if (events.empty()) {
+    if (!progress) {
       return BatchProgress::eNone;
     }
     aTask.mHasData = AppendEventData(events, aTask.mHasData, aTask.mText);
--- a/tests/base_event_stream_test.cpp
+++ b/tests/base_event_stream_test.cpp
@@ -38,3 +38,31 @@
   BOOST_TEST(*stream.mLast == 4u);
   BOOST_TEST(stream.mEvents == 2u);
 }
+
+// A target that sent comments for ever was taken for one that makes progress.
+BOOST_AUTO_TEST_CASE(comments_are_passed_on_and_count_as_no_event)
+{
+  EventStream stream;
+  BOOST_TEST(TakeWholeEvents(stream, ":a\n\n") == ":a\n\n");
+  BOOST_TEST(TakeWholeEvents(stream, ": b\r\n\r\n\n") == ": b\r\n\r\n\n");
+  BOOST_TEST(stream.mEvents == 0u);
+  BOOST_TEST(TakeWholeEvents(stream, ":a\ndata: 1\n:b\n\n") ==
+             ":a\ndata: 1\n:b\n\n");
+  BOOST_TEST(stream.mEvents == 1u);
+}
+
+// Each piece was searched together with all bytes before it.
+BOOST_AUTO_TEST_CASE(end_of_an_event_is_found_across_pieces)
+{
+  for (const std::string end : { "\n\n", "\r\n\r\n" }) {
+    EventStream stream;
+    const std::string event = "id: 1\ndata: a" + end;
+    std::string whole;
+    for (const char byte : event + event) {
+      whole += TakeWholeEvents(stream, std::string(1, byte));
+    }
+    BOOST_TEST(whole == event + event);
+    BOOST_TEST(stream.mEvents == 2u);
+    BOOST_TEST(stream.mPending.empty());
+  }
+}
--- a/tests/entry_direct_test.cpp
+++ b/tests/entry_direct_test.cpp
@@ -322,6 +322,41 @@
   BOOST_TEST(*GrantNext(call).mContext.mResumeAfter == 1u);
 }
 
+// A flood of comments kept a stalled stream alive until its deadline.
+BOOST_AUTO_TEST_CASE(comments_do_not_reset_the_stall_timer)
+{
+  uint64_t call = 0;
+  const StartTargetCall start = StartCall("resume", call);
+  Begin(start, 200);
+  Bytes(start, "id: 1\ndata: a\n\n");
+  for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
+    Bytes(start, ":a\n\n");
+    Advance(Millis(100));
+  }
+  BOOST_TEST((std::find(mCancelled.begin(), mCancelled.end(), start.mCall) !=
+              mCancelled.end()));
+  BOOST_TEST(*GrantNext(call).mContext.mResumeAfter == 1u);
+}
+
+// A comment began the response, so that the stream could not be retried.
+BOOST_AUTO_TEST_CASE(stream_of_comments_without_an_event_is_retried)
+{
+  uint64_t call = 0;
+  const StartTargetCall start = StartCall("resume", call);
+  Begin(start, 200);
+  for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
+    Bytes(start, ":a\n\n");
+    Advance(Millis(100));
+  }
+  BOOST_REQUIRE(!mCancelled.empty());
+  const StartTargetCall next = GrantNext(call);
+  Begin(next, 200);
+  Bytes(next, ":b\n\ndata: 1\n\n");
+  Step(TargetCallEnded{ next.mCall });
+  BOOST_TEST(mChunks[call] == ":b\n\ndata: 1\n\n");
+  BOOST_TEST(mState[call] == "ended");
+}
+
 BOOST_AUTO_TEST_CASE(slow_stream_within_the_stall_timeout_is_not_retried)
 {
   uint64_t call = 0;
