--- a/caraway/base/message_reader.cpp
+++ b/caraway/base/message_reader.cpp
@@ -106,7 +106,7 @@
 }
 
 void
-ReadFieldLine(MessageReader& aReader, std::string aLine)
+ReadFieldLine(MessageReader& aReader, const std::string& aLine)
 {
   if (aLine.empty()) {
     if (aReader.mState == ReadState::eTrailers) {
@@ -149,7 +149,7 @@
       aReader.mState = ReadState::eChunkSize;
       return;
     default:
-      ReadFieldLine(aReader, std::move(line));
+      ReadFieldLine(aReader, line);
   }
 }
 
--- a/tests/runtime_framing_test.cpp
+++ b/tests/runtime_framing_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE runtime_framing
 #include <boost/test/unit_test.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "raw_peer.h"
 
 using namespace caraway;
@@ -162,15 +163,16 @@
          std::string("A: b\r\n Content-Length: 0\r\n"),
          std::string("Transfer-Encoding: chunked\r\nContent-Length: 0\r\n"),
          std::string("Host: other\r\n") }) {
-    const std::string answer = Exchange(post + fields + "\r\n" + second);
+    const std::string answer =
+      Exchange(absl::StrCat(post, fields, "\r\n", second));
     BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), fields << answer);
     BOOST_TEST(answer.find("\"not_run\"") != std::string::npos);
     BOOST_TEST(answer.find("/second") == std::string::npos);
     BOOST_TEST(mRequests.empty(), fields);
   }
   for (const std::string coding : { "xchunked", "gzip, chunked" }) {
-    const std::string answer = Exchange(post + "Transfer-Encoding: " + coding +
-                                        "\r\n\r\n0\r\n\r\n" + second);
+    const std::string answer = Exchange(absl::StrCat(
+      post, "Transfer-Encoding: ", coding, "\r\n\r\n0\r\n\r\n", second));
     BOOST_TEST(answer.starts_with("HTTP/1.1 501 "), answer);
     BOOST_TEST(mRequests.empty());
   }
