--- a/caraway/base/message_framing.cpp
+++ b/caraway/base/message_framing.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
-#include <vector>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -217,6 +216,23 @@
   return nullptr;
 }
 
+std::vector<std::string>
+ConnectionOptions(const Headers& aHeaders)
+{
+  std::vector<std::string> options;
+  for (const auto& [name, value] : aHeaders) {
+    if (!IsSameName(name, "connection")) {
+      continue;
+    }
+    std::vector<std::string_view> elements;
+    AppendElements(value, elements);
+    for (const std::string_view element : elements) {
+      options.push_back(absl::AsciiStrToLower(AbslView(element)));
+    }
+  }
+  return options;
+}
+
 Framing
 FrameRequest(std::string_view aHead)
 {
--- a/caraway/base/message_framing.h
+++ b/caraway/base/message_framing.h
@@ -7,6 +7,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "caraway/base/http.h"
 
 namespace caraway {
 
@@ -47,6 +50,11 @@
 bool
 ReadChunkSize(std::string_view aLine, uint64_t& aSize);
 
+// The lower-case elements of all Connection headers: options such as "close",
+// and the names of headers that concern the connection only.
+std::vector<std::string>
+ConnectionOptions(const Headers& aHeaders);
+
 // Why a field line is invalid, nullptr if it is not.
 const char*
 FieldLineError(std::string_view aLine);
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -2,7 +2,6 @@
 // calls.
 
 #include "caraway/entry/control_replies.h"
-#include "caraway/entry/drain.h"
 
 #include <algorithm>
 
@@ -10,6 +9,7 @@
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/completion_request.h"
 #include "caraway/entry/control_calls.h"
+#include "caraway/entry/drain.h"
 #include "caraway/entry/object_json.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/reply.h"
--- a/caraway/entry/direct.h
+++ b/caraway/entry/direct.h
@@ -54,6 +54,13 @@
 bool
 HandleEndChecked(EntryStep& aStep, const TargetChecked& aEvent);
 
+// Most answers on the request's route take no longer than this; aUnknown if
+// none has been recorded.
+Duration
+UsualAnswerTime(const Entry& aEntry,
+                const DirectCall& aDirect,
+                Duration aUnknown);
+
 // Forgets how long answers take on routes that are gone.
 void
 ForgetAnswerTimes(Entry& aEntry);
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -76,10 +76,7 @@
   }
   // A plain answer shows no progress before its end. Where answers usually take
   // longer, a second call would only double the work.
-  const auto times = aEntry.mAnswerTimes.find(direct.mRoute);
-  return times == aEntry.mAnswerTimes.end()
-           ? timeout
-           : std::max(timeout, UsuallyWithin(times->second, timeout));
+  return std::max(timeout, UsualAnswerTime(aEntry, direct, timeout));
 }
 
 bool
@@ -224,6 +221,16 @@
 
 } // namespace
 
+Duration
+UsualAnswerTime(const Entry& aEntry,
+                const DirectCall& aDirect,
+                Duration aUnknown)
+{
+  const auto times = aEntry.mAnswerTimes.find(aDirect.mRoute);
+  return times == aEntry.mAnswerTimes.end() ? aUnknown
+                                            : UsuallyWithin(times->second);
+}
+
 void
 ForgetAnswerTimes(Entry& aEntry)
 {
--- a/caraway/entry/drain.cpp
+++ b/caraway/entry/drain.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/attempts.h"
+#include "caraway/entry/direct.h"
 #include "caraway/entry/session.h"
 
 namespace caraway {
@@ -28,6 +29,18 @@
                   aEntry.mSettings.mStopGrace / kBalancerGraceDivisor);
 }
 
+MonoTime
+AnswersDueAt(const Entry& aEntry)
+{
+  return AnswersDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace);
+}
+
+MonoTime
+ExitDueAt(const Entry& aEntry)
+{
+  return ExitDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace);
+}
+
 bool
 IsIdle(const Entry& aEntry)
 {
@@ -66,12 +79,11 @@
     log.mEvent = "stopping";
     log.mChoice = "drain";
     log.mReason = "stop was requested";
-    const Duration grace = aStep.mEntry.mSettings.mStopGrace;
     log.mExtra = {
       { "requests", absl::StrCat(aStep.mEntry.mRequests.size()) },
-      { "grace_ms", absl::StrCat(grace.Millis()) },
+      { "grace_ms", absl::StrCat(aStep.mEntry.mSettings.mStopGrace.Millis()) },
       { "answers_due_ms",
-        absl::StrCat((AnswersDue(drain.mSince, grace) - aStep.mNow).Millis()) },
+        absl::StrCat((AnswersDueAt(aStep.mEntry) - aStep.mNow).Millis()) },
     };
     aStep.mOut.emplace_back(std::move(log));
     for (auto& [serial, request] : aStep.mEntry.mRequests) {
@@ -85,14 +97,13 @@
 MonoTime
 DeadlineBeforeStop(const Entry& aEntry, MonoTime aDeadline)
 {
-  return std::min(
-    aDeadline, AnswersDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace));
+  return std::min(aDeadline, AnswersDueAt(aEntry));
 }
 
 bool
 AreAnswersDue(const Entry& aEntry, MonoTime aNow)
 {
-  return aNow >= AnswersDue(aEntry.mDrain.mSince, aEntry.mSettings.mStopGrace);
+  return aNow >= AnswersDueAt(aEntry);
 }
 
 bool
@@ -105,10 +116,7 @@
     return false;
   }
   const DirectCall& direct = aRequest.mDirect;
-  const auto usual = entry.mAnswerTimes.find(direct.mRoute);
-  Duration needed = usual == entry.mAnswerTimes.end()
-                      ? direct.mLatencyGoal
-                      : UsuallyWithin(usual->second, direct.mLatencyGoal);
+  Duration needed = UsualAnswerTime(entry, direct, direct.mLatencyGoal);
   if (aRequest.mReplyBegun) {
     // Part of a resumed stream has been served already.
     needed = std::max(Duration{}, needed - (aStep.mNow - aRequest.mReceivedAt));
@@ -142,7 +150,7 @@
     return;
   }
   drain.mBalancerGraceOver = true;
-  if (aStep.mNow >= ExitDue(drain.mSince, entry.mSettings.mStopGrace)) {
+  if (aStep.mNow >= ExitDueAt(entry)) {
     Stop(aStep);
     return;
   }
@@ -171,7 +179,7 @@
   if (drain.mSince == kNever) {
     return kNever;
   }
-  const MonoTime exit = ExitDue(drain.mSince, aEntry.mSettings.mStopGrace);
+  const MonoTime exit = ExitDueAt(aEntry);
   if (!drain.mBalancerGraceOver) {
     return std::min(exit, BalancerGraceEnd(aEntry));
   }
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -49,8 +49,18 @@
     });
 }
 
+bool
+ChangesPlan(const ConfigDelta& aDelta)
+{
+  return std::any_of(aDelta.mChanges.begin(),
+                     aDelta.mChanges.end(),
+                     [](const RevisedChange& aChange) {
+                       return std::holds_alternative<SetPlan>(aChange.mChange);
+                     });
+}
+
 void
-ConfigApplied(EntryStep& aStep, bool aTopology)
+ConfigApplied(EntryStep& aStep, bool aTopology, bool aPlan)
 {
   const ConfigView& view = aStep.mEntry.mConfig;
   DecisionLog log;
@@ -68,7 +78,9 @@
     TopologyChanged(aStep);
     AttemptsTopologyChanged(aStep);
   }
-  ForgetAnswerTimes(aStep.mEntry);
+  if (aPlan) {
+    ForgetAnswerTimes(aStep.mEntry);
+  }
   VersionsChanged(aStep);
   RenewNow(aStep);
   ProcessEarlyRequests(aStep);
@@ -105,11 +117,11 @@
     HandleControlReply(aStep, *call);
   } else if (const auto* delta = std::get_if<ConfigDelta>(&message)) {
     if (HandleConfigDelta(aStep, from, *delta)) {
-      ConfigApplied(aStep, ChangesTopology(*delta));
+      ConfigApplied(aStep, ChangesTopology(*delta), ChangesPlan(*delta));
     }
   } else if (const auto* snapshot = std::get_if<ConfigSnapshotPart>(&message)) {
     if (HandleSnapshotPart(aStep, from, *snapshot)) {
-      ConfigApplied(aStep, true);
+      ConfigApplied(aStep, true, true);
     }
   } else if (const auto* registered = std::get_if<RegisterReply>(&message)) {
     HandleRegisterReply(aStep, from, *registered);
--- a/caraway/entry/header_filter.cpp
+++ b/caraway/entry/header_filter.cpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "absl/strings/ascii.h"
-#include "absl/strings/str_split.h"
+#include "caraway/base/message_framing.h"
 
 namespace caraway {
 
@@ -41,26 +41,10 @@
                      [&](const char* aName) { return aLower == aName; });
 }
 
-// Returns the lower-case names of headers listed in Connection headers.
-std::vector<std::string>
-NamedInConnection(const Headers& aHeaders)
-{
-  std::vector<std::string> names;
-  for (const auto& [name, value] : aHeaders) {
-    if (absl::AsciiStrToLower(name) != "connection") {
-      continue;
-    }
-    for (absl::string_view part : absl::StrSplit(value, ',')) {
-      names.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(part)));
-    }
-  }
-  return names;
-}
-
 Headers
 Filter(const Headers& aHeaders, bool aToTarget)
 {
-  const std::vector<std::string> named = NamedInConnection(aHeaders);
+  const std::vector<std::string> named = ConnectionOptions(aHeaders);
   Headers kept;
   for (const auto& [name, value] : aHeaders) {
     const std::string lower = absl::AsciiStrToLower(name);
--- a/caraway/node/node_calls_group.cpp
+++ b/caraway/node/node_calls_group.cpp
@@ -22,6 +22,35 @@
   return keys;
 }
 
+// A queued call has not run; what has become of a running one is unknown.
+Outcome
+OutcomeIn(CallState aState)
+{
+  return aState == CallState::eQueued ? Outcome::eNotRun : Outcome::eUnknown;
+}
+
+void
+RefuseCallsInState(Node& aNode,
+                   MonoTime aNow,
+                   CallState aState,
+                   ErrorKind aKind,
+                   const std::string& aMessage,
+                   NodeActions& aOut)
+{
+  const auto keys = LiveCalls(
+    aNode, [&](const NodeCall& aCall) { return aCall.mState == aState; });
+  for (const AttemptKey& key : keys) {
+    RefuseCall(aNode,
+               aNow,
+               aNode.mCalls.at(key),
+               aKind,
+               OutcomeIn(aState),
+               aMessage,
+               {},
+               aOut);
+  }
+}
+
 } // namespace
 
 void
@@ -43,8 +72,7 @@
   });
   for (const AttemptKey& key : keys) {
     NodeCall& call = aNode.mCalls.at(key);
-    const Outcome outcome =
-      call.mState == CallState::eQueued ? Outcome::eNotRun : Outcome::eUnknown;
+    const Outcome outcome = OutcomeIn(call.mState);
     // The refusal is kept: the entry may have lost only this connection, and
     // may send an OutcomeQuery.
     RefuseCall(aNode,
@@ -76,8 +104,7 @@
                aNow,
                call,
                ErrorKind::eWithdrawn,
-               call.mState == CallState::eQueued ? Outcome::eNotRun
-                                                 : Outcome::eUnknown,
+               OutcomeIn(call.mState),
                "the key was withdrawn; use another key",
                {},
                aOut);
@@ -91,19 +118,12 @@
                   std::string_view aMessage,
                   NodeActions& aOut)
 {
-  const auto keys = LiveCalls(aNode, [](const NodeCall& aCall) {
-    return aCall.mState == CallState::eQueued;
-  });
-  for (const AttemptKey& key : keys) {
-    RefuseCall(aNode,
-               aNow,
-               aNode.mCalls.at(key),
-               aKind,
-               Outcome::eNotRun,
-               std::string(aMessage) + "; send it to another target",
-               {},
-               aOut);
-  }
+  RefuseCallsInState(aNode,
+                     aNow,
+                     CallState::eQueued,
+                     aKind,
+                     std::string(aMessage) + "; send it to another target",
+                     aOut);
 }
 
 void
@@ -113,19 +133,7 @@
                 const std::string& aMessage,
                 NodeActions& aOut)
 {
-  const auto keys = LiveCalls(aNode, [](const NodeCall& aCall) {
-    return aCall.mState == CallState::eRunning;
-  });
-  for (const AttemptKey& key : keys) {
-    RefuseCall(aNode,
-               aNow,
-               aNode.mCalls.at(key),
-               aKind,
-               Outcome::eUnknown,
-               aMessage,
-               {},
-               aOut);
-  }
+  RefuseCallsInState(aNode, aNow, CallState::eRunning, aKind, aMessage, aOut);
 }
 
 } // namespace caraway
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -3,8 +3,6 @@
 
 #include "caraway/runtime/entry_host.h"
 
-#include <algorithm>
-
 #include "caraway/base/stop_times.h"
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
@@ -102,10 +100,7 @@
   mTargets.mOnSent.connect(
     [this](const TargetCallSent& aEvent) { mPump.Post(aEvent); });
   PostTargetEvents(mTargets, mDialect.mTargets, mPump);
-  mLoop.mOnStop.connect([this] {
-    mStopSince = std::min(mStopSince, mLoop.Now());
-    mPump.Post(StopRequested{});
-  });
+  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
   mLoop.mOnReload.connect([this] {
     LogReload("peers", mPeers.ReloadTls());
     for (Server& server : mServers) {
@@ -175,7 +170,7 @@
       },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
       [this](const Stopped&) {
-        mExit.Begin(ExitDue(mStopSince, mSettings.mStopGrace));
+        mExit.Begin(ExitDue(mEntry->mDrain.mSince, mSettings.mStopGrace));
       },
       [this](const OrderReply& aReply) {
         if (mDialect.mWriteReply) {
--- a/caraway/runtime/entry_host.h
+++ b/caraway/runtime/entry_host.h
@@ -59,7 +59,6 @@
   TargetClient mTargets;
   std::unique_ptr<Entry> mEntry;
   RolePump<EntryEvent, EntryAction> mPump;
-  MonoTime mStopSince = kNever; // of the request to stop
   SentExit mExit;
 };
 
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -2,8 +2,6 @@
 
 #include "caraway/runtime/node_host.h"
 
-#include <algorithm>
-
 #include "caraway/base/stop_times.h"
 #include "caraway/base/visitor.h"
 #include "caraway/runtime/logging.h"
@@ -61,10 +59,7 @@
   mHttp.mOnClosed.connect(
     [this](const HttpClosed& aClosed) { mPump.Post(aClosed); });
   PostTargetEvents(mTarget, mDialect, mPump);
-  mLoop.mOnStop.connect([this] {
-    mStopSince = std::min(mStopSince, mLoop.Now());
-    mPump.Post(StopRequested{});
-  });
+  mLoop.mOnStop.connect([this] { mPump.Post(StopRequested{}); });
   mLoop.mOnReload.connect([this] { LogReload("peers", mPeers.ReloadTls()); });
   WriteLog(
     LogLevel::eInfo,
@@ -97,7 +92,7 @@
       },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
       [this](const Stopped&) {
-        mExit.Begin(ExitDue(mStopSince, mSettings.mStopGrace));
+        mExit.Begin(ExitDue(mNode->mStopSince, mSettings.mStopGrace));
       },
     },
     aAction);
--- a/caraway/runtime/node_host.h
+++ b/caraway/runtime/node_host.h
@@ -39,7 +39,6 @@
   TargetDialect mDialect;
   std::unique_ptr<Node> mNode;
   RolePump<NodeEvent, NodeAction> mPump;
-  MonoTime mStopSince = kNever; // of the request to stop
   SentExit mExit;
 };
 
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -11,7 +11,6 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 #include "caraway/runtime/input_bytes.h"
 #include "caraway/runtime/socket_address.h"
 
@@ -70,24 +69,6 @@
          absl::EqualsIgnoreCase(aName, "expect");
 }
 
-// The lower-case names of the fields that belong to this connection only, by
-// its Connection fields, and the options there.
-std::vector<std::string>
-ConnectionOptions(const evkeyvalq* aHeaders)
-{
-  std::vector<std::string> options;
-  for (const evkeyval* header = aHeaders->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (absl::EqualsIgnoreCase(header->key, "connection")) {
-      for (const absl::string_view one : absl::StrSplit(header->value, ',')) {
-        options.push_back(
-          absl::AsciiStrToLower(absl::StripAsciiWhitespace(one)));
-      }
-    }
-  }
-  return options;
-}
-
 void
 RemoveAll(evkeyvalq* aHeaders, const char* aName)
 {
@@ -153,7 +134,6 @@
   Call& call = *owned;
   call.mClient = this;
   call.mId = aStart.mCall;
-  call.mHeld.reset(evbuffer_new());
   call.mReader.mKind = MessageKind::eResponse;
   call.mReader.mToHead = aStart.mMethod == "HEAD";
   mCalls[aStart.mCall] = std::move(owned);
@@ -260,13 +240,20 @@
 TargetClient::PassWholeHead(Call& aCall, evbuffer* aInput)
 {
   const ReadState state = aCall.mReader.mState;
+  aCall.mHeadPassed =
+    state != ReadState::eStartLine && state != ReadState::eFields;
+  if (aCall.mHeadPassed && !aCall.mHeld && aCall.mReader.mInterimBytes == 0) {
+    return; // the usual case: the head has come in one piece
+  }
+  if (!aCall.mHeld) {
+    aCall.mHeld.reset(evbuffer_new());
+  }
   evbuffer* held = aCall.mHeld.get();
   aCall.mPassing = true; // changes of the input call OnInput again
   evbuffer_add_buffer(held, aInput);
-  if (state != ReadState::eStartLine && state != ReadState::eFields) {
+  if (aCall.mHeadPassed) {
     evbuffer_drain(held, aCall.mReader.mInterimBytes);
     evbuffer_prepend_buffer(aInput, held);
-    aCall.mHeadPassed = true;
   }
   aCall.mPassing = false;
 }
@@ -285,19 +272,20 @@
   const Framing& framing = call->mReader.mFraming;
   began.mEndsByClose = framing.mBody == BodyFraming::eUntilClose;
   evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  const std::vector<std::string> options = ConnectionOptions(headers);
-  const auto isOption = [&](const char* aName) {
+  for (evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    began.mHeaders.emplace_back(header->key, header->value);
+  }
+  const std::vector<std::string> options = ConnectionOptions(began.mHeaders);
+  const auto isOption = [&](const std::string& aName) {
     return std::find(options.begin(),
                      options.end(),
                      absl::AsciiStrToLower(aName)) != options.end();
   };
   call->mKeep = !isOption("close") && !began.mEndsByClose;
-  for (evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (!IsConnectionHeader(header->key) && !isOption(header->key)) {
-      began.mHeaders.emplace_back(header->key, header->value);
-    }
-  }
+  std::erase_if(began.mHeaders, [&](const auto& aHeader) {
+    return IsConnectionHeader(aHeader.first) || isOption(aHeader.first);
+  });
   SetFraming(headers, framing);
   call->mClient->mOnBegan.emit(began);
   return 0;
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -59,7 +59,8 @@
     uint64_t mBytesSent = 0;       // drained from the output buffer
     uint64_t mBytesBeforeHead = 0; // received before the headers were complete
     MessageReader mReader;         // of the answer's bytes
-    // Holds the input until the head of the final response is complete.
+    // Holds the input until the head of the final response is complete; empty
+    // if that has come in one piece.
     EvBufferPtr mHeld;
     bool mHeadPassed = false; // evhttp has the head
     bool mPassing = false;    // PassWholeHead changes the input
--- a/caraway/scheduling/usual_time.cpp
+++ b/caraway/scheduling/usual_time.cpp
@@ -19,8 +19,8 @@
 RecordTime(UsualTime& aTime, Duration aSample)
 {
   const double seconds = aSample.Seconds();
-  if (!aTime.mKnown) {
-    aTime = { true, seconds, seconds / 2 };
+  if (aTime.mSeconds == 0) {
+    aTime = { seconds, seconds / 2 };
     return;
   }
   const double difference = seconds - aTime.mSeconds;
@@ -29,12 +29,9 @@
 }
 
 Duration
-UsuallyWithin(const UsualTime& aTime, Duration aUnknown)
+UsuallyWithin(const UsualTime& aTime)
 {
   constexpr double kMicros = 1e6;
-  if (!aTime.mKnown) {
-    return aUnknown;
-  }
   const double seconds = aTime.mSeconds + kDeviations * aTime.mDeviation;
   return Micros(static_cast<int64_t>(seconds * kMicros));
 }
--- a/caraway/scheduling/usual_time.h
+++ b/caraway/scheduling/usual_time.h
@@ -7,16 +7,15 @@
 
 struct UsualTime
 {
-  bool mKnown = false;
-  double mSeconds = 0;   // mean
+  double mSeconds = 0;   // mean; 0: nothing recorded yet
   double mDeviation = 0; // mean absolute deviation, seconds
 };
 
 void
 RecordTime(UsualTime& aTime, Duration aSample);
 
-// Most answers take no longer than this; aUnknown if nothing is recorded.
+// Most answers take no longer than this.
 Duration
-UsuallyWithin(const UsualTime& aTime, Duration aUnknown);
+UsuallyWithin(const UsualTime& aTime);
 
 } // namespace caraway
--- a/tests/direct_fixture.h
+++ b/tests/direct_fixture.h
@@ -152,6 +152,17 @@
     Step(TargetCallBytes{ aCall.mCall, aBytes });
   }
 
+  // Sends the bytes again and again for two seconds, or until a call is
+  // cancelled.
+  void SendUntilCancelled(const StartTargetCall& aCall,
+                          const std::string& aBytes)
+  {
+    for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
+      Bytes(aCall, aBytes);
+      Advance(Millis(100));
+    }
+  }
+
   void Break(const StartTargetCall& aCall, Outcome aOutcome)
   {
     Step(TargetCallFailed{ aCall.mCall, aOutcome, "broken by the test" });
--- a/tests/entry_direct_test.cpp
+++ b/tests/entry_direct_test.cpp
@@ -313,10 +313,7 @@
   const StartTargetCall start = StartCall("resume", call);
   Begin(start, 200);
   Bytes(start, "id: 1\ndata: a\n\n");
-  for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
-    Bytes(start, "x"); // completes no event
-    Advance(Millis(100));
-  }
+  SendUntilCancelled(start, "x"); // completes no event
   BOOST_TEST((std::find(mCancelled.begin(), mCancelled.end(), start.mCall) !=
               mCancelled.end()));
   BOOST_TEST(*GrantNext(call).mContext.mResumeAfter == 1u);
@@ -329,10 +326,7 @@
   const StartTargetCall start = StartCall("resume", call);
   Begin(start, 200);
   Bytes(start, "id: 1\ndata: a\n\n");
-  for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
-    Bytes(start, ":a\n\n");
-    Advance(Millis(100));
-  }
+  SendUntilCancelled(start, ":a\n\n");
   BOOST_TEST((std::find(mCancelled.begin(), mCancelled.end(), start.mCall) !=
               mCancelled.end()));
   BOOST_TEST(*GrantNext(call).mContext.mResumeAfter == 1u);
@@ -344,10 +338,7 @@
   uint64_t call = 0;
   const StartTargetCall start = StartCall("resume", call);
   Begin(start, 200);
-  for (int at = 0; at < 20 && mCancelled.empty(); ++at) {
-    Bytes(start, ":a\n\n");
-    Advance(Millis(100));
-  }
+  SendUntilCancelled(start, ":a\n\n");
   BOOST_REQUIRE(!mCancelled.empty());
   const StartTargetCall next = GrantNext(call);
   Begin(next, 200);
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -57,6 +57,23 @@
   }
 };
 
+// Listens on a free port of the loopback address.
+inline ListenerPtr
+ListenOnLoopback(Loop& aLoop, evconnlistener_cb aOnAccept, void* aArgument)
+{
+  auto any = ParseSocketAddress("127.0.0.1:0");
+  ListenerPtr listener(
+    evconnlistener_new_bind(aLoop.Base(),
+                            aOnAccept,
+                            aArgument,
+                            LEV_OPT_CLOSE_ON_FREE,
+                            -1,
+                            reinterpret_cast<sockaddr*>(&any->mStorage),
+                            static_cast<int>(any->mLength)));
+  BOOST_REQUIRE(listener);
+  return listener;
+}
+
 // A target that writes fixed bytes to each connection, after the request has
 // arrived, and closes it.
 struct RawTarget
@@ -67,17 +84,8 @@
 
   explicit RawTarget(Loop& aLoop)
     : mLoop(aLoop)
+    , mListener(ListenOnLoopback(aLoop, &RawTarget::OnAccept, this))
   {
-    auto any = ParseSocketAddress("127.0.0.1:0");
-    mListener.reset(
-      evconnlistener_new_bind(aLoop.Base(),
-                              &RawTarget::OnAccept,
-                              this,
-                              LEV_OPT_CLOSE_ON_FREE,
-                              -1,
-                              reinterpret_cast<sockaddr*>(&any->mStorage),
-                              static_cast<int>(any->mLength)));
-    BOOST_REQUIRE(mListener);
   }
 
   std::string Address() const
--- a/tests/runtime_endless_answer_test.cpp
+++ b/tests/runtime_endless_answer_test.cpp
@@ -4,9 +4,7 @@
 #define BOOST_TEST_MODULE runtime_endless_answer
 #include <boost/test/unit_test.hpp>
 
-#include <event2/listener.h>
-
-#include "caraway/runtime/runtime.h"
+#include "raw_peer.h"
 
 using namespace caraway;
 
@@ -17,14 +15,6 @@
 constexpr size_t kMaxSentBytes = 16 << 20;
 constexpr size_t kPiece = 64 * 1024;
 
-struct ListenerFree
-{
-  void operator()(evconnlistener* aListener) const
-  {
-    evconnlistener_free(aListener);
-  }
-};
-
 // A target that sends aBegin, then repeats aRepeat until the connection closes,
 // and one call to it.
 struct EndlessTarget
@@ -37,16 +27,7 @@
     while (mRepeat.size() < kPiece) {
       mRepeat += aRepeat;
     }
-    auto any = ParseSocketAddress("127.0.0.1:0");
-    mListener.reset(
-      evconnlistener_new_bind(mLoop.Base(),
-                              &EndlessTarget::OnAccept,
-                              this,
-                              LEV_OPT_CLOSE_ON_FREE,
-                              -1,
-                              reinterpret_cast<sockaddr*>(&any->mStorage),
-                              static_cast<int>(any->mLength)));
-    BOOST_REQUIRE(mListener);
+    mListener = ListenOnLoopback(mLoop, &EndlessTarget::OnAccept, this);
     mGuard.ArmAt(mLoop.Now() + Seconds(60));
     mClient.mOnBegan.connect([this](const TargetCallBegan&) { mBegan = true; });
     mClient.mOnEnded.connect([this](const TargetCallEnded&) { mEnded = true; });
@@ -117,7 +98,7 @@
   Loop mLoop;
   TargetClient mClient;
   Timer mGuard;
-  std::unique_ptr<evconnlistener, ListenerFree> mListener;
+  ListenerPtr mListener;
   BufferEventPtr mBuffer;
   size_t mSent = 0;
   bool mBegan = false;
