--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -1,4 +1,4 @@
-// Calls of direct requests to targets: start, answer, failure and timeouts.
+// Calls of direct requests to targets: start, retries and timeouts.
 
 #include <algorithm>
 #include <set>
@@ -8,22 +8,14 @@
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/drain.h"
-#include "caraway/entry/header_filter.h"
-#include "caraway/entry/input_crashes.h"
 #include "caraway/entry/outcome.h"
-#include "caraway/entry/reply.h"
 #include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/start_times.h"
-#include "caraway/entry/target_reports.h"
 
 namespace caraway {
 
 namespace {
 
-constexpr size_t kMaxAnswerBytes = 8 << 20; // of an answer that is not streamed
-// Limit of one event. Engines send a few hundred bytes; a faulty target may
-// send an event that never ends.
-constexpr size_t kMaxEventBytes = 1 << 20;
 // Calls per request, including those that did not run.
 constexpr size_t kMaxDirectAttempts = 8;
 // A connection within a region is established within a few milliseconds. A
@@ -79,6 +71,27 @@
   return std::max(timeout, UsualAnswerTime(aEntry, direct, timeout));
 }
 
+// Fails a request that cannot be retried any more.
+void
+FailDirectRequest(EntryStep& aStep,
+                  CallerRequest& aRequest,
+                  ErrorKind aKind,
+                  const std::string& aMessage)
+{
+  if (DirectProvenNotRun(aRequest) && !aRequest.mReplyBegun) {
+    RefuseDirect(
+      aStep, aRequest, ErrorKind::eUnavailable, aMessage, Seconds(1));
+    return;
+  }
+  CallerError error;
+  // eUnavailable would imply that nothing ran.
+  error.mKind = DirectProvenNotRun(aRequest) ? aKind : ErrorKind::eTargetFailed;
+  error.mMessage = aMessage;
+  FailRequest(aStep, aRequest, std::move(error));
+}
+
+} // namespace
+
 bool
 MayRetryDirect(const EntryStep& aStep,
                const CallerRequest& aRequest,
@@ -151,76 +164,6 @@
   }
 }
 
-void
-SendEvents(EntryStep& aStep, CallerRequest& aRequest, std::string aBytes)
-{
-  if (aBytes.empty()) {
-    return;
-  }
-  if (!aRequest.mReplyBegun) {
-    const DirectAttempt& attempt = LiveAttempt(aRequest);
-    aRequest.mDirect.mReplyStatus = attempt.mStatus;
-    aRequest.mDirect.mReplyEndsByClose = attempt.mEndsByClose;
-    BeginReply(aStep,
-               aRequest,
-               attempt.mStatus,
-               HeadersForCaller(attempt.mHeaders),
-               attempt.mEndsByClose);
-  }
-  SendReplyChunk(aStep, aRequest, std::move(aBytes));
-}
-
-// Records the input as answered once the stream has gone on for long enough.
-void
-RecordStreamProgress(EntryStep& aStep, CallerRequest& aRequest)
-{
-  DirectAttempt& attempt = LiveAttempt(aRequest);
-  attempt.mAnsweredSince = std::min(attempt.mAnsweredSince, aStep.mNow);
-  if (!attempt.mAnswered &&
-      aStep.mNow - attempt.mAnsweredSince >= kAnswerSettles) {
-    attempt.mAnswered = true;
-    RecordAnsweredInput(aStep, aRequest);
-  }
-}
-
-// Stops sending requests to this start of the target. If aReport, control is
-// told that it leaves, so that other entries stop as well.
-void
-StopUsingTarget(EntryStep& aStep, const TargetId& aTarget, bool aReport)
-{
-  Entry& entry = aStep.mEntry;
-  auto known = entry.mConfig.mTargets.find(aTarget);
-  if (known == entry.mConfig.mTargets.end() ||
-      !entry.mGoneTargets.insert({ aTarget, known->second.mStartedAt })
-         .second) {
-    return;
-  }
-  if (aReport && !known->second.mDraining) {
-    ReportLeaving(aStep, known->second);
-  }
-}
-
-// Fails a request that cannot be retried any more.
-void
-FailDirectRequest(EntryStep& aStep,
-                  CallerRequest& aRequest,
-                  ErrorKind aKind,
-                  const std::string& aMessage)
-{
-  if (DirectProvenNotRun(aRequest) && !aRequest.mReplyBegun) {
-    RefuseDirect(
-      aStep, aRequest, ErrorKind::eUnavailable, aMessage, Seconds(1));
-    return;
-  }
-  CallerError error;
-  // eUnavailable would imply that nothing ran.
-  error.mKind = DirectProvenNotRun(aRequest) ? aKind : ErrorKind::eTargetFailed;
-  error.mMessage = aMessage;
-  FailRequest(aStep, aRequest, std::move(error));
-}
-
-} // namespace
-
 Duration
 UsualAnswerTime(const Entry& aEntry,
                 const DirectCall& aDirect,
@@ -256,59 +199,6 @@
   return request == aEntry.mRequests.end() ? nullptr : &request->second;
 }
 
-void
-FinishAnswer(EntryStep& aStep, CallerRequest& aRequest)
-{
-  DirectAttempt& attempt = LiveAttempt(aRequest);
-  LogAttempt(aStep,
-             aRequest,
-             LogLevel::eInfo,
-             "answer",
-             attempt.mEndsByClose ? "ended with its connection" : "whole");
-  if (attempt.mStatus / 100 == 2) {
-    RecordTime(aStep.mEntry.mAnswerTimes[aRequest.mDirect.mRoute],
-               aStep.mNow - attempt.mStartedAt);
-  }
-  if (attempt.mStatus / 100 == 2 && !attempt.mAnswered) {
-    attempt.mAnswered = true;
-    RecordAnsweredInput(aStep, aRequest);
-  }
-  NoteResult(aStep, attempt, attempt.mStatus < 500);
-  CloseAttempt(aStep,
-               aRequest,
-               attempt.mStatus < 500 ? SlotEnding::eServed
-                                     : SlotEnding::eFailed,
-               false);
-  if (aRequest.mReplyBegun) {
-    EndReply(aStep, aRequest);
-    return;
-  }
-  ReplyInFull(aStep,
-              aRequest,
-              attempt.mStatus,
-              HeadersForCaller(attempt.mHeaders),
-              std::move(aRequest.mAnswer.mBody),
-              attempt.mEndsByClose);
-}
-
-void
-HandleBrokenAnswer(EntryStep& aStep,
-                   CallerRequest& aRequest,
-                   const std::string& aReason,
-                   Outcome aOutcome)
-{
-  DirectAttempt& attempt = LiveAttempt(aRequest);
-  if (aOutcome != Outcome::eNotRun && !attempt.mAnswered) {
-    attempt.mBrokeUnanswered = true;
-    RecordBrokenCall(aStep, aRequest, attempt);
-  }
-  DirectAttemptFailed(aStep,
-                      aRequest,
-                      ErrorKind::eTargetFailed,
-                      aReason,
-                      aOutcome == Outcome::eNotRun);
-}
-
 void
 CallTarget(EntryStep& aStep,
            CallerRequest& aRequest,
@@ -439,130 +329,6 @@
   StartDirect(aStep, aRequest);
 }
 
-void
-HandleTargetSent(EntryStep& aStep, const TargetCallSent& aEvent)
-{
-  if (CallerRequest* request =
-        RequestOfTargetCall(aStep.mEntry, aEvent.mCall)) {
-    LiveAttempt(*request).mSent = true;
-  }
-}
-
-void
-HandleTargetBegan(EntryStep& aStep, const TargetCallBegan& aEvent)
-{
-  CallerRequest* request = RequestOfTargetCall(aStep.mEntry, aEvent.mCall);
-  if (request == nullptr) {
-    return;
-  }
-  DirectAttempt& attempt = LiveAttempt(*request);
-  attempt.mLastByte = aStep.mNow;
-  attempt.mStatus = aEvent.mStatus;
-  attempt.mHeaders = aEvent.mHeaders;
-  attempt.mEndsByClose = aEvent.mEndsByClose;
-  if (AnswersAnother(aEvent, request->mId)) {
-    DirectAttemptFailed(aStep,
-                        *request,
-                        ErrorKind::eTargetFailed,
-                        "the response does not belong to this request",
-                        false);
-    return;
-  }
-  RecordAnswerRate(aStep, attempt.mTarget, attempt.mTargetStart, aEvent);
-  if (aEvent.mWrongTarget || aEvent.mLeaving) {
-    StopUsingTarget(aStep, attempt.mTarget, aEvent.mLeaving);
-  }
-  if (aEvent.mNotRun) {
-    DirectAttemptFailed(
-      aStep,
-      *request,
-      ErrorKind::eUnavailable,
-      absl::StrCat("the target refused the request with status ",
-                   aEvent.mStatus),
-      true);
-    return;
-  }
-  // Nothing of such an answer, its end least of all, belongs to the stream that
-  // the caller is receiving.
-  if (request->mReplyBegun && aEvent.mStatus != request->mDirect.mReplyStatus) {
-    DirectAttemptFailed(
-      aStep,
-      *request,
-      ErrorKind::eTargetFailed,
-      absl::StrCat("the target answered the resumed stream with status ",
-                   aEvent.mStatus),
-      false);
-    return;
-  }
-  const bool broken = aEvent.mStatus >= 500;
-  if (broken && MayRetryDirect(aStep, *request, false)) {
-    DirectAttemptFailed(
-      aStep,
-      *request,
-      ErrorKind::eTargetFailed,
-      absl::StrCat("the target answered with status ", aEvent.mStatus),
-      false);
-  }
-}
-
-void
-HandleTargetBytes(EntryStep& aStep, const TargetCallBytes& aEvent)
-{
-  CallerRequest* request = RequestOfTargetCall(aStep.mEntry, aEvent.mCall);
-  if (request == nullptr) {
-    return;
-  }
-  DirectAttempt& attempt = LiveAttempt(*request);
-  if (IsStream(request->mDirect) && attempt.mStatus / 100 == 2) {
-    const uint64_t before = request->mDirect.mEvents.mEvents;
-    std::string events =
-      TakeWholeEvents(request->mDirect.mEvents, aEvent.mBytes);
-    // Bytes that complete no event do not reset the stall timeout.
-    if (request->mDirect.mEvents.mEvents > before) {
-      attempt.mLastByte = aStep.mNow;
-      RecordStreamProgress(aStep, *request);
-      RecordStreamEvent(aStep, *request);
-    }
-    // Comments before the first event wait for it, so that a call that brings
-    // nothing else can be retried.
-    std::string& comments = request->mAnswer.mBody;
-    comments += events;
-    if (request->mReplyBegun || request->mDirect.mEvents.mEvents > before) {
-      SendEvents(aStep, *request, std::exchange(comments, {}));
-    }
-    if (request->mDirect.mEvents.mPending.size() + comments.size() >
-        kMaxEventBytes) {
-      DirectAttemptFailed(aStep,
-                          *request,
-                          ErrorKind::eTargetFailed,
-                          "an event of the answer is larger than 1 MiB",
-                          false);
-    }
-    return;
-  }
-  attempt.mLastByte = aStep.mNow;
-  std::string& body = request->mAnswer.mBody;
-  if (body.size() + aEvent.mBytes.size() > kMaxAnswerBytes) {
-    DirectAttemptFailed(aStep,
-                        *request,
-                        ErrorKind::eTargetFailed,
-                        "the answer is larger than 8 MiB",
-                        false);
-    return;
-  }
-  body += aEvent.mBytes;
-}
-
-void
-HandleTargetFailed(EntryStep& aStep, const TargetCallFailed& aEvent)
-{
-  CallerRequest* request = RequestOfTargetCall(aStep.mEntry, aEvent.mCall);
-  if (request == nullptr) {
-    return;
-  }
-  HandleBrokenAnswer(aStep, *request, aEvent.mReason, aEvent.mOutcome);
-}
-
 void
 TickDirect(EntryStep& aStep, CallerRequest& aRequest)
 {
--- a/caraway/entry/direct_internal.h
+++ b/caraway/entry/direct_internal.h
@@ -1,6 +1,7 @@
 #pragma once
 // Functions shared by the direct_*.cpp files; not for other files.
 
+#include <optional>
 #include <string>
 
 #include "caraway/base/error.h"
@@ -8,6 +9,10 @@
 
 namespace caraway {
 
+// A node replies at once, so after several round trips between zones a slot is
+// requested from another node as well.
+constexpr Duration kHedgeDelay = Millis(40);
+
 // Returns the request whose live attempt is aCall, or nullptr.
 CallerRequest*
 RequestOfTargetCall(Entry& aEntry, TargetCallId aCall);
@@ -66,6 +71,38 @@
              SlotEnding aEnding,
              bool aCancel);
 
+// True if the request may be tried at another target. aNotRun: the last attempt
+// is proven not to have run.
+bool
+MayRetryDirect(const EntryStep& aStep,
+               const CallerRequest& aRequest,
+               bool aNotRun);
+// Logs a step of the request's live attempt.
+void
+LogAttempt(EntryStep& aStep,
+           const CallerRequest& aRequest,
+           LogLevel aLevel,
+           const char* aEvent,
+           const std::string& aReason);
+// Records the result of the attempt for later choices of a target.
+void
+NoteResult(EntryStep& aStep, const DirectAttempt& aAttempt, bool aGood);
+
+// True if every pending slot request has been refused (direct_slots.cpp).
+bool
+AllRefused(const DirectCall& aDirect);
+// Returns the request's slot request at this node, or nullptr
+// (direct_slots.cpp).
+PendingSlotRequest*
+FindSlotRequest(CallerRequest& aRequest, const PeerAddress& aNode);
+// Records what a node says of the rate that its target states
+// (direct_nodes.cpp).
+void
+RecordNodeRate(EntryStep& aStep,
+               const Target& aTarget,
+               const std::optional<HeardRate>& aRate,
+               Duration aWait);
+
 // Checks the timeouts of the pending slot requests (direct_slots.cpp).
 void
 TickSlotRequests(EntryStep& aStep, CallerRequest& aRequest);
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -3,18 +3,14 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/outcome.h"
-#include "caraway/entry/reply.h"
 #include "caraway/entry/resumed_streams.h"
-#include "caraway/entry/session.h"
 #include "caraway/entry/start_times.h"
-#include "caraway/entry/targets.h"
 
 namespace caraway {
 
@@ -26,18 +22,10 @@
 // The same, if some of them are for targets that state a rate and have no start
 // left at present.
 constexpr size_t kMaxRatedSlotRequests = 6;
-// A node replies at once, so after several round trips between zones a slot is
-// requested from another node as well.
-constexpr Duration kHedgeDelay = Millis(40);
 // A node that has not replied by then is avoided for a while.
 constexpr Duration kSlotReplyTimeout = Millis(150);
-// After more losses of all requested nodes, a request waits kHedgeDelay before
-// it requests slots again.
-constexpr uint32_t kMaxNodeLossRounds = 3;
 // Retry-After when no target can be used; the next heartbeats may change that.
 constexpr Duration kNoTargetRetry = Seconds(1);
-constexpr Duration kDirectWatchInterval = Seconds(4);
-constexpr Duration kSlotsHeldInterval = Seconds(1);
 // Retry-After is at most a third of the caller's remaining time, the most that
 // callers honour.
 constexpr int64_t kRetryAfterDivisor = 3;
@@ -130,16 +118,6 @@
   Send(aStep, aNode.mAddress, std::move(slotRequest));
 }
 
-bool
-AllRefused(const DirectCall& aDirect)
-{
-  return std::all_of(aDirect.mSlotRequests.begin(),
-                     aDirect.mSlotRequests.end(),
-                     [](const PendingSlotRequest& aSlotRequest) {
-                       return aSlotRequest.mState == SlotRequestState::eRefused;
-                     });
-}
-
 // How long the request still waits at least, by the replies to its slot
 // requests. 0 while one of them is not answered.
 Duration
@@ -244,18 +222,6 @@
   return false;
 }
 
-void
-RecordNodeRate(EntryStep& aStep,
-               const Target& aTarget,
-               const std::optional<HeardRate>& aRate,
-               Duration aWait)
-{
-  LoadOfTarget(aStep, aTarget).mNextStartAt = aStep.mNow + aWait;
-  if (aRate) {
-    RecordRateNotice(aStep, aTarget.mId, *aRate, "its node");
-  }
-}
-
 // True if fewer than kMaxSlotRequests wait at targets that state no rate, and
 // the request may still find one of those.
 bool
@@ -274,6 +240,18 @@
          waiting < kMaxSlotRequests + static_cast<size_t>(rated);
 }
 
+} // namespace
+
+bool
+AllRefused(const DirectCall& aDirect)
+{
+  return std::all_of(aDirect.mSlotRequests.begin(),
+                     aDirect.mSlotRequests.end(),
+                     [](const PendingSlotRequest& aSlotRequest) {
+                       return aSlotRequest.mState == SlotRequestState::eRefused;
+                     });
+}
+
 PendingSlotRequest*
 FindSlotRequest(CallerRequest& aRequest, const PeerAddress& aNode)
 {
@@ -285,8 +263,6 @@
   return nullptr;
 }
 
-} // namespace
-
 CallerRequest*
 WaitingRequest(Entry& aEntry, const RequestId& aId)
 {
@@ -516,119 +492,4 @@
   }
 }
 
-void
-DirectPeerLost(EntryStep& aStep, const PeerAddress& aPeer)
-{
-  Entry& entry = aStep.mEntry;
-  std::vector<uint64_t> waiting;
-  std::set<TargetId> lost;
-  for (auto& [serial, request] : entry.mRequests) {
-    if (request.mPhase != RequestPhase::eDirect) {
-      continue;
-    }
-    for (DirectAttempt& attempt : request.mDirect.mAttempts) {
-      if (attempt.mSlotNode == aPeer) {
-        attempt.mSlotNode = {};
-      }
-    }
-    if (const PendingSlotRequest* slotRequest =
-          FindSlotRequest(request, aPeer)) {
-      waiting.push_back(serial);
-      lost.insert(slotRequest->mTarget);
-    }
-  }
-  for (const TargetId& target : lost) {
-    auto load = entry.mPlacement.find(target);
-    if (load != entry.mPlacement.end()) {
-      RecordPlacementFailure(load->second, aStep.mNow);
-    }
-  }
-  for (const uint64_t serial : waiting) {
-    CallerRequest& request = entry.mRequests.at(serial);
-    PendingSlotRequest* slotRequest = FindSlotRequest(request, aPeer);
-    if (slotRequest == nullptr || request.mPhase != RequestPhase::eDirect) {
-      continue;
-    }
-    slotRequest->mState = SlotRequestState::eRefused;
-    if (!AllRefused(request.mDirect)) {
-      continue;
-    }
-    CancelSlotRequests(aStep, request);
-    if (++request.mDirect.mNodeLossRounds <= kMaxNodeLossRounds) {
-      StartDirect(aStep, request);
-    } else {
-      // Without a pause, nodes that refuse connections would be retried in a
-      // tight loop.
-      request.mDirect.mCheckAt = aStep.mNow + kHedgeDelay;
-      ScheduleRequest(aStep, request);
-    }
-  }
-}
-
-void
-RecordDirectLoad(EntryStep& aStep, const LoadReport& aReport)
-{
-  Entry& entry = aStep.mEntry;
-  const Member* node = NodeMember(entry, aReport.mNode);
-  if (node == nullptr || node->mEpoch != aReport.mNodeEpoch) {
-    return;
-  }
-  auto target = entry.mConfig.mTargets.find(node->mTarget.mId);
-  if (target != entry.mConfig.mTargets.end()) {
-    LoadOfTarget(aStep, target->second).mUnansweredSince = kNever;
-    RecordLoadReport(LoadOfTarget(aStep, target->second),
-                     aStep.mNow,
-                     aReport.mRunning - aReport.mBatch + aReport.mQueued,
-                     aReport.mBatch,
-                     aReport.mLimit);
-    RecordNodeRate(aStep, target->second, aReport.mRate, aReport.mRateWait);
-  }
-}
-
-void
-TickDirectNodes(EntryStep& aStep)
-{
-  Entry& entry = aStep.mEntry;
-  if (entry.mConfig.mTargets.empty() || aStep.mNow < entry.mNextSlotsHeld) {
-    return;
-  }
-  entry.mNextSlotsHeld = aStep.mNow + kSlotsHeldInterval;
-  const bool watch = aStep.mNow >= entry.mNextDirectWatch;
-  if (watch) {
-    entry.mNextDirectWatch = aStep.mNow + kDirectWatchInterval;
-  }
-  std::map<PeerAddress, SlotsHeld> held;
-  for (const auto& [serial, request] : entry.mRequests) {
-    for (const DirectAttempt& attempt : request.mDirect.mAttempts) {
-      if (!attempt.mEnded && !attempt.mSlotNode.Empty()) {
-        held[attempt.mSlotNode].mRequests.push_back(request.mId);
-      }
-    }
-  }
-  for (const auto& [id, target] : entry.mConfig.mTargets) {
-    const Member* node = NodeOfTarget(entry, target);
-    if (node == nullptr) {
-      continue;
-    }
-    auto slots = held.find(node->mAddress);
-    if (slots != held.end()) {
-      Send(aStep, node->mAddress, std::move(slots->second));
-    }
-    if (watch) {
-      Send(aStep, node->mAddress, Watch{ entry.mSettings.mAddress });
-    }
-  }
-  std::erase_if(entry.mPlacement, [&](const auto& aLoad) {
-    return aLoad.second.mOwn == 0 &&
-           !entry.mConfig.mTargets.contains(aLoad.first);
-  });
-  ForgetStartTimes(entry);
-}
-
-MonoTime
-DirectWakeup(const Entry& aEntry)
-{
-  return aEntry.mConfig.mTargets.empty() ? kNever : aEntry.mNextSlotsHeld;
-}
-
 } // namespace caraway
--- /dev/null
+++ b/caraway/runtime/http_inbound.cpp
@@ -0,0 +1,148 @@
+// The bytes that connections to the HTTP server receive, judged before evhttp
+// reads them.
+
+#include <algorithm>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <event2/keyvalq_struct.h>
+
+#include "absl/strings/str_cat.h"
+#include "caraway/runtime/http_rejection.h"
+#include "caraway/runtime/http_server.h"
+#include "caraway/runtime/input_bytes.h"
+
+namespace caraway {
+
+namespace {
+
+// evhttp passes its connection to the buffer's callbacks.
+evhttp_connection*
+ConnectionOf(bufferevent* aBuffer)
+{
+  void* connection = nullptr;
+  bufferevent_getcb(aBuffer, nullptr, nullptr, nullptr, &connection);
+  return static_cast<evhttp_connection*>(connection);
+}
+
+} // namespace
+
+void
+HttpServer::OnInput(evbuffer* aInput,
+                    const evbuffer_cb_info* aInfo,
+                    void* aInbound)
+{
+  auto* inbound = static_cast<Inbound*>(aInbound);
+  if (aInfo->n_added == 0) {
+    return;
+  }
+  if (!inbound->mWatched) {
+    inbound->mServer->WatchInbound(*inbound);
+  }
+  if (inbound->mTrimming) {
+    return;
+  }
+  ForEachAddedPiece(aInput, aInfo->n_added, [&](std::string_view aPiece) {
+    ReadBytes(inbound->mReader, aPiece);
+  });
+  if (inbound->mReader.mState == ReadState::eInvalid) {
+    inbound->mServer->DropInvalid(*inbound, aInput);
+  }
+}
+
+// Removes the invalid request and what follows it; evhttp still reads the
+// requests before.
+void
+HttpServer::DropInvalid(Inbound& aInbound, evbuffer* aInput)
+{
+  const size_t invalid = std::exchange(aInbound.mReader.mMessageBytes, 0);
+  const size_t length = evbuffer_get_length(aInput);
+  const size_t kept = length - std::min(length, invalid);
+  aInbound.mTrimming = true;
+  const EvBufferPtr before(evbuffer_new());
+  evbuffer_remove_buffer(aInput, before.get(), kept);
+  evbuffer_drain(aInput, length - kept);
+  evbuffer_prepend_buffer(aInput, before.get());
+  aInbound.mTrimming = false;
+  if (kept == 0) {
+    RejectInvalid(aInbound);
+  }
+}
+
+// Lets the end of the connection remove its entry.
+void
+HttpServer::WatchInbound(Inbound& aInbound)
+{
+  evhttp_connection_set_closecb(
+    ConnectionOf(aInbound.mBuffer), &HttpServer::OnConnectionClosed, this);
+  aInbound.mWatched = true;
+}
+
+void
+HttpServer::ForgetInbound(bufferevent* aBuffer)
+{
+  const auto known = mInbound.find(aBuffer);
+  if (known == mInbound.end()) {
+    return;
+  }
+  evbuffer_remove_cb(
+    bufferevent_get_input(aBuffer), &HttpServer::OnInput, &known->second);
+  evbuffer_remove_cb(
+    bufferevent_get_output(aBuffer), &HttpServer::OnOutput, &known->second);
+  mInbound.erase(known);
+}
+
+void
+HttpServer::RejectInvalid(Inbound& aInbound)
+{
+  evhttp_connection* connection = ConnectionOf(aInbound.mBuffer);
+  if (const auto call = mCallByConnection.find(connection);
+      call != mCallByConnection.end()) {
+    // The response to the request before comes first. evhttp closes the
+    // connection after it.
+    evkeyvalq* headers =
+      evhttp_request_get_input_headers(mCalls.at(call->second).mRequest);
+    evhttp_remove_header(headers, "Connection");
+    evhttp_add_header(headers, "Connection", "close");
+    return;
+  }
+  const bool closing = mUnverified.contains(connection) ||
+                       std::any_of(mAborted.begin(),
+                                   mAborted.end(),
+                                   [&](const AbortedConnection& aOne) {
+                                     return aOne.mConnection == connection;
+                                   });
+  if (aInbound.mRejected || closing) {
+    return;
+  }
+  aInbound.mRejected = true;
+  if (evbuffer_get_length(bufferevent_get_output(aInbound.mBuffer)) > 0) {
+    return; // the end of a response is still being sent
+  }
+  const int status = aInbound.mReader.mErrorStatus;
+  const std::string body = RejectionBody(
+    aInbound.mReader.mError.c_str(), "invalid_argument", kWellFormed);
+  const std::string response = absl::StrCat(
+    "HTTP/1.1 ",
+    status,
+    status == HTTP_BADREQUEST ? " Bad Request" : " Not Implemented",
+    "\r\nContent-Type: application/json\r\nContent-Length: ",
+    body.size(),
+    "\r\nConnection: close\r\n\r\n",
+    body);
+  bufferevent_write(aInbound.mBuffer, response.data(), response.size());
+  bufferevent_enable(aInbound.mBuffer, EV_WRITE);
+}
+
+// evhttp closes and frees the connection when it reads the end that this makes.
+void
+HttpServer::OnOutput(evbuffer* aOutput, const evbuffer_cb_info*, void* aInbound)
+{
+  const auto* inbound = static_cast<const Inbound*>(aInbound);
+  if (inbound->mRejected && evbuffer_get_length(aOutput) == 0) {
+    (void)shutdown(bufferevent_getfd(inbound->mBuffer), SHUT_RDWR);
+  }
+}
+
+} // namespace caraway
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -2,11 +2,9 @@
 
 #include "caraway/runtime/http_server.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
-#include <vector>
 
 #include <sys/socket.h>
 
@@ -16,7 +14,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
-#include "caraway/runtime/input_bytes.h"
+#include "caraway/runtime/http_rejection.h"
 #include "caraway/runtime/socket_address.h"
 
 namespace caraway {
@@ -82,39 +80,6 @@
   return request;
 }
 
-std::string
-RejectionBody(const char* aMessage, const char* aCode, const char* aRemedy)
-{
-  return absl::StrCat(R"({"error":{"message":")",
-                      aMessage,
-                      R"(","type":"invalid_request_error","code":")",
-                      aCode,
-                      R"(","outcome":"not_run","remedy":")",
-                      aRemedy,
-                      R"("}})");
-}
-
-constexpr const char* kWellFormed = "send a well-formed HTTP/1.1 request";
-
-// Responds to a request that evhttp rejected: too large, or not valid HTTP.
-void
-RejectMalformed(evhttp_request* aRequest, int aStatus)
-{
-  const std::string body =
-    aStatus == HTTP_ENTITYTOOLARGE
-      ? RejectionBody("request headers or body are too large",
-                      "too_large",
-                      "send less, or upload the file in parts by /v1/uploads")
-      : RejectionBody(
-          "the request is not valid HTTP", "invalid_argument", kWellFormed);
-  evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
-  evhttp_add_header(output, "Content-Type", "application/json");
-  evhttp_add_header(output, "Connection", "close");
-  evbuffer_add(
-    evhttp_request_get_output_buffer(aRequest), body.data(), body.size());
-  evhttp_send_reply(aRequest, aStatus, nullptr, nullptr);
-}
-
 // True if bytes may follow the head of the response.
 bool
 HasBody(const evhttp_request* aRequest)
@@ -193,15 +158,6 @@
                             "Content-Length") == nullptr;
 }
 
-// evhttp passes its connection to the buffer's callbacks.
-evhttp_connection*
-ConnectionOf(bufferevent* aBuffer)
-{
-  void* connection = nullptr;
-  bufferevent_getcb(aBuffer, nullptr, nullptr, nullptr, &connection);
-  return static_cast<evhttp_connection*>(connection);
-}
-
 // Closes the socket with a reset. The connection must be freed right after:
 // evhttp would shut the socket down in an orderly way before it closes it.
 void
@@ -314,66 +270,6 @@
   return absl::OkStatus();
 }
 
-void
-HttpServer::LimitConnections()
-{
-  // evhttp has no connection limit. Each open connection has about two events
-  // in the loop, so the number of events shows when to stop accepting.
-  constexpr int kEventsPerConnection = 2;
-  constexpr Duration kInterval = Millis(100);
-  const int events =
-    event_base_get_num_events(mLoop.Base(), EVENT_BASE_COUNT_ADDED);
-  if (events > mSettings.mMaxConnections * kEventsPerConnection) {
-    evconnlistener_disable(mListener);
-  } else {
-    evconnlistener_enable(mListener);
-  }
-  LimitQueuedBytes();
-  mConnectionTimer.ArmAt(mLoop.Now() + kInterval);
-}
-
-size_t
-HttpServer::UnsentBytes() const
-{
-  size_t total = 0;
-  for (const auto& [buffer, inbound] : mInbound) {
-    total += inbound.mWatched
-               ? evbuffer_get_length(bufferevent_get_output(buffer))
-               : 0;
-  }
-  return total;
-}
-
-void
-HttpServer::LimitQueuedBytes()
-{
-  std::multimap<size_t, HttpCallId> queued; // by unsent bytes
-  size_t total = 0;
-  for (const auto& [id, call] : mCalls) {
-    const size_t bytes = evbuffer_get_length(bufferevent_get_output(
-      evhttp_connection_get_bufferevent(call.mConnection)));
-    if (call.mBegan && bytes > 0) {
-      queued.emplace(bytes, id);
-      total += bytes;
-    }
-  }
-  while (total > mSettings.mMaxQueuedTotalBytes && !queued.empty()) {
-    const auto largest = std::prev(queued.end());
-    total -= largest->first;
-    AbortSlowReader(largest->second);
-    queued.erase(largest);
-  }
-}
-
-// Instead of buffering without bound.
-void
-HttpServer::AbortSlowReader(HttpCallId aId)
-{
-  Abort({ aId });
-  mAborted.back().mCloseDeadline = mLoop.Now();
-  mLoop.Defer([this, aId] { mOnClosed.emit({ aId }); });
-}
-
 bufferevent*
 HttpServer::MakeBufferEvent(event_base* aBase, void* aServer)
 {
@@ -397,123 +293,6 @@
   return buffer;
 }
 
-void
-HttpServer::OnInput(evbuffer* aInput,
-                    const evbuffer_cb_info* aInfo,
-                    void* aInbound)
-{
-  auto* inbound = static_cast<Inbound*>(aInbound);
-  if (aInfo->n_added == 0) {
-    return;
-  }
-  if (!inbound->mWatched) {
-    inbound->mServer->WatchInbound(*inbound);
-  }
-  if (inbound->mTrimming) {
-    return;
-  }
-  ForEachAddedPiece(aInput, aInfo->n_added, [&](std::string_view aPiece) {
-    ReadBytes(inbound->mReader, aPiece);
-  });
-  if (inbound->mReader.mState == ReadState::eInvalid) {
-    inbound->mServer->DropInvalid(*inbound, aInput);
-  }
-}
-
-// Removes the invalid request and what follows it; evhttp still reads the
-// requests before.
-void
-HttpServer::DropInvalid(Inbound& aInbound, evbuffer* aInput)
-{
-  const size_t invalid = std::exchange(aInbound.mReader.mMessageBytes, 0);
-  const size_t length = evbuffer_get_length(aInput);
-  const size_t kept = length - std::min(length, invalid);
-  aInbound.mTrimming = true;
-  const EvBufferPtr before(evbuffer_new());
-  evbuffer_remove_buffer(aInput, before.get(), kept);
-  evbuffer_drain(aInput, length - kept);
-  evbuffer_prepend_buffer(aInput, before.get());
-  aInbound.mTrimming = false;
-  if (kept == 0) {
-    RejectInvalid(aInbound);
-  }
-}
-
-// Lets the end of the connection remove its entry.
-void
-HttpServer::WatchInbound(Inbound& aInbound)
-{
-  evhttp_connection_set_closecb(
-    ConnectionOf(aInbound.mBuffer), &HttpServer::OnConnectionClosed, this);
-  aInbound.mWatched = true;
-}
-
-void
-HttpServer::ForgetInbound(bufferevent* aBuffer)
-{
-  const auto known = mInbound.find(aBuffer);
-  if (known == mInbound.end()) {
-    return;
-  }
-  evbuffer_remove_cb(
-    bufferevent_get_input(aBuffer), &HttpServer::OnInput, &known->second);
-  evbuffer_remove_cb(
-    bufferevent_get_output(aBuffer), &HttpServer::OnOutput, &known->second);
-  mInbound.erase(known);
-}
-
-void
-HttpServer::RejectInvalid(Inbound& aInbound)
-{
-  evhttp_connection* connection = ConnectionOf(aInbound.mBuffer);
-  if (const auto call = mCallByConnection.find(connection);
-      call != mCallByConnection.end()) {
-    // The response to the request before comes first. evhttp closes the
-    // connection after it.
-    evkeyvalq* headers =
-      evhttp_request_get_input_headers(mCalls.at(call->second).mRequest);
-    evhttp_remove_header(headers, "Connection");
-    evhttp_add_header(headers, "Connection", "close");
-    return;
-  }
-  const bool closing = mUnverified.contains(connection) ||
-                       std::any_of(mAborted.begin(),
-                                   mAborted.end(),
-                                   [&](const AbortedConnection& aOne) {
-                                     return aOne.mConnection == connection;
-                                   });
-  if (aInbound.mRejected || closing) {
-    return;
-  }
-  aInbound.mRejected = true;
-  if (evbuffer_get_length(bufferevent_get_output(aInbound.mBuffer)) > 0) {
-    return; // the end of a response is still being sent
-  }
-  const int status = aInbound.mReader.mErrorStatus;
-  const std::string body = RejectionBody(
-    aInbound.mReader.mError.c_str(), "invalid_argument", kWellFormed);
-  const std::string response = absl::StrCat(
-    "HTTP/1.1 ",
-    status,
-    status == HTTP_BADREQUEST ? " Bad Request" : " Not Implemented",
-    "\r\nContent-Type: application/json\r\nContent-Length: ",
-    body.size(),
-    "\r\nConnection: close\r\n\r\n",
-    body);
-  bufferevent_write(aInbound.mBuffer, response.data(), response.size());
-  bufferevent_enable(aInbound.mBuffer, EV_WRITE);
-}
-
-// evhttp closes and frees the connection when it reads the end that this makes.
-void
-HttpServer::OnOutput(evbuffer* aOutput, const evbuffer_cb_info*, void* aInbound)
-{
-  const auto* inbound = static_cast<const Inbound*>(aInbound);
-  if (inbound->mRejected && evbuffer_get_length(aOutput) == 0) {
-    (void)shutdown(bufferevent_getfd(inbound->mBuffer), SHUT_RDWR);
-  }
-}
-
 void
 HttpServer::OnEvRequest(evhttp_request* aRequest, void* aServer)
 {
@@ -704,44 +483,4 @@
   evhttp_send_reply_end(request);
 }
 
-void
-HttpServer::Abort(const HttpAbort& aAbort)
-{
-  Call* call = Find(aAbort.mCall);
-  if (call == nullptr) {
-    return;
-  }
-  // Closing the connection without the last chunk shows the caller that the
-  // response is incomplete. Queued bytes are sent first.
-  constexpr Duration kLongestWait = Seconds(2);
-  mAborted.push_back(
-    { call->mRequest, call->mConnection, mLoop.Now() + kLongestWait });
-  Finish(aAbort.mCall);
-  mAbortTimer.ArmAt(mLoop.Now());
-}
-
-void
-HttpServer::CloseAborted()
-{
-  constexpr Duration kInterval = Millis(5);
-  const MonoTime now = mLoop.Now();
-  std::vector<AbortedConnection> ready;
-  for (const AbortedConnection& aborted : mAborted) {
-    bufferevent* buffer =
-      evhttp_connection_get_bufferevent(aborted.mConnection);
-    if (now >= aborted.mCloseDeadline ||
-        evbuffer_get_length(bufferevent_get_output(buffer)) == 0) {
-      ready.push_back(aborted);
-    }
-  }
-  for (const AbortedConnection& aborted : ready) {
-    // Calls OnConnectionClosed, which resets a connection whose response would
-    // look complete otherwise.
-    evhttp_connection_free(aborted.mConnection);
-  }
-  if (!mAborted.empty()) {
-    mAbortTimer.ArmAt(now + kInterval);
-  }
-}
-
 } // namespace caraway
