Replicas outside their group find its present leader; learners with slower disks vote

Two ways into a group that is silently short of a voter, so that the next loss ends it:

- A replica that cannot be a candidate never forgot the leader that it knew.
If it had lost its disk and the leader that added it was lost before the addition was committed, or if it was removed while it was cut off and the leader changed, it asked the former leader to be added, which ignores that as a follower, for ever.
All groups of earlier tests began with voters only, which can be candidates.
- A learner was promoted only if it held what was committed two heartbeats before.
The bound is two election timeouts now; its lag delays only the first commits that need its vote.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -90,8 +90,7 @@
   } else {
     if (aNow >= aRaft.mHeartbeatDue) {
       aRaft.mHeartbeatDue = aNow + aRaft.mSettings.mHeartbeat;
-      aRaft.mCommitBeforeHeartbeat =
-        std::exchange(aRaft.mCommitAtHeartbeat, aRaft.mCommit);
+      MarkCommit(aRaft, aNow);
       SendAppends(aRaft, aNow, true, aOut);
     }
     RetrySnapshotTransfers(aRaft, aNow, aOut);
--- a/caraway/consensus/raft_election.cpp
+++ b/caraway/consensus/raft_election.cpp
@@ -153,10 +153,12 @@
 StartPreVote(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
 {
   ResetElectionTimer(aRaft, aNow);
+  // Also without a candidacy: a replica outside the set would ask a former
+  // leader for ever to be added.
+  BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
   if (!CanBeCandidate(aRaft) || aRaft.mInstallingSnapshot || aRaft.mLostDisk) {
     return;
   }
-  BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
   aRaft.mRole = RaftRole::ePreCandidate;
   aRaft.mVotes[aRaft.mSelf] = aRaft.mDisk; // not counted unless a voter
   if (HasEnoughVotes(aRaft)) {
--- a/caraway/consensus/raft_internal.h
+++ b/caraway/consensus/raft_internal.h
@@ -50,6 +50,11 @@
 void
 OnWritten(Raft& aRaft, MonoTime aNow, uint64_t aWrite, RaftActions& aOut);
 
+// raft_membership.cpp: records what is committed, at each heartbeat of the
+// leader.
+void
+MarkCommit(Raft& aRaft, MonoTime aNow);
+
 // raft_election.cpp
 void
 BecomeFollower(Raft& aRaft, MonoTime aNow, Term aTerm, ReplicaId aLeader);
--- a/caraway/consensus/raft_membership.cpp
+++ b/caraway/consensus/raft_membership.cpp
@@ -100,6 +100,29 @@
 
 namespace {
 
+// Under load a learner's replies always trail the newest commit, by up to two
+// syncs of its disk. If the group needs its vote, the first commits after the
+// promotion wait for this long at most.
+Duration
+CatchUpTime(const Raft& aRaft)
+{
+  return aRaft.mSettings.mElectionMax * 2;
+}
+
+} // namespace
+
+void
+MarkCommit(Raft& aRaft, MonoTime aNow)
+{
+  auto& marks = aRaft.mCommitMarks;
+  marks.push_back({ aNow, std::max(aRaft.mCommit, marks.back().mCommit) });
+  while (marks.size() > 1 && marks[1].mAt + CatchUpTime(aRaft) <= aNow) {
+    marks.pop_front();
+  }
+}
+
+namespace {
+
 // How two sets differ. A change may concern only one replica.
 struct SetChange
 {
@@ -147,7 +170,7 @@
   const auto found = aRaft.mPeers.find(aId);
   const bool caughtUp =
     found != aRaft.mPeers.end() && !found->second.mTransfer &&
-    found->second.mMatch >= aRaft.mCommitBeforeHeartbeat &&
+    found->second.mMatch >= aRaft.mCommitMarks.front().mCommit &&
     found->second.mLastReplyAt + aRaft.mSettings.mElectionMin >= aNow;
   if (caughtUp) {
     return absl::OkStatus();
--- a/caraway/consensus/raft_replication.cpp
+++ b/caraway/consensus/raft_replication.cpp
@@ -47,7 +47,8 @@
   noop.mTerm = aRaft.mTerm;
   noop.mKind = LogEntryKind::eNoop;
   aRaft.mTermFirstIndex = noop.mIndex;
-  aRaft.mCommitAtHeartbeat = aRaft.mCommitBeforeHeartbeat = noop.mIndex;
+  // A learner that holds the noop has replied to this leader.
+  aRaft.mCommitMarks.assign(1, { aNow, noop.mIndex });
   AppendToLog(aRaft, std::move(noop));
   if (first) {
     RecordVoterDisks(aRaft, aNow);
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -66,6 +66,13 @@
   Term mLastTerm;
 };
 
+// What was committed at a heartbeat.
+struct RaftCommitMark
+{
+  MonoTime mAt;
+  LogIndex mCommit;
+};
+
 struct Raft
 {
   RaftSettings mSettings;
@@ -111,10 +118,9 @@
   std::set<ReplicaId> mLostDiskVoters;
   LogIndex mTermFirstIndex; // first entry of this term
   MonoTime mHeartbeatDue;
-  // Committed at the last heartbeat and at the one before. A learner that holds
-  // the latter has caught up: under load its replies always trail mCommit.
-  LogIndex mCommitAtHeartbeat;
-  LogIndex mCommitBeforeHeartbeat;
+  // One mark per heartbeat, oldest first. The first is the newest that is at
+  // least CatchUpTime old, or that of the start of the leadership.
+  std::deque<RaftCommitMark> mCommitMarks;
 
   // Snapshots.
   bool mTakingSnapshot = false;
--- a/tests/control_retirement_test.cpp
+++ b/tests/control_retirement_test.cpp
@@ -24,11 +24,12 @@
   ControlLink mLink;
   ControlEntry mEntry{ mLink };
 
-  explicit RetirementGroup(uint64_t aSeed)
+  explicit RetirementGroup(uint64_t aSeed, const RaftSettings& aRaft = {})
     : mLink(4, aSeed)
   {
     for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
       ControlSettings& settings = mLink.mReplicas[at].mSettings;
+      settings.mRaft = aRaft;
       settings.mInstance = InstanceAt(at);
       settings.mZone = ZoneId("z");
       settings.mSeeds = { mEntry.mAddress };
@@ -163,26 +164,172 @@
 }
 
 // Guards against a group that stays short of a voter: a learner whose replies
-// always trail the newest commit by a few entries was never promoted while
-// proposals kept coming, so that the next loss cost the majority.
+// trail the newest commit, by a few entries or by the syncs of a slower disk,
+// was never promoted while proposals kept coming, so that the next loss cost
+// the majority.
 BOOST_AUTO_TEST_CASE(learner_replaces_a_lost_voter_under_steady_load)
 {
-  RetirementGroup group(1);
-  size_t learner = 0;
-  for (const Replica& replica : group.Replicas().mReplicas) {
-    learner = replica.mVoter ? learner : replica.mId.mValue - 1;
-  }
-  group.mLink.mSyncOf[learner] = Millis(6);
-  const size_t lost = group.FollowingVoter();
-  group.mLink.Kill(lost);
-  for (int write = 0; write < 5000; ++write) {
-    group.mLink.Ask(group.mLink.Leader().value(),
-                    "PUT",
-                    "/admin/contracts/w" + std::to_string(write % 10),
-                    R"({"rate":10,"burst":20})",
-                    { { "X-Operation-Id", "op" + std::to_string(write) } });
-    group.mLink.Run(Millis(2));
-  }
-  BOOST_TEST(!group.Belongs(lost));
-  BOOST_TEST(group.CountVoters() == 3);
+  // With the usual timings and with short elections.
+  RaftSettings quick;
+  quick.mHeartbeat = Millis(60);
+  quick.mElectionMin = Millis(300);
+  quick.mElectionMax = Millis(500);
+  for (const RaftSettings& raft : { RaftSettings{}, quick }) {
+    for (const int64_t millis : { 6, 50, 150, 300, 450 }) {
+      BOOST_TEST_CONTEXT("the learner's disk syncs in "
+                         << millis << " ms, elections in "
+                         << raft.mElectionMax.Millis() << " ms")
+      {
+        RetirementGroup group(1, raft);
+        size_t learner = 0;
+        for (const Replica& replica : group.Replicas().mReplicas) {
+          learner = replica.mVoter ? learner : replica.mId.mValue - 1;
+        }
+        group.mLink.mSyncOf[learner] = Millis(millis);
+        const size_t lost = group.FollowingVoter();
+        group.mLink.Kill(lost);
+        for (int write = 0; write < 5000; ++write) {
+          group.mLink.Ask(
+            group.mLink.Leader().value(),
+            "PUT",
+            "/admin/contracts/w" + std::to_string(write % 10),
+            R"({"rate":10,"burst":20})",
+            { { "X-Operation-Id", "op" + std::to_string(write) } });
+          group.mLink.Run(Millis(2));
+        }
+        BOOST_TEST(!group.Belongs(lost));
+        BOOST_TEST(group.CountVoters() == 3);
+      }
+    }
+  }
+}
+
+namespace {
+
+// A group that one replica founded and that the others joined.
+struct JoinedGroup
+{
+  ControlLink mLink;
+  ControlEntry mEntry{ mLink };
+
+  explicit JoinedGroup(uint64_t aSeed)
+    : mLink(4, aSeed)
+  {
+    for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
+      ControlSettings& settings = mLink.mReplicas[at].mSettings;
+      settings.mInstance = InstanceAt(at);
+      settings.mZone = ZoneId("z");
+      settings.mSeeds = { mEntry.mAddress };
+      settings.mInitialReplicas.mReplicas.clear();
+    }
+    mLink.mReplicas[0].mSettings.mInitialReplicas.mReplicas = {
+      { ReplicaId(1), ControlLink::AddressOf(0).mValue }
+    };
+    mLink.StartAll();
+    Run(Seconds(8));
+    BOOST_REQUIRE(mLink.Leader().has_value());
+    BOOST_REQUIRE(Replicas().size() == 4u);
+  }
+
+  const std::vector<Replica>& Replicas()
+  {
+    return mLink.LeaderControl().mAppliedReplicas.mReplicas;
+  }
+
+  bool Belongs(size_t aReplica)
+  {
+    return std::any_of(
+      Replicas().begin(), Replicas().end(), [&](const Replica& aOne) {
+        return aOne.mId == ReplicaId(aReplica + 1);
+      });
+  }
+
+  size_t Learner()
+  {
+    for (const Replica& replica : Replicas()) {
+      if (!replica.mVoter) {
+        return replica.mId.mValue - 1;
+      }
+    }
+    BOOST_FAIL("all replicas vote");
+    return 0;
+  }
+
+  // An entry tells replicas where the others are.
+  void Run(Duration aTime)
+  {
+    const MonoTime end = mLink.mNow + aTime;
+    while (mLink.mNow < end) {
+      ControlMap map;
+      for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
+        map.mReplicas.push_back(ControlLink::AddressOf(at));
+      }
+      for (const PeerAddress& replica : map.mReplicas) {
+        mLink.SendFrom(mEntry.mAddress, replica, map);
+      }
+      mLink.Run(Millis(500));
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a replica that stays outside its group for good, so that the
+// group has no successor for the next voter that it loses: it was removed while
+// it was cut off, and the leader that it knew is not the leader any more.
+BOOST_AUTO_TEST_CASE(removed_replica_rejoins_under_another_leader)
+{
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      JoinedGroup group(seed);
+      const size_t learner = group.Learner();
+      const size_t former = group.mLink.Leader().value();
+      group.mLink.mCut.insert(ControlLink::AddressOf(learner));
+      group.Run(Seconds(6));
+      BOOST_REQUIRE(!group.Belongs(learner));
+      group.mLink.Kill(former);
+      BOOST_REQUIRE(group.mLink.AwaitLeader());
+      group.mLink.Start(former);
+      group.Run(Seconds(2));
+      BOOST_REQUIRE(group.mLink.Leader().value() != former);
+      group.mLink.mCut.clear();
+      group.Run(Seconds(10));
+      BOOST_TEST(group.Belongs(learner));
+    }
+  }
+}
+
+// A leader is lost right after it has added a replica, so that the addition is
+// lost with it while the replica follows it already.
+BOOST_AUTO_TEST_CASE(replica_whose_addition_was_lost_joins_under_another_leader)
+{
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      JoinedGroup group(seed);
+      const size_t joining = group.Learner();
+      const size_t former = group.mLink.Leader().value();
+      group.mLink.Kill(joining);
+      group.Run(Seconds(6));
+      BOOST_REQUIRE(!group.Belongs(joining));
+      // It lost its disk, and no other replica hears of its addition.
+      group.mLink.mReplicas[joining].mDisk = {};
+      for (size_t at = 0; at < 4; ++at) {
+        if (at != former && at != joining) {
+          group.mLink.mSyncOf[at] = Millis(300);
+          group.mLink.mCut.insert(ControlLink::AddressOf(at));
+        }
+      }
+      group.mLink.Start(joining);
+      group.Run(Millis(700));
+      group.mLink.Kill(former);
+      group.mLink.mCut.clear();
+      group.mLink.mSyncOf.clear();
+      BOOST_REQUIRE(group.mLink.AwaitLeader());
+      group.mLink.Start(former);
+      group.Run(Seconds(10));
+      BOOST_TEST(group.Belongs(joining));
+    }
+  }
 }
