Entries refuse orders at once while no control leader replies

An order is still held during an election. Once no leader has replied for as long as an order is held, orders and jobs are refused at once as not done, with a Retry-After of 1 to 2.5 s that grows with the time control has been away and differs from caller to caller. Failed orders log the leader, when it was last heard, and how long it has been away; gauges for the same.

Test: entry_job_test (five cases).

--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -94,7 +94,7 @@
                     aHttp.mCall,
                     200,
                     { { "Content-Type", "text/plain; version=0.0.4" } },
-                    MetricsText(aStep.mEntry));
+                    MetricsText(aStep.mEntry, aStep.mNow));
     return true;
   }
   return false;
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -273,6 +273,7 @@
   entry.mTokens.mRecent.mSince = aNow;
   entry.mRetries.mShare = aSettings.mRetryBudget;
   entry.mSession.mNextSend = aNow;
+  entry.mSession.mLeaderLostAt = aNow;
   entry.mFetcher.mNextFetch = aNow;
   if (!aSettings.mControl.empty()) {
     const uint64_t replicas = aSettings.mControl.size();
--- a/caraway/entry/entry.h
+++ b/caraway/entry/entry.h
@@ -30,6 +30,6 @@
 
 // Returns all metrics in the Prometheus text format.
 std::string
-MetricsText(const Entry& aEntry);
+MetricsText(const Entry& aEntry, MonoTime aNow);
 
 } // namespace caraway
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -113,6 +113,7 @@
   HttpCallId mCall;
   OrderTopic mKind = OrderTopic::eTargetReport;
   CallReplyBody mBody;
+  Duration mRetryAfter; // with CallFailed; 0: the default of its kind
 };
 
 } // namespace caraway
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/entry.h"
+#include "caraway/entry/session.h"
 
 namespace caraway {
 
@@ -41,7 +42,7 @@
 } // namespace
 
 std::string
-MetricsText(const Entry& aEntry)
+MetricsText(const Entry& aEntry, MonoTime aNow)
 {
   const EntryMetrics& metrics = aEntry.mMetrics;
   std::string out;
@@ -63,6 +64,13 @@
       aEntry.mPlacement.begin(),
       aEntry.mPlacement.end(),
       [](const auto& aLoad) { return aLoad.second.mRate.mPerSecond > 0; })));
+  Counter(out, "caraway_entry_orders_refused_total", metrics.mOrdersRefused);
+  Gauge(out, "caraway_entry_control_calls", aEntry.mCalls.size());
+  Gauge(
+    out, "caraway_entry_control_replicas", aEntry.mSettings.mControl.size());
+  Gauge(out,
+        "caraway_entry_control_away_ms",
+        static_cast<uint64_t>(ControlAway(aEntry, aNow).Millis()));
   Gauge(out, "caraway_entry_config_revision", aEntry.mConfig.mRevision.mValue);
   Gauge(out, "caraway_entry_epoch", aEntry.mSession.mEpoch.mValue);
   out +=
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -46,13 +46,60 @@
 ReplyTo(EntryStep& aStep,
         HttpCallId aCall,
         OrderTopic aKind,
-        CallReplyBody aBody)
+        CallReplyBody aBody,
+        Duration aRetryAfter = {})
 {
   if (!aCall.IsNone()) {
-    aStep.mOut.emplace_back(OrderReply{ aCall, aKind, std::move(aBody) });
+    aStep.mOut.emplace_back(
+      OrderReply{ aCall, aKind, std::move(aBody), aRetryAfter });
   }
 }
 
+// Longer the longer control is away, and not the same for all callers, so that
+// they neither ask in vain nor all meet a new leader in one moment.
+Duration
+RetryAfterControl(EntryStep& aStep, Duration aAway)
+{
+  constexpr Duration kLeast = Seconds(1);
+  constexpr Duration kMost = Seconds(2);
+  constexpr int64_t kShare = 4; // of the time that control has been away
+  const Duration base = std::clamp(aAway / kShare, kLeast, kMost);
+  const auto spread = static_cast<uint64_t>(base.mMicros / kShare);
+  return base +
+         Micros(static_cast<int64_t>(DrawBelow(aStep.mEntry.mRandom, spread)));
+}
+
+// Refuses an order at once, as not done, if no leader could be reached for as
+// long as an order is held. True if it did.
+bool
+RefuseWithoutControl(EntryStep& aStep, HttpCallId aCall, OrderTopic aKind)
+{
+  Entry& entry = aStep.mEntry;
+  const Duration away = ControlAway(entry, aStep.mNow);
+  if (away < kOrderTimeout) {
+    return false;
+  }
+  const Duration retryAfter = RetryAfterControl(aStep, away);
+  ++entry.mMetrics.mOrdersRefused;
+  DecisionLog log;
+  log.mLevel = LogLevel::eWarning;
+  log.mEvent = "order";
+  log.mChoice = "refused";
+  log.mReason = "no control leader replies";
+  log.mExtra = { { "away_ms", std::to_string(away.Millis()) },
+                 { "replicas",
+                   std::to_string(entry.mSettings.mControl.size()) },
+                 { "retry_after_ms", std::to_string(retryAfter.Millis()) } };
+  aStep.mOut.emplace_back(std::move(log));
+  ReplyTo(aStep,
+          aCall,
+          aKind,
+          CallFailed{ ErrorKind::eUnavailable,
+                      "no control leader replies; nothing was done" },
+          retryAfter);
+  return true;
+}
+
 CallerRequest&
 NewOrder(EntryStep& aStep,
          HttpCallId aCall,
@@ -84,6 +131,25 @@
   ScheduleRequest(aStep, aRequest);
 }
 
+// Tells a leader that does not complete orders from one that is not there.
+void
+AddLeaderFields(const EntryStep& aStep, std::vector<LogField>& aFields)
+{
+  const EntrySession& session = aStep.mEntry.mSession;
+  aFields.push_back({ "leader",
+                      session.mConfirmedLeader.Empty()
+                        ? "none"
+                        : session.mConfirmedLeader.mValue });
+  if (session.mHeardAt != kLongAgo) {
+    aFields.push_back(
+      { "leader_heard_ms",
+        std::to_string((aStep.mNow - session.mHeardAt).Millis()) });
+  }
+  aFields.push_back(
+    { "away_ms",
+      std::to_string(ControlAway(aStep.mEntry, aStep.mNow).Millis()) });
+}
+
 void
 EndOrder(EntryStep& aStep, CallerRequest& aRequest, CallReplyBody aBody)
 {
@@ -100,6 +166,9 @@
   log.mExtra = {
     { "took_ms", std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) }
   };
+  if (failed != nullptr) {
+    AddLeaderFields(aStep, log.mExtra);
+  }
   aStep.mOut.emplace_back(std::move(log));
   if (!aRequest.mCallerGone) {
     ReplyTo(aStep, aRequest.mCall, aRequest.mOrder.mKind, std::move(aBody));
@@ -165,6 +234,9 @@
     }
     workspace = *caller;
   }
+  if (RefuseWithoutControl(aStep, aOrder.mCall, TopicOf(aOrder.mBody))) {
+    return;
+  }
   CallerRequest& request =
     NewOrder(aStep, aOrder.mCall, TopicOf(aOrder.mBody), kOrderTimeout);
   request.mWorkspace = workspace;
@@ -209,6 +281,9 @@
                    std::string(caller.status().message())));
     return;
   }
+  if (RefuseWithoutControl(aStep, aSubmission.mCall, OrderTopic::eSubmitJob)) {
+    return;
+  }
   CallerRequest& request = NewOrder(aStep,
                                     aSubmission.mCall,
                                     OrderTopic::eSubmitJob,
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -120,6 +120,7 @@
 ConfirmLeader(EntryStep& aStep, const PeerAddress& aFrom)
 {
   EntrySession& session = aStep.mEntry.mSession;
+  session.mHeardAt = aStep.mNow;
   if (session.mConfirmedLeader == aFrom) {
     return;
   }
@@ -154,6 +155,13 @@
   return !aEntry.mSession.mEpoch.IsNone() && aNow < aEntry.mSession.mLeaseEnd;
 }
 
+Duration
+ControlAway(const Entry& aEntry, MonoTime aNow)
+{
+  const MonoTime since = aEntry.mSession.mLeaderLostAt;
+  return since == kNever ? Duration{} : aNow - since;
+}
+
 void
 TickSession(EntryStep& aStep)
 {
--- a/caraway/entry/session.h
+++ b/caraway/entry/session.h
@@ -11,6 +11,10 @@
 bool
 HasValidLease(const Entry& aEntry, MonoTime aNow);
 
+// For how long no replica has replied as leader; 0 while there is contact.
+Duration
+ControlAway(const Entry& aEntry, MonoTime aNow);
+
 // Sends Register or Renew when due; tries the next replica after a timeout.
 void
 TickSession(EntryStep& aStep);
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -21,8 +21,10 @@
   // Replica that last replied as leader; empty while contact is lost.
   PeerAddress mConfirmedLeader;
   Term mTerm; // highest term of a leader that announced itself
-  // When contact with the leader was lost; kNever while there is contact.
+  // When contact with the leader was lost, or when the entry started; kNever
+  // while there is contact.
   MonoTime mLeaderLostAt = kNever;
+  MonoTime mHeardAt = kLongAgo; // last reply of a leader
   MonoTime mLeaseEnd = kLongAgo;
   MonoTime mNextSend; // when to send the next Register or Renew
   MonoTime mLastSent = kLongAgo;
--- a/tests/entry_job_test.cpp
+++ b/tests/entry_job_test.cpp
@@ -1,8 +1,11 @@
 // Guards against a batch job that is refused to its caller and runs: a copy of
-// the call to control is accepted after another one was refused.
+// the call to control is accepted after another one was refused. Also against
+// orders that are held although it is known that control cannot be reached.
 #define BOOST_TEST_MODULE entry_job
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include "direct_fixture.h"
 
 using namespace caraway;
@@ -96,3 +99,112 @@
   BOOST_REQUIRE(mOrders.size() == 1u);
   BOOST_TEST(std::holds_alternative<CallFailed>(mOrders[0].mBody));
 }
+
+namespace {
+
+struct Orders : Direct
+{
+  uint64_t mLast = 5000;
+
+  // Sends an order and returns its id.
+  HttpCallId Order()
+  {
+    const HttpCallId call(++mLast);
+    Step(ControlOrder{ call, ReadPlan{}, {}, {} });
+    return call;
+  }
+
+  const OrderReply* ReplyTo(HttpCallId aCall)
+  {
+    for (const OrderReply& order : mOrders) {
+      if (order.mCall == aCall) {
+        return &order;
+      }
+    }
+    return nullptr;
+  }
+
+  // No replica answers any more.
+  void LoseControl(Duration aFor)
+  {
+    mLease = false;
+    Receive(kControl, NotLeader{});
+    Advance(aFor);
+  }
+};
+
+} // namespace
+
+// An election takes less than an order is held, so orders wait for its end.
+BOOST_FIXTURE_TEST_CASE(order_waits_for_a_new_leader, Orders)
+{
+  LoseControl(Millis(500));
+  const HttpCallId order = Order();
+  BOOST_TEST(ReplyTo(order) == nullptr);
+  Advance(Seconds(3));
+  BOOST_REQUIRE(ReplyTo(order) != nullptr);
+  BOOST_TEST(std::holds_alternative<CallFailed>(ReplyTo(order)->mBody));
+}
+
+BOOST_FIXTURE_TEST_CASE(order_is_refused_at_once_while_control_is_away, Orders)
+{
+  LoseControl(Seconds(4));
+  mSent.clear();
+  std::set<Duration> pauses;
+  for (int round = 0; round < 20; ++round) {
+    const OrderReply* reply = ReplyTo(Order());
+    BOOST_REQUIRE(reply != nullptr);
+    const auto* failed = std::get_if<CallFailed>(&reply->mBody);
+    BOOST_REQUIRE(failed != nullptr);
+    BOOST_TEST((failed->mKind == ErrorKind::eUnavailable));
+    BOOST_TEST((reply->mRetryAfter >= Seconds(1)));
+    BOOST_TEST((reply->mRetryAfter <= Millis(2500)));
+    pauses.insert(reply->mRetryAfter);
+  }
+  // "Nothing was done" has to be true: no replica may have got the order.
+  BOOST_TEST(Sent<ControlCall>().empty());
+  BOOST_TEST(mEntry.mCalls.empty());
+  BOOST_TEST(pauses.size() > 10u); // callers do not come back in one moment
+  BOOST_TEST(mEntry.mMetrics.mOrdersRefused == 20u);
+}
+
+BOOST_FIXTURE_TEST_CASE(retry_after_grows_while_control_is_away, Orders)
+{
+  LoseControl(Seconds(4));
+  const Duration early = ReplyTo(Order())->mRetryAfter;
+  Advance(Seconds(26));
+  BOOST_TEST((ReplyTo(Order())->mRetryAfter > early));
+}
+
+BOOST_FIXTURE_TEST_CASE(job_is_refused_at_once_while_control_is_away, Orders)
+{
+  ServingPlan plan = *mEntry.mConfig.mPlan;
+  ++plan.mVersion;
+  plan.mRoutes.push_back(MakeRoute("night", CallKind::eBatch, false, 3));
+  Change(SetPlan{ plan });
+  LoseControl(Seconds(4));
+  JobSubmission job;
+  job.mCall = HttpCallId(1000);
+  job.mJob = JobId("j1");
+  job.mHost = "h";
+  job.mPath = "/night/x";
+  job.mKey = "secret";
+  Step(job);
+  const OrderReply* reply = ReplyTo(job.mCall);
+  BOOST_REQUIRE(reply != nullptr);
+  const auto* failed = std::get_if<CallFailed>(&reply->mBody);
+  BOOST_REQUIRE(failed != nullptr);
+  BOOST_TEST((failed->mKind == ErrorKind::eUnavailable));
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_are_taken_again_once_a_leader_replies, Orders)
+{
+  LoseControl(Seconds(10));
+  BOOST_REQUIRE(ReplyTo(Order()) != nullptr);
+  mLease = true;
+  Advance(Seconds(2));
+  mSent.clear();
+  const HttpCallId order = Order();
+  BOOST_TEST(ReplyTo(order) == nullptr);
+  BOOST_TEST(Sent<ControlCall>().size() == 1u);
+}
