One way out of every process, which nothing can hold up

Callers saw (report of other operators, and here): a replica that met a full disk at its start wrote start_failed and was never heard of again; its process ran, so nobody restarted it, and the second such replica ended control. A failed start closed the log and returned from main; shutting down log4cplus joins its threads, which may not return until the process is killed. A stop had been cured of that before, failed starts, bad settings and exceptions had not. Also found: a role that gave up before the loop ran was never ended at all, since leaving a loop that does not run yet had no effect.

EndProcess writes one line with the cause, joins nothing, and has a status for each kind of end: 0 stopped, 1 start failed, 2 bad settings, 3 halted (0 before), 4 exception. A signal during the start ends the process at once; SIGHUP is ignored until the loop runs.

--- a/caraway/runtime/logging.cpp
+++ b/caraway/runtime/logging.cpp
@@ -180,16 +180,16 @@
   return gLog.mOutput.mDropped;
 }
 
-void
-CloseLog()
+bool
+LogIsOpen()
 {
-  gLog.mInitializer.reset();
+  return gLog.mInitializer != nullptr;
 }
 
 void
 WriteLog(const DecisionLog& aDecision)
 {
-  if (!gLog.mInitializer) {
+  if (!LogIsOpen()) {
     return;
   }
   log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/caraway/runtime/logging.h
+++ b/caraway/runtime/logging.h
@@ -34,14 +34,13 @@
 uint64_t
 LogLinesDropped();
 
+bool
+LogIsOpen();
+
 // Call once at process start.
 void
 OpenLog(const LogSettings& aSettings, const InstanceId& aInstance);
 
-// Flushes and closes the log.
-void
-CloseLog();
-
 void
 WriteLog(const DecisionLog& aDecision);
 
--- a/caraway/runtime/loop.cpp
+++ b/caraway/runtime/loop.cpp
@@ -14,11 +14,6 @@
 {
   // Writing to a connection that the peer has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  for (int number : { SIGTERM, SIGINT, SIGHUP }) {
-    EventPtr watcher(evsignal_new(mBase.get(), number, &Loop::OnSignal, this));
-    event_add(watcher.get(), nullptr);
-    mSignals.push_back(std::move(watcher));
-  }
   mDeferredEvent.reset(event_new(mBase.get(), -1, 0, &Loop::OnDeferred, this));
 }
 
@@ -45,15 +40,28 @@
   event_active(mDeferredEvent.get(), EV_TIMEOUT, 0);
 }
 
-void
+LoopEnd
 Loop::Run()
 {
-  event_base_loop(mBase.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+  for (int number : { SIGTERM, SIGINT, SIGHUP }) {
+    EventPtr watcher(evsignal_new(mBase.get(), number, &Loop::OnSignal, this));
+    event_add(watcher.get(), nullptr);
+    mSignals.push_back(std::move(watcher));
+  }
+  // The start may have failed later than its caller could tell.
+  if (!mEnd) {
+    event_base_loop(mBase.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+  }
+  mSignals.clear();
+  return std::exchange(mEnd, std::nullopt).value_or(LoopEnd{});
 }
 
 void
-Loop::Exit()
+Loop::Exit(ProcessEnd aEnd, std::string aReason)
 {
+  if (!mEnd) {
+    mEnd = LoopEnd{ aEnd, std::move(aReason) };
+  }
   event_base_loopbreak(mBase.get());
 }
 
--- a/caraway/runtime/loop.h
+++ b/caraway/runtime/loop.h
@@ -3,15 +3,25 @@
 // and timers.
 
 #include <functional>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <sigc++/sigc++.h>
 
 #include "caraway/base/time.h"
 #include "caraway/runtime/libevent_handles.h"
+#include "caraway/runtime/process_end.h"
 
 namespace caraway {
 
+// Why a loop has ended, and how its process is to end.
+struct LoopEnd
+{
+  ProcessEnd mEnd = ProcessEnd::eStopped;
+  std::string mReason; // empty: asked to stop
+};
+
 class Loop
 {
 public:
@@ -32,9 +42,10 @@
   // example to free an object from one of its own callbacks.
   void Defer(std::function<void()> aTask);
 
-  // Runs the loop until Exit is called.
-  void Run();
-  void Exit();
+  // Runs the loop until Exit is called; returns what the first call stated.
+  // Signals are handled from here on.
+  LoopEnd Run();
+  void Exit(ProcessEnd aEnd = ProcessEnd::eStopped, std::string aReason = {});
 
   // Emitted on SIGTERM or SIGINT.
   sigc::signal<void()> mOnStop;
@@ -47,6 +58,7 @@
 
   EventBasePtr mBase;
   std::vector<EventPtr> mSignals;
+  std::optional<LoopEnd> mEnd;
   EventPtr mDeferredEvent;
   std::vector<std::function<void()>> mDeferred;
 };
--- a/caraway/runtime/runtime.h
+++ b/caraway/runtime/runtime.h
@@ -5,7 +5,7 @@
 // Contents
 //   1. Event loop and timers
 //   2. Transports: peers, HTTP server, HTTP client, TLS
-//   3. Settings and logs
+//   3. Settings, logs and the end of the process
 //   4. Hosts: one role each on the loop
 
 // 1. Event loop
@@ -18,8 +18,9 @@
 #include "caraway/runtime/target_client.h"
 #include "caraway/runtime/tls.h"
 
-// 3. Settings and logs
+// 3. Settings, logs and the end of the process
 #include "caraway/runtime/logging.h"
+#include "caraway/runtime/process_end.h"
 #include "caraway/runtime/settings_reader.h"
 
 // 4. Hosts
--- a/caraway/runtime/settings_reader.cpp
+++ b/caraway/runtime/settings_reader.cpp
@@ -3,7 +3,6 @@
 #include "caraway/runtime/settings_reader.h"
 
 #include <charconv>
-#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -17,14 +16,13 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
+#include "caraway/runtime/process_end.h"
 #include "caraway/runtime/socket_address.h"
 
 namespace caraway {
 
 namespace {
 
-constexpr int kUsageExit = 2;
-
 std::string
 VariableName(const std::string& aPrefix, const std::string& aName)
 {
@@ -42,13 +40,13 @@
     return docopt::docopt_parse(aUsage, arguments, true, true);
   } catch (const docopt::DocoptExitHelp&) {
     std::cout << aUsage << '\n';
-    std::exit(0);
+    EndUnlogged(ProcessEnd::eStopped);
   } catch (const docopt::DocoptExitVersion&) {
     std::cout << "carawayyard " << CARAWAY_VERSION << '\n';
-    std::exit(0);
+    EndUnlogged(ProcessEnd::eStopped);
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n\n" << aUsage << '\n';
-    std::exit(kUsageExit);
+    EndUnlogged(ProcessEnd::eBadSettings);
   }
 }
 
@@ -286,11 +284,11 @@
     for (const std::string& error : mErrors) {
       std::cerr << "settings: " << error << '\n';
     }
-    std::exit(kUsageExit);
+    EndUnlogged(ProcessEnd::eBadSettings);
   }
   if (mCheckOnly) {
     std::cout << "settings ok\n";
-    std::exit(0);
+    EndUnlogged(ProcessEnd::eStopped);
   }
 }
 
--- a/daemons/caraway_control_main.cpp
+++ b/daemons/caraway_control_main.cpp
@@ -113,6 +113,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  PrepareProcess();
   SettingsReader reader(kUsage, "CARAWAY_CONTROL", aCount, aArguments);
   const ControlSettings settings = ReadControlSettings(reader);
   const std::string folder = reader.Required("data");
@@ -120,9 +121,8 @@
   reader.Finish();
   Loop loop;
   ControlHost host(loop, settings, folder, common.mPeer, common.mHttp);
-  return RunDaemon(
-    loop,
-    host,
-    common.mLog,
-    InstanceId("control-" + std::to_string(settings.mReplica.mValue)));
+  RunDaemon(loop,
+            host,
+            common.mLog,
+            InstanceId("control-" + std::to_string(settings.mReplica.mValue)));
 }
--- a/daemons/caraway_entry_main.cpp
+++ b/daemons/caraway_entry_main.cpp
@@ -67,11 +67,12 @@
 int
 main(int aCount, char** aArguments)
 {
+  PrepareProcess();
   SettingsReader reader(kUsage, "CARAWAY_ENTRY", aCount, aArguments);
   const EntrySettings settings = ReadEntrySettings(reader);
   const DaemonSettings common = ReadDaemonSettings(reader);
   reader.Finish();
   Loop loop;
   EntryHost host(loop, settings, common.mPeer, common.mHttp, SystemRandom());
-  return RunDaemon(loop, host, common.mLog, settings.mInstance);
+  RunDaemon(loop, host, common.mLog, settings.mInstance);
 }
--- a/daemons/caraway_node_main.cpp
+++ b/daemons/caraway_node_main.cpp
@@ -77,11 +77,12 @@
 int
 main(int aCount, char** aArguments)
 {
+  PrepareProcess();
   SettingsReader reader(kUsage, "CARAWAY_NODE", aCount, aArguments);
   const NodeSettings settings = ReadNodeSettings(reader);
   const DaemonSettings common = ReadDaemonSettings(reader);
   reader.Finish();
   Loop loop;
   NodeHost host(loop, settings, common.mPeer, common.mHttp, SystemRandom());
-  return RunDaemon(loop, host, common.mLog, settings.mInstance);
+  RunDaemon(loop, host, common.mLog, settings.mInstance);
 }
--- a/daemons/daemon_settings.h
+++ b/daemons/daemon_settings.h
@@ -2,8 +2,6 @@
 // Settings common to all daemons, their usage text, and the main function's
 // common part.
 
-#include <cstdlib>
-
 #include "caraway/runtime/runtime.h"
 
 namespace caraway {
@@ -50,31 +48,24 @@
 uint64_t
 SystemRandom();
 
-// Opens the log, starts the host and runs the loop until the role has stopped.
-// Returns 1 if the host cannot start; otherwise ends the process with status 0.
+// Opens the log, starts the host, runs the loop until the role has ended, and
+// ends the process.
 template<class Host>
-int
+[[noreturn]] void
 RunDaemon(Loop& aLoop,
           Host& aHost,
           const LogSettings& aLog,
           const InstanceId& aInstance)
 {
   OpenLog(aLog, aInstance);
+  SetEarlyStopLine(aLog, aInstance);
   const absl::Status status = aHost.Start();
   if (!status.ok()) {
-    WriteLog(LogLevel::eError,
-             "start_failed",
-             { { "error", std::string(status.message()) } });
-    CloseLog();
-    return 1;
+    EndProcess(ProcessEnd::eStartFailed, std::string(status.message()));
   }
-  aLoop.Run();
-  WriteLog(LogLevel::eInfo, "stopped", {});
-  // All responses are sent and all acknowledged writes are synced, so exit
-  // without destructors. Shutting down log4cplus joins its threads, which can
-  // last until the process is killed; until then, the listeners would still
-  // accept connections.
-  std::_Exit(0);
+  const LoopEnd end = aLoop.Run();
+  // All responses are sent and all acknowledged writes are synced.
+  EndProcess(end.mEnd, end.mReason);
 }
 
 } // namespace caraway
