A replica whose disk takes no writes stays, and is back when it does

Each refused write ended the process, and the start on the same disk failed.

The log is cut where it is known to be synced (SyncedTail): after a failed sync the kernel may hold pages as clean that are not on disk. Bytes whose sync failed at the start are written again. Left-over temporary files are removed. Only errors that pass by themselves (no space, quota, I/O, read-only, size limit) are waited for; others end the process.

--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "caraway/base/error.h"
 #include "caraway/base/visitor.h"
+#include "caraway/consensus/raft_api.h"
 #include "caraway/runtime/data_folder_files.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
@@ -18,6 +20,15 @@
 // For the last replies to operators, once the role has stopped.
 constexpr Duration kReplyTime = Seconds(1);
 
+// Between attempts to open the data folder. An attempt on a disk that refuses
+// costs one small write.
+constexpr Duration kStorageRetry = Millis(200);
+// The pause doubles with each loss that follows the last one sooner than this.
+constexpr Duration kStorageSteady = Seconds(10);
+constexpr Duration kMaxStorageRetry = Seconds(2);
+// Between log lines while the disk keeps refusing.
+constexpr Duration kStorageLogInterval = Seconds(5);
+
 // This file marks a replica that created its group as the only member.
 constexpr const char* kFounderFileName = "founder";
 constexpr const char* kFounderPathSuffix = "/founder";
@@ -31,18 +42,20 @@
                          const HttpServerSettings& aHttp)
   : mLoop(aLoop)
   , mSettings(aSettings)
+  , mIdFromFolder(aSettings.mReplica.IsNone())
+  , mGivenReplicas(aSettings.mInitialReplicas)
   , mPath(aDataFolder)
   , mPeers(aLoop, aPeer)
   , mHttp(aLoop, aHttp)
-  , mPump(aLoop,
-          { [this](MonoTime aNow,
-                   const ControlEvent& aEvent,
-                   std::vector<ControlAction>& aOut) {
-             StepControl(*mControl, aNow, mLoop.UnixSeconds(), aEvent, aOut);
-           },
-            [this](ControlAction& aAction) { CarryOut(aAction); },
-            [this] { return NextWakeup(*mControl); },
-            [this] { ScheduleSync(); } })
+  , mStorageRetry(aLoop, [this] { RetryStorage(); })
+  , mPump(
+      aLoop,
+      { [this](MonoTime aNow,
+               const ControlEvent& aEvent,
+               std::vector<ControlAction>& aOut) { Step(aNow, aEvent, aOut); },
+        [this](ControlAction& aAction) { CarryOut(aAction); },
+        [this] { return mControl ? NextWakeup(*mControl) : kNever; },
+        [this] { ScheduleSync(); } })
   , mExit(aLoop, [this] { return mHttp.UnsentBytes(); })
 {
 }
@@ -50,11 +63,12 @@
 absl::Status
 ControlHost::Start()
 {
-  auto folder = DataFolder::Open(mPath);
-  if (!folder.ok()) {
-    return folder.status();
+  mStorageLostAt = mLoop.Now();
+  // Before the listeners: nobody reads them while the disk does not answer.
+  absl::Status storage = OpenFolder();
+  if (!storage.ok() && KindOf(storage) != ErrorKind::eDiskFailed) {
+    return storage;
   }
-  mFolder = std::move(*folder);
   if (auto status = mPeers.Listen(); !status.ok()) {
     return status;
   }
@@ -62,27 +76,6 @@
     return status;
   }
   mSettings.mAddress = mPeers.Address();
-  RaftRecovered recovered = mFolder->Recovered();
-  if (mSettings.mReplica.IsNone()) {
-    // For a group that manages its own membership, the identity of the folder
-    // is the replica id, so a replica that lost its disk gets a new id.
-    mSettings.mReplica = ReplicaId(recovered.mDisk);
-  }
-  mDisk = recovered.mDisk;
-  if (ReadWholeFile(mPath + kFounderPathSuffix).ok()) {
-    mSettings.mInitialReplicas = SingleReplicaSet();
-  }
-  const std::string entries = absl::StrCat(recovered.mEntries.size());
-  const std::string snapshot = absl::StrCat(recovered.mSnapshot.mIndex.mValue);
-  auto control = MakeControl(mSettings,
-                             std::move(recovered),
-                             mFolder->RecoveredState(),
-                             mLoop.Now(),
-                             mLoop.UnixSeconds());
-  if (!control.ok()) {
-    return control.status();
-  }
-  mControl = std::make_unique<Control>(std::move(*control));
   mPeers.mOnMessage.connect(
     [this](const PeerAddress& aFrom, const Message& aMessage) {
       mPump.Post(MessageReceived{ aFrom, aMessage });
@@ -98,17 +91,201 @@
     LogReload("peers", mPeers.ReloadTls());
     LogReload(mHttp.Address(), mHttp.ReloadTls());
   });
-  WriteLog(LogLevel::eInfo,
-           "listening",
-           { { "peer", mPeers.Address().mValue },
-             { "http", mHttp.Address() },
-             { "replica", absl::StrCat(mSettings.mReplica.mValue) },
-             { "recovered_entries", entries },
-             { "snapshot_index", snapshot } });
-  mPump.Post(Wakeup{});
+  if (storage.ok()) {
+    storage = StartRole();
+    if (!storage.ok()) {
+      return storage;
+    }
+  }
+  std::vector<LogField> fields{ { "peer", mPeers.Address().mValue },
+                                { "http", mHttp.Address() } };
+  fields.insert(fields.end(), mRecovery.begin(), mRecovery.end());
+  WriteLog(LogLevel::eInfo, "listening", fields);
+  if (storage.ok()) {
+    mPump.Post(Wakeup{});
+  } else {
+    LoseStorage(storage);
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+ControlHost::OpenFolder()
+{
+  auto folder = DataFolder::Open(mPath, {}, &mTail);
+  if (!folder.ok()) {
+    return folder.status();
+  }
+  const absl::Status founder =
+    ReadWholeFile(mPath + kFounderPathSuffix).status();
+  if (!founder.ok() && KindOf(founder) != ErrorKind::eNotFound) {
+    return founder;
+  }
+  mIsFounder = founder.ok();
+  mFolder = std::move(*folder);
+  mTail = {};
+  return absl::OkStatus();
+}
+
+absl::Status
+ControlHost::StartRole()
+{
+  RaftRecovered recovered = mFolder->Recovered();
+  mDisk = recovered.mDisk;
+  if (mIdFromFolder) {
+    // A replica that lost its disk gets a new id.
+    mSettings.mReplica = ReplicaId(mDisk);
+  }
+  mSettings.mInitialReplicas = mIsFounder ? SingleReplicaSet() : mGivenReplicas;
+  mRecovery = {
+    { "replica", absl::StrCat(mSettings.mReplica.mValue) },
+    { "recovered_entries", absl::StrCat(recovered.mEntries.size()) },
+    { "snapshot_index", absl::StrCat(recovered.mSnapshot.mIndex.mValue) }
+  };
+  auto control = MakeControl(mSettings,
+                             std::move(recovered),
+                             mFolder->RecoveredState(),
+                             mLoop.Now(),
+                             mLoop.UnixSeconds());
+  if (!control.ok()) {
+    return control.status();
+  }
+  mControl = std::make_unique<Control>(std::move(*control));
+  mStorage = Storage::eUp;
   return absl::OkStatus();
 }
 
+void
+ControlHost::LoseStorage(const absl::Status& aStatus)
+{
+  if (mStorage == Storage::eFailing) {
+    return;
+  }
+  ++mStorageLosses;
+  // A disk with a little room fails again at the next large write.
+  mStoragePause = mLoop.Now() - mStorageRegainedAt < kStorageSteady
+                    ? std::min(mStoragePause * 2, kMaxStorageRetry)
+                    : kStorageRetry;
+  mStorageLostAt = mStorageLoggedAt = mLoop.Now();
+  mStorageAttempts = 0;
+  LogStorage(LogLevel::eError, "lost", std::string(aStatus.message()));
+  mStorageRetry.ArmAt(mLoop.Now() + mStoragePause);
+  if (mStorage == Storage::eUp) {
+    mStorage = Storage::eFailing;
+    mTail = mFolder->Tail();
+    mUnsynced.clear();
+    mPump.Post(StorageFailed{});
+  }
+}
+
+void
+ControlHost::RetryStorage()
+{
+  ++mStorageAttempts;
+  absl::Status status = DataFolder::Probe(mPath);
+  if (status.ok() || KindOf(status) == ErrorKind::eNotFound) {
+    status = OpenFolder();
+  }
+  if (status.ok()) {
+    status = StartRole();
+  }
+  if (status.ok()) {
+    mStorageRegainedAt = mLoop.Now();
+    LogStorage(LogLevel::eWarning, "regained", "the disk takes writes again");
+    mPump.Post(Wakeup{});
+    return;
+  }
+  if (KindOf(status) != ErrorKind::eDiskFailed) {
+    mLoop.Exit(ProcessEnd::eHalted, std::string(status.message()));
+    return;
+  }
+  if (mLoop.Now() - mStorageLoggedAt >= kStorageLogInterval) {
+    mStorageLoggedAt = mLoop.Now();
+    LogStorage(LogLevel::eError, "away", std::string(status.message()));
+  }
+  mStorageRetry.ArmAt(mLoop.Now() + mStoragePause);
+}
+
+void
+ControlHost::LogStorage(LogLevel aLevel,
+                        const char* aChoice,
+                        const std::string& aReason) const
+{
+  DecisionLog line;
+  line.mLevel = aLevel;
+  line.mEvent = "storage";
+  line.mChoice = aChoice;
+  line.mReason = aReason;
+  line.mExtra = { { "away_ms",
+                    absl::StrCat((mLoop.Now() - mStorageLostAt).Millis()) },
+                  { "attempts", absl::StrCat(mStorageAttempts) },
+                  { "losses", absl::StrCat(mStorageLosses) } };
+  line.mExtra.insert(line.mExtra.end(), mRecovery.begin(), mRecovery.end());
+  WriteLog(line);
+}
+
+void
+ControlHost::Step(MonoTime aNow,
+                  const ControlEvent& aEvent,
+                  std::vector<ControlAction>& aOut)
+{
+  if (mControl == nullptr) {
+    AnswerWithoutStorage(aEvent, aOut);
+    return;
+  }
+  StepControl(*mControl, aNow, mLoop.UnixSeconds(), aEvent, aOut);
+  if (!std::holds_alternative<StorageFailed>(aEvent)) {
+    return;
+  }
+  // A group that was founded is not founded again, whatever the folder holds
+  // when it comes back.
+  mSettings.mFirstStart =
+    mSettings.mFirstStart && TermOf(mControl->mRaft).IsNone();
+  // The new role counts its keys from the start, and no key may come twice.
+  ++mSettings.mSeed;
+  mSettings.mKeySeed += mSettings.mKeySeed.empty() ? "" : "+";
+  mRecovery.clear();
+  const bool stopping = mControl->mStopping;
+  mControl.reset();
+  mFolder.reset();
+  mStorage = Storage::eDown;
+  if (stopping) {
+    aOut.emplace_back(Stopped{});
+  }
+}
+
+void
+ControlHost::AnswerWithoutStorage(const ControlEvent& aEvent,
+                                  std::vector<ControlAction>& aOut)
+{
+  constexpr int kUnavailable = 503;
+  if (const auto* request = std::get_if<HttpRequest>(&aEvent)) {
+    HttpResponse response;
+    response.mCall = request->mCall;
+    if (request->mPath == "/metrics") {
+      response.mStatus = 200;
+      response.mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } };
+    } else {
+      response.mStatus = kUnavailable;
+      response.mHeaders = { { "Content-Type", "application/json" },
+                            { "Retry-After", "1" } };
+      response.mBody = R"({"error":{"code":"disk_failed",)"
+                       R"("message":"this replica's disk takes no writes; )"
+                       R"(try another replica"}})";
+    }
+    aOut.emplace_back(std::move(response));
+  } else if (const auto* message = std::get_if<MessageReceived>(&aEvent)) {
+    // Members that would wait for an answer try another replica at once.
+    if (std::holds_alternative<Register>(message->mMessage) ||
+        std::holds_alternative<Renew>(message->mMessage) ||
+        std::holds_alternative<ControlCall>(message->mMessage)) {
+      aOut.emplace_back(SendMessage{ message->mFrom, NotLeader{} });
+    }
+  } else if (std::holds_alternative<StopRequested>(aEvent)) {
+    aOut.emplace_back(Stopped{});
+  }
+}
+
 ReplicaSet
 ControlHost::SingleReplicaSet() const
 {
@@ -123,8 +300,9 @@
 {
   // The founder file is durable before the group exists, so that a restart
   // never finds a log without its initial replica set.
-  Check(ReplaceFile(mPath, kFounderFileName, "1"));
-  if (mFailed) {
+  if (absl::Status status = ReplaceFile(mPath, kFounderFileName, "1");
+      !status.ok()) {
+    Check(status);
     return;
   }
   mSettings.mInitialReplicas = SingleReplicaSet();
@@ -140,31 +318,30 @@
 }
 
 void
-ControlHost::Fail(const std::string& aReason)
+ControlHost::Check(const absl::Status& aStatus)
 {
-  if (mFailed) {
+  if (aStatus.ok()) {
     return;
   }
-  mFailed = true;
-  WriteLog(LogLevel::eError, "replica_halted", { { "reason", aReason } });
-  mLoop.Exit();
+  if (KindOf(aStatus) == ErrorKind::eDiskFailed) {
+    LoseStorage(aStatus);
+  } else {
+    HaltRole(std::string(aStatus.message()));
+  }
 }
 
 void
-ControlHost::Check(const absl::Status& aStatus)
+ControlHost::HaltRole(const std::string& aReason)
 {
-  if (!aStatus.ok()) {
-    Fail(std::string(aStatus.message()));
-  }
+  mStorage = Storage::eFailing;
+  mLoop.Exit(ProcessEnd::eHalted, aReason);
 }
 
 void
-ControlHost::Write(const RaftWrite& aWrite)
+ControlHost::UseFolder(const RaftWrite& aWrite)
 {
-  const absl::Status status = mFolder->Append(aWrite);
-  if (!status.ok()) {
+  if (const absl::Status status = mFolder->Append(aWrite); !status.ok()) {
     Check(status);
-    mPump.Post(LogWritten{ aWrite.mWrite, false });
     return;
   }
   mUnsynced.push_back(aWrite.mWrite);
@@ -189,24 +366,33 @@
   if (mUnsynced.empty()) {
     return;
   }
-  const absl::Status status = mFolder->Sync();
-  Check(status);
+  if (const absl::Status status = mFolder->Sync(); !status.ok()) {
+    Check(status);
+    return;
+  }
   for (const uint64_t write : std::exchange(mUnsynced, {})) {
-    mPump.Post(LogWritten{ write, status.ok() });
+    mPump.Post(LogWritten{ write });
   }
 }
 
 void
-ControlHost::Save(const SaveSnapshot& aSave)
+ControlHost::UseFolder(const SaveSnapshot& aSave)
 {
   SyncWrites();
-  const absl::Status status = mFolder->SaveSnapshot(aSave.mMark, aSave.mState);
-  Check(status);
-  mPump.Post(SnapshotSaved{ aSave.mMark.mIndex, status.ok() });
+  if (mStorage != Storage::eUp) {
+    return;
+  }
+  if (const absl::Status status =
+        mFolder->SaveSnapshot(aSave.mMark, aSave.mState);
+      !status.ok()) {
+    Check(status);
+    return;
+  }
+  mPump.Post(SnapshotSaved{ aSave.mMark.mIndex });
 }
 
 void
-ControlHost::ReadPart(const RaftReadSnapshotPart& aRead)
+ControlHost::UseFolder(const RaftReadSnapshotPart& aRead)
 {
   auto part = mFolder->ReadSnapshotPart(aRead.mFile, aRead.mOffset);
   SnapshotPartRead read;
@@ -219,66 +405,89 @@
 }
 
 void
-ControlHost::StorePart(const RaftStoreSnapshotPart& aStore)
+ControlHost::UseFolder(const RaftStoreSnapshotPart& aStore)
 {
   auto stored = mFolder->StoreSnapshotPart(aStore.mPart);
-  Check(stored.status());
+  if (!stored.ok()) {
+    Check(stored.status());
+    return;
+  }
   SnapshotPartStored event;
   event.mFrom = aStore.mFrom;
-  event.mOk = stored.ok();
-  if (stored.ok()) {
-    event.mReply = std::move(stored->mReply);
-    event.mMark = std::move(stored->mMark);
-    event.mState = std::move(stored->mState);
-  }
+  event.mReply = std::move(stored->mReply);
+  event.mMark = std::move(stored->mMark);
+  event.mState = std::move(stored->mState);
   mPump.Post(std::move(event));
 }
 
 void
-ControlHost::Read(const ReadBlob& aRead)
+ControlHost::UseFolder(const ReadBlob& aRead)
 {
   auto bytes = mFolder->ReadBlob(aRead.mName, aRead.mOffset, aRead.mLength);
   mPump.Post(
     BlobRead{ aRead.mRead, bytes.ok(), bytes.ok() ? *bytes : std::string() });
 }
 
+void
+ControlHost::UseFolder(const WriteBlob& aWrite)
+{
+  Check(mFolder->WriteBlob(aWrite.mName, aWrite.mOffset, aWrite.mBytes));
+}
+
+void
+ControlHost::UseFolder(const RemoveBlob& aRemove)
+{
+  Check(mFolder->RemoveBlob(aRemove.mName));
+}
+
+void
+ControlHost::AddStorageMetrics(HttpResponse& aResponse) const
+{
+  const bool up = mStorage == Storage::eUp;
+  const int64_t away = up ? 0 : (mLoop.Now() - mStorageLostAt).Millis();
+  AddMetric(aResponse, "caraway_control_storage_up", "gauge", up ? 1 : 0);
+  AddMetric(aResponse,
+            "caraway_control_storage_away_ms",
+            "gauge",
+            static_cast<uint64_t>(away));
+  AddMetric(aResponse,
+            "caraway_control_storage_losses_total",
+            "counter",
+            mStorageLosses);
+}
+
 void
 ControlHost::CarryOut(ControlAction& aAction)
 {
-  std::visit(
-    Visitor{
-      [this](const SendMessage& aSend) {
-        // After a disk failure, no message may be sent: it could depend on data
-        // that is not durable.
-        if (!mFailed) {
-          mPeers.Send(aSend.mTo, aSend.mMessage);
-        }
-      },
-      [this](HttpResponse& aResponse) {
-        AddProcessMetrics(aResponse, mPeers.Counters());
-        mHttp.Respond(aResponse);
-      },
-      [this](const HttpBegin& aBegin) { mHttp.Begin(aBegin); },
-      [this](const HttpChunk& aChunk) { mHttp.Chunk(aChunk); },
-      [this](const HttpEnd& aEnd) { mHttp.End(aEnd); },
-      [this](const HttpAbort& aAbort) { mHttp.Abort(aAbort); },
-      [this](const RaftWrite& aWrite) { Write(aWrite); },
-      [this](const RaftReadSnapshotPart& aRead) { ReadPart(aRead); },
-      [this](const RaftStoreSnapshotPart& aStore) { StorePart(aStore); },
-      [this](const SaveSnapshot& aSave) { Save(aSave); },
-      [this](const WriteBlob& aWrite) {
-        Check(mFolder->WriteBlob(aWrite.mName, aWrite.mOffset, aWrite.mBytes));
-      },
-      [this](const RemoveBlob& aRemove) {
-        Check(mFolder->RemoveBlob(aRemove.mName));
-      },
-      [this](const ReadBlob& aRead) { Read(aRead); },
-      [](const DecisionLog& aDecision) { WriteLog(aDecision); },
-      [this](const Halt& aHalt) { Fail(aHalt.mReason); },
-      [this](const BeginGroup&) { CreateGroup(); },
-      [this](const Stopped&) { mExit.Begin(mLoop.Now() + kReplyTime); },
-    },
-    aAction);
+  std::visit(Visitor{
+               [this](const SendMessage& aSend) {
+                 if (mStorage != Storage::eFailing) {
+                   mPeers.Send(aSend.mTo, aSend.mMessage);
+                 }
+               },
+               [this](HttpResponse& aResponse) {
+                 AddProcessMetrics(aResponse, mPeers.Counters());
+                 AddStorageMetrics(aResponse);
+                 mHttp.Respond(aResponse);
+               },
+               [this](const HttpBegin& aBegin) { mHttp.Begin(aBegin); },
+               [this](const HttpChunk& aChunk) { mHttp.Chunk(aChunk); },
+               [this](const HttpEnd& aEnd) { mHttp.End(aEnd); },
+               [this](const HttpAbort& aAbort) { mHttp.Abort(aAbort); },
+               [](const DecisionLog& aDecision) { WriteLog(aDecision); },
+               [this](const Halt& aHalt) { HaltRole(aHalt.mReason); },
+               [this](const BeginGroup&) { CreateGroup(); },
+               [this](const Stopped&) {
+                 mStorageRetry.Disarm();
+                 mExit.Begin(mLoop.Now() + kReplyTime);
+               },
+               [this](const auto& aStorage) {
+                 if (mStorage == Storage::eUp) {
+                   UseFolder(aStorage);
+                 }
+               },
+             },
+             aAction);
 }
 
 } // namespace caraway
--- a/caraway/runtime/data_folder.cpp
+++ b/caraway/runtime/data_folder.cpp
@@ -3,6 +3,8 @@
 
 #include "caraway/runtime/data_folder.h"
 
+#include <fcntl.h>
+
 #include "caraway/base/error.h"
 #include "caraway/consensus/log_codec.h"
 #include "caraway/runtime/data_folder_state.h"
@@ -26,17 +28,50 @@
 DataFolder::~DataFolder() = default;
 
 absl::StatusOr<std::unique_ptr<DataFolder>>
-DataFolder::Open(const std::string& aPath, const DataFolderSettings& aSettings)
+DataFolder::Open(const std::string& aPath,
+                 const DataFolderSettings& aSettings,
+                 SyncedTail* aTail)
 {
   auto state = std::make_unique<DataFolderState>();
   state->mPath = aPath;
   state->mSettings = aSettings;
+  if (aTail != nullptr) {
+    state->mTail = *aTail;
+  }
   if (absl::Status status = RecoverFolder(*state); !status.ok()) {
+    if (aTail != nullptr) {
+      *aTail = state->mTail;
+    }
     return status;
   }
   return std::unique_ptr<DataFolder>(new DataFolder(std::move(state)));
 }
 
+absl::Status
+DataFolder::Probe(const std::string& aPath)
+{
+  // As much as a usual write of the log.
+  constexpr size_t kProbeBytes = 16 << 10;
+  const std::string path = aPath + "/probe";
+  auto file = OpenFile(path, O_RDWR | O_CREAT | O_TRUNC);
+  if (!file.ok()) {
+    return file.status();
+  }
+  absl::Status status = WriteAt(*file, path, 0, std::string(kProbeBytes, '\0'));
+  if (status.ok()) {
+    status = SyncData(*file, path);
+  }
+  // Removed in any case: a full disk needs the space.
+  const absl::Status removed = RemoveFile(path);
+  return status.ok() ? removed : status;
+}
+
+SyncedTail
+DataFolder::Tail() const
+{
+  return mState->mTail;
+}
+
 RaftRecovered
 DataFolder::Recovered()
 {
--- a/caraway/runtime/data_folder.h
+++ b/caraway/runtime/data_folder.h
@@ -8,8 +8,9 @@
 //   snap.part     state file of a snapshot transfer in progress
 //   blobs/        files and results of batch jobs
 //
-// Every failure of a write or sync is final: all later calls return it, since
-// the kernel may have dropped the pages that it could not write.
+// Every failure of a write or sync is final for the object: all later calls
+// return it, since the kernel may have dropped the pages that it could not
+// write. Open the folder again with the object's Tail() to go on.
 
 #include <cstdint>
 #include <memory>
@@ -30,6 +31,18 @@
   size_t mMaxOpenBlobs = 128;        // descriptors in the LRU cache
 };
 
+// Up to where the log is known to be synced. After a failed write or sync, what
+// follows may be in the page cache only, from which it would be read as if it
+// were durable.
+struct SyncedTail
+{
+  uint64_t mSequence = 0; // of the last segment; 0: nothing is known
+  uint64_t mLength = 0;   // bytes of it
+  // They were read from the page cache, and their sync failed: they have to be
+  // written again before a sync tells anything.
+  bool mRewrite = false;
+};
+
 // Result of StoreSnapshotPart. The mark and the state are set once the snapshot
 // is complete, synced and installed.
 struct StoredSnapshotPart
@@ -42,16 +55,24 @@
 class DataFolder
 {
 public:
-  // Recovers the folder, or creates it. Fails if another process has locked it
-  // or if its data is damaged.
+  // Recovers the folder, or creates it. Fails if another process has locked it,
+  // if its data is damaged, or with eDiskFailed. aTail, if given, cuts the log
+  // where it ended for certain; it is updated if the call fails.
   static absl::StatusOr<std::unique_ptr<DataFolder>> Open(
     const std::string& aPath,
-    const DataFolderSettings& aSettings = {});
+    const DataFolderSettings& aSettings = {},
+    SyncedTail* aTail = nullptr);
+
+  // Writes, syncs and removes a small file, to tell whether the disk of an
+  // existing folder takes writes at all. Cheaper than an Open that fails.
+  static absl::Status Probe(const std::string& aPath);
 
   ~DataFolder();
   DataFolder(const DataFolder&) = delete;
   DataFolder& operator=(const DataFolder&) = delete;
 
+  SyncedTail Tail() const;
+
   // The log and the state recovered by Open. The first call moves them out.
   RaftRecovered Recovered();
   std::string RecoveredState(); // empty if there is no snapshot
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -17,6 +17,19 @@
 
 namespace caraway {
 
+namespace {
+
+// Errors that pass when the disk has room again or answers again. Others, such
+// as a missing permission or too many open files, are not for waiting.
+bool
+IsStorageTrouble(int aError)
+{
+  return aError == ENOSPC || aError == EDQUOT || aError == EIO ||
+         aError == EFBIG || aError == EROFS;
+}
+
+} // namespace
+
 FileDescriptor::~FileDescriptor()
 {
   if (mDescriptor >= 0) {
@@ -29,13 +42,13 @@
 {
   const int error = errno;
   return MakeError(
-    ErrorKind::eDiskFailed,
+    IsStorageTrouble(error) ? ErrorKind::eDiskFailed : ErrorKind::eUnavailable,
     StdView(absl::StrCat(AbslView(aWhat),
                          " ",
                          aPath,
                          " failed: ",
                          std::generic_category().message(error))),
-    "free space or replace the disk, then start again");
+    "free space or replace the disk");
 }
 
 absl::StatusOr<FileDescriptor>
@@ -166,7 +179,11 @@
   if (status.ok() && ::rename(temporary.c_str(), path.c_str()) != 0) {
     status = DiskError("renaming", temporary);
   }
-  return status.ok() ? SyncFolder(aFolder) : status;
+  if (!status.ok()) {
+    RemoveFile(temporary).IgnoreError(); // a full disk needs the space
+    return status;
+  }
+  return SyncFolder(aFolder);
 }
 
 absl::Status
--- a/caraway/runtime/data_folder_files.h
+++ b/caraway/runtime/data_folder_files.h
@@ -37,8 +37,8 @@
   int mDescriptor = -1;
 };
 
-// An eDiskFailed error with the message for errno. aWhat: the operation that
-// failed, such as "reading".
+// An error with the message for errno: eDiskFailed if it can pass by itself,
+// else eUnavailable. aWhat: the operation that failed, such as "reading".
 absl::Status
 DiskError(std::string_view aWhat, const std::string& aPath);
 
--- a/caraway/runtime/data_folder_log.cpp
+++ b/caraway/runtime/data_folder_log.cpp
@@ -59,6 +59,8 @@
 absl::Status
 OpenNewSegment(DataFolderState& aState, uint64_t aSequence)
 {
+  // All segments before this one are synced.
+  aState.mTail = { aSequence, 0 };
   OpenSegment segment;
   segment.mSequence = aSequence;
   segment.mPath = aState.mPath + "/" + SegmentName(aSequence);
@@ -162,6 +164,7 @@
     return status;
   }
   segment.mSynced = segment.mLength;
+  aState.mTail = { segment.mSequence, segment.mSynced };
   if (!std::exchange(aState.mFolderDirty, false)) {
     return absl::OkStatus();
   }
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -1,5 +1,6 @@
 // Recovery of a data folder at start: lock, snapshot, log, identity.
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <filesystem>
@@ -92,6 +93,14 @@
   std::vector<uint64_t> mSnapshots; // ascending
 };
 
+// True for what an interrupted write of a whole file, of a snapshot transfer or
+// of a probe leaves behind. A full disk needs the space.
+bool
+IsLeftover(const std::string& aName)
+{
+  return aName.ends_with(".tmp") || aName == "snap.part" || aName == "probe";
+}
+
 absl::StatusOr<FolderFiles>
 ScanFolder(const DataFolderState& aState)
 {
@@ -101,7 +110,12 @@
   }
   FolderFiles files;
   for (const std::string& name : *names) {
-    if (auto sequence = ParseFileNumber(name, "log-", ".seg")) {
+    if (IsLeftover(name)) {
+      if (absl::Status status = RemoveFile(aState.mPath + "/" + name);
+          !status.ok()) {
+        return status;
+      }
+    } else if (auto sequence = ParseFileNumber(name, "log-", ".seg")) {
       files.mSegments.push_back(*sequence);
     } else if (auto index = ParseFileNumber(name, "snap-", "")) {
       files.mSnapshots.push_back(*index);
@@ -181,8 +195,11 @@
 // Opens the newest segment for appending and cuts off its torn tail. Recovered
 // data counts as synced from here on, so it is synced now.
 absl::Status
-ReopenSegment(DataFolderState& aState, uint64_t aSequence, uint64_t aLength)
+ReopenSegment(DataFolderState& aState,
+              uint64_t aSequence,
+              std::string_view aContents)
 {
+  const uint64_t length = aContents.size();
   OpenSegment& segment = aState.mSegment;
   segment.mSequence = aSequence;
   segment.mPath = aState.mPath + "/" + SegmentName(aSequence);
@@ -191,12 +208,23 @@
     return file.status();
   }
   segment.mFile = *std::move(file);
-  if (::ftruncate(segment.mFile.Value(), static_cast<off_t>(aLength)) != 0) {
+  if (::ftruncate(segment.mFile.Value(), static_cast<off_t>(length)) != 0) {
     return DiskError("truncating", segment.mPath);
   }
-  segment.mLength = aLength;
+  segment.mLength = length;
   aState.mFolderDirty = true;
+  const bool known = aState.mTail.mSequence != 0;
+  if (aState.mTail.mRewrite) {
+    if (absl::Status status =
+          WriteAt(segment.mFile, segment.mPath, 0, aContents);
+        !status.ok()) {
+      return status;
+    }
+  }
   if (absl::Status status = SyncLog(aState); !status.ok()) {
+    if (!known) {
+      aState.mTail = { aSequence, length, true };
+    }
     return status;
   }
   // Write the hard state again: the record at the start of the segment may have
@@ -217,6 +245,11 @@
   if (!bytes.ok()) {
     return bytes.status();
   }
+  if (const SyncedTail& tail = aState.mTail;
+      tail.mSequence != 0 && aLast && aSequence >= tail.mSequence) {
+    const uint64_t synced = aSequence == tail.mSequence ? tail.mLength : 0;
+    bytes->resize(std::min<uint64_t>(bytes->size(), synced));
+  }
   auto contents = DecodeSegment(*bytes, name, aSequence, aLast);
   if (!contents.ok()) {
     return contents.status();
@@ -233,7 +266,8 @@
   if (contents->mLength == 0) {
     return OpenNewSegment(aState, aSequence);
   }
-  return ReopenSegment(aState, aSequence, contents->mLength);
+  return ReopenSegment(
+    aState, aSequence, std::string_view(*bytes).substr(0, contents->mLength));
 }
 
 absl::Status
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -63,6 +63,9 @@
     mTermRuns;    // first entry of each run of entries of one term
   LogIndex mLast; // last entry of the log; none: empty
 
+  // Of the open segment once something is known; see OpenNewSegment.
+  SyncedTail mTail;
+
   SnapshotMark mSnapshot;
 
   std::list<CachedBlob> mBlobs; // open descriptors, most recently used first
--- a/caraway/runtime/process_metrics.cpp
+++ b/caraway/runtime/process_metrics.cpp
@@ -22,6 +22,13 @@
     &aText, "# TYPE ", aName, " ", aType, "\n", aName, " ", aValue, "\n");
 }
 
+bool
+IsMetricsResponse(const HttpResponse& aResponse)
+{
+  return absl::StartsWith(HeaderValue(aResponse.mHeaders, "Content-Type"),
+                          "text/plain; version=0.0.4");
+}
+
 // Peak resident memory in bytes; 0 if it is not available.
 uint64_t
 PeakMemory()
@@ -35,11 +42,21 @@
 
 } // namespace
 
+void
+AddMetric(HttpResponse& aResponse,
+          const char* aName,
+          const char* aType,
+          uint64_t aValue)
+{
+  if (IsMetricsResponse(aResponse)) {
+    Append(aResponse.mBody, aName, aType, aValue);
+  }
+}
+
 void
 AddProcessMetrics(HttpResponse& aResponse, const PeerCounters& aPeers)
 {
-  if (!absl::StartsWith(HeaderValue(aResponse.mHeaders, "Content-Type"),
-                        "text/plain; version=0.0.4")) {
+  if (!IsMetricsResponse(aResponse)) {
     return;
   }
   std::string& text = aResponse.mBody;
--- a/caraway/runtime/process_metrics.h
+++ b/caraway/runtime/process_metrics.h
@@ -11,4 +11,11 @@
 void
 AddProcessMetrics(HttpResponse& aResponse, const PeerCounters& aPeers);
 
+// Appends one sample to a metrics response, as above.
+void
+AddMetric(HttpResponse& aResponse,
+          const char* aName,
+          const char* aType,
+          uint64_t aValue);
+
 } // namespace caraway
--- a/tests/runtime_data_folder_test.cpp
+++ b/tests/runtime_data_folder_test.cpp
@@ -346,3 +346,74 @@
   folder.reset();
   BOOST_TEST(MustOpen(place.mPath)->Recovered().mEntries.size() >= 3u);
 }
+
+// Guards against a replica that takes for durable what a failed sync left in
+// the page cache: the next power loss would take back a vote or an acknowledged
+// entry.
+BOOST_AUTO_TEST_CASE(reopening_after_a_failure_keeps_what_is_synced_only)
+{
+  TemporaryFolder place;
+  DataFolderSettings settings;
+  settings.mSegmentBytes = 1500;
+  for (uint64_t synced = 1; synced <= 12; ++synced) {
+    fs::remove_all(place.mPath);
+    SyncedTail tail;
+    {
+      auto folder = MustOpen(place.mPath, settings);
+      AppendRange(*folder, 1, synced, 1);
+      tail = folder->Tail();
+      // Not synced, as if the sync had failed.
+      BOOST_REQUIRE(folder->Append(WriteOf(synced + 1, 7)).ok());
+    }
+    auto reopened = DataFolder::Open(place.mPath, settings, &tail);
+    BOOST_REQUIRE_MESSAGE(reopened.ok(), reopened.status().ToString());
+    RaftRecovered recovered = (*reopened)->Recovered();
+    BOOST_TEST(recovered.mEntries.size() == synced);
+    BOOST_TEST(recovered.mHard.mTerm.mValue == 1u);
+    AppendRange(**reopened, synced + 1, synced + 3, 2);
+    reopened->reset();
+    BOOST_TEST(MustOpen(place.mPath, settings)->Recovered().mEntries.size() ==
+               synced + 3);
+  }
+}
+
+// Each file size at which the disk can refuse, while the folder is in use and
+// while it is opened again.
+BOOST_AUTO_TEST_CASE(folder_is_opened_again_after_any_refused_write)
+{
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit old = {};
+  ::getrlimit(RLIMIT_FSIZE, &old);
+  const auto limit = [&](rlim_t aBytes) {
+    rlimit low = old;
+    low.rlim_cur = aBytes;
+    BOOST_REQUIRE(::setrlimit(RLIMIT_FSIZE, &low) == 0);
+  };
+  DataFolderSettings settings;
+  settings.mSegmentBytes = 1200;
+  for (rlim_t bytes = 0; bytes < 2400; bytes += 60) {
+    TemporaryFolder place;
+    uint64_t synced = 3;
+    SyncedTail tail;
+    {
+      auto folder = MustOpen(place.mPath, settings);
+      AppendRange(*folder, 1, synced, 1);
+      limit(bytes);
+      for (uint64_t index = 4; index < 30; ++index) {
+        if (!folder->Append(WriteOf(index, 1)).ok() || !folder->Sync().ok()) {
+          break;
+        }
+        synced = index;
+      }
+      tail = folder->Tail();
+    }
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      (void)DataFolder::Open(place.mPath, settings, &tail);
+    }
+    limit(old.rlim_cur);
+    auto folder = DataFolder::Open(place.mPath, settings, &tail);
+    BOOST_REQUIRE_MESSAGE(folder.ok(), folder.status().ToString());
+    BOOST_TEST((*folder)->Recovered().mEntries.size() == synced);
+    AppendRange(**folder, synced + 1, synced + 2, 2);
+  }
+}
