--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -116,8 +116,7 @@
   if (!folder.ok()) {
     return folder.status();
   }
-  const absl::Status founder =
-    ReadWholeFile(mPath + kFounderPathSuffix).status();
+  absl::Status founder = ReadWholeFile(mPath + kFounderPathSuffix).status();
   if (!founder.ok() && KindOf(founder) != ErrorKind::eNotFound) {
     return founder;
   }
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -56,18 +56,23 @@
   close(ends[1]);
 }
 
+// Replaces the process by the program; returns only if that fails.
 inline void
-StartProgram(Child& aChild, std::vector<std::string> aWords)
+ExecProgram(std::vector<std::string> aWords)
 {
-  StartChild(aChild, [&] {
-    std::vector<char*> words;
-    words.reserve(aWords.size() + 1);
-    for (std::string& word : aWords) {
-      words.push_back(word.data());
-    }
-    words.push_back(nullptr);
-    execv(words[0], words.data());
-  });
+  std::vector<char*> words;
+  words.reserve(aWords.size() + 1);
+  for (std::string& word : aWords) {
+    words.push_back(word.data());
+  }
+  words.push_back(nullptr);
+  execv(words[0], words.data());
+}
+
+inline void
+StartProgram(Child& aChild, const std::vector<std::string>& aWords)
+{
+  StartChild(aChild, [&] { ExecProgram(aWords); });
 }
 
 // Reads more of the child's output. False at its end, or if nothing comes
