A data folder opens whatever removed names a power loss brings back

An older name can be back while a newer one stays gone, and recovery took every gap for lost data. The class: relying on the order of removals, which no sync made durable.

Ruled out: a sync after each removal. It leaves folders that are in this state already closed, and costs a sync for each segment.

Change: recovery takes the run of segments that ends with the newest one and removes older ones. The log is durable before meta says that there is one. The rule stands in data_folder.h. The founder file belongs to the folder now. The 'listening' line says how many segments were read, how many were leftovers, and how much was cut off.

--- a/caraway/consensus/log_codec.cpp
+++ b/caraway/consensus/log_codec.cpp
@@ -233,8 +233,9 @@
 
 namespace {
 
+// aBefore: where the log ended before the first write; 0: unknown.
 absl::Status
-ReplayOne(RaftRecovered& aState, RaftWrite& aWrite)
+ReplayOne(RaftRecovered& aState, RaftWrite& aWrite, uint64_t& aBefore)
 {
   if (aWrite.mHard) {
     aState.mHard = *aWrite.mHard;
@@ -244,6 +245,7 @@
     while (!entries.empty() && entries.back().mIndex >= aWrite.mTruncateFrom) {
       entries.pop_back();
     }
+    aBefore = std::min(aBefore, aWrite.mTruncateFrom.mValue - 1);
   }
   for (LogEntry& entry : aWrite.mAppend) {
     if (!entries.empty() &&
@@ -270,13 +272,23 @@
 
 } // namespace
 
+bool
+StatesLogEnd(const RaftWrite& aWrite)
+{
+  return !aWrite.mTruncateFrom.IsNone() && aWrite.mAppend.empty();
+}
+
 absl::StatusOr<RaftRecovered>
 ReplayWrites(std::vector<RaftWrite> aWrites, const SnapshotMark& aSnapshot)
 {
   RaftRecovered state;
   state.mSnapshot = aSnapshot;
+  uint64_t before = 0;
+  if (!aWrites.empty() && StatesLogEnd(aWrites.front())) {
+    before = aWrites.front().mTruncateFrom.mValue - 1;
+  }
   for (RaftWrite& write : aWrites) {
-    if (absl::Status status = ReplayOne(state, write); !status.ok()) {
+    if (absl::Status status = ReplayOne(state, write, before); !status.ok()) {
       return status;
     }
   }
@@ -287,8 +299,9 @@
   std::erase_if(entries, [&](const LogEntry& aEntry) {
     return aEntry.mIndex <= aSnapshot.mIndex;
   });
-  if (!entries.empty() &&
-      entries.front().mIndex.mValue != aSnapshot.mIndex.mValue + 1) {
+  const uint64_t covered = aSnapshot.mIndex.mValue;
+  if (entries.empty() ? before > covered
+                      : entries.front().mIndex.mValue != covered + 1) {
     return Corrupt("the log", 0, "entries after the snapshot are missing");
   }
   return state;
--- a/caraway/consensus/log_codec.h
+++ b/caraway/consensus/log_codec.h
@@ -39,8 +39,15 @@
               uint64_t aSequence,
               bool aLast);
 
+// True for a record that changes no entries and states where the log ends
+// before it: at the entry before mTruncateFrom.
+bool
+StatesLogEnd(const RaftWrite& aWrite);
+
 // Rebuilds the recovered state from the writes of all segments, in order, and
-// the newest snapshot. Fails if entries are missing.
+// the newest snapshot. Fails if entries are missing; entries before the first
+// write are, if it states where the log ended and the snapshot ends before
+// that.
 absl::StatusOr<RaftRecovered>
 ReplayWrites(std::vector<RaftWrite> aWrites, const SnapshotMark& aSnapshot);
 
--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -9,7 +9,6 @@
 #include "caraway/base/error.h"
 #include "caraway/base/visitor.h"
 #include "caraway/consensus/raft_api.h"
-#include "caraway/runtime/data_folder_files.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/process_metrics.h"
 
@@ -29,10 +28,6 @@
 // Between log lines while the disk keeps refusing.
 constexpr Duration kStorageLogInterval = Seconds(5);
 
-// This file marks a replica that created its group as the only member.
-constexpr const char* kFounderFileName = "founder";
-constexpr const char* kFounderPathSuffix = "/founder";
-
 } // namespace
 
 ControlHost::ControlHost(Loop& aLoop,
@@ -116,11 +111,6 @@
   if (!folder.ok()) {
     return folder.status();
   }
-  absl::Status founder = ReadWholeFile(mPath + kFounderPathSuffix).status();
-  if (!founder.ok() && KindOf(founder) != ErrorKind::eNotFound) {
-    return founder;
-  }
-  mIsFounder = founder.ok();
   mFolder = std::move(*folder);
   mTail = {};
   return absl::OkStatus();
@@ -129,17 +119,22 @@
 absl::Status
 ControlHost::StartRole()
 {
+  const RecoveryReport report = mFolder->Report();
   RaftRecovered recovered = mFolder->Recovered();
   mDisk = recovered.mDisk;
   if (mIdFromFolder) {
     // A replica that lost its disk gets a new id.
     mSettings.mReplica = ReplicaId(mDisk);
   }
-  mSettings.mInitialReplicas = mIsFounder ? SingleReplicaSet() : mGivenReplicas;
+  mSettings.mInitialReplicas =
+    mFolder->IsFounder() ? SingleReplicaSet() : mGivenReplicas;
   mRecovery = {
     { "replica", absl::StrCat(mSettings.mReplica.mValue) },
     { "recovered_entries", absl::StrCat(recovered.mEntries.size()) },
-    { "snapshot_index", absl::StrCat(recovered.mSnapshot.mIndex.mValue) }
+    { "snapshot_index", absl::StrCat(recovered.mSnapshot.mIndex.mValue) },
+    { "segments", absl::StrCat(report.mSegments) },
+    { "leftover_segments", absl::StrCat(report.mLeftovers) },
+    { "cut_bytes", absl::StrCat(report.mCutBytes) }
   };
   auto control = MakeControl(mSettings,
                              std::move(recovered),
@@ -297,10 +292,9 @@
 void
 ControlHost::CreateGroup()
 {
-  // The founder file is durable before the group exists, so that a restart
-  // never finds a log without its initial replica set.
-  if (absl::Status status = ReplaceFile(mPath, kFounderFileName, "1");
-      !status.ok()) {
+  // Before the group exists, so that a restart never finds a log without its
+  // initial replica set.
+  if (absl::Status status = mFolder->MarkFounder(); !status.ok()) {
     Check(status);
     return;
   }
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -100,7 +100,6 @@
     mUnsynced;                 // numbers of the writes appended but not synced
   bool mSyncScheduled = false; // SyncWrites is deferred in the loop
   uint64_t mDisk = 0;          // identity of the data folder
-  bool mIsFounder = false; // the folder says that its replica founded a group
   std::vector<LogField> mRecovery; // what the folder held when it was opened
 
   Storage mStorage = Storage::eDown;
--- a/caraway/runtime/data_folder.cpp
+++ b/caraway/runtime/data_folder.cpp
@@ -3,8 +3,6 @@
 
 #include "caraway/runtime/data_folder.h"
 
-#include <fcntl.h>
-
 #include "caraway/base/error.h"
 #include "caraway/consensus/log_codec.h"
 #include "caraway/runtime/data_folder_state.h"
@@ -53,19 +51,44 @@
   // As much as a usual write of the log.
   constexpr size_t kProbeBytes = 16 << 10;
   const std::string path = aPath + "/probe";
-  auto file = OpenFile(path, O_RDWR | O_CREAT | O_TRUNC);
+  auto file = CreateFile({}, path);
   if (!file.ok()) {
     return file.status();
   }
-  absl::Status status = WriteAt(*file, path, 0, std::string(kProbeBytes, '\0'));
+  absl::Status status =
+    WriteAt({}, *file, path, 0, std::string(kProbeBytes, '\0'));
   if (status.ok()) {
-    status = SyncData(*file, path);
+    status = SyncData({}, *file, path);
   }
   // Removed in any case: a full disk needs the space.
-  const absl::Status removed = RemoveFile(path);
+  const absl::Status removed = RemoveFile({}, path);
   return status.ok() ? removed : status;
 }
 
+RecoveryReport
+DataFolder::Report() const
+{
+  return mState->mReport;
+}
+
+bool
+DataFolder::IsFounder() const
+{
+  return mState->mFounder;
+}
+
+absl::Status
+DataFolder::MarkFounder()
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  absl::Status status =
+    ReplaceFile(mState->mSettings.mWatch, mState->mPath, kFounderFileName, "1");
+  mState->mFounder = status.ok();
+  return RecordFirstFailure(*mState, status);
+}
+
 SyncedTail
 DataFolder::Tail() const
 {
--- a/caraway/runtime/data_folder.h
+++ b/caraway/runtime/data_folder.h
@@ -3,11 +3,26 @@
 //
 //   lock          held while a process uses the folder
 //   meta          identity of the folder
+//   founder       exists if this replica founded its group
 //   log-*.seg     log segments: checksummed records (see log_codec.h)
 //   snap-*        the newest snapshot
 //   snap.part     state file of a snapshot transfer in progress
 //   blobs/        files and results of batch jobs
 //
+// After a power loss, each write since the last sync of its file is present,
+// missing or torn, and each name that was created, renamed or removed since the
+// last sync of its folder is kept or lost, each for itself. Therefore:
+//
+// - Bytes and names are relied on only once file and folder are synced: entries
+//   before they are acknowledged, a segment before the next one is opened, a
+//   snapshot and its blobs before the log that it covers is removed, the log
+//   before meta says that there is one.
+// - A removal is never relied on: recovery takes the run of segments that ends
+//   with the newest one, older ones are leftovers. The first record of each
+//   segment says where the log ended before it, so that a lost segment is not
+//   taken for a removed one.
+// - Recovery syncs what it has read before anything depends on it.
+//
 // Every failure of a write or sync is final for the object: all later calls
 // return it, since the kernel may have dropped the pages that it could not
 // write. Open the folder again with the object's Tail() to go on.
@@ -19,6 +34,7 @@
 
 #include "absl/status/statusor.h"
 #include "caraway/consensus/raft.h"
+#include "caraway/runtime/data_folder_files.h"
 
 namespace caraway {
 
@@ -29,6 +45,15 @@
   uint64_t mSegmentBytes = 16 << 20; // a segment of this size is closed
   uint32_t mPartBytes = 256 * 1024;  // of one part of a snapshot transfer
   size_t mMaxOpenBlobs = 128;        // descriptors in the LRU cache
+  FileWatch mWatch;                  // for tests; empty: none
+};
+
+// What Open found, for the log.
+struct RecoveryReport
+{
+  uint64_t mSegments = 0;  // read
+  uint64_t mLeftovers = 0; // removed earlier, back after a power loss
+  uint64_t mCutBytes = 0;  // of the torn end of the newest segment
 };
 
 // Up to where the log is known to be synced. After a failed write or sync, what
@@ -63,6 +88,13 @@
     const DataFolderSettings& aSettings = {},
     SyncedTail* aTail = nullptr);
 
+  RecoveryReport Report() const;
+
+  // Whether this replica founded its group as its only member. MarkFounder is
+  // durable when it returns.
+  bool IsFounder() const;
+  absl::Status MarkFounder();
+
   // Writes, syncs and removes a small file, to tell whether the disk of an
   // existing folder takes writes at all. Cheaper than an Open that fails.
   static absl::Status Probe(const std::string& aPath);
--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -28,7 +28,8 @@
   if (aState.mDirtyBlobs.erase(aBlob.mName) == 0) {
     return absl::OkStatus();
   }
-  return SyncData(aBlob.mFile, BlobPath(aState, aBlob.mName));
+  return SyncData(
+    aState.mSettings.mWatch, aBlob.mFile, BlobPath(aState, aBlob.mName));
 }
 
 } // namespace
@@ -72,7 +73,7 @@
   }
   auto file = OpenFile(BlobPath(aState, aName), O_RDWR);
   if (!file.ok() && KindOf(file.status()) == ErrorKind::eNotFound && aCreate) {
-    file = OpenFile(BlobPath(aState, aName), O_RDWR | O_CREAT);
+    file = CreateFile(aState.mSettings.mWatch, BlobPath(aState, aName));
     aState.mBlobFolderDirty = true;
   }
   if (!file.ok()) {
@@ -102,7 +103,8 @@
     return file.status();
   }
   aState.mDirtyBlobs.insert(aName);
-  return WriteAt(**file, BlobPath(aState, aName), aOffset, aBytes);
+  return WriteAt(
+    aState.mSettings.mWatch, **file, BlobPath(aState, aName), aOffset, aBytes);
 }
 
 absl::Status
@@ -112,7 +114,7 @@
                 [&](const CachedBlob& aBlob) { return aBlob.mName == aName; });
   aState.mDirtyBlobs.erase(aName);
   aState.mBlobFolderDirty = true;
-  return RemoveFile(BlobPath(aState, aName));
+  return RemoveFile(aState.mSettings.mWatch, BlobPath(aState, aName));
 }
 
 absl::Status
@@ -127,7 +129,7 @@
   if (!std::exchange(aState.mBlobFolderDirty, false)) {
     return absl::OkStatus();
   }
-  return SyncFolder(BlobFolder(aState));
+  return SyncFolder(aState.mSettings.mWatch, BlobFolder(aState));
 }
 
 } // namespace caraway
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -28,6 +28,12 @@
          aError == EFBIG || aError == EROFS;
 }
 
+std::optional<absl::Status>
+Announce(const FileWatch& aWatch, const FileChange& aChange)
+{
+  return aWatch ? aWatch(aChange) : std::nullopt;
+}
+
 } // namespace
 
 FileDescriptor::~FileDescriptor()
@@ -66,12 +72,28 @@
   return FileDescriptor(descriptor);
 }
 
+absl::StatusOr<FileDescriptor>
+CreateFile(const FileWatch& aWatch, const std::string& aPath)
+{
+  if (auto instead =
+        Announce(aWatch, { FileChange::Kind::eCreate, aPath, {}, 0, {} });
+      instead && !instead->ok()) {
+    return *instead;
+  }
+  return OpenFile(aPath, O_RDWR | O_CREAT | O_TRUNC);
+}
+
 absl::Status
-WriteAt(const FileDescriptor& aFile,
+WriteAt(const FileWatch& aWatch,
+        const FileDescriptor& aFile,
         const std::string& aPath,
         uint64_t aOffset,
         std::string_view aBytes)
 {
+  if (auto instead = Announce(
+        aWatch, { FileChange::Kind::eWrite, aPath, {}, aOffset, aBytes })) {
+    return *instead;
+  }
   while (!aBytes.empty()) {
     const ssize_t count = ::pwrite(
       aFile.Value(), aBytes.data(), aBytes.size(), static_cast<off_t>(aOffset));
@@ -87,6 +109,22 @@
   return absl::OkStatus();
 }
 
+absl::Status
+TruncateAt(const FileWatch& aWatch,
+           const FileDescriptor& aFile,
+           const std::string& aPath,
+           uint64_t aLength)
+{
+  if (auto instead = Announce(
+        aWatch, { FileChange::Kind::eTruncate, aPath, {}, aLength, {} })) {
+    return *instead;
+  }
+  if (::ftruncate(aFile.Value(), static_cast<off_t>(aLength)) != 0) {
+    return DiskError("truncating", aPath);
+  }
+  return absl::OkStatus();
+}
+
 absl::StatusOr<std::string>
 ReadAt(const FileDescriptor& aFile,
        const std::string& aPath,
@@ -140,8 +178,14 @@
 }
 
 absl::Status
-SyncData(const FileDescriptor& aFile, const std::string& aPath)
+SyncData(const FileWatch& aWatch,
+         const FileDescriptor& aFile,
+         const std::string& aPath)
 {
+  if (auto instead =
+        Announce(aWatch, { FileChange::Kind::eSync, aPath, {}, 0, {} })) {
+    return *instead;
+  }
   if (::fdatasync(aFile.Value()) != 0) {
     return DiskError("syncing", aPath);
   }
@@ -149,8 +193,12 @@
 }
 
 absl::Status
-SyncFolder(const std::string& aPath)
+SyncFolder(const FileWatch& aWatch, const std::string& aPath)
 {
+  if (auto instead =
+        Announce(aWatch, { FileChange::Kind::eSyncFolder, aPath, {}, 0, {} })) {
+    return *instead;
+  }
   auto folder = OpenFile(aPath, O_RDONLY | O_DIRECTORY);
   if (!folder.ok()) {
     return folder.status();
@@ -161,34 +209,58 @@
   return absl::OkStatus();
 }
 
+namespace {
+
+absl::Status
+RenameFile(const FileWatch& aWatch,
+           const std::string& aFrom,
+           const std::string& aTo)
+{
+  if (auto instead =
+        Announce(aWatch, { FileChange::Kind::eRename, aFrom, aTo, 0, {} })) {
+    return *instead;
+  }
+  return ::rename(aFrom.c_str(), aTo.c_str()) == 0
+           ? absl::OkStatus()
+           : DiskError("renaming", aFrom);
+}
+
+} // namespace
+
 absl::Status
-ReplaceFile(const std::string& aFolder,
+ReplaceFile(const FileWatch& aWatch,
+            const std::string& aFolder,
             const std::string& aName,
             std::string_view aBytes)
 {
   const std::string path = aFolder + "/" + aName;
   const std::string temporary = path + ".tmp";
-  auto file = OpenFile(temporary, O_RDWR | O_CREAT | O_TRUNC);
+  auto file = CreateFile(aWatch, temporary);
   if (!file.ok()) {
     return file.status();
   }
-  absl::Status status = WriteAt(*file, temporary, 0, aBytes);
+  absl::Status status = WriteAt(aWatch, *file, temporary, 0, aBytes);
   if (status.ok()) {
-    status = SyncData(*file, temporary);
+    status = SyncData(aWatch, *file, temporary);
   }
-  if (status.ok() && ::rename(temporary.c_str(), path.c_str()) != 0) {
-    status = DiskError("renaming", temporary);
+  if (status.ok()) {
+    status = RenameFile(aWatch, temporary, path);
   }
   if (!status.ok()) {
-    RemoveFile(temporary).IgnoreError(); // a full disk needs the space
+    // A full disk needs the space.
+    RemoveFile(aWatch, temporary).IgnoreError();
     return status;
   }
-  return SyncFolder(aFolder);
+  return SyncFolder(aWatch, aFolder);
 }
 
 absl::Status
-RemoveFile(const std::string& aPath)
+RemoveFile(const FileWatch& aWatch, const std::string& aPath)
 {
+  if (auto instead =
+        Announce(aWatch, { FileChange::Kind::eRemove, aPath, {}, 0, {} })) {
+    return *instead;
+  }
   if (::unlink(aPath.c_str()) != 0 && errno != ENOENT) {
     return DiskError("removing", aPath);
   }
--- a/caraway/runtime/data_folder_files.h
+++ b/caraway/runtime/data_folder_files.h
@@ -2,6 +2,8 @@
 // Internal: RAII file descriptors, and file operations that return a status.
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,6 +13,31 @@
 
 namespace caraway {
 
+// A change that is about to be made on disk.
+struct FileChange
+{
+  enum class Kind : uint8_t
+  {
+    eCreate,
+    eWrite,
+    eTruncate,
+    eSync,
+    eSyncFolder,
+    eRename,
+    eRemove,
+  };
+
+  Kind mKind = Kind::eCreate;
+  std::string_view mPath;
+  std::string_view mTo;    // eRename
+  uint64_t mOffset = 0;    // eWrite; eTruncate: the new length
+  std::string_view mBytes; // eWrite
+};
+
+// For tests that record or refuse changes: called before each one; a returned
+// status replaces the change. May be empty.
+using FileWatch = std::function<std::optional<absl::Status>(const FileChange&)>;
+
 class FileDescriptor
 {
 public:
@@ -42,16 +69,27 @@
 absl::Status
 DiskError(std::string_view aWhat, const std::string& aPath);
 
-// aFlags as for open(2). eNotFound if the file does not exist.
+// Without O_CREAT; aFlags as for open(2). eNotFound if the file does not exist.
 absl::StatusOr<FileDescriptor>
 OpenFile(const std::string& aPath, int aFlags);
 
+// An empty file, open for reading and writing; an existing one loses its bytes.
+absl::StatusOr<FileDescriptor>
+CreateFile(const FileWatch& aWatch, const std::string& aPath);
+
 absl::Status
-WriteAt(const FileDescriptor& aFile,
+WriteAt(const FileWatch& aWatch,
+        const FileDescriptor& aFile,
         const std::string& aPath,
         uint64_t aOffset,
         std::string_view aBytes);
 
+absl::Status
+TruncateAt(const FileWatch& aWatch,
+           const FileDescriptor& aFile,
+           const std::string& aPath,
+           uint64_t aLength);
+
 // Returns fewer bytes at the end of the file.
 absl::StatusOr<std::string>
 ReadAt(const FileDescriptor& aFile,
@@ -66,22 +104,25 @@
 ReadWholeFile(const std::string& aPath);
 
 absl::Status
-SyncData(const FileDescriptor& aFile, const std::string& aPath);
+SyncData(const FileWatch& aWatch,
+         const FileDescriptor& aFile,
+         const std::string& aPath);
 
 // Makes file creations, renames and removals in the folder durable.
 absl::Status
-SyncFolder(const std::string& aPath);
+SyncFolder(const FileWatch& aWatch, const std::string& aPath);
 
 // Replaces the file atomically and durably: writes aName.tmp, syncs it, renames
 // it to aName and syncs the folder.
 absl::Status
-ReplaceFile(const std::string& aFolder,
+ReplaceFile(const FileWatch& aWatch,
+            const std::string& aFolder,
             const std::string& aName,
             std::string_view aBytes);
 
 // Succeeds if the file does not exist.
 absl::Status
-RemoveFile(const std::string& aPath);
+RemoveFile(const FileWatch& aWatch, const std::string& aPath);
 
 // Names of the regular files in the folder, sorted.
 absl::StatusOr<std::vector<std::string>>
--- a/caraway/runtime/data_folder_log.cpp
+++ b/caraway/runtime/data_folder_log.cpp
@@ -18,8 +18,11 @@
   OpenSegment& segment = aState.mSegment;
   const std::string record =
     EncodeLogRecord(aWrite, segment.mLength, segment.mSynced);
-  if (absl::Status status =
-        WriteAt(segment.mFile, segment.mPath, segment.mLength, record);
+  if (absl::Status status = WriteAt(aState.mSettings.mWatch,
+                                    segment.mFile,
+                                    segment.mPath,
+                                    segment.mLength,
+                                    record);
       !status.ok()) {
     return status;
   }
@@ -64,13 +67,15 @@
   OpenSegment segment;
   segment.mSequence = aSequence;
   segment.mPath = aState.mPath + "/" + SegmentName(aSequence);
-  auto file = OpenFile(segment.mPath, O_RDWR | O_CREAT | O_TRUNC);
+  const FileWatch& watch = aState.mSettings.mWatch;
+  auto file = CreateFile(watch, segment.mPath);
   if (!file.ok()) {
     return file.status();
   }
   segment.mFile = *std::move(file);
   const std::string header = EncodeSegmentHeader(aSequence);
-  if (absl::Status status = WriteAt(segment.mFile, segment.mPath, 0, header);
+  if (absl::Status status =
+        WriteAt(watch, segment.mFile, segment.mPath, 0, header);
       !status.ok()) {
     return status;
   }
@@ -79,6 +84,10 @@
   aState.mFolderDirty = true;
   RaftWrite first;
   first.mHard = aState.mHard;
+  // Truncates nothing: states where the log ends before this segment, so that
+  // recovery can tell whether it needs earlier ones.
+  first.mTruncateFrom =
+    LogIndex(std::max(aState.mLast, aState.mSnapshot.mIndex).mValue + 1);
   return AppendRecord(aState, first);
 }
 
@@ -159,7 +168,8 @@
 SyncLog(DataFolderState& aState)
 {
   OpenSegment& segment = aState.mSegment;
-  if (absl::Status status = SyncData(segment.mFile, segment.mPath);
+  if (absl::Status status =
+        SyncData(aState.mSettings.mWatch, segment.mFile, segment.mPath);
       !status.ok()) {
     return status;
   }
@@ -168,7 +178,7 @@
   if (!std::exchange(aState.mFolderDirty, false)) {
     return absl::OkStatus();
   }
-  return SyncFolder(aState.mPath);
+  return SyncFolder(aState.mSettings.mWatch, aState.mPath);
 }
 
 namespace {
@@ -176,9 +186,11 @@
 absl::Status
 RemoveOldestSegments(DataFolderState& aState, size_t aCount)
 {
-  // Oldest first, so that a crash leaves no gap between the segments.
+  // Each name may come back until the folder is synced, with gaps between them.
+  aState.mFolderDirty = aState.mFolderDirty || aCount > 0;
   for (size_t at = 0; at < aCount; ++at) {
     if (absl::Status status = RemoveFile(
+          aState.mSettings.mWatch,
           aState.mPath + "/" + SegmentName(aState.mClosed[at].mSequence));
         !status.ok()) {
       return status;
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -42,10 +42,11 @@
     errno = error.value();
     return DiskError("creating", BlobFolder(aState));
   }
-  absl::Status status = SyncFolder(aState.mPath);
+  const FileWatch& watch = aState.mSettings.mWatch;
+  absl::Status status = SyncFolder(watch, aState.mPath);
   const auto parent =
     std::filesystem::absolute(aState.mPath, error).parent_path();
-  return status.ok() && !error ? SyncFolder(parent.string()) : status;
+  return status.ok() && !error ? SyncFolder(watch, parent.string()) : status;
 }
 
 absl::Status
@@ -111,7 +112,8 @@
   FolderFiles files;
   for (const std::string& name : *names) {
     if (IsLeftover(name)) {
-      if (absl::Status status = RemoveFile(aState.mPath + "/" + name);
+      if (absl::Status status =
+            RemoveFile(aState.mSettings.mWatch, aState.mPath + "/" + name);
           !status.ok()) {
         return status;
       }
@@ -159,7 +161,19 @@
   std::random_device device;
   const uint64_t disk = (uint64_t{ device() } << 32 | device()) | 1;
   aState.mRecovered.mDisk = disk;
-  return ReplaceFile(aState.mPath, "meta", EncodeMetaFile(disk));
+  return ReplaceFile(
+    aState.mSettings.mWatch, aState.mPath, "meta", EncodeMetaFile(disk));
+}
+
+absl::Status
+RecoverFounder(DataFolderState& aState)
+{
+  const absl::Status status =
+    ReadWholeFile(aState.mPath + "/" + kFounderFileName).status();
+  aState.mFounder = status.ok();
+  return status.ok() || KindOf(status) == ErrorKind::eNotFound
+           ? absl::OkStatus()
+           : status;
 }
 
 // Loads the newest snapshot and removes older ones, which remain after a crash
@@ -183,8 +197,8 @@
   aState.mRecoveredState = std::move(contents->mState);
   for (size_t at = 0; at + 1 < aFiles.mSnapshots.size(); ++at) {
     const LogIndex index(aFiles.mSnapshots[at]);
-    if (absl::Status status =
-          RemoveFile(aState.mPath + "/" + SnapshotName(index));
+    if (absl::Status status = RemoveFile(
+          aState.mSettings.mWatch, aState.mPath + "/" + SnapshotName(index));
         !status.ok()) {
       return status;
     }
@@ -208,15 +222,18 @@
     return file.status();
   }
   segment.mFile = *std::move(file);
-  if (::ftruncate(segment.mFile.Value(), static_cast<off_t>(length)) != 0) {
-    return DiskError("truncating", segment.mPath);
+  const FileWatch& watch = aState.mSettings.mWatch;
+  if (absl::Status status =
+        TruncateAt(watch, segment.mFile, segment.mPath, length);
+      !status.ok()) {
+    return status;
   }
   segment.mLength = length;
   aState.mFolderDirty = true;
   const bool known = aState.mTail.mSequence != 0;
   if (aState.mTail.mRewrite) {
     if (absl::Status status =
-          WriteAt(segment.mFile, segment.mPath, 0, aContents);
+          WriteAt(watch, segment.mFile, segment.mPath, 0, aContents);
         !status.ok()) {
       return status;
     }
@@ -263,6 +280,7 @@
     aState.mClosed.push_back({ aSequence, aState.mSegment.mLast });
     return absl::OkStatus();
   }
+  aState.mReport.mCutBytes = bytes->size() - contents->mLength;
   if (contents->mLength == 0) {
     return OpenNewSegment(aState, aSequence);
   }
@@ -270,6 +288,66 @@
     aState, aSequence, std::string_view(*bytes).substr(0, contents->mLength));
 }
 
+// Index of the first segment of the run without gaps that ends with the newest.
+size_t
+StartOfNewestRun(const std::vector<uint64_t>& aSegments)
+{
+  size_t at = aSegments.size() - 1;
+  while (at > 0 && aSegments[at - 1] + 1 == aSegments[at]) {
+    --at;
+  }
+  return at;
+}
+
+// Fails if segments before the newest run hold entries that are needed. A run
+// that states where the log ended before it needs no look at them, since
+// ReplayWrites checks that. Older program versions did not state it.
+absl::Status
+CheckLeftovers(const DataFolderState& aState,
+               const std::vector<uint64_t>& aLeftovers,
+               const std::vector<RaftWrite>& aRun)
+{
+  const bool startsAnew =
+    std::any_of(aRun.begin(), aRun.end(), [](const RaftWrite& aWrite) {
+      return aWrite.mTruncateFrom == LogIndex(1);
+    });
+  if (startsAnew || (!aRun.empty() && StatesLogEnd(aRun.front()))) {
+    return absl::OkStatus();
+  }
+  for (const uint64_t sequence : aLeftovers) {
+    const std::string name = SegmentName(sequence);
+    auto bytes = ReadWholeFile(aState.mPath + "/" + name);
+    if (!bytes.ok()) {
+      return bytes.status();
+    }
+    auto contents = DecodeSegment(*bytes, name, sequence, false);
+    if (!contents.ok()) {
+      return contents.status();
+    }
+    for (const RaftWrite& write : contents->mWrites) {
+      if (!write.mAppend.empty() &&
+          write.mAppend.back().mIndex > aState.mSnapshot.mIndex) {
+        return MissingDataError(SegmentName(aLeftovers.back() + 1));
+      }
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+RemoveLeftovers(DataFolderState& aState,
+                const std::vector<uint64_t>& aLeftovers)
+{
+  for (const uint64_t sequence : aLeftovers) {
+    if (absl::Status status = RemoveFile(
+          aState.mSettings.mWatch, aState.mPath + "/" + SegmentName(sequence));
+        !status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
 absl::Status
 RecoverLog(DataFolderState& aState, const FolderFiles& aFiles)
 {
@@ -278,22 +356,32 @@
     return aState.mSnapshot.mIndex.IsNone() ? OpenNewSegment(aState, 1)
                                             : MissingDataError("the log");
   }
+  const size_t first = StartOfNewestRun(segments);
   std::vector<RaftWrite> writes;
-  for (size_t at = 0; at < segments.size(); ++at) {
-    if (segments[at] != segments.front() + at) {
-      return MissingDataError(SegmentName(segments.front() + at));
-    }
+  for (size_t at = first; at < segments.size(); ++at) {
     if (absl::Status status = RecoverSegment(
           aState, segments[at], at + 1 == segments.size(), writes);
         !status.ok()) {
       return status;
     }
   }
+  const std::vector<uint64_t> leftovers(
+    segments.begin(), segments.begin() + static_cast<std::ptrdiff_t>(first));
+  absl::Status status = CheckLeftovers(aState, leftovers, writes);
+  if (!status.ok()) {
+    return status;
+  }
   auto recovered = ReplayWrites(std::move(writes), aState.mSnapshot);
   if (!recovered.ok()) {
     return recovered.status();
   }
   aState.mRecovered = *std::move(recovered);
+  aState.mReport.mSegments = segments.size() - first;
+  aState.mReport.mLeftovers = first;
+  status = RemoveLeftovers(aState, leftovers);
+  if (!status.ok()) {
+    return status;
+  }
   const SnapshotMark& mark = aState.mSnapshot;
   if (mark.mIndex.IsNone()) {
     return absl::OkStatus();
@@ -328,11 +416,14 @@
   if (status.ok()) {
     status = RecoverLog(aState, *files);
   }
+  // Creating or reopening the segment appended a record that is not synced.
+  if (status.ok()) {
+    status = SyncLog(aState);
+  }
   if (status.ok()) {
     status = RecoverMeta(aState, *files);
   }
-  // Creating or reopening the segment appended a record that is not synced.
-  return status.ok() ? SyncLog(aState) : status;
+  return status.ok() ? RecoverFounder(aState) : status;
 }
 
 } // namespace caraway
--- a/caraway/runtime/data_folder_snapshot.cpp
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -16,15 +16,17 @@
                std::string_view aFileBytes)
 {
   const LogIndex previous = aState.mSnapshot.mIndex;
-  if (absl::Status status =
-        ReplaceFile(aState.mPath, SnapshotName(aMark.mIndex), aFileBytes);
+  if (absl::Status status = ReplaceFile(aState.mSettings.mWatch,
+                                        aState.mPath,
+                                        SnapshotName(aMark.mIndex),
+                                        aFileBytes);
       !status.ok()) {
     return status;
   }
   aState.mSnapshot = aMark;
   if (!previous.IsNone() && previous != aMark.mIndex) {
-    if (absl::Status status =
-          RemoveFile(aState.mPath + "/" + SnapshotName(previous));
+    if (absl::Status status = RemoveFile(
+          aState.mSettings.mWatch, aState.mPath + "/" + SnapshotName(previous));
         !status.ok()) {
       return status;
     }
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -54,11 +54,14 @@
   absl::Status mFailure; // first failed write or sync; never cleared
   RaftRecovered mRecovered;
   std::string mRecoveredState;
+  RecoveryReport mReport;
+  bool mFounder = false; // the founder file exists
 
   HardState mHard; // written at the start of each segment, too
   std::vector<ClosedSegment> mClosed;
   OpenSegment mSegment;
-  bool mFolderDirty = false; // a segment was created since the last sync
+  bool mFolderDirty = false; // a segment was created or removed since the last
+                             // sync
   std::map<LogIndex, Term>
     mTermRuns;    // first entry of each run of entries of one term
   LogIndex mLast; // last entry of the log; none: empty
@@ -74,6 +77,8 @@
   IncomingSnapshot mIncoming;
 };
 
+constexpr const char* kFounderFileName = "founder";
+
 std::string
 SegmentName(uint64_t aSequence);
 
--- a/caraway/runtime/data_folder_transfer.cpp
+++ b/caraway/runtime/data_folder_transfer.cpp
@@ -56,12 +56,13 @@
     aState.mIncoming.mBlobs.insert(aPart.mFile);
     return WriteBlobBytes(aState, aPart.mFile, aPart.mOffset, aPart.mBytes);
   }
-  const int flags = O_RDWR | O_CREAT | (aPart.mOffset == 0 ? O_TRUNC : 0);
-  auto file = OpenFile(PartPath(aState), flags);
+  const FileWatch& watch = aState.mSettings.mWatch;
+  auto file = aPart.mOffset == 0 ? CreateFile(watch, PartPath(aState))
+                                 : OpenFile(PartPath(aState), O_RDWR);
   if (!file.ok()) {
     return file.status();
   }
-  return WriteAt(*file, PartPath(aState), aPart.mOffset, aPart.mBytes);
+  return WriteAt(watch, *file, PartPath(aState), aPart.mOffset, aPart.mBytes);
 }
 
 // Removes blobs that the snapshot does not contain: the commands that removed
@@ -107,7 +108,7 @@
     status = RemoveUnreferencedBlobs(aState);
   }
   if (status.ok()) {
-    status = RemoveFile(PartPath(aState));
+    status = RemoveFile(aState.mSettings.mWatch, PartPath(aState));
   }
   aState.mIncoming = IncomingSnapshot{};
   aStored.mMark = std::move(contents->mMark);
--- a/tests/data_folder_fixture.h
+++ b/tests/data_folder_fixture.h
@@ -20,9 +20,9 @@
 {
   std::string mPath;
 
-  TemporaryFolder()
+  explicit TemporaryFolder(const fs::path& aParent = fs::temp_directory_path())
   {
-    std::string path = (fs::temp_directory_path() / "caraway-XXXXXX").string();
+    std::string path = (aParent / "caraway-XXXXXX").string();
     BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
     mPath = path;
   }
