--- a/caraway/consensus/raft_snapshot.cpp
+++ b/caraway/consensus/raft_snapshot.cpp
@@ -1,7 +1,10 @@
 // Snapshots: when to take one, and the transfer to replicas that are too far
-// behind for the log in memory. One part per replica is in flight at a time.
+// behind for the log in memory. A few parts per replica are in flight. The
+// receiver drops a part that does not continue what it has; its reply then
+// names another position than expected, and the leader goes on from there.
 
 #include <algorithm>
+#include <utility>
 
 #include "caraway/consensus/raft_internal.h"
 
@@ -9,9 +12,13 @@
 
 namespace {
 
-// A part is read and sent again after this many heartbeats without a reply.
+// Parts are read and sent again after this many heartbeats without a reply.
 constexpr int64_t kPartRetryHeartbeats = 5;
 
+// Parts in flight per replica. More than a link carries in a round trip, and
+// few enough for heartbeats that queue behind them.
+constexpr size_t kMaxPartsInFlight = 4;
+
 // A transfer in progress delays the next snapshot, since a new snapshot makes
 // it start over, but by at most this factor of the usual interval.
 constexpr uint64_t kMaxSnapshotDelayFactor = 4;
@@ -25,26 +32,30 @@
 }
 
 void
-ReadPart(Raft& aRaft,
-         MonoTime aNow,
-         ReplicaId aTo,
-         RaftPeer& aPeer,
-         RaftActions& aOut)
+ReadPart(ReplicaId aTo, RaftPeer& aPeer, RaftActions& aOut)
 {
-  if (aPeer.mReading) {
+  if (aPeer.mReading || aPeer.mReadAll ||
+      aPeer.mParts.size() >= kMaxPartsInFlight) {
     return;
   }
   aPeer.mReading = true;
-  aPeer.mPartSentAt.reset();
-  aPeer.mPartDue = aNow + aRaft.mSettings.mHeartbeat * kPartRetryHeartbeats;
-  aOut.emplace_back(RaftReadSnapshotPart{ aTo, aPeer.mFile, aPeer.mOffset });
+  aOut.emplace_back(
+    RaftReadSnapshotPart{ aTo, aPeer.mRead.mFile, aPeer.mRead.mOffset });
 }
 
+// Goes on from this position, whatever was read or sent beyond it.
 void
-RestartTransfer(RaftPeer& aPeer)
+ContinueFrom(const Raft& aRaft,
+             MonoTime aNow,
+             RaftPeer& aPeer,
+             TransferPosition aPosition)
 {
-  aPeer.mFile.clear();
-  aPeer.mOffset = 0;
+  aPeer.mParts.clear();
+  aPeer.mReadStale = aPeer.mReading;
+  aPeer.mReadAll = false;
+  aPeer.mConfirmed = aPosition;
+  aPeer.mRead = std::move(aPosition);
+  aPeer.mPartDue = aNow + aRaft.mSettings.mHeartbeat * kPartRetryHeartbeats;
 }
 
 } // namespace
@@ -102,8 +113,8 @@
   peer.mTransferIndex = LogIndex();
   peer.mInFlight.clear();
   peer.mProbing = true;
-  RestartTransfer(peer);
-  ReadPart(aRaft, aNow, aTo, peer, aOut);
+  ContinueFrom(aRaft, aNow, peer, {});
+  ReadPart(aTo, peer, aOut);
 }
 
 void
@@ -111,7 +122,8 @@
 {
   for (auto& [id, peer] : aRaft.mPeers) {
     if (peer.mTransfer && aNow >= peer.mPartDue) {
-      ReadPart(aRaft, aNow, id, peer, aOut);
+      ContinueFrom(aRaft, aNow, peer, peer.mConfirmed);
+      ReadPart(id, peer, aOut);
     }
   }
 }
@@ -126,23 +138,34 @@
 {
   const auto found = aRaft.mPeers.find(aTo);
   if (aRaft.mFailed || aRaft.mRole != RaftRole::eLeader ||
-      found == aRaft.mPeers.end() || !found->second.mTransfer) {
+      found == aRaft.mPeers.end()) {
     return;
   }
   RaftPeer& peer = found->second;
   peer.mReading = false;
+  const bool stale = std::exchange(peer.mReadStale, false);
+  if (!peer.mTransfer) {
+    return;
+  }
+  if (stale) {
+    ReadPart(aTo, peer, aOut);
+    return;
+  }
   if (!aOk) {
-    RestartTransfer(peer);
-    return; // read again at mPartDue
+    ContinueFrom(aRaft, aNow, peer, {}); // read again at mPartDue
+    return;
   }
   peer.mTransferIndex = aPart.mLastIndex;
-  peer.mPartSentAt = aNow.mMicros;
+  peer.mRead = { aPart.mFile, aPart.mOffset + aPart.mBytes.size() };
+  peer.mReadAll = aPart.mAllDone;
+  peer.mParts.push_back({ aNow.mMicros, peer.mRead });
   RaftSend send = MakeMessage(aRaft, aTo);
   SnapshotPart part = aPart;
   part.mTerm = aRaft.mTerm;
   part.mSentAt = aNow.mMicros;
   send.mMessage.mBody = std::move(part);
   aOut.emplace_back(std::move(send));
+  ReadPart(aTo, peer, aOut);
   FinishStep(aRaft, aOut);
 }
 
@@ -242,19 +265,32 @@
     return;
   }
   RaftPeer& peer = aRaft.mPeers[aMessage.mFrom];
-  // Only the reply to the last part counts, so that duplicated messages do not
-  // start a second stream of parts.
-  if (!peer.mTransfer || peer.mPartSentAt != aReply.mSentAt) {
+  // Replies to parts that are not in flight any more do not count.
+  const auto part = std::find_if(
+    peer.mParts.begin(), peer.mParts.end(), [&](const SentPart& aPart) {
+      return aPart.mSentAt == aReply.mSentAt;
+    });
+  if (!peer.mTransfer || part == peer.mParts.end()) {
     return;
   }
-  peer.mPartSentAt.reset();
   if (!aReply.mInstalled) {
-    peer.mFile = aReply.mFile;
-    peer.mOffset = aReply.mNextOffset;
-    ReadPart(aRaft, aNow, aMessage.mFrom, peer, aOut);
+    const TransferPosition position{ aReply.mFile, aReply.mNextOffset };
+    const auto answered =
+      std::find_if(part, peer.mParts.end(), [&](const SentPart& aPart) {
+        return aPart.mEnd == position && aPart.mSentAt == aReply.mSentAt;
+      });
+    if (answered == peer.mParts.end()) {
+      ContinueFrom(aRaft, aNow, peer, position);
+    } else {
+      peer.mParts.erase(peer.mParts.begin(), answered + 1);
+      peer.mConfirmed = position;
+      peer.mPartDue = aNow + aRaft.mSettings.mHeartbeat * kPartRetryHeartbeats;
+    }
+    ReadPart(aMessage.mFrom, peer, aOut);
     return;
   }
   peer.mTransfer = false;
+  peer.mParts.clear();
   peer.mMatch = std::max(peer.mMatch, aReply.mLastIndex);
   peer.mNext = LogIndex(peer.mMatch.mValue + 1);
   AdvanceLeaderCommit(aRaft, aNow, aOut);
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -10,6 +10,23 @@
 
 namespace caraway {
 
+// A place in a snapshot transfer: bytes up to mOffset of a file, and all files
+// before it.
+struct TransferPosition
+{
+  std::string mFile; // empty: the start
+  uint64_t mOffset = 0;
+
+  bool operator==(const TransferPosition&) const = default;
+};
+
+// A part of a snapshot that was sent and is not answered yet.
+struct SentPart
+{
+  int64_t mSentAt = 0;
+  TransferPosition mEnd;
+};
+
 // The leader's view of one other replica.
 struct RaftPeer
 {
@@ -22,14 +39,16 @@
   MonoTime mLastReplySentAt{ INT64_MIN / 4 };
   uint64_t mDisk = 0; // data folder named in its replies
 
-  // Snapshot transfer, one part at a time.
+  // Snapshot transfer. Parts are sent ahead of the replies, in order.
   bool mTransfer = false;
-  LogIndex mTransferIndex; // snapshot being sent
-  std::string mFile;       // position it asked for last
-  uint64_t mOffset = 0;
-  bool mReading = false;              // a RaftReadSnapshotPart is in progress
-  std::optional<int64_t> mPartSentAt; // send time of the unanswered part
-  MonoTime mPartDue;                  // when to read and send the part again
+  LogIndex mTransferIndex;     // snapshot being sent
+  TransferPosition mConfirmed; // by the last reply
+  TransferPosition mRead;      // up to here parts were read
+  bool mReadAll = false;       // to the end of the snapshot
+  bool mReading = false;       // a RaftReadSnapshotPart is in progress
+  bool mReadStale = false;     // its result is not wanted any more
+  std::deque<SentPart> mParts; // oldest first
+  MonoTime mPartDue;           // then goes back to mConfirmed
 };
 
 // The log in memory, without the entries up to mBase.
--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -43,6 +43,8 @@
   , mPeers(aLoop, aPeer)
   , mHttp(aLoop, aHttp)
   , mStorageRetry(aLoop, [this] { RetryStorage(); })
+  , mLogWorker(aLoop, "log")
+  , mSnapshotWorker(aLoop, "snapshot")
   , mPump(
       aLoop,
       { [this](MonoTime aNow,
@@ -59,6 +61,11 @@
 ControlHost::Start()
 {
   mStorageLostAt = mLoop.Now();
+  for (DiskWorker* worker : { &mLogWorker, &mSnapshotWorker }) {
+    if (absl::Status status = worker->Start(); !status.ok()) {
+      return status;
+    }
+  }
   // Before the listeners: nobody reads them while the disk does not answer.
   absl::Status storage = OpenFolder();
   if (!storage.ok() && KindOf(storage) != ErrorKind::eDiskFailed) {
@@ -112,6 +119,7 @@
     return folder.status();
   }
   mFolder = std::move(*folder);
+  ++mFolderNumber;
   mTail = {};
   return absl::OkStatus();
 }
@@ -175,6 +183,11 @@
 void
 ControlHost::RetryStorage()
 {
+  if (mLogWorker.Busy() || mSnapshotWorker.Busy()) {
+    // They still work on files of the folder.
+    mStorageRetry.ArmAt(mLoop.Now() + mStoragePause);
+    return;
+  }
   ++mStorageAttempts;
   absl::Status status = DataFolder::Probe(mPath);
   if (status.ok() || KindOf(status) == ErrorKind::eNotFound) {
@@ -299,6 +312,9 @@
     return;
   }
   mSettings.mInitialReplicas = SingleReplicaSet();
+  // The new role numbers its writes from the start.
+  mUnsynced.clear();
+  ++mFolderNumber;
   RaftRecovered fresh;
   fresh.mDisk = mDisk;
   auto control = MakeControl(
@@ -349,39 +365,74 @@
   mSyncScheduled = true;
   mLoop.Defer([this] {
     mSyncScheduled = false;
-    SyncWrites();
+    if (mStorage == Storage::eUp) {
+      SyncWrites();
+    }
   });
 }
 
 void
 ControlHost::SyncWrites()
 {
-  if (mUnsynced.empty()) {
-    return;
-  }
-  if (const absl::Status status = mFolder->Sync(); !status.ok()) {
-    Check(status);
-    return;
-  }
-  for (const uint64_t write : std::exchange(mUnsynced, {})) {
-    mPump.Post(LogWritten{ write });
-  }
+  if (mUnsynced.empty() || mLogWorker.Busy()) {
+    return; // the end of the sync in progress schedules the next one
+  }
+  const auto sync = std::make_shared<const PendingSync>(mFolder->BeginSync());
+  mLogWorker.Run(
+    [sync] { return DataFolder::RunSync(*sync); },
+    [this, sync, writes = std::exchange(mUnsynced, {}), number = mFolderNumber](
+      const absl::Status& aStatus) {
+      ScheduleSync();
+      if (mStorage != Storage::eUp || number != mFolderNumber) {
+        return;
+      }
+      if (const absl::Status status = mFolder->FinishSync(*sync, aStatus);
+          !status.ok()) {
+        Check(status);
+        return;
+      }
+      for (const uint64_t write : writes) {
+        mPump.Post(LogWritten{ write });
+      }
+    });
 }
 
 void
 ControlHost::UseFolder(const SaveSnapshot& aSave)
 {
-  SyncWrites();
-  if (mStorage != Storage::eUp) {
-    return;
-  }
-  if (const absl::Status status =
-        mFolder->SaveSnapshot(aSave.mMark, aSave.mState);
-      !status.ok()) {
-    Check(status);
+  const auto snapshot = std::make_shared<const PendingSnapshot>(
+    mFolder->BeginSnapshot(aSave.mMark, aSave.mState));
+  mSnapshotWorker.Run(
+    [snapshot] { return DataFolder::RunSnapshot(*snapshot); },
+    [this, snapshot, number = mFolderNumber](const absl::Status& aStatus) {
+      if (mStorage != Storage::eUp || number != mFolderNumber) {
+        return;
+      }
+      if (const absl::Status status =
+            mFolder->FinishSnapshot(*snapshot, aStatus);
+          !status.ok()) {
+        Check(status);
+        return;
+      }
+      mPump.Post(SnapshotSaved{ snapshot->mMark.mIndex });
+    });
+}
+
+void
+ControlHost::SyncBlobs()
+{
+  if (mSnapshotWorker.Busy()) {
     return;
   }
-  mPump.Post(SnapshotSaved{ aSave.mMark.mIndex });
+  const auto sync =
+    std::make_shared<const PendingBlobSync>(mFolder->BeginBlobSync());
+  mSnapshotWorker.Run(
+    [sync] { return DataFolder::RunBlobSync(*sync); },
+    [this, sync, number = mFolderNumber](const absl::Status& aStatus) {
+      if (mStorage == Storage::eUp && number == mFolderNumber) {
+        Check(mFolder->FinishBlobSync(*sync, aStatus));
+      }
+    });
 }
 
 void
@@ -405,6 +456,9 @@
     Check(stored.status());
     return;
   }
+  if (aStore.mPart.mFileDone && stored->mMark.mIndex.IsNone()) {
+    SyncBlobs();
+  }
   SnapshotPartStored event;
   event.mFrom = aStore.mFrom;
   event.mReply = std::move(stored->mReply);
@@ -447,6 +501,10 @@
             "caraway_control_storage_losses_total",
             "counter",
             mStorageLosses);
+  AddMetric(aResponse,
+            "caraway_control_slow_disk_total",
+            "counter",
+            mLogWorker.SlowTasks() + mSnapshotWorker.SlowTasks());
 }
 
 void
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -10,6 +10,7 @@
 
 #include "caraway/control/control.h"
 #include "caraway/runtime/data_folder.h"
+#include "caraway/runtime/disk_worker.h"
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/logging.h"
 #include "caraway/runtime/peer_transport.h"
@@ -68,6 +69,9 @@
   // most of the time while a large fleet registers.
   void ScheduleSync();
   void SyncWrites();
+  // Syncs the blobs of an incoming snapshot while the next ones arrive, so that
+  // little is left at its end.
+  void SyncBlobs();
 
   absl::Status OpenFolder();
   // Makes the role from the folder.
@@ -96,10 +100,11 @@
   PeerTransport mPeers;
   HttpServer mHttp;                  // operators
   std::unique_ptr<Control> mControl; // null while mStorage is eDown
-  std::vector<uint64_t>
-    mUnsynced;                 // numbers of the writes appended but not synced
-  bool mSyncScheduled = false; // SyncWrites is deferred in the loop
-  uint64_t mDisk = 0;          // identity of the data folder
+  // Numbers of the writes that were appended and are in no sync yet.
+  std::vector<uint64_t> mUnsynced;
+  bool mSyncScheduled = false;     // SyncWrites is deferred in the loop
+  uint64_t mFolderNumber = 0;      // tells the folder that a task belongs to
+  uint64_t mDisk = 0;              // identity of the data folder
   std::vector<LogField> mRecovery; // what the folder held when it was opened
 
   Storage mStorage = Storage::eDown;
@@ -111,6 +116,9 @@
   uint64_t mStorageAttempts = 0; // since mStorageLostAt
   uint64_t mStorageLosses = 0;   // since the start of the process
   Timer mStorageRetry;
+  // A snapshot takes many syncs, and commits do not wait for it.
+  DiskWorker mLogWorker;
+  DiskWorker mSnapshotWorker;
 
   RolePump<ControlEvent, ControlAction> mPump;
   SentExit mExit;
--- a/caraway/runtime/data_folder.cpp
+++ b/caraway/runtime/data_folder.cpp
@@ -125,15 +125,91 @@
   return RecordFirstFailure(*mState, SyncLog(*mState));
 }
 
+PendingSync
+DataFolder::BeginSync() const
+{
+  return PrepareSync(*mState);
+}
+
+absl::Status
+DataFolder::RunSync(const PendingSync& aSync)
+{
+  return RunPreparedSync(aSync);
+}
+
+absl::Status
+DataFolder::FinishSync(const PendingSync& aSync, const absl::Status& aStatus)
+{
+  if (mState->mFailure.ok() && aStatus.ok()) {
+    NoteSynced(*mState, aSync);
+  }
+  RecordFirstFailure(*mState, aStatus).IgnoreError();
+  return mState->mFailure;
+}
+
+PendingBlobSync
+DataFolder::BeginBlobSync() const
+{
+  return PrepareBlobSync(*mState);
+}
+
+absl::Status
+DataFolder::RunBlobSync(const PendingBlobSync& aSync)
+{
+  return RunPreparedBlobSync(aSync);
+}
+
+absl::Status
+DataFolder::FinishBlobSync(const PendingBlobSync& aSync,
+                           const absl::Status& aStatus)
+{
+  if (mState->mFailure.ok() && aStatus.ok()) {
+    NoteBlobsSynced(*mState, aSync);
+  }
+  RecordFirstFailure(*mState, aStatus).IgnoreError();
+  return mState->mFailure;
+}
+
+absl::Status
+DataFolder::SaveSnapshot(const SnapshotMark& aMark, std::string aState)
+{
+  if (!mState->mFailure.ok()) {
+    return mState->mFailure;
+  }
+  const PendingSnapshot snapshot = BeginSnapshot(aMark, std::move(aState));
+  return FinishSnapshot(snapshot, RunSnapshot(snapshot));
+}
+
+PendingSnapshot
+DataFolder::BeginSnapshot(const SnapshotMark& aMark, std::string aState) const
+{
+  return { aMark, std::move(aState), PrepareBlobSync(*mState), mState->mPath };
+}
+
+absl::Status
+DataFolder::RunSnapshot(const PendingSnapshot& aSnapshot)
+{
+  absl::Status status = RunPreparedBlobSync(aSnapshot.mBlobs);
+  if (status.ok()) {
+    status = ReplaceFile(aSnapshot.mBlobs.mWatch,
+                         aSnapshot.mFolder,
+                         SnapshotName(aSnapshot.mMark.mIndex),
+                         EncodeSnapshotFile(aSnapshot.mMark, aSnapshot.mState));
+  }
+  return status;
+}
+
 absl::Status
-DataFolder::SaveSnapshot(const SnapshotMark& aMark, std::string_view aState)
+DataFolder::FinishSnapshot(const PendingSnapshot& aSnapshot,
+                           const absl::Status& aStatus)
 {
   if (!mState->mFailure.ok()) {
     return mState->mFailure;
   }
-  absl::Status status = SyncBlobs(*mState);
+  absl::Status status = aStatus;
   if (status.ok()) {
-    status = CommitSnapshot(*mState, aMark, EncodeSnapshotFile(aMark, aState));
+    NoteBlobsSynced(*mState, aSnapshot.mBlobs);
+    status = UseSnapshot(*mState, aSnapshot.mMark);
   }
   return RecordFirstFailure(*mState, status);
 }
--- a/caraway/runtime/data_folder.h
+++ b/caraway/runtime/data_folder.h
@@ -31,6 +31,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "caraway/consensus/raft.h"
@@ -77,6 +78,43 @@
   std::string mState;
 };
 
+// A sync of the log that another thread may carry out.
+struct PendingSync
+{
+  std::shared_ptr<const FileDescriptor> mFile;
+  std::string mPath;
+  std::string mFolder; // to be synced as well; empty: not
+  FileWatch mWatch;
+  uint64_t mSequence = 0;      // of the segment
+  uint64_t mLength = 0;        // bytes of it that are durable afterwards
+  uint64_t mFolderChanges = 0; // covered by the sync of the folder
+};
+
+// A sync of the blobs that were written since their last one.
+struct PendingBlobSync
+{
+  struct Blob
+  {
+    std::string mName;
+    std::string mPath;
+    std::shared_ptr<const FileDescriptor> mFile;
+    uint64_t mWrites = 0; // covered by the sync
+  };
+  std::vector<Blob> mBlobs;
+  std::string mFolder; // as above
+  FileWatch mWatch;
+  uint64_t mFolderChanges = 0;
+};
+
+// A snapshot that another thread may store.
+struct PendingSnapshot
+{
+  SnapshotMark mMark;
+  std::string mState;
+  PendingBlobSync mBlobs;
+  std::string mFolder;
+};
+
 class DataFolder
 {
 public:
@@ -114,7 +152,27 @@
   absl::Status Sync();
 
   // Syncs the blobs, stores the snapshot and drops the log entries it covers.
-  absl::Status SaveSnapshot(const SnapshotMark& aMark, std::string_view aState);
+  absl::Status SaveSnapshot(const SnapshotMark& aMark, std::string aState);
+
+  // The same in three steps: the first and the last here, the middle one on any
+  // thread, while the folder is in use. At most one sync of the log, one of
+  // blobs and one snapshot may be in progress. The last step takes the status
+  // of the middle one, and is left out if the folder is gone by then.
+  PendingSync BeginSync() const;
+  static absl::Status RunSync(const PendingSync& aSync);
+  absl::Status FinishSync(const PendingSync& aSync,
+                          const absl::Status& aStatus);
+
+  PendingBlobSync BeginBlobSync() const;
+  static absl::Status RunBlobSync(const PendingBlobSync& aSync);
+  absl::Status FinishBlobSync(const PendingBlobSync& aSync,
+                              const absl::Status& aStatus);
+
+  PendingSnapshot BeginSnapshot(const SnapshotMark& aMark,
+                                std::string aState) const;
+  static absl::Status RunSnapshot(const PendingSnapshot& aSnapshot);
+  absl::Status FinishSnapshot(const PendingSnapshot& aSnapshot,
+                              const absl::Status& aStatus);
 
   // The part of the newest snapshot at this position. Files come in the order
   // of a transfer: blobs sorted by name, then "state". At the end of a file,
--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -29,7 +29,7 @@
     return absl::OkStatus();
   }
   return SyncData(
-    aState.mSettings.mWatch, aBlob.mFile, BlobPath(aState, aBlob.mName));
+    aState.mSettings.mWatch, *aBlob.mFile, BlobPath(aState, aBlob.mName));
 }
 
 } // namespace
@@ -59,7 +59,7 @@
     "use 1 to 200 letters, digits, '-', '_' and '.', without a leading dot");
 }
 
-absl::StatusOr<FileDescriptor*>
+absl::StatusOr<const FileDescriptor*>
 OpenBlob(DataFolderState& aState, const std::string& aName, bool aCreate)
 {
   auto& cache = aState.mBlobs;
@@ -69,17 +69,18 @@
     });
   if (found != cache.end()) {
     cache.splice(cache.begin(), cache, found);
-    return &cache.front().mFile;
+    return cache.front().mFile.get();
   }
   auto file = OpenFile(BlobPath(aState, aName), O_RDWR);
   if (!file.ok() && KindOf(file.status()) == ErrorKind::eNotFound && aCreate) {
     file = CreateFile(aState.mSettings.mWatch, BlobPath(aState, aName));
-    aState.mBlobFolderDirty = true;
+    ++aState.mBlobChanges.mMade;
   }
   if (!file.ok()) {
     return file.status();
   }
-  cache.push_front({ aName, *std::move(file) });
+  cache.push_front(
+    { aName, std::make_shared<const FileDescriptor>(*std::move(file)) });
   if (cache.size() > aState.mSettings.mMaxOpenBlobs) {
     // Sync before closing: if a later write-back fails, a descriptor that is
     // opened afterwards may not get the error.
@@ -89,7 +90,7 @@
       return RecordFirstFailure(aState, status);
     }
   }
-  return &cache.front().mFile;
+  return cache.front().mFile.get();
 }
 
 absl::Status
@@ -102,7 +103,7 @@
   if (!file.ok()) {
     return file.status();
   }
-  aState.mDirtyBlobs.insert(aName);
+  aState.mDirtyBlobs[aName] = ++aState.mBlobWrites;
   return WriteAt(
     aState.mSettings.mWatch, **file, BlobPath(aState, aName), aOffset, aBytes);
 }
@@ -113,23 +114,67 @@
   std::erase_if(aState.mBlobs,
                 [&](const CachedBlob& aBlob) { return aBlob.mName == aName; });
   aState.mDirtyBlobs.erase(aName);
-  aState.mBlobFolderDirty = true;
+  ++aState.mBlobChanges.mMade;
   return RemoveFile(aState.mSettings.mWatch, BlobPath(aState, aName));
 }
 
-absl::Status
-SyncBlobs(DataFolderState& aState)
+PendingBlobSync
+PrepareBlobSync(const DataFolderState& aState)
 {
+  PendingBlobSync sync;
+  sync.mWatch = aState.mSettings.mWatch;
   // All dirty blobs are in the cache, since eviction syncs them.
   for (const CachedBlob& blob : aState.mBlobs) {
-    if (absl::Status status = SyncBlob(aState, blob); !status.ok()) {
+    const auto dirty = aState.mDirtyBlobs.find(blob.mName);
+    if (dirty != aState.mDirtyBlobs.end()) {
+      sync.mBlobs.push_back({ blob.mName,
+                              BlobPath(aState, blob.mName),
+                              blob.mFile,
+                              dirty->second });
+    }
+  }
+  if (aState.mBlobChanges.mMade != aState.mBlobChanges.mSynced) {
+    sync.mFolder = BlobFolder(aState);
+    sync.mFolderChanges = aState.mBlobChanges.mMade;
+  }
+  return sync;
+}
+
+absl::Status
+RunPreparedBlobSync(const PendingBlobSync& aSync)
+{
+  for (const PendingBlobSync::Blob& blob : aSync.mBlobs) {
+    if (absl::Status status = SyncData(aSync.mWatch, *blob.mFile, blob.mPath);
+        !status.ok()) {
       return status;
     }
   }
-  if (!std::exchange(aState.mBlobFolderDirty, false)) {
-    return absl::OkStatus();
+  return aSync.mFolder.empty() ? absl::OkStatus()
+                               : SyncFolder(aSync.mWatch, aSync.mFolder);
+}
+
+void
+NoteBlobsSynced(DataFolderState& aState, const PendingBlobSync& aSync)
+{
+  for (const PendingBlobSync::Blob& blob : aSync.mBlobs) {
+    const auto dirty = aState.mDirtyBlobs.find(blob.mName);
+    if (dirty != aState.mDirtyBlobs.end() && dirty->second == blob.mWrites) {
+      aState.mDirtyBlobs.erase(dirty);
+    }
+  }
+  aState.mBlobChanges.mSynced =
+    std::max(aState.mBlobChanges.mSynced, aSync.mFolderChanges);
+}
+
+absl::Status
+SyncBlobs(DataFolderState& aState)
+{
+  const PendingBlobSync sync = PrepareBlobSync(aState);
+  absl::Status status = RunPreparedBlobSync(sync);
+  if (status.ok()) {
+    NoteBlobsSynced(aState, sync);
   }
-  return SyncFolder(aState.mSettings.mWatch, BlobFolder(aState));
+  return status;
 }
 
 } // namespace caraway
--- a/caraway/runtime/data_folder_log.cpp
+++ b/caraway/runtime/data_folder_log.cpp
@@ -19,7 +19,7 @@
   const std::string record =
     EncodeLogRecord(aWrite, segment.mLength, segment.mSynced);
   if (absl::Status status = WriteAt(aState.mSettings.mWatch,
-                                    segment.mFile,
+                                    *segment.mFile,
                                     segment.mPath,
                                     segment.mLength,
                                     record);
@@ -72,16 +72,16 @@
   if (!file.ok()) {
     return file.status();
   }
-  segment.mFile = *std::move(file);
+  segment.mFile = std::make_shared<const FileDescriptor>(*std::move(file));
   const std::string header = EncodeSegmentHeader(aSequence);
   if (absl::Status status =
-        WriteAt(watch, segment.mFile, segment.mPath, 0, header);
+        WriteAt(watch, *segment.mFile, segment.mPath, 0, header);
       !status.ok()) {
     return status;
   }
   segment.mLength = header.size();
   aState.mSegment = std::move(segment);
-  aState.mFolderDirty = true;
+  ++aState.mChanges.mMade;
   RaftWrite first;
   first.mHard = aState.mHard;
   // Truncates nothing: states where the log ends before this segment, so that
@@ -164,21 +164,55 @@
   return AppendRecord(aState, *write);
 }
 
+PendingSync
+PrepareSync(const DataFolderState& aState)
+{
+  const OpenSegment& segment = aState.mSegment;
+  PendingSync sync;
+  sync.mFile = segment.mFile;
+  sync.mPath = segment.mPath;
+  sync.mWatch = aState.mSettings.mWatch;
+  sync.mSequence = segment.mSequence;
+  sync.mLength = segment.mLength;
+  if (aState.mChanges.mMade != aState.mChanges.mSynced) {
+    sync.mFolder = aState.mPath;
+    sync.mFolderChanges = aState.mChanges.mMade;
+  }
+  return sync;
+}
+
 absl::Status
-SyncLog(DataFolderState& aState)
+RunPreparedSync(const PendingSync& aSync)
+{
+  absl::Status status = SyncData(aSync.mWatch, *aSync.mFile, aSync.mPath);
+  if (status.ok() && !aSync.mFolder.empty()) {
+    status = SyncFolder(aSync.mWatch, aSync.mFolder);
+  }
+  return status;
+}
+
+void
+NoteSynced(DataFolderState& aState, const PendingSync& aSync)
 {
   OpenSegment& segment = aState.mSegment;
-  if (absl::Status status =
-        SyncData(aState.mSettings.mWatch, segment.mFile, segment.mPath);
-      !status.ok()) {
-    return status;
+  // A segment that was closed meanwhile was synced before that.
+  if (segment.mSequence == aSync.mSequence) {
+    segment.mSynced = std::max(segment.mSynced, aSync.mLength);
+    aState.mTail = { segment.mSequence, segment.mSynced };
   }
-  segment.mSynced = segment.mLength;
-  aState.mTail = { segment.mSequence, segment.mSynced };
-  if (!std::exchange(aState.mFolderDirty, false)) {
-    return absl::OkStatus();
+  aState.mChanges.mSynced =
+    std::max(aState.mChanges.mSynced, aSync.mFolderChanges);
+}
+
+absl::Status
+SyncLog(DataFolderState& aState)
+{
+  const PendingSync sync = PrepareSync(aState);
+  absl::Status status = RunPreparedSync(sync);
+  if (status.ok()) {
+    NoteSynced(aState, sync);
   }
-  return SyncFolder(aState.mSettings.mWatch, aState.mPath);
+  return status;
 }
 
 namespace {
@@ -187,7 +221,7 @@
 RemoveOldestSegments(DataFolderState& aState, size_t aCount)
 {
   // Each name may come back until the folder is synced, with gaps between them.
-  aState.mFolderDirty = aState.mFolderDirty || aCount > 0;
+  aState.mChanges.mMade += aCount;
   for (size_t at = 0; at < aCount; ++at) {
     if (absl::Status status = RemoveFile(
           aState.mSettings.mWatch,
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -221,19 +221,19 @@
   if (!file.ok()) {
     return file.status();
   }
-  segment.mFile = *std::move(file);
+  segment.mFile = std::make_shared<const FileDescriptor>(*std::move(file));
   const FileWatch& watch = aState.mSettings.mWatch;
   if (absl::Status status =
-        TruncateAt(watch, segment.mFile, segment.mPath, length);
+        TruncateAt(watch, *segment.mFile, segment.mPath, length);
       !status.ok()) {
     return status;
   }
   segment.mLength = length;
-  aState.mFolderDirty = true;
+  ++aState.mChanges.mMade;
   const bool known = aState.mTail.mSequence != 0;
   if (aState.mTail.mRewrite) {
     if (absl::Status status =
-          WriteAt(watch, segment.mFile, segment.mPath, 0, aContents);
+          WriteAt(watch, *segment.mFile, segment.mPath, 0, aContents);
         !status.ok()) {
       return status;
     }
--- a/caraway/runtime/data_folder_snapshot.cpp
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -11,18 +11,9 @@
 namespace caraway {
 
 absl::Status
-CommitSnapshot(DataFolderState& aState,
-               const SnapshotMark& aMark,
-               std::string_view aFileBytes)
+UseSnapshot(DataFolderState& aState, const SnapshotMark& aMark)
 {
   const LogIndex previous = aState.mSnapshot.mIndex;
-  if (absl::Status status = ReplaceFile(aState.mSettings.mWatch,
-                                        aState.mPath,
-                                        SnapshotName(aMark.mIndex),
-                                        aFileBytes);
-      !status.ok()) {
-    return status;
-  }
   aState.mSnapshot = aMark;
   if (!previous.IsNone() && previous != aMark.mIndex) {
     if (absl::Status status = RemoveFile(
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -21,7 +21,7 @@
 // The segment that is being written. Invariant: mSynced <= mLength.
 struct OpenSegment
 {
-  FileDescriptor mFile;
+  std::shared_ptr<const FileDescriptor> mFile;
   std::string mPath;
   uint64_t mSequence = 0;
   uint64_t mLength = 0; // bytes written to the file
@@ -32,7 +32,15 @@
 struct CachedBlob
 {
   std::string mName;
-  FileDescriptor mFile;
+  std::shared_ptr<const FileDescriptor> mFile;
+};
+
+// Names created or removed in a folder, and how many of these changes its last
+// sync covers. A sync in progress covers none yet.
+struct FolderChanges
+{
+  uint64_t mMade = 0;
+  uint64_t mSynced = 0;
 };
 
 // Receiver's state of a snapshot transfer.
@@ -60,8 +68,7 @@
   HardState mHard; // written at the start of each segment, too
   std::vector<ClosedSegment> mClosed;
   OpenSegment mSegment;
-  bool mFolderDirty = false; // a segment was created or removed since the last
-                             // sync
+  FolderChanges mChanges; // segments
   std::map<LogIndex, Term>
     mTermRuns;    // first entry of each run of entries of one term
   LogIndex mLast; // last entry of the log; none: empty
@@ -72,8 +79,10 @@
   SnapshotMark mSnapshot;
 
   std::list<CachedBlob> mBlobs; // open descriptors, most recently used first
-  std::set<std::string> mDirtyBlobs; // written since their last sync
-  bool mBlobFolderDirty = false;     // a blob was created or removed since then
+  std::map<std::string, uint64_t> mDirtyBlobs; // to the number of the last
+                                               // write, since their last sync
+  uint64_t mBlobWrites = 0;
+  FolderChanges mBlobChanges;
   IncomingSnapshot mIncoming;
 };
 
@@ -106,6 +115,15 @@
 absl::Status
 SyncLog(DataFolderState& aState);
 
+PendingSync
+PrepareSync(const DataFolderState& aState);
+
+absl::Status
+RunPreparedSync(const PendingSync& aSync);
+
+void
+NoteSynced(DataFolderState& aState, const PendingSync& aSync);
+
 // Updates the hard state, the term runs and the last index for a write that is
 // appended or recovered.
 void
@@ -124,7 +142,7 @@
 absl::Status
 CheckBlobName(const std::string& aName);
 
-absl::StatusOr<FileDescriptor*>
+absl::StatusOr<const FileDescriptor*>
 OpenBlob(DataFolderState& aState, const std::string& aName, bool aCreate);
 
 absl::Status
@@ -139,13 +157,20 @@
 absl::Status
 SyncBlobs(DataFolderState& aState);
 
+PendingBlobSync
+PrepareBlobSync(const DataFolderState& aState);
+
+absl::Status
+RunPreparedBlobSync(const PendingBlobSync& aSync);
+
+void
+NoteBlobsSynced(DataFolderState& aState, const PendingBlobSync& aSync);
+
 // data_folder_snapshot.cpp
-// Makes the encoded snapshot file the newest one, then drops the log entries it
-// covers.
+// Takes a snapshot whose file is durable as the newest one: removes the former
+// one and drops the log entries that it covers.
 absl::Status
-CommitSnapshot(DataFolderState& aState,
-               const SnapshotMark& aMark,
-               std::string_view aFileBytes);
+UseSnapshot(DataFolderState& aState, const SnapshotMark& aMark);
 
 // data_folder_transfer.cpp
 // See DataFolder::StoreSnapshotPart.
--- a/caraway/runtime/data_folder_transfer.cpp
+++ b/caraway/runtime/data_folder_transfer.cpp
@@ -102,7 +102,13 @@
   }
   absl::Status status = SyncBlobs(aState);
   if (status.ok()) {
-    status = CommitSnapshot(aState, contents->mMark, *bytes);
+    status = ReplaceFile(aState.mSettings.mWatch,
+                         aState.mPath,
+                         SnapshotName(contents->mMark.mIndex),
+                         *bytes);
+  }
+  if (status.ok()) {
+    status = UseSnapshot(aState, contents->mMark);
   }
   if (status.ok()) {
     status = RemoveUnreferencedBlobs(aState);
