A failed sync on a thread fails the syncs on the loop as well

The kernel has reported the error to the first sync and dropped the pages, so that the second one succeeds. The loop takes the lost bytes for durable, says so in Tail(), and the folder that is opened again keeps them: entries that are acknowledged from then on follow bytes that no disk holds.

Cause: each sync looked only at its own status. With one thread that was enough, since the first failure ended the use of the folder.

Change: SharedSyncs, one for the log and one for the blobs, shared by the folder and by its syncs in progress. It carries them out one after the other; after a failure all others fail. A sync on the loop waits for one of the same kind in progress, as the disk would have made it.

Evidence: folder_opens_after_any_refused_changes: random work with split syncs, kills and refusals: one to five changes are refused, beginning with each in turn; of each second refused write half of the bytes are written. The folder is opened again with Tail() until that works; it has to hold what was acknowledged, and states of a power loss are opened after each later change.

--- a/caraway/runtime/data_folder.h
+++ b/caraway/runtime/data_folder.h
@@ -84,6 +84,7 @@
   std::shared_ptr<const FileDescriptor> mFile;
   std::string mPath;
   std::string mFolder; // to be synced as well; empty: not
+  std::shared_ptr<SharedSyncs> mSyncs;
   FileWatch mWatch;
   uint64_t mSequence = 0;      // of the segment
   uint64_t mLength = 0;        // bytes of it that are durable afterwards
@@ -102,6 +103,7 @@
   };
   std::vector<Blob> mBlobs;
   std::string mFolder; // as above
+  std::shared_ptr<SharedSyncs> mSyncs;
   FileWatch mWatch;
   uint64_t mFolderChanges = 0;
 };
--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -28,7 +28,7 @@
   if (aState.mDirtyBlobs.erase(aBlob.mName) == 0) {
     return absl::OkStatus();
   }
-  return SyncData(
+  return aState.mBlobSyncs->SyncFile(
     aState.mSettings.mWatch, *aBlob.mFile, BlobPath(aState, aBlob.mName));
 }
 
@@ -122,6 +122,7 @@
 PrepareBlobSync(const DataFolderState& aState)
 {
   PendingBlobSync sync;
+  sync.mSyncs = aState.mBlobSyncs;
   sync.mWatch = aState.mSettings.mWatch;
   // All dirty blobs are in the cache, since eviction syncs them.
   for (const CachedBlob& blob : aState.mBlobs) {
@@ -144,13 +145,15 @@
 RunPreparedBlobSync(const PendingBlobSync& aSync)
 {
   for (const PendingBlobSync::Blob& blob : aSync.mBlobs) {
-    if (absl::Status status = SyncData(aSync.mWatch, *blob.mFile, blob.mPath);
+    if (absl::Status status =
+          aSync.mSyncs->SyncFile(aSync.mWatch, *blob.mFile, blob.mPath);
         !status.ok()) {
       return status;
     }
   }
-  return aSync.mFolder.empty() ? absl::OkStatus()
-                               : SyncFolder(aSync.mWatch, aSync.mFolder);
+  return aSync.mFolder.empty()
+           ? absl::OkStatus()
+           : aSync.mSyncs->SyncNames(aSync.mWatch, aSync.mFolder);
 }
 
 void
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -209,6 +209,28 @@
   return absl::OkStatus();
 }
 
+absl::Status
+SharedSyncs::SyncFile(const FileWatch& aWatch,
+                      const FileDescriptor& aFile,
+                      const std::string& aPath)
+{
+  const std::lock_guard lock(mMutex);
+  if (mFailure.ok()) {
+    mFailure = SyncData(aWatch, aFile, aPath);
+  }
+  return mFailure;
+}
+
+absl::Status
+SharedSyncs::SyncNames(const FileWatch& aWatch, const std::string& aFolder)
+{
+  const std::lock_guard lock(mMutex);
+  if (mFailure.ok()) {
+    mFailure = SyncFolder(aWatch, aFolder);
+  }
+  return mFailure;
+}
+
 namespace {
 
 absl::Status
--- a/caraway/runtime/data_folder_files.h
+++ b/caraway/runtime/data_folder_files.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -108,6 +109,22 @@
          const FileDescriptor& aFile,
          const std::string& aPath);
 
+// Syncs of the same files from more than one thread. The kernel reports an
+// error to one of them only, and the next sync of the file succeeds although
+// the bytes are lost: after a failure all of these fail. Any thread may use it.
+class SharedSyncs
+{
+public:
+  absl::Status SyncFile(const FileWatch& aWatch,
+                        const FileDescriptor& aFile,
+                        const std::string& aPath);
+  absl::Status SyncNames(const FileWatch& aWatch, const std::string& aFolder);
+
+private:
+  std::mutex mMutex;     // also held during a sync
+  absl::Status mFailure; // the first one
+};
+
 // Makes file creations, renames and removals in the folder durable.
 absl::Status
 SyncFolder(const FileWatch& aWatch, const std::string& aPath);
--- a/caraway/runtime/data_folder_log.cpp
+++ b/caraway/runtime/data_folder_log.cpp
@@ -171,6 +171,7 @@
   PendingSync sync;
   sync.mFile = segment.mFile;
   sync.mPath = segment.mPath;
+  sync.mSyncs = aState.mLogSyncs;
   sync.mWatch = aState.mSettings.mWatch;
   sync.mSequence = segment.mSequence;
   sync.mLength = segment.mLength;
@@ -184,9 +185,10 @@
 absl::Status
 RunPreparedSync(const PendingSync& aSync)
 {
-  absl::Status status = SyncData(aSync.mWatch, *aSync.mFile, aSync.mPath);
+  absl::Status status =
+    aSync.mSyncs->SyncFile(aSync.mWatch, *aSync.mFile, aSync.mPath);
   if (status.ok() && !aSync.mFolder.empty()) {
-    status = SyncFolder(aSync.mWatch, aSync.mFolder);
+    status = aSync.mSyncs->SyncNames(aSync.mWatch, aSync.mFolder);
   }
   return status;
 }
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 
 #include "caraway/runtime/data_folder.h"
@@ -69,6 +70,7 @@
   std::vector<ClosedSegment> mClosed;
   OpenSegment mSegment;
   FolderChanges mChanges; // segments
+  std::shared_ptr<SharedSyncs> mLogSyncs = std::make_shared<SharedSyncs>();
   std::map<LogIndex, Term>
     mTermRuns;    // first entry of each run of entries of one term
   LogIndex mLast; // last entry of the log; none: empty
@@ -83,6 +85,7 @@
                                                // write, since their last sync
   uint64_t mBlobWrites = 0;
   FolderChanges mBlobChanges;
+  std::shared_ptr<SharedSyncs> mBlobSyncs = std::make_shared<SharedSyncs>();
   IncomingSnapshot mIncoming;
 };
 
--- a/tests/runtime_power_loss_test.cpp
+++ b/tests/runtime_power_loss_test.cpp
@@ -252,6 +252,31 @@
   Report("blob written twice", 1, CheckWorkload(workload, 40, 0, random));
 }
 
+// Guards against a disk that refuses changes for a while and a replica that
+// then cannot open its folder, or goes on with data that is not durable.
+BOOST_AUTO_TEST_CASE(folder_opens_after_any_refused_changes)
+{
+  constexpr int kSteps = 24;
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    size_t from = 0;
+    for (bool refused = true; refused; ++from) {
+      Random random(seed * 1000 + from);
+      Workload workload(seed + 700, {}, {});
+      workload.mRefuseFrom = workload.mChanges.size() + from;
+      workload.mRefuseTo = workload.mRefuseFrom + 1 + DrawBelow(random, 5);
+      for (int step = 0; step < kSteps; ++step) {
+        workload.StepOrReopen();
+      }
+      refused = workload.mChanges.size() > workload.mRefuseFrom;
+      Report("refused change",
+             seed * 1000 + from,
+             CheckWorkload(workload, 3, 0, random, {}, workload.mRefuseFrom));
+    }
+    BOOST_TEST_MESSAGE("seed " << seed << ": " << from - 1
+                               << " changes refused in turn");
+  }
+}
+
 // Guards against a checker that finds nothing: each kind of sync is left out,
 // and some state has to be found broken.
 BOOST_AUTO_TEST_CASE(checker_finds_missing_syncs)
