An entry bounds the bytes of the requests that it holds

Seen (real process of, one entry, three control replicas, 2 cores; the platform kills an entry above 110 MB). Peak resident memory of the entry: 100 submissions of 1.2 MB whose last 10 bytes don't come: 129 MB; 2,500 requests with 15 kB of an unfinished head: 94 MB; 48 callers that submit jobs of 1.2 MB for 6 s: 178 MB (4 accepted, 95 time-outs), with control stopped 176 MB.

Cause: the HTTP server limited one request and the unsent responses. Nothing limited the bytes of all requests that arrive or have no answer yet.

Change: the HTTP server reserves the bytes of a request, with a stated body from its head on, and releases them with the end of its call. Above mMaxInputBytes, and for requests above 64 KiB above mMaxLargeInputBytes, it answers 503 with Retry-After, "not_run", and drops the rest of the body without holding it; the connection stays open for that, since a reset could destroy the answer.

--- a/caraway/runtime/http_inbound.cpp
+++ b/caraway/runtime/http_inbound.cpp
@@ -8,7 +8,6 @@
 
 #include <event2/keyvalq_struct.h>
 
-#include "absl/strings/str_cat.h"
 #include "caraway/runtime/http_rejection.h"
 #include "caraway/runtime/http_server.h"
 #include "caraway/runtime/input_bytes.h"
@@ -46,7 +45,14 @@
   ForEachAddedPiece(aInput, aInfo->n_added, [&](std::string_view aPiece) {
     ReadBytes(inbound->mReader, aPiece);
   });
-  if (inbound->mReader.mState == ReadState::eInvalid) {
+  MessageReader& reader = inbound->mReader;
+  if (reader.mState != ReadState::eInvalid &&
+      !inbound->mServer->ReserveInput(*inbound, aInfo->n_added)) {
+    reader.mState = ReadState::eInvalid;
+    reader.mErrorStatus = HTTP_SERVUNAVAIL;
+    LogBusy(inbound->mServer->mInputBytes);
+  }
+  if (reader.mState == ReadState::eInvalid) {
     inbound->mServer->DropInvalid(*inbound, aInput);
   }
 }
@@ -65,6 +71,10 @@
   evbuffer_drain(aInput, length - kept);
   evbuffer_prepend_buffer(aInput, before.get());
   aInbound.mTrimming = false;
+  aInbound.mDropped += length - kept;
+  if (aInbound.mDropped > mSettings.mMaxBodyBytes) {
+    (void)shutdown(bufferevent_getfd(aInbound.mBuffer), SHUT_RDWR);
+  }
   if (kept == 0) {
     RejectInvalid(aInbound);
   }
@@ -90,6 +100,7 @@
     bufferevent_get_input(aBuffer), &HttpServer::OnInput, &known->second);
   evbuffer_remove_cb(
     bufferevent_get_output(aBuffer), &HttpServer::OnOutput, &known->second);
+  SetReserved(known->second, 0);
   mInbound.erase(known);
 }
 
@@ -120,28 +131,24 @@
   if (evbuffer_get_length(bufferevent_get_output(aInbound.mBuffer)) > 0) {
     return; // the end of a response is still being sent
   }
-  const int status = aInbound.mReader.mErrorStatus;
-  const std::string body = RejectionBody(
-    aInbound.mReader.mError.c_str(), "invalid_argument", kWellFormed);
-  const std::string response = absl::StrCat(
-    "HTTP/1.1 ",
-    status,
-    status == HTTP_BADREQUEST ? " Bad Request" : " Not Implemented",
-    "\r\nContent-Type: application/json\r\nContent-Length: ",
-    body.size(),
-    "\r\nConnection: close\r\n\r\n",
-    body);
+  const std::string response = RejectionResponse(
+    aInbound.mReader.mErrorStatus, aInbound.mReader.mError.c_str());
   bufferevent_write(aInbound.mBuffer, response.data(), response.size());
   bufferevent_enable(aInbound.mBuffer, EV_WRITE);
 }
 
 // evhttp closes and frees the connection when it reads the end that this makes.
+// A request that exceeds the limits may still be on its way. Closing now would
+// reset the connection and could destroy the response, so the rest is read and
+// dropped until the caller closes.
 void
 HttpServer::OnOutput(evbuffer* aOutput, const evbuffer_cb_info*, void* aInbound)
 {
   const auto* inbound = static_cast<const Inbound*>(aInbound);
   if (inbound->mRejected && evbuffer_get_length(aOutput) == 0) {
-    (void)shutdown(bufferevent_getfd(inbound->mBuffer), SHUT_RDWR);
+    const bool lingers = inbound->mReader.mErrorStatus == HTTP_SERVUNAVAIL;
+    (void)shutdown(bufferevent_getfd(inbound->mBuffer),
+                   lingers ? SHUT_WR : SHUT_RDWR);
   }
 }
 
--- a/caraway/runtime/http_limits.cpp
+++ b/caraway/runtime/http_limits.cpp
@@ -1,6 +1,7 @@
-// Limits of the HTTP server: open connections, and unsent bytes of responses to
-// slow readers.
+// Limits of the HTTP server: open connections, bytes of requests that are held,
+// and unsent bytes of responses to slow readers.
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 #include <vector>
@@ -27,6 +28,57 @@
   mConnectionTimer.ArmAt(mLoop.Now() + kInterval);
 }
 
+// A body whose length is stated is reserved with its head: of several bodies
+// that together exceed the limit, the first ones are then received to the end.
+bool
+HttpServer::ReserveInput(Inbound& aInbound, size_t aAdded)
+{
+  const MessageReader& reader = aInbound.mReader;
+  aInbound.mArrived += aAdded;
+  // evhttp refuses longer bodies by their head.
+  const bool stated = reader.mState == ReadState::eLengthBody &&
+                      reader.mFraming.mLength <= mSettings.mMaxBodyBytes;
+  const size_t wanted = std::max(
+    aInbound.mReserved,
+    aInbound.mArrived + (stated ? static_cast<size_t>(reader.mLeft) : 0));
+  const size_t before = aInbound.mReserved;
+  SetReserved(aInbound, wanted);
+  // Accept refuses requests that are complete.
+  if (wanted == before || reader.mMessageBytes == 0) {
+    return true;
+  }
+  if (mInputBytes > mSettings.mMaxInputBytes ||
+      (wanted > kLargeInputBytes &&
+       mLargeInputBytes > mSettings.mMaxLargeInputBytes)) {
+    SetReserved(aInbound, before);
+    return false;
+  }
+  return true;
+}
+
+void
+HttpServer::SetReserved(Inbound& aInbound, size_t aBytes)
+{
+  const auto large = [](size_t aSize) {
+    return aSize > kLargeInputBytes ? aSize : 0;
+  };
+  mInputBytes += aBytes - aInbound.mReserved;
+  mLargeInputBytes += large(aBytes) - large(aInbound.mReserved);
+  aInbound.mReserved = aBytes;
+}
+
+void
+HttpServer::ReleaseCall(evhttp_connection* aConnection)
+{
+  bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
+  const auto known = mInbound.find(buffer);
+  if (known == mInbound.end()) {
+    return;
+  }
+  known->second.mArrived = evbuffer_get_length(bufferevent_get_input(buffer));
+  SetReserved(known->second, known->second.mArrived);
+}
+
 size_t
 HttpServer::UnsentBytes() const
 {
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -285,7 +285,10 @@
                                             BEV_OPT_CLOSE_ON_FREE);
     bufferevent_openssl_set_allow_dirty_shutdown(buffer, 1);
   }
-  Inbound& inbound = server->mInbound[buffer] = { server, buffer };
+  server->ForgetInbound(buffer);
+  Inbound& inbound = server->mInbound[buffer];
+  inbound.mServer = server;
+  inbound.mBuffer = buffer;
   evbuffer_add_cb(
     bufferevent_get_input(buffer), &HttpServer::OnInput, &inbound);
   evbuffer_add_cb(
@@ -307,8 +310,14 @@
     RejectMalformed(aRequest, refused);
     return;
   }
-  const HttpCallId id(mNextCall++);
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  if (mInputBytes > mSettings.mMaxInputBytes) {
+    LogBusy(mInputBytes);
+    RejectBusy(aRequest);
+    ReleaseCall(connection);
+    return;
+  }
+  const HttpCallId id(mNextCall++);
   evhttp_connection_set_closecb(
     connection, &HttpServer::OnConnectionClosed, this);
   WatchForClose(connection);
@@ -370,6 +379,7 @@
 HttpServer::Finish(HttpCallId aId)
 {
   auto call = mCalls.find(aId);
+  ReleaseCall(call->second.mConnection);
   mCallByConnection.erase(call->second.mConnection);
   mCalls.erase(call);
 }
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -34,10 +34,19 @@
   // Unsent bytes of all streamed responses; beyond it, those with the most are
   // aborted.
   size_t mMaxQueuedTotalBytes = 32 << 20;
+  // Bytes of all requests that are held: what has arrived, the rest of a body
+  // whose length is stated, and calls without a complete response. Beyond it,
+  // requests are refused with 503 and Retry-After.
+  size_t mMaxInputBytes = 512 << 20;
+  // What requests of more than kLargeInputBytes may take of it.
+  size_t mMaxLargeInputBytes = 256 << 20;
   int mMaxConnections = 8192; // beyond it, new ones wait in the backlog
   uint64_t mFirstCallId = 1;  // makes the ids of several servers distinct
 };
 
+// Requests above this size have a limit of their own, below that of all.
+constexpr size_t kLargeInputBytes = 64 << 10;
+
 class HttpServer
 {
 public:
@@ -55,6 +64,8 @@
   size_t OpenCalls() const { return mCalls.size(); }
   // Bytes of all responses that no socket has taken yet.
   size_t UnsentBytes() const;
+  // Bytes reserved for requests that are held.
+  size_t InputBytes() const { return mInputBytes; }
 
   // Respond sends a complete response. Begin, Chunk and End stream one; Abort
   // closes the connection without ending it. All ignore calls already closed.
@@ -95,6 +106,9 @@
     bool mTrimming = false; // its input is changed by DropInvalid
     // Nothing more is read: the connection ends when its output is sent.
     bool mRejected = false;
+    size_t mDropped = 0;  // bytes after the rejection
+    size_t mArrived = 0;  // bytes since the connection held no request
+    size_t mReserved = 0; // part of mInputBytes
   };
 
   static void OnInput(evbuffer* aInput,
@@ -113,6 +127,11 @@
   void ForgetInbound(bufferevent* aBuffer);
   void DropInvalid(Inbound& aInbound, evbuffer* aInput);
   void RejectInvalid(Inbound& aInbound);
+  // False if the message that is being received exceeds the limits.
+  bool ReserveInput(Inbound& aInbound, size_t aAdded);
+  void SetReserved(Inbound& aInbound, size_t aBytes);
+  // After the end of a call: only bytes of further requests are still held.
+  void ReleaseCall(evhttp_connection* aConnection);
   Call* Find(HttpCallId aId);
   void Finish(HttpCallId aId);
   // Frees a request that evhttp has detached from its closed connection.
@@ -142,6 +161,9 @@
   // By the connection's buffer. An entry of a connection that closed without
   // sending a byte is replaced when its address is used again.
   std::map<bufferevent*, Inbound> mInbound;
+  // Sums of Inbound::mReserved: of all, and of those above kLargeInputBytes.
+  size_t mInputBytes = 0;
+  size_t mLargeInputBytes = 0;
   std::vector<AbortedConnection> mAborted;
   // Connections whose response lasts until they close and is not sent in full
   // yet. Their sockets are set to reset on close.
