Soak: whole lists and bodies after the last loss; use of memory and descriptors

After the last loss the soak read the first megabyte of each job's results, and only an empty list counted as lost. It now follows 'next' from position 0 to the end of the list, compares each result with what was read before, and finds a list that has become shorter, a wrong total or next position, and a result of another job. It also asks for the bodies of three items of each job that are not listed, again until they come or the item is listed, and compares their bytes.

Ends of processes without a fault, the highest VmHWM and the most descriptors are printed for each role. An entry above 110 MB, a control replica above 140 MB or a node above 192 MB is a violation.

Not covered: lists above 1 MB, since the targets' outputs are short.

--- a/tests/platform_soak_test.cpp
+++ b/tests/platform_soak_test.cpp
@@ -3,7 +3,8 @@
 #define BOOST_TEST_MODULE platform_soak
 #include <boost/test/unit_test.hpp>
 
-#include "platform/soak/soak_record.h"
+#include "platform/soak/soak_fleet.h"
+#include "platform/soak/soak_results.h"
 
 using namespace caraway;
 using namespace caraway::soak;
@@ -56,6 +57,48 @@
   return record.mViolations.size();
 }
 
+std::string
+ResultOf(const std::string& aItem)
+{
+  std::string output;
+  for (uint64_t event = 1; event <= kStreamEvents; ++event) {
+    output +=
+      (event > 1 ? "\\n" : "") + aItem + "/" + std::to_string(event) + "/v1";
+  }
+  return R"({"id":")" + aItem + R"(","state":"completed","output":")" + output +
+         R"("})";
+}
+
+// An answer to a read of a job with four items.
+std::string
+ListOf(size_t aNext, const std::string& aResults)
+{
+  return R"({"total":4,"next":)" + std::to_string(aNext) + R"(,"results":[)" +
+         aResults + "]}";
+}
+
+struct JobRecord
+{
+  Record mRecord;
+  Job mJob;
+
+  JobRecord()
+  {
+    mJob.mId = "j";
+    mJob.mItems = { "i0", "i1", "i2", "i3" };
+    mRecord.mItems["i3"].mBody = "body of i3";
+  }
+
+  std::optional<size_t> Read(size_t aFrom,
+                             const std::string& aBody,
+                             ListEnd aEnd = ListEnd::eSettled)
+  {
+    return CheckResults(mRecord, mJob, aFrom, aBody, aEnd);
+  }
+
+  size_t Findings() const { return mRecord.mViolations.size(); }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(correct_request_has_no_findings)
@@ -235,3 +278,60 @@
   CheckRuns(record);
   BOOST_TEST(record.mViolations.size() == 1u);
 }
+
+BOOST_AUTO_TEST_CASE(results_are_read_to_the_end_of_the_list)
+{
+  JobRecord job;
+  BOOST_TEST(job.Read(0, ListOf(1, ResultOf("i0"))).value_or(0) == 1u);
+  BOOST_TEST(job.Read(1, ListOf(2, ResultOf("i2"))).value_or(0) == 2u);
+  BOOST_TEST(!job.Read(2, ListOf(2, "")));
+  BOOST_TEST(job.mJob.mListed.size() == 2u);
+  BOOST_TEST(job.Findings() == 0u);
+  BOOST_TEST(
+    (UnlistedItems(job.mJob) == std::vector<std::string>{ "i1", "i3" }));
+}
+
+BOOST_AUTO_TEST_CASE(lost_or_changed_result_is_found)
+{
+  JobRecord job;
+  job.Read(0, ListOf(2, ResultOf("i0") + "," + ResultOf("i1")));
+  job.Read(1, ListOf(1, ""), ListEnd::eMayLag);
+  BOOST_TEST(job.Findings() == 0u);
+  job.Read(1, ListOf(1, ""));
+  BOOST_TEST(job.Findings() == 1u);
+  job.Read(0, ListOf(0, ""), ListEnd::eMayLag);
+  BOOST_TEST(job.Findings() == 2u);
+  job.Read(0, ListOf(1, ResultOf("i1")));
+  BOOST_TEST(job.Findings() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(result_of_another_job_or_wrong_position_is_found)
+{
+  JobRecord job;
+  job.Read(0, ListOf(1, ResultOf("other")));
+  BOOST_TEST(job.Findings() == 1u);
+  job.Read(1, ListOf(3, ResultOf("i1")));
+  BOOST_TEST(job.Findings() == 2u);
+  job.Read(0, "not JSON");
+  BOOST_TEST(job.Findings() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(changed_body_of_an_item_is_found)
+{
+  JobRecord job;
+  CheckItemBody(job.mRecord, "i3", "body of i3");
+  BOOST_TEST(job.Findings() == 0u);
+  CheckItemBody(job.mRecord, "i3", "body of i4");
+  BOOST_TEST(job.Findings() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(process_above_its_memory_is_found)
+{
+  Record record;
+  CheckUsage(record, ProgramRole::eEntry, { 0, { 110'000'000, 9 } });
+  CheckUsage(record, ProgramRole::eControl, { 0, { 140'000'000, 9 } });
+  BOOST_TEST(record.mViolations.size() == 0u);
+  CheckUsage(record, ProgramRole::eEntry, { 0, { 110'000'001, 9 } });
+  CheckUsage(record, ProgramRole::eControl, { 0, { 140'000'001, 9 } });
+  BOOST_TEST(record.mViolations.size() == 2u);
+}
