A replaced replica's last request does not remove its successor

Each removal begins the transfer again.

Cause: requests to join count for 3 s. The process that lost its disk asked until its end, under its former id; its successor asks at the same address under a new one. While both requests are known, each of the two ids takes the other for the former replica of the address and has it removed.

Ruled out: silence of the new replica as the reason. The removals come 200 ms after the addition, long before a replica counts as lost (4 s).

Change: of the replicas that asked at one address, the one heard last counts. The leader hears a live replica every 0.2 to 0.5 s, so its requests stay the newer ones.

Test: request_of_a_replaced_replica_does_not_remove_the_new_one fails before in four checks ('^30 -30' for '^30', '-30' for nothing, '+3 +30' for '+30' and '+3'). membership_replica_care_test, control_replicas_test, control_retirement_test and consensus_failover_test pass (no sanitizers).

--- a/caraway/control/discovery.cpp
+++ b/caraway/control/discovery.cpp
@@ -129,7 +129,7 @@
     if (aStep.mNow - known.mHeardAt < kJoinRequestTtl &&
         !control.mState.mRetiring.contains(known.mInstance)) {
       groupStatus.mJoining.push_back(
-        { id, known.mAddress.mValue, known.mZone });
+        { id, known.mAddress.mValue, known.mZone, known.mHeardAt });
     }
   }
   return groupStatus;
--- a/caraway/membership/replica_steps.cpp
+++ b/caraway/membership/replica_steps.cpp
@@ -66,6 +66,20 @@
     [&](const ReplicaView& aOne) { return aOne.mId == aId && aOne.mRetiring; });
 }
 
+// True if another replica was heard at the address since: this one is gone.
+bool
+IsReplaced(const ReplicaGroupStatus& aGroupStatus,
+           const JoiningReplica& aJoining)
+{
+  return std::any_of(aGroupStatus.mJoining.begin(),
+                     aGroupStatus.mJoining.end(),
+                     [&](const JoiningReplica& aOther) {
+                       return aOther.mId != aJoining.mId &&
+                              aOther.mAddress == aJoining.mAddress &&
+                              aOther.mHeardAt > aJoining.mHeardAt;
+                     });
+}
+
 // Plans to add joining replicas. A replica that returns at its address under a
 // new id has lost its disk, and its former id, which will never answer again,
 // is removed first.
@@ -74,7 +88,8 @@
               std::vector<ReplicaStep>& aSteps)
 {
   for (const JoiningReplica& joining : aGroupStatus.mJoining) {
-    if (IsMember(aGroupStatus, joining.mId)) {
+    if (IsMember(aGroupStatus, joining.mId) ||
+        IsReplaced(aGroupStatus, joining)) {
       continue;
     }
     bool former = false;
--- a/caraway/membership/replica_steps.h
+++ b/caraway/membership/replica_steps.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "caraway/base/ids.h"
+#include "caraway/base/time.h"
 
 namespace caraway {
 
@@ -23,12 +24,14 @@
   bool mRetiring = false;
 };
 
-// A replica outside the group that asks to join.
+// A replica that asks to join, a member or not. Replicas with new ids may
+// follow each other at one address; the one heard last is there now.
 struct JoiningReplica
 {
   ReplicaId mId;
   std::string mAddress;
   ZoneId mZone;
+  MonoTime mHeardAt{};
 };
 
 // The control group as its leader sees it.
--- a/tests/membership_replica_care_test.cpp
+++ b/tests/membership_replica_care_test.cpp
@@ -79,6 +79,31 @@
   BOOST_TEST(Steps(groupStatus) == "^30 ");
 }
 
+// Guards against a replacement that is removed again: the last request of the
+// replica that lost its disk is still known, and names the same address.
+BOOST_AUTO_TEST_CASE(request_of_a_replaced_replica_does_not_remove_the_new_one)
+{
+  const auto at = [](int64_t aMillis) {
+    return MonoTime{ 0 } + Millis(aMillis);
+  };
+  ReplicaGroupStatus groupStatus = Three();
+  groupStatus.mReplicas[2] = Learner(30, "c");
+  groupStatus.mReplicas[2].mAddress = "10.0.0.3:1";
+  groupStatus.mJoining = {
+    { ReplicaId(3), "10.0.0.3:1", ZoneId("c"), at(100) },
+    { ReplicaId(30), "10.0.0.3:1", ZoneId("c"), at(400) }
+  };
+  BOOST_TEST(Steps(groupStatus) == "^30 ");
+  groupStatus.mReplicas[2].mVoter = true;
+  BOOST_TEST(Steps(groupStatus) == "");
+  // Nor is the old one added while both ask.
+  groupStatus.mReplicas.pop_back();
+  BOOST_TEST(Steps(groupStatus) == "+30 ");
+  // The one that was heard last counts, whichever id is lower.
+  groupStatus.mJoining[0].mHeardAt = at(500);
+  BOOST_TEST(Steps(groupStatus) == "+3 ");
+}
+
 BOOST_AUTO_TEST_CASE(no_vote_is_removed_without_a_majority_left)
 {
   ReplicaGroupStatus groupStatus = Three();
