Transfers survive removed blobs; refused folders stay refused

A blob that was removed while it was sent stopped its transfer for good: the next file's part did not follow what the receiver had.

A folder with an identity and no log was refused once, and the refusal left a new segment: the next start took the folder for sound, without its vote. The identity is looked for before a segment is created; missing_files_are_rejected opens twice.

It takes the failure of any sync of blobs.

--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -151,8 +151,9 @@
       return status;
     }
   }
+  // A blob that is in no sync any more may have failed one.
   return aSync.mFolder.empty()
-           ? absl::OkStatus()
+           ? aSync.mSyncs->Failure()
            : aSync.mSyncs->SyncNames(aSync.mWatch, aSync.mFolder);
 }
 
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -231,6 +231,13 @@
   return mFailure;
 }
 
+absl::Status
+SharedSyncs::Failure()
+{
+  const std::lock_guard lock(mMutex);
+  return mFailure;
+}
+
 namespace {
 
 absl::Status
--- a/caraway/runtime/data_folder_files.h
+++ b/caraway/runtime/data_folder_files.h
@@ -119,6 +119,7 @@
                         const FileDescriptor& aFile,
                         const std::string& aPath);
   absl::Status SyncNames(const FileWatch& aWatch, const std::string& aFolder);
+  absl::Status Failure();
 
 private:
   std::mutex mMutex;     // also held during a sync
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -96,6 +96,7 @@
 {
   std::vector<uint64_t> mSegments;  // ascending
   std::vector<uint64_t> mSnapshots; // ascending
+  bool mHasMeta = false;
 };
 
 // True for what an interrupted write of a whole file, of a snapshot transfer or
@@ -121,6 +122,8 @@
           !status.ok()) {
         return status;
       }
+    } else if (name == "meta") {
+      files.mHasMeta = true;
     } else if (auto sequence = ParseFileNumber(name, "log-", ".seg")) {
       files.mSegments.push_back(*sequence);
     } else if (auto index = ParseFileNumber(name, "snap-", "")) {
@@ -139,10 +142,10 @@
                    "and a new replica id");
 }
 
-// Reads or creates the folder's identity. Runs last: the first log segment is
-// created before meta, so a folder with meta but no segment has lost its log.
+// Reads or creates the folder's identity. The first log segment is durable
+// before meta, so a folder with meta but no segment has lost its log.
 absl::Status
-RecoverMeta(DataFolderState& aState, const FolderFiles& aFiles)
+RecoverMeta(DataFolderState& aState)
 {
   const std::string path = aState.mPath + "/meta";
   auto bytes = ReadWholeFile(path);
@@ -152,8 +155,7 @@
       return disk.status();
     }
     aState.mRecovered.mDisk = *disk;
-    return aFiles.mSegments.empty() ? MissingDataError("the log")
-                                    : absl::OkStatus();
+    return absl::OkStatus();
   }
   if (KindOf(bytes.status()) != ErrorKind::eNotFound) {
     return bytes.status();
@@ -357,8 +359,9 @@
 {
   const std::vector<uint64_t>& segments = aFiles.mSegments;
   if (segments.empty()) {
-    return aState.mSnapshot.mIndex.IsNone() ? OpenNewSegment(aState, 1)
-                                            : MissingDataError("the log");
+    return aState.mSnapshot.mIndex.IsNone() && !aFiles.mHasMeta
+             ? OpenNewSegment(aState, 1)
+             : MissingDataError("the log");
   }
   const size_t first = StartOfNewestRun(segments);
   std::vector<RaftWrite> writes;
@@ -425,7 +428,7 @@
     status = SyncLog(aState);
   }
   if (status.ok()) {
-    status = RecoverMeta(aState, *files);
+    status = RecoverMeta(aState);
   }
   return status.ok() ? RecoverFounder(aState) : status;
 }
--- a/caraway/runtime/data_folder_snapshot.cpp
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -139,7 +139,14 @@
       }
     }
   }
-  return FillNextFile(*mState, std::move(part));
+  const bool removed =
+    aOffset > 0 &&
+    KindOf(OpenBlob(*mState, aFile, false).status()) == ErrorKind::eNotFound;
+  auto next = FillNextFile(*mState, std::move(part));
+  if (next.ok() && removed) {
+    next->mAfter = RemovedFileMark(aFile, aOffset);
+  }
+  return next;
 }
 
 } // namespace caraway
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -176,6 +176,12 @@
 UseSnapshot(DataFolderState& aState, const SnapshotMark& aMark);
 
 // data_folder_transfer.cpp
+// Follows a blob that was removed while it was sent, in SnapshotPart::mAfter:
+// the receiver has this many bytes of it and gets no more. It learns of the
+// removal from the log after the snapshot. Not a valid name of a blob.
+std::string
+RemovedFileMark(const std::string& aFile, uint64_t aOffset);
+
 // See DataFolder::StoreSnapshotPart.
 absl::StatusOr<StoredSnapshotPart>
 StorePart(DataFolderState& aState, const SnapshotPart& aPart);
--- a/caraway/runtime/data_folder_transfer.cpp
+++ b/caraway/runtime/data_folder_transfer.cpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 
+#include "absl/strings/str_cat.h"
 #include "caraway/base/error.h"
 #include "caraway/consensus/log_codec.h"
 #include "caraway/runtime/data_folder_state.h"
@@ -45,8 +46,9 @@
   if (aPart.mFile == incoming.mFile && aPart.mOffset > 0) {
     return aPart.mOffset == incoming.mOffset;
   }
-  return aPart.mOffset == 0 && incoming.mFileDone &&
-         aPart.mAfter == incoming.mFile;
+  return aPart.mOffset == 0 &&
+         ((incoming.mFileDone && aPart.mAfter == incoming.mFile) ||
+          aPart.mAfter == RemovedFileMark(incoming.mFile, incoming.mOffset));
 }
 
 absl::Status
@@ -124,6 +126,12 @@
 
 } // namespace
 
+std::string
+RemovedFileMark(const std::string& aFile, uint64_t aOffset)
+{
+  return absl::StrCat(aFile, ":", aOffset);
+}
+
 absl::StatusOr<StoredSnapshotPart>
 StorePart(DataFolderState& aState, const SnapshotPart& aPart)
 {
--- a/tests/runtime_data_folder_test.cpp
+++ b/tests/runtime_data_folder_test.cpp
@@ -171,8 +171,11 @@
     AppendRange(*MustOpen(place.mPath), 1, 2, 1);
   }
   fs::remove(FilesWithPrefix(place.mPath, "log-").front());
-  BOOST_TEST((KindOf(DataFolder::Open(place.mPath).status()) ==
-              ErrorKind::eCorruptData));
+  // Again and again: a refusal leaves nothing that looks like a new folder.
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    BOOST_TEST((KindOf(DataFolder::Open(place.mPath).status()) ==
+                ErrorKind::eCorruptData));
+  }
 }
 
 // Guards against a log that grows without bound, and against losing entries
@@ -287,6 +290,33 @@
   BOOST_TEST(recovered.mEntries.size() == 2u);
 }
 
+// Guards against a transfer that never ends because a blob is removed while it
+// is sent.
+BOOST_AUTO_TEST_CASE(transfer_ends_if_a_blob_is_removed_meanwhile)
+{
+  TemporaryFolder one;
+  TemporaryFolder two;
+  DataFolderSettings settings;
+  settings.mPartBytes = 10;
+  auto from = MustOpen(one.mPath, settings);
+  AppendRange(*from, 1, 5, 2);
+  const std::string data = "0123456789abcdefghijklmnopq";
+  for (const char* name : { "file-1", "file-2", "file-3" }) {
+    BOOST_REQUIRE(from->WriteBlob(name, 0, data).ok());
+  }
+  BOOST_REQUIRE(from->SaveSnapshot(MarkOf(4, 2), "the state").ok());
+  auto to = MustOpen(two.mPath, settings);
+  const SnapshotMark mark = Transfer(*from, to, [&](const SnapshotPart& aPart) {
+    if (aPart.mFile == "file-2" && aPart.mOffset == 10) {
+      BOOST_REQUIRE(from->RemoveBlob("file-2").ok());
+    }
+    return false;
+  });
+  BOOST_TEST(mark.mIndex.mValue == 4u);
+  BOOST_TEST(*to->ReadBlob("file-1", 0, 100) == data);
+  BOOST_TEST(*to->ReadBlob("file-3", 0, 100) == data);
+}
+
 // Guards against blob names that point outside the folder, and against running
 // out of file descriptors.
 BOOST_AUTO_TEST_CASE(invalid_blob_names_are_rejected_and_open_blobs_bounded)
