Late replies move a transfer on; the log is kept for who catches up

A transfer made no progress if each reply took longer than the 300 ms that parts are waited for (a slow disk or link): parts were sent again, and the reply to the first ones did not count. A reply that shows a later position moves the transfer there.

The log keeps what a replica that has confirmed something lacks, up to five intervals.

--- a/caraway/consensus/raft_log.cpp
+++ b/caraway/consensus/raft_log.cpp
@@ -8,6 +8,14 @@
 
 namespace caraway {
 
+namespace {
+
+// What is kept in memory for replicas that catch up, in snapshot intervals. A
+// transfer takes up to four of them.
+constexpr uint64_t kMostKeptFactor = 5;
+
+} // namespace
+
 LogIndex
 LastIndex(const Raft& aRaft)
 {
@@ -75,7 +83,18 @@
   // Entries that were not passed to a write yet are still needed.
   const uint64_t limit =
     std::min(aRaft.mSnapshot.mIndex.mValue, aRaft.mWrittenTo.mValue);
+  // A replica that catches up with the log would need another snapshot without
+  // the entries that it lacks.
+  uint64_t confirmed = limit;
+  for (const auto& [id, peer] : aRaft.mPeers) {
+    if (!peer.mTransfer && !peer.mMatch.IsNone()) {
+      confirmed = std::min(confirmed, peer.mMatch.mValue);
+    }
+  }
+  const uint64_t mostKept = kMostKeptFactor * aRaft.mSettings.mSnapshotBytes;
   while (!log.mEntries.empty() && log.mEntries.front().mIndex.mValue <= limit &&
+         (log.mEntries.front().mIndex.mValue <= confirmed ||
+          log.mBytes > mostKept) &&
          (limit - log.mBase.mValue > aRaft.mSettings.mTailEntries ||
           log.mBytes > aRaft.mSettings.mTailBytes)) {
     log.mBytes -= log.mEntries.front().mPayload.size();
--- a/caraway/consensus/raft_snapshot.cpp
+++ b/caraway/consensus/raft_snapshot.cpp
@@ -4,6 +4,8 @@
 // names another position than expected, and the leader goes on from there.
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "caraway/consensus/raft_internal.h"
@@ -43,6 +45,18 @@
     RaftReadSnapshotPart{ aTo, aPeer.mRead.mFile, aPeer.mRead.mOffset });
 }
 
+// In the order of a transfer: blobs by name, then the state.
+bool
+IsBefore(const TransferPosition& aOne, const TransferPosition& aOther)
+{
+  const auto key = [](const TransferPosition& aPosition) {
+    return std::tuple(aPosition.mFile == "state",
+                      std::string_view(aPosition.mFile),
+                      aPosition.mOffset);
+  };
+  return key(aOne) < key(aOther);
+}
+
 // Goes on from this position, whatever was read or sent beyond it.
 void
 ContinueFrom(const Raft& aRaft,
@@ -265,12 +279,21 @@
     return;
   }
   RaftPeer& peer = aRaft.mPeers[aMessage.mFrom];
-  // Replies to parts that are not in flight any more do not count.
   const auto part = std::find_if(
     peer.mParts.begin(), peer.mParts.end(), [&](const SentPart& aPart) {
       return aPart.mSentAt == aReply.mSentAt;
     });
-  if (!peer.mTransfer || part == peer.mParts.end()) {
+  if (!peer.mTransfer) {
+    return;
+  }
+  if (part == peer.mParts.end()) {
+    // A reply that took longer than the parts were waited for.
+    const TransferPosition position{ aReply.mFile, aReply.mNextOffset };
+    if (!aReply.mInstalled && aReply.mLastIndex == peer.mTransferIndex &&
+        IsBefore(peer.mConfirmed, position)) {
+      ContinueFrom(aRaft, aNow, peer, position);
+      ReadPart(aMessage.mFrom, peer, aOut);
+    }
     return;
   }
   if (!aReply.mInstalled) {
