Resent uploads take no log entries; a repair comes before new uploads

Seen in the soak with large jobs: callers that send a job of 1.2 MB again made control write every part through its log and disk once more. The leader answers a part that its file holds, from its state.

Tests: resent_parts_take_no_log_entries, uploads_wait_for_a_repair_and_not_for_long.

--- a/caraway/control/group_watch.cpp
+++ b/caraway/control/group_watch.cpp
@@ -19,6 +19,12 @@
 // Elections take less.
 constexpr Duration kLeaderlessTimeout = Seconds(2);
 
+// Between lines about the progress of learners.
+constexpr Duration kLearnerLineInterval = Seconds(1);
+
+// Afterwards new uploads are taken in again, whatever learners need.
+constexpr Duration kMaxRepair = Seconds(10);
+
 // Between looks of the leader at its group.
 constexpr Duration kScanInterval = Millis(200);
 
@@ -88,6 +94,35 @@
   }
 }
 
+void
+LogLearners(ControlStep& aStep, const std::vector<ReplicaContact>& aContacts)
+{
+  GroupWatch& watch = aStep.mControl.mWatch;
+  const bool line = aStep.mNow >= watch.mNextLearnerLine;
+  std::set<ReplicaId> learners;
+  for (const ReplicaContact& one : aContacts) {
+    if (one.mVoter) {
+      continue;
+    }
+    learners.insert(one.mId);
+    if (watch.mLearnerSince.emplace(one.mId, aStep.mNow).second || !line) {
+      continue;
+    }
+    watch.mNextLearnerLine = aStep.mNow + kLearnerLineInterval;
+    LogLine(aStep,
+            LogLevel::eInfo,
+            "learner",
+            one.mReceivesSnapshot ? "snapshot" : "log",
+            absl::StrCat("replica ", one.mId.mValue, " ", one.mAddress),
+            { { "learning_ms", absl::StrCat(one.mLearning.Millis()) },
+              { "lag", absl::StrCat(one.mLag) },
+              { "silence_ms", absl::StrCat(one.mSilence.Millis()) } });
+  }
+  std::erase_if(watch.mLearnerSince, [&](const auto& aLearner) {
+    return !learners.contains(aLearner.first);
+  });
+}
+
 void
 LogStrength(ControlStep& aStep, const GroupStrength& aStrength)
 {
@@ -194,6 +229,12 @@
       contact.mSilence = peer == raft.mPeers.end()
                            ? Duration{}
                            : aNow - peer->second.mLastReplyAt;
+      contact.mReceivesSnapshot =
+        peer != raft.mPeers.end() && peer->second.mTransfer;
+      const auto since = aControl.mWatch.mLearnerSince.find(replica.mId);
+      if (since != aControl.mWatch.mLearnerSince.end()) {
+        contact.mLearning = aNow - since->second;
+      }
     }
     contact.mLag = last - std::min(last, match.mValue);
     contacts.push_back(std::move(contact));
@@ -213,6 +254,17 @@
   return strength;
 }
 
+bool
+RepairComesFirst(const std::vector<ReplicaContact>& aContacts)
+{
+  return LossesBorne(StrengthOf(aContacts)) == 0 &&
+         std::any_of(
+           aContacts.begin(), aContacts.end(), [](const ReplicaContact& aOne) {
+             return aOne.mReceivesSnapshot && !aOne.mVoter && aOne.Heard() &&
+                    aOne.mLearning < kMaxRepair;
+           });
+}
+
 Duration
 CommitStall(const Control& aControl, MonoTime aNow)
 {
@@ -245,6 +297,7 @@
     ContactsOf(aStep.mControl, aStep.mNow);
   const GroupStrength strength = StrengthOf(contacts);
   LogVoters(aStep, contacts, strength);
+  LogLearners(aStep, contacts);
   LogStrength(aStep, strength);
   LogStall(aStep, contacts);
 }
--- a/caraway/control/group_watch.h
+++ b/caraway/control/group_watch.h
@@ -3,6 +3,7 @@
 // leader hears, how many further losses the group bears, whether proposals are
 // committed, and for how long no leader has been known.
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -27,6 +28,8 @@
   bool mVoter = false;
   Duration mSilence; // since its last reply; 0 for the leader itself
   uint64_t mLag = 0; // entries of the log that it has not confirmed as synced
+  bool mReceivesSnapshot = false;
+  Duration mLearning; // since it became a learner under this leader
 
   bool Heard() const { return mSilence < kAliveTimeout; }
 };
@@ -53,6 +56,8 @@
   LogIndex mCommit;              // as of the last scan
   MonoTime mCommitMovedAt;       // or when nothing was left to commit
   bool mStalled = false;         // reported
+  std::map<ReplicaId, MonoTime> mLearnerSince;
+  MonoTime mNextLearnerLine;
 };
 
 // Empty unless this replica leads.
@@ -62,6 +67,12 @@
 GroupStrength
 StrengthOf(const std::vector<ReplicaContact>& aContacts);
 
+// True while the group bears no loss and a learner receives a snapshot to
+// change that: new uploads would delay it. A learner that takes unusually long
+// does not hold them up for good.
+bool
+RepairComesFirst(const std::vector<ReplicaContact>& aContacts);
+
 // For how long entries of the leader have waited without any commit; 0 if none
 // waits.
 Duration
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -105,14 +105,31 @@
   return std::nullopt;
 }
 
+CallReplyBody
+DescribeFileOf(const ControlStep& aStep,
+               const ControlCall& aCall,
+               const FileId& aFile)
+{
+  ControlCall describe;
+  describe.mWorkspace = aCall.mWorkspace;
+  describe.mBody = DescribeFile{ aFile };
+  return ReadCall(aStep.mControl.mState.mLedger, LogicalNow(aStep), describe);
+}
+
+bool
+FileExists(const ControlStep& aStep,
+           const ControlCall& aCall,
+           const FileId& aFile)
+{
+  return std::holds_alternative<FileReply>(DescribeFileOf(aStep, aCall, aFile));
+}
+
 // True if the file that the call reads has content.
 bool
 FileHasContent(const ControlStep& aStep, const ControlCall& aCall)
 {
-  ControlCall describe = aCall;
-  describe.mBody = DescribeFile{ std::get<ReadFile>(aCall.mBody).mFile };
   const CallReplyBody described =
-    ReadCall(aStep.mControl.mState.mLedger, LogicalNow(aStep), describe);
+    DescribeFileOf(aStep, aCall, std::get<ReadFile>(aCall.mBody).mFile);
   const auto* file = std::get_if<FileReply>(&described);
   return file != nullptr && file->mFile.mBytes > 0;
 }
@@ -278,6 +295,22 @@
           ReadCall(aStep.mControl.mState.mLedger, LogicalNow(aStep), aMessage));
     return;
   }
+  if (const auto* part = std::get_if<PutFilePart>(&aMessage.mBody)) {
+    if (part->mOffset == 0 && !FileExists(aStep, aMessage, part->mFile) &&
+        RepairComesFirst(ContactsOf(aStep.mControl, aStep.mNow))) {
+      Reply(aStep,
+            aFrom,
+            aMessage,
+            CallFailed{ ErrorKind::eUnavailable,
+                        "control replaces a lost replica; send it again" });
+      return;
+    }
+    if (auto stored = ReplyToStoredPart(
+          aStep.mControl.mState.mLedger, aMessage.mWorkspace, *part)) {
+      Reply(aStep, aFrom, aMessage, *std::move(stored));
+      return;
+    }
+  }
   ControlCall call = aMessage;
   if (auto* create = std::get_if<CreateJob>(&call.mBody)) {
     if (auto failed = FillFromContract(aStep, call.mWorkspace, *create)) {
--- a/caraway/control/metrics.cpp
+++ b/caraway/control/metrics.cpp
@@ -65,6 +65,11 @@
   aOut.Line("learners", "gauge", strength.mLearners);
   aOut.Line("losses_borne", "gauge", LossesBorne(strength));
   aOut.Line("commit_stalled_ms", "gauge", CommitStall(aControl, aNow).Millis());
+  Duration learning;
+  for (const ReplicaContact& one : contacts) {
+    learning = std::max(learning, one.mLearning);
+  }
+  aOut.Line("learning_ms", "gauge", learning.Millis());
   aOut.PerReplica("replica_silence_ms", contacts, [](const auto& aOne) {
     return aOne.mSilence.Millis();
   });
--- a/caraway/control/status_page.cpp
+++ b/caraway/control/status_page.cpp
@@ -23,7 +23,9 @@
                      { "address", one.mAddress },
                      { "voter", one.mVoter },
                      { "silence_ms", one.mSilence.Millis() },
-                     { "lag", one.mLag } });
+                     { "lag", one.mLag },
+                     { "receives_snapshot", one.mReceivesSnapshot },
+                     { "learning_ms", one.mLearning.Millis() } });
   }
   return list;
 }
--- a/caraway/ledger/files.cpp
+++ b/caraway/ledger/files.cpp
@@ -295,6 +295,27 @@
   return AppendPart(space, aWorkspace, aPart, hash, aEffects);
 }
 
+std::optional<CallReplyBody>
+ReplyToStoredPart(const Ledger& aLedger,
+                  const WorkspaceId& aWorkspace,
+                  const PutFilePart& aPart)
+{
+  const LedgerWorkspace* space = FindWorkspace(aLedger, aWorkspace);
+  const auto file = space == nullptr
+                      ? std::map<FileId, LedgerFile>::const_iterator()
+                      : space->mFiles.find(aPart.mFile);
+  if (space == nullptr || file == space->mFiles.end() ||
+      !(file->second.mComplete || aPart.mOffset < file->second.mBytes)) {
+    return std::nullopt;
+  }
+  const uint64_t hash = XXH3_64bits(aPart.mBytes.data(), aPart.mBytes.size());
+  CallReplyBody reply = CheckResend(aWorkspace, file->second, aPart, hash);
+  if (std::holds_alternative<CallFailed>(reply)) {
+    return std::nullopt;
+  }
+  return reply;
+}
+
 CallReplyBody
 ApplyDeleteFile(Ledger& aLedger,
                 const WorkspaceId& aWorkspace,
--- a/caraway/ledger/ledger.h
+++ b/caraway/ledger/ledger.h
@@ -5,6 +5,7 @@
 // All times are logical: each command carries the leader's milliseconds since
 // the group began, which never decrease.
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -94,6 +95,13 @@
 bool
 HasItemsToLease(const Ledger& aLedger, const std::vector<ModelId>& aModels);
 
+// The reply to a part that its file holds already, as a resend has; none if the
+// part has to be applied. A resend needs no log entry.
+std::optional<CallReplyBody>
+ReplyToStoredPart(const Ledger& aLedger,
+                  const WorkspaceId& aWorkspace,
+                  const PutFilePart& aPart);
+
 // The id of a job's output file.
 FileId
 OutputFileId(const JobId& aJob);
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -238,6 +238,22 @@
 
 } // namespace
 
+// Guards against resent uploads that fill the log of control: each part went
+// through it once more, though its file held it.
+BOOST_FIXTURE_TEST_CASE(resent_parts_take_no_log_entries, Batch)
+{
+  const std::string bytes(3 * kMaxPartBytes + 10, 'x');
+  Upload("file-1", bytes + "\n");
+  const uint64_t before = mLink.LeaderControl().mCounters.mProposals;
+  Upload("file-1", bytes + "\n");
+  BOOST_TEST(mLink.LeaderControl().mCounters.mProposals <= before + 1);
+  // Other bytes are still refused.
+  const CallReplyBody other = mEntry->Call(PutFilePart{
+    FileId("file-1"), "in.jsonl", "batch", 0, "other bytes\n", false });
+  BOOST_REQUIRE(std::holds_alternative<CallFailed>(other));
+  BOOST_TEST((std::get<CallFailed>(other).mKind == ErrorKind::eConflict));
+}
+
 BOOST_FIXTURE_TEST_CASE(items_arrive_with_bodies_and_results_are_read, Batch)
 {
   Start(100);
--- a/tests/control_group_watch_test.cpp
+++ b/tests/control_group_watch_test.cpp
@@ -192,3 +192,29 @@
   mLink.Run(Seconds(2));
   BOOST_TEST(HasMetric(mLink.Leader().value(), "voters_heard 3"));
 }
+
+// Guards against new work that delays the replacement of a lost replica while
+// the next loss would end control, and against a stuck learner that holds up
+// all work.
+BOOST_AUTO_TEST_CASE(uploads_wait_for_a_repair_and_not_for_long)
+{
+  ReplicaContact voter;
+  voter.mVoter = true;
+  ReplicaContact silent = voter;
+  silent.mSilence = kAliveTimeout;
+  ReplicaContact learner;
+  learner.mReceivesSnapshot = true;
+  BOOST_TEST(RepairComesFirst({ voter, voter, learner }));
+  BOOST_TEST(RepairComesFirst({ voter, voter, silent, learner }));
+  // A loss is borne, or nobody is brought back.
+  BOOST_TEST(!RepairComesFirst({ voter, voter, voter, learner }));
+  BOOST_TEST(!RepairComesFirst({ voter, voter, silent }));
+  learner.mLearning = Seconds(10);
+  BOOST_TEST(!RepairComesFirst({ voter, voter, learner }));
+  learner.mLearning = {};
+  learner.mReceivesSnapshot = false;
+  BOOST_TEST(!RepairComesFirst({ voter, voter, learner }));
+  learner.mReceivesSnapshot = true;
+  learner.mSilence = kAliveTimeout;
+  BOOST_TEST(!RepairComesFirst({ voter, voter, learner }));
+}
