A replica whose data is damaged goes on as an empty one

What could happen: a folder that fails with eCorruptData ends its replica at each start (start_failed), for ever, while the machine counts as running.

Change, for replicas that take their id from the folder: DataFolder:: SetAside moves the contents into the subfolder damaged/, in place of an older copy; one ERROR line (data_damaged) has the damage and the place; the next Open gives the empty folder a new identity. The copy, not the subfolder, is removed when the disk refuses writes with less than 64 MiB left. Gauge caraway_control_data_set_aside. Replicas with a given id end as before: they would come back under it without their votes.

A power loss in the middle: a file damaged/unfinished is durable before the first move and removed after the last one is; Open fails while it exists, so that a part of the data is never taken for all of it, and SetAside goes on.

MakeControl refusing the recovered state still ends the replica.

--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -111,19 +111,6 @@
   return absl::OkStatus();
 }
 
-absl::Status
-ControlHost::OpenFolder()
-{
-  auto folder = DataFolder::Open(mPath, {}, &mTail);
-  if (!folder.ok()) {
-    return folder.status();
-  }
-  mFolder = std::move(*folder);
-  ++mFolderNumber;
-  mTail = {};
-  return absl::OkStatus();
-}
-
 absl::Status
 ControlHost::StartRole()
 {
@@ -189,6 +176,7 @@
     return;
   }
   ++mStorageAttempts;
+  FreeSpace();
   absl::Status status = DataFolder::Probe(mPath);
   if (status.ok() || KindOf(status) == ErrorKind::eNotFound) {
     status = OpenFolder();
@@ -493,6 +481,10 @@
   const bool up = mStorage == Storage::eUp;
   const int64_t away = up ? 0 : (mLoop.Now() - mStorageLostAt).Millis();
   AddMetric(aResponse, "caraway_control_storage_up", "gauge", up ? 1 : 0);
+  AddMetric(aResponse,
+            "caraway_control_data_set_aside",
+            "gauge",
+            mDataSetAside ? 1 : 0);
   AddMetric(aResponse,
             "caraway_control_storage_away_ms",
             "gauge",
--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -73,7 +73,12 @@
   // little is left at its end.
   void SyncBlobs();
 
+  // Damaged data of a replica whose id comes from its folder is set aside: the
+  // replica goes on as an empty one, as after a lost disk.
   absl::Status OpenFolder();
+  absl::Status SetDataAside(const absl::Status& aDamage);
+  // Removes data that was set aside if the disk is full.
+  void FreeSpace() const;
   // Makes the role from the folder.
   absl::Status StartRole();
   // Stops the role and begins to open the folder again. From here on, nothing
@@ -106,6 +111,7 @@
   uint64_t mFolderNumber = 0;      // tells the folder that a task belongs to
   uint64_t mDisk = 0;              // identity of the data folder
   std::vector<LogField> mRecovery; // what the folder held when it was opened
+  bool mDataSetAside = false;      // the folder held data that was damaged
 
   Storage mStorage = Storage::eDown;
   SyncedTail mTail; // of the folder that failed
--- a/caraway/runtime/data_folder.h
+++ b/caraway/runtime/data_folder.h
@@ -8,6 +8,7 @@
 //   snap-*        the newest snapshot
 //   snap.part     state file of a snapshot transfer in progress
 //   blobs/        files and results of batch jobs
+//   damaged/      data that could not be recovered, for the operator
 //
 // After a power loss, each write since the last sync of its file is present,
 // missing or torn, and each name that was created, renamed or removed since the
@@ -55,6 +56,7 @@
   uint64_t mSegments = 0;  // read
   uint64_t mLeftovers = 0; // removed earlier, back after a power loss
   uint64_t mCutBytes = 0;  // of the torn end of the newest segment
+  bool mSetAside = false;  // the folder held data that was set aside
 };
 
 // Up to where the log is known to be synced. After a failed write or sync, what
@@ -128,6 +130,18 @@
     const DataFolderSettings& aSettings = {},
     SyncedTail* aTail = nullptr);
 
+  // Moves all data of a folder that can't be opened into its subfolder for
+  // damaged data, in place of an older copy, and returns the subfolder's path.
+  // The next Open finds an empty folder and gives it a new identity. After a
+  // power loss in between Open fails with eCorruptData, and SetAside goes on.
+  static absl::StatusOr<std::string> SetAside(
+    const std::string& aPath,
+    const DataFolderSettings& aSettings = {});
+
+  // Removes the data that was set aside, for its space. That the folder held
+  // some is kept.
+  static absl::Status RemoveSetAside(const std::string& aPath);
+
   RecoveryReport Report() const;
 
   // Whether this replica founded its group as its only member. MarkFounder is
--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -231,8 +231,6 @@
   return mFailure;
 }
 
-namespace {
-
 absl::Status
 RenameFile(const FileWatch& aWatch,
            const std::string& aFrom,
@@ -247,8 +245,6 @@
            : DiskError("renaming", aFrom);
 }
 
-} // namespace
-
 absl::Status
 ReplaceFile(const FileWatch& aWatch,
             const std::string& aFolder,
--- a/caraway/runtime/data_folder_files.h
+++ b/caraway/runtime/data_folder_files.h
@@ -129,6 +129,12 @@
 absl::Status
 SyncFolder(const FileWatch& aWatch, const std::string& aPath);
 
+// Replaces a file of the new name.
+absl::Status
+RenameFile(const FileWatch& aWatch,
+           const std::string& aFrom,
+           const std::string& aTo);
+
 // Replaces the file atomically and durably: writes aName.tmp, syncs it, renames
 // it to aName and syncs the folder.
 absl::Status
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -53,10 +53,12 @@
   return status.ok() && !error ? SyncFolder(watch, parent.string()) : status;
 }
 
+} // namespace
+
 absl::Status
 AcquireLock(DataFolderState& aState)
 {
-  const std::string path = aState.mPath + "/lock";
+  const std::string path = aState.mPath + "/" + kLockFileName;
   auto file = OpenFile(path, O_RDWR | O_CREAT);
   if (!file.ok()) {
     return file.status();
@@ -72,6 +74,8 @@
   return absl::OkStatus();
 }
 
+namespace {
+
 // The number N in "log-N.seg" or "snap-N"; nullopt for other names.
 std::optional<uint64_t>
 ParseFileNumber(std::string_view aName,
@@ -409,6 +413,9 @@
   if (status.ok()) {
     status = AcquireLock(aState);
   }
+  if (status.ok()) {
+    status = CheckSetAside(aState);
+  }
   if (!status.ok()) {
     return status;
   }
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -90,6 +90,7 @@
 };
 
 constexpr const char* kFounderFileName = "founder";
+constexpr const char* kLockFileName = "lock";
 
 std::string
 SegmentName(uint64_t aSequence);
@@ -105,6 +106,9 @@
 RecordFirstFailure(DataFolderState& aState, absl::Status aStatus);
 
 // data_folder_recovery.cpp
+absl::Status
+AcquireLock(DataFolderState& aState);
+
 absl::Status
 RecoverFolder(DataFolderState& aState);
 
@@ -175,6 +179,12 @@
 absl::Status
 UseSnapshot(DataFolderState& aState, const SnapshotMark& aMark);
 
+// data_folder_set_aside.cpp
+// Fails if data was moved to the subfolder of damaged data, and the move is not
+// finished. Sets mReport.mSetAside.
+absl::Status
+CheckSetAside(DataFolderState& aState);
+
 // data_folder_transfer.cpp
 // See DataFolder::StoreSnapshotPart.
 absl::StatusOr<StoredSnapshotPart>
