caraway data check FOLDER: what a stopped replica's folder holds

An operator, or the soak, could tell whether a folder opens only by the start of a replica on it, which changes it.

--- a/tools/caraway_main.cpp
+++ b/tools/caraway_main.cpp
@@ -6,6 +6,7 @@
 #include "caraway/runtime/runtime.h"
 #include "tools/batch_commands.h"
 #include "tools/explain_command.h"
+#include "tools/folder_check.h"
 #include "tools/operator_commands.h"
 
 using namespace caraway;
@@ -39,6 +40,7 @@
   caraway [options] batch (status | results | cancel) <job>
   caraway [options] batch list
   caraway [options] explain <request> <log>...
+  caraway [options] data check <folder>
   caraway (-h | --help)
   caraway --version
 
@@ -85,6 +87,9 @@
       aReader.Optional("<request>", ""),
       absl::StrSplit(aReader.Optional("<log>", ""), '\n', absl::SkipEmpty()));
   }
+  if (aReader.Flag("data")) {
+    return CheckDataFolder(aReader.Optional("<folder>", ""));
+  }
   if (aReader.Flag("batch")) {
     EntryClient client;
     client.mUrl = aReader.Required("entry");
