--- a/caraway/runtime/data_folder_files.cpp
+++ b/caraway/runtime/data_folder_files.cpp
@@ -238,8 +238,6 @@
   return mFailure;
 }
 
-namespace {
-
 absl::Status
 RenameFile(const FileWatch& aWatch,
            const std::string& aFrom,
@@ -254,8 +252,6 @@
            : DiskError("renaming", aFrom);
 }
 
-} // namespace
-
 absl::Status
 ReplaceFile(const FileWatch& aWatch,
             const std::string& aFolder,
