Control refuses file parts while its disks are behind

Seen (five entries, three control replicas on 2 cores, 60 callers that submit jobs of 1.2 MB for 6 s; the platform kills a replica above 140 MB). Peak memory of the leader: 153 MB with (17 jobs accepted, 92 time-outs), 151 MB with the limit of the entries (14 accepted, 60 time-outs).

Cause: the log takes 32 MiB that are not committed, and each byte is held several times: in the log, in the write, and on the way to each follower. Beyond that, the leader dropped calls without a word, also calls that are small, and their callers waited until their time was over.

Change: a leader replies eOverloaded, which callers get as 503 with Retry-After, to the first part of a file once half of the pending bytes are taken, and to further parts at three quarters, so that files that have begun are completed first and the rest of the log stays free for everything else. It also replies if the log itself has no room.

--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -83,6 +83,27 @@
   return std::nullopt;
 }
 
+// Parts of files are most of what the log holds. They leave the rest of its
+// pending bytes to everything else, and the last part of their own to files
+// that have begun.
+std::optional<CallFailed>
+CheckPending(const ControlStep& aStep, const ControlCall& aCall)
+{
+  const auto* part = std::get_if<PutFilePart>(&aCall.mBody);
+  if (part == nullptr) {
+    return std::nullopt;
+  }
+  const Raft& raft = aStep.mControl.mRaft;
+  const uint64_t limit = raft.mSettings.mMaxPendingBytes;
+  const uint64_t share = part->mOffset == 0 ? limit / 2 : limit / 4 * 3;
+  if (raft.mLog.mPendingBytes + part->mBytes.size() <= share) {
+    return std::nullopt;
+  }
+  return CallFailed{ ErrorKind::eOverloaded,
+                     "the disks of control are behind; send the request "
+                     "again later" };
+}
+
 // Takes the limits of a job from control's copy of the contract, since the
 // entry's copy may be older.
 std::optional<CallFailed>
@@ -253,6 +274,10 @@
     Reply(aStep, aFrom, aMessage, *failed);
     return;
   }
+  if (auto failed = CheckPending(aStep, aMessage)) {
+    Reply(aStep, aFrom, aMessage, *failed);
+    return;
+  }
   const PendingCallReply to{
     aFrom, aMessage.mGroup, aMessage.mCall, aMessage.mEntryEpoch
   };
@@ -286,7 +311,8 @@
     }
   }
   const absl::Status proposed = Propose(aStep, std::move(call), to);
-  if (KindOf(proposed) == ErrorKind::eTooLarge) {
+  if (KindOf(proposed) == ErrorKind::eTooLarge ||
+      KindOf(proposed) == ErrorKind::eOverloaded) {
     Reply(aStep, aFrom, aMessage, CallFailedFrom(proposed));
   }
 }
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -528,3 +528,42 @@
   const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 64));
   BOOST_TEST(batch.mItems.size() == 10u);
 }
+
+// Guards against a leader that takes parts of files without limit while the
+// disks are behind, up to the platform's memory limit, and leaves the callers
+// of the rest without an answer.
+BOOST_FIXTURE_TEST_CASE(parts_beyond_the_pending_bytes_are_refused, Batch)
+{
+  constexpr size_t kParts = 150;
+  mLink.mSync = Millis(100);
+  mEntry->mAnswers.clear();
+  for (size_t at = 0; at < kParts; ++at) {
+    ControlCall call;
+    call.mCall = 1000000 + at;
+    call.mEntry = mEntry->mMember.mInstance;
+    call.mEntryEpoch = mEntry->mEpoch;
+    call.mWorkspace = kWorkspace;
+    call.mBody =
+      PutFilePart{ FileId("file-" + std::to_string(at)), "in.jsonl", "batch", 0,
+                   std::string(kMaxPartBytes, 'x'),      false };
+    mEntry->Send(call);
+  }
+  mLink.Run(Millis(20));
+  const Raft& raft = mLink.mReplicas[mLink.Leader().value()].mControl->mRaft;
+  size_t refused = 0;
+  for (const Message& message : mEntry->mAnswers) {
+    const auto* reply = std::get_if<ControlCallReply>(&message);
+    const auto* failed =
+      reply == nullptr ? nullptr : std::get_if<CallFailed>(&reply->mBody);
+    refused +=
+      failed != nullptr && failed->mKind == ErrorKind::eOverloaded ? 1 : 0;
+  }
+  const uint64_t pending = raft.mLog.mPendingBytes;
+  BOOST_TEST(pending <= raft.mSettings.mMaxPendingBytes / 2);
+  BOOST_TEST(refused == kParts - pending / kMaxPartBytes);
+  mLink.mSync = Millis(1);
+  mLink.Run(Seconds(1));
+  BOOST_TEST(raft.mLog.mPendingBytes == 0);
+  BOOST_TEST(std::holds_alternative<FileReply>(mEntry->Call(
+    PutFilePart{ FileId("file-last"), "in.jsonl", "batch", 0, "x", true })));
+}
