An entry keeps descriptors for readiness, operators, peers and targets

Seen (one entry of with 4,100 descriptors, as the platform allows): with 4,600 idle connections of callers it used all 4,100. Readiness checks got no answer within 5 s; connections to peers and targets would have had no descriptor either. It did not end by itself.

Cause: the limit of 8,192 connections is above the platform's limit of descriptors, and counts events of the loop, not descriptors.

Change: a listener stops accepting while the process uses mMaxDescriptors, checked with each connection.

--- a/caraway/runtime/http_limits.cpp
+++ b/caraway/runtime/http_limits.cpp
@@ -1,11 +1,14 @@
-// Limits of the HTTP server: open connections, bytes of requests that are held,
-// and unsent bytes of responses to slow readers.
+// Limits of the HTTP server: connections and descriptors, bytes of requests
+// that are held, and unsent bytes of responses to slow readers.
 
 #include <algorithm>
 #include <iterator>
 #include <map>
 #include <vector>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "caraway/runtime/http_server.h"
 
 namespace caraway {
@@ -24,10 +27,25 @@
   } else {
     evconnlistener_enable(mListener);
   }
+  LimitDescriptors();
   LimitQueuedBytes();
   mConnectionTimer.ArmAt(mLoop.Now() + kInterval);
 }
 
+void
+HttpServer::LimitDescriptors()
+{
+  // The kernel gives out the lowest free descriptor, so all below it are used.
+  const int lowest =
+    fcntl(evconnlistener_get_fd(mListener), F_DUPFD_CLOEXEC, 0);
+  if (lowest >= 0) {
+    close(lowest);
+  }
+  if (lowest < 0 || lowest >= mSettings.mMaxDescriptors) {
+    evconnlistener_disable(mListener);
+  }
+}
+
 // A body whose length is stated is reserved with its head: of several bodies
 // that together exceed the limit, the first ones are then received to the end.
 bool
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -286,6 +286,7 @@
     bufferevent_openssl_set_allow_dirty_shutdown(buffer, 1);
   }
   server->ForgetInbound(buffer);
+  server->LimitDescriptors();
   Inbound& inbound = server->mInbound[buffer];
   inbound.mServer = server;
   inbound.mBuffer = buffer;
--- a/caraway/runtime/http_server.h
+++ b/caraway/runtime/http_server.h
@@ -41,7 +41,9 @@
   // What requests of more than kLargeInputBytes may take of it.
   size_t mMaxLargeInputBytes = 256 << 20;
   int mMaxConnections = 8192; // beyond it, new ones wait in the backlog
-  uint64_t mFirstCallId = 1;  // makes the ids of several servers distinct
+  // New connections also wait while the process uses as many descriptors.
+  int mMaxDescriptors = 1 << 20;
+  uint64_t mFirstCallId = 1; // makes the ids of several servers distinct
 };
 
 // Requests above this size have a limit of their own, below that of all.
@@ -142,6 +144,8 @@
   void ResetUnlessComplete(evhttp_request* aRequest,
                            evhttp_connection* aConnection);
   void LimitConnections();
+  // Stops accepting while the process uses too many descriptors.
+  void LimitDescriptors();
   // Aborts responses to slow readers while all together exceed their limit.
   void LimitQueuedBytes();
   void AbortSlowReader(HttpCallId aId);
