--- a/tests/platform_soak_test.cpp
+++ b/tests/platform_soak_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/soak/soak_fleet.h"
+#include "platform/soak/soak_kept.h"
 #include "platform/soak/soak_results.h"
 
 using namespace caraway;
@@ -335,3 +336,27 @@
   CheckUsage(record, ProgramRole::eControl, { 0, { 140'000'001, 9 } });
   BOOST_TEST(record.mViolations.size() == 2u);
 }
+
+BOOST_AUTO_TEST_CASE(request_that_a_planned_stop_leaves_unanswered_is_found)
+{
+  const auto at = [](int64_t aMillis) {
+    return MonoTime{ 0 } + Millis(aMillis);
+  };
+  const MonoTime stopped = at(10000);
+  BrokenRequest request{ at(9900), at(10050), Seconds(3), true };
+  BOOST_TEST(IsLostAtStop(request, stopped, std::nullopt));
+  BOOST_TEST(IsLostAtStop(request, stopped, at(6800)));
+  BOOST_TEST(!IsLostAtStop(request, stopped, at(6900)));
+  // A close that crosses a request is allowed for a short while.
+  request.mPassedOn = false;
+  BOOST_TEST(!IsLostAtStop(request, stopped, std::nullopt));
+  request.mEndedAt = at(10101);
+  BOOST_TEST(IsLostAtStop(request, stopped, std::nullopt));
+  // Past the time-out of the route, before the stop, or long after the grace.
+  request.mEndedAt = at(12900);
+  BOOST_TEST(!IsLostAtStop(request, stopped, std::nullopt));
+  request = { at(9500), at(9900), Seconds(3), true };
+  BOOST_TEST(!IsLostAtStop(request, stopped, std::nullopt));
+  request = { at(19000), at(19100), Seconds(3), true };
+  BOOST_TEST(!IsLostAtStop(request, stopped, std::nullopt));
+}
