--- a/tests/runtime_power_loss_test.cpp
+++ b/tests/runtime_power_loss_test.cpp
@@ -83,6 +83,7 @@
     }
     const std::vector<int> outcomes = disk.Outcomes();
     std::vector<int> chosen;
+    chosen.reserve(outcomes.size());
     for (const int outcome : outcomes) {
       chosen.push_back(
         static_cast<int>(DrawBelow(aRandom, static_cast<uint64_t>(outcome))));
