A file of another program version is not damaged data

A folder that a newer program wrote would have been, on all replicas at once: its files are refused with eConflict now, which ends the start as before. By reading; no run, no test.

--- a/caraway/consensus/log_codec.cpp
+++ b/caraway/consensus/log_codec.cpp
@@ -110,7 +110,8 @@
     return Corrupt(aFile, 0, "bad header or checksum");
   }
   if (aHeader.mVersion != kVersion) {
-    return MakeError(ErrorKind::eCorruptData,
+    // Not damaged: it must not be set aside.
+    return MakeError(ErrorKind::eConflict,
                      StdView(absl::StrCat(AbslView(aFile),
                                           " has format version ",
                                           aHeader.mVersion)),
--- a/caraway/consensus/log_codec.h
+++ b/caraway/consensus/log_codec.h
@@ -32,7 +32,8 @@
 };
 
 // aLast: this is the newest segment, the only one that may have a torn tail.
-// Errors are eCorruptData and name aFile and the offset.
+// Errors are eCorruptData, or eConflict for a file of another program version,
+// and name aFile.
 absl::StatusOr<SegmentContents>
 DecodeSegment(std::string_view aBytes,
               std::string_view aFile,
