A slow link is told from a lost part of a transfer

Now a part counts as lost if a message that was sent after it has been answered, or after 5 s.

late_replies_move_the_transfer_on failed with (the transfer does not end within 200 s of virtual time) and passes; so do the other three cases, with sanitizers. Lint of runtime_descriptor_limit_test.

--- a/caraway/consensus/raft_snapshot.cpp
+++ b/caraway/consensus/raft_snapshot.cpp
@@ -4,8 +4,6 @@
 // names another position than expected, and the leader goes on from there.
 
 #include <algorithm>
-#include <string_view>
-#include <tuple>
 #include <utility>
 
 #include "caraway/consensus/raft_internal.h"
@@ -17,6 +15,9 @@
 // Parts are read and sent again after this many heartbeats without a reply.
 constexpr int64_t kPartRetryHeartbeats = 5;
 
+// And in any case after this time.
+constexpr Duration kMostPartTime = Seconds(5);
+
 // Parts in flight per replica. More than a link carries in a round trip, and
 // few enough for heartbeats that queue behind them.
 constexpr size_t kMaxPartsInFlight = 4;
@@ -45,18 +46,6 @@
     RaftReadSnapshotPart{ aTo, aPeer.mRead.mFile, aPeer.mRead.mOffset });
 }
 
-// In the order of a transfer: blobs by name, then the state.
-bool
-IsBefore(const TransferPosition& aOne, const TransferPosition& aOther)
-{
-  const auto key = [](const TransferPosition& aPosition) {
-    return std::tuple(aPosition.mFile == "state",
-                      std::string_view(aPosition.mFile),
-                      aPosition.mOffset);
-  };
-  return key(aOne) < key(aOther);
-}
-
 // Goes on from this position, whatever was read or sent beyond it.
 void
 ContinueFrom(const Raft& aRaft,
@@ -131,11 +120,27 @@
   ReadPart(aTo, peer, aOut);
 }
 
+namespace {
+
+// Messages arrive in order, so a part is lost if one that was sent later has
+// been answered. A link that is only slow answers the part first.
+bool
+LooksLost(const RaftPeer& aPeer, MonoTime aNow)
+{
+  if (aPeer.mParts.empty()) {
+    return true;
+  }
+  const MonoTime sent{ aPeer.mParts.front().mSentAt };
+  return aPeer.mLastReplySentAt > sent || aNow - sent > kMostPartTime;
+}
+
+} // namespace
+
 void
 RetrySnapshotTransfers(Raft& aRaft, MonoTime aNow, RaftActions& aOut)
 {
   for (auto& [id, peer] : aRaft.mPeers) {
-    if (peer.mTransfer && aNow >= peer.mPartDue) {
+    if (peer.mTransfer && aNow >= peer.mPartDue && LooksLost(peer, aNow)) {
       ContinueFrom(aRaft, aNow, peer, peer.mConfirmed);
       ReadPart(id, peer, aOut);
     }
@@ -279,21 +284,12 @@
     return;
   }
   RaftPeer& peer = aRaft.mPeers[aMessage.mFrom];
+  // Replies to parts that are not in flight any more do not count.
   const auto part = std::find_if(
     peer.mParts.begin(), peer.mParts.end(), [&](const SentPart& aPart) {
       return aPart.mSentAt == aReply.mSentAt;
     });
-  if (!peer.mTransfer) {
-    return;
-  }
-  if (part == peer.mParts.end()) {
-    // A reply that took longer than the parts were waited for.
-    const TransferPosition position{ aReply.mFile, aReply.mNextOffset };
-    if (!aReply.mInstalled && aReply.mLastIndex == peer.mTransferIndex &&
-        IsBefore(peer.mConfirmed, position)) {
-      ContinueFrom(aRaft, aNow, peer, position);
-      ReadPart(aMessage.mFrom, peer, aOut);
-    }
+  if (!peer.mTransfer || part == peer.mParts.end()) {
     return;
   }
   if (!aReply.mInstalled) {
--- a/tests/consensus_transfer_test.cpp
+++ b/tests/consensus_transfer_test.cpp
@@ -248,5 +248,5 @@
   const LogIndex has = world.Leader().mPeers.at(ReplicaId(2)).mMatch;
   world.ProposeAlone(120);
   BOOST_REQUIRE(world.Leader().mSnapshot.mIndex > has);
-  BOOST_TEST(world.Leader().mLog.mBase <= has);
+  BOOST_TEST(world.Leader().mLog.mBase.mValue <= has.mValue);
 }
--- a/tests/runtime_descriptor_limit_test.cpp
+++ b/tests/runtime_descriptor_limit_test.cpp
@@ -59,6 +59,7 @@
   HttpServer server(loop, settings);
   BOOST_REQUIRE(server.Listen().ok());
   std::vector<int> callers;
+  callers.reserve(kCallers);
   for (int at = 0; at < kCallers; ++at) {
     callers.push_back(Connect(server.Address()));
   }
