--- a/caraway/runtime/control_host.h
+++ b/caraway/runtime/control_host.h
@@ -108,7 +108,7 @@
   // Numbers of the writes that were appended and are in no sync yet.
   std::vector<uint64_t> mUnsynced;
   bool mSyncScheduled = false;     // SyncWrites is deferred in the loop
-  uint64_t mFolderNumber = 0;      // tells the folder that a task belongs to
+  uint64_t mFolderNumber = 0;      // of the folder that a task was begun on
   uint64_t mDisk = 0;              // identity of the data folder
   std::vector<LogField> mRecovery; // what the folder held when it was opened
   bool mDataSetAside = false;      // the folder held data that was damaged
--- a/caraway/runtime/control_host_folder.cpp
+++ b/caraway/runtime/control_host_folder.cpp
@@ -1,8 +1,10 @@
-// How the control role comes by its data folder: damaged data of a replica
-// whose id comes from the folder is set aside.
+// How the control role comes by its data folder, where damaged data of a
+// replica whose id comes from the folder is set aside, and the syncs that
+// threads wait for.
 
 #include <filesystem>
 #include <system_error>
+#include <utility>
 
 #include "caraway/base/error.h"
 #include "caraway/runtime/control_host.h"
@@ -69,4 +71,83 @@
   }
 }
 
+void
+ControlHost::ScheduleSync()
+{
+  if (mUnsynced.empty() || mSyncScheduled) {
+    return;
+  }
+  mSyncScheduled = true;
+  mLoop.Defer([this] {
+    mSyncScheduled = false;
+    if (mStorage == Storage::eUp) {
+      SyncWrites();
+    }
+  });
+}
+
+void
+ControlHost::SyncWrites()
+{
+  if (mUnsynced.empty() || mLogWorker.Busy()) {
+    return; // the end of the sync in progress schedules the next one
+  }
+  const auto sync = std::make_shared<const PendingSync>(mFolder->BeginSync());
+  mLogWorker.Run(
+    [sync] { return DataFolder::RunSync(*sync); },
+    [this, sync, writes = std::exchange(mUnsynced, {}), number = mFolderNumber](
+      const absl::Status& aStatus) {
+      ScheduleSync();
+      if (mStorage != Storage::eUp || number != mFolderNumber) {
+        return;
+      }
+      if (const absl::Status status = mFolder->FinishSync(*sync, aStatus);
+          !status.ok()) {
+        Check(status);
+        return;
+      }
+      for (const uint64_t write : writes) {
+        mPump.Post(LogWritten{ write });
+      }
+    });
+}
+
+void
+ControlHost::UseFolder(const SaveSnapshot& aSave)
+{
+  const auto snapshot = std::make_shared<const PendingSnapshot>(
+    mFolder->BeginSnapshot(aSave.mMark, aSave.mState));
+  mSnapshotWorker.Run(
+    [snapshot] { return DataFolder::RunSnapshot(*snapshot); },
+    [this, snapshot, number = mFolderNumber](const absl::Status& aStatus) {
+      if (mStorage != Storage::eUp || number != mFolderNumber) {
+        return;
+      }
+      if (const absl::Status status =
+            mFolder->FinishSnapshot(*snapshot, aStatus);
+          !status.ok()) {
+        Check(status);
+        return;
+      }
+      mPump.Post(SnapshotSaved{ snapshot->mMark.mIndex });
+    });
+}
+
+void
+ControlHost::SyncBlobs()
+{
+  if (mSnapshotWorker.Busy()) {
+    return;
+  }
+  const auto sync =
+    std::make_shared<const PendingBlobSync>(mFolder->BeginBlobSync());
+  mSnapshotWorker.Run(
+    [sync] { return DataFolder::RunBlobSync(*sync); },
+    [this, sync, number = mFolderNumber](const absl::Status& aStatus) {
+      if (mStorage == Storage::eUp && number == mFolderNumber) {
+        Check(mFolder->FinishBlobSync(*sync, aStatus));
+      }
+    });
+}
+
 } // namespace caraway
