Lines that tell an old copy from an early lease; memory before an end

A denied job or order left no line at all; a refuse line named revision and plan, but neither lease, term nor the replica that gave the copy; nothing said when an entry first got a lease and at which revision, nor whether a replica that answers polls knows what is committed; a process that is ended for its memory left nothing.

No decision changes.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -270,6 +270,12 @@
   return aRaft.mCommit;
 }
 
+bool
+KnowsCommit(const Raft& aRaft)
+{
+  return aRaft.mKnowsCommit;
+}
+
 const ReplicaSet&
 ReplicasOf(const Raft& aRaft)
 {
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -48,6 +48,11 @@
             std::string aPayload,
             std::vector<RaftAction>& aOut);
 
+// True once the applied state includes all that was committed before this
+// replica started.
+bool
+KnowsCommit(const Raft& aRaft);
+
 // Ends the leadership of this replica, and gives the others time to elect one
 // of them.
 void
--- a/caraway/consensus/raft_commit.cpp
+++ b/caraway/consensus/raft_commit.cpp
@@ -88,6 +88,7 @@
   // (Raft, section 3.6.2).
   if (reached >= aRaft.mTermFirstIndex) {
     CommitTo(aRaft, reached, aOut);
+    aRaft.mKnowsCommit = true;
     StepDownIfRemoved(aRaft, aNow);
   }
 }
--- a/caraway/consensus/raft_follower.cpp
+++ b/caraway/consensus/raft_follower.cpp
@@ -87,6 +87,12 @@
   const LogIndex matched(aRequest.mPreviousIndex.mValue +
                          aRequest.mEntries.size());
   CommitTo(aRaft, std::min(aRequest.mCommit, matched), aOut);
+  // The commit index of a leader is up to date once it covers an entry of its
+  // own term.
+  if (aRaft.mCommit >= aRequest.mCommit &&
+      TermAt(aRaft, aRequest.mCommit) == aRequest.mTerm) {
+    aRaft.mKnowsCommit = true;
+  }
   reply.mAccepted = true;
   if (aRaft.mDurableTerm == aRaft.mTerm &&
       (aRequest.mEntries.empty() || matched <= aRaft.mDurable)) {
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -113,6 +113,9 @@
   SnapshotMark mSnapshot; // newest one on this replica's disk
   LogIndex mCommit;
   LogIndex mApplied;
+  // Since its start, this replica has applied all that a leader in office had
+  // committed. Before that its state may be older than what was acknowledged.
+  bool mKnowsCommit = false;
   uint64_t mAppliedBytes = 0; // payload bytes applied since the snapshot
   std::deque<RaftReplicaRecord> mReplicas; // the last is in force
 
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -157,6 +157,7 @@
   control.mState.mApplied = aRecovered.mSnapshot.mIndex;
   control.mEntryLeft = aNow;
   control.mLeaderlessSince = aNow;
+  control.mCommitWatch = { aNow, control.mState.mConfig.mView.mRevision };
   control.mAppliedReplicas = aRecovered.mSnapshot.mIndex.IsNone()
                                ? aSettings.mInitialReplicas
                                : aRecovered.mSnapshot.mReplicas;
@@ -199,6 +200,7 @@
   CheckDisk(step);
   WatchGroup(step);
   WatchLeader(step);
+  WatchCommit(step);
   FinishStop(step);
 }
 
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -163,6 +163,7 @@
   MonoTime mLeaderlessSince; // since when no leader is known; or the last step
   bool mLeaderlessLogged = false;
   GroupWatch mWatch;
+  CommitWatch mCommitWatch;
   MonoTime mEntryLeft; // when an entry last left the configuration, or the
                        // state was loaded
   BlobFetches mFetches;
--- a/caraway/control/group_watch.cpp
+++ b/caraway/control/group_watch.cpp
@@ -337,4 +337,26 @@
             { "votes", absl::StrCat(raft.mVotes.size()) } });
 }
 
+void
+WatchCommit(ControlStep& aStep)
+{
+  CommitWatch& watch = aStep.mControl.mCommitWatch;
+  const Raft& raft = aStep.mControl.mRaft;
+  if (watch.mLogged || !KnowsCommit(raft)) {
+    return;
+  }
+  watch.mLogged = true;
+  const ConfigView& view = aStep.mControl.mState.mConfig.mView;
+  LogLine(
+    aStep,
+    LogLevel::eInfo,
+    "commit_known",
+    absl::StrCat("revision ", view.mRevision.mValue).c_str(),
+    absl::StrCat("replica ", LeaderOf(raft).mValue, " leads"),
+    { { "recovered_revision", absl::StrCat(watch.mRecovered.mValue) },
+      { "plan", absl::StrCat(view.mPlan ? view.mPlan->mVersion : 0) },
+      { "term", absl::StrCat(TermOf(raft).mValue) },
+      { "after_ms", absl::StrCat((aStep.mNow - watch.mStartedAt).Millis()) } });
+}
+
 } // namespace caraway
--- a/caraway/control/group_watch.h
+++ b/caraway/control/group_watch.h
@@ -60,6 +60,14 @@
   MonoTime mNextLearnerLine;
 };
 
+// Of every replica, until it knows what is committed.
+struct CommitWatch
+{
+  MonoTime mStartedAt;
+  Revision mRecovered; // revision of the snapshot that it started with
+  bool mLogged = false;
+};
+
 // Empty unless this replica leads.
 std::vector<ReplicaContact>
 ContactsOf(const Control& aControl, MonoTime aNow);
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -225,6 +225,9 @@
 // For all replicas: logs that no leader has been known for long, and its end.
 void
 WatchLeader(ControlStep& aStep);
+// For all replicas: logs when the commit index is known after the start.
+void
+WatchCommit(ControlStep& aStep);
 
 void
 HandleHttp(ControlStep& aStep,
--- a/caraway/entry/config_fetch.cpp
+++ b/caraway/entry/config_fetch.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "caraway/entry/session.h"
+
 namespace caraway {
 
 namespace {
@@ -126,6 +128,7 @@
     }
     view.mRevision = std::max(view.mRevision, aDelta.mTo);
     DropParts(aStep.mEntry.mFetcher);
+    aStep.mEntry.mFetcher.mSource = aFrom;
   }
   RecordPollReply(aStep, aFrom, isNewer);
   return isNewer;
@@ -159,12 +162,24 @@
   if (inOrder && aPart.mLast) {
     applied =
       ApplySnapshot(entry.mConfig, aPart.mRevision, fetcher.mParts).ok();
+    fetcher.mSource = aFrom;
     DropParts(fetcher);
   }
   RecordPollReply(aStep, aFrom, true);
   return applied;
 }
 
+std::vector<LogField>
+CopyFields(const Entry& aEntry, MonoTime aNow)
+{
+  const ConfigView& view = aEntry.mConfig;
+  return { { "revision", std::to_string(view.mRevision.mValue) },
+           { "plan", std::to_string(view.mPlan ? view.mPlan->mVersion : 0) },
+           { "copy_from", aEntry.mFetcher.mSource.mValue },
+           { "lease", HasValidLease(aEntry, aNow) ? "valid" : "none" },
+           { "term", std::to_string(aEntry.mSession.mTerm.mValue) } };
+}
+
 void
 FetchPeerLost(EntryStep& aStep, const PeerAddress& aPeer)
 {
--- a/caraway/entry/config_fetch.h
+++ b/caraway/entry/config_fetch.h
@@ -36,6 +36,11 @@
                    const PeerAddress& aFrom,
                    const ConfigSnapshotPart& aPart);
 
+// The copy of the configuration, and the lease under which the entry acts on
+// it, for lines about decisions.
+std::vector<LogField>
+CopyFields(const Entry& aEntry, MonoTime aNow);
+
 // The connection to a replica was lost; switches to the next one if it was the
 // polled one.
 void
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -67,10 +67,8 @@
   log.mEvent = "config";
   log.mChoice = "applied";
   log.mReason = aTopology ? "members, targets or zones" : "contracts or routes";
-  log.mExtra = { { "revision", std::to_string(view.mRevision.mValue) },
-                 { "plan",
-                   std::to_string(view.mPlan ? view.mPlan->mVersion : 0) },
-                 { "targets", std::to_string(view.mTargets.size()) } };
+  log.mExtra = CopyFields(aStep.mEntry, aStep.mNow);
+  log.mExtra.push_back({ "targets", std::to_string(view.mTargets.size()) });
   aStep.mOut.emplace_back(std::move(log));
   FailRequestsOfWithdrawnKeys(aStep);
   FailBlockedRequests(aStep);
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 
-#include "absl/strings/str_cat.h"
 #include "caraway/entry/admission_step.h"
 #include "caraway/entry/auth.h"
+#include "caraway/entry/config_fetch.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/early_requests.h"
 #include "caraway/entry/input_crashes.h"
@@ -197,14 +197,9 @@
     log.mRequest = id;
     log.mChoice = std::string(ErrorKindName(error->mKind));
     log.mReason = error->mMessage;
-    log.mExtra = { { "host", aRequest.mHost },
-                   { "path", aRequest.mPath },
-                   { "revision",
-                     absl::StrCat(aStep.mEntry.mConfig.mRevision.mValue) },
-                   { "plan",
-                     absl::StrCat(aStep.mEntry.mConfig.mPlan
-                                    ? aStep.mEntry.mConfig.mPlan->mVersion
-                                    : 0) } };
+    log.mExtra = CopyFields(aStep.mEntry, aStep.mNow);
+    log.mExtra.push_back({ "host", aRequest.mHost });
+    log.mExtra.push_back({ "path", aRequest.mPath });
     aStep.mOut.emplace_back(std::move(log));
     RefuseHttpCall(aStep, call, *error);
   }
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -8,6 +8,7 @@
 #include "caraway/base/visitor.h"
 #include "caraway/entry/attempts.h"
 #include "caraway/entry/auth.h"
+#include "caraway/entry/config_fetch.h"
 #include "caraway/entry/control_calls.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/forward.h"
@@ -204,14 +205,29 @@
   return { aKind, aMessage };
 }
 
-// As Denial in forward.cpp.
-CallFailed
-Denied(const EntryStep& aStep, ErrorKind aKind, std::string aMessage)
+// Replies that the configuration does not allow the request, as Denial in
+// forward.cpp.
+void
+Deny(EntryStep& aStep,
+     HttpCallId aCall,
+     OrderTopic aTopic,
+     const std::string& aHost,
+     const absl::Status& aReason)
 {
-  return HasValidLease(aStep.mEntry, aStep.mNow)
-           ? CallFailed{ aKind, std::move(aMessage) }
-           : Failed(ErrorKind::eUnavailable,
-                    "the configuration here may be out of date");
+  CallFailed failed{ KindOf(aReason), std::string(aReason.message()) };
+  if (!HasValidLease(aStep.mEntry, aStep.mNow)) {
+    failed = { ErrorKind::eUnavailable,
+               "the configuration here may be out of date" };
+  }
+  DecisionLog log;
+  log.mLevel = LogLevel::eWarning;
+  log.mEvent = "refuse";
+  log.mChoice = std::string(ErrorKindName(failed.mKind));
+  log.mReason = std::string(aReason.message());
+  log.mExtra = CopyFields(aStep.mEntry, aStep.mNow);
+  log.mExtra.push_back({ "host", aHost });
+  aStep.mOut.emplace_back(std::move(log));
+  ReplyTo(aStep, aCall, aTopic, std::move(failed));
 }
 
 } // namespace
@@ -224,12 +240,11 @@
     const absl::StatusOr<WorkspaceId> caller =
       WorkspaceOfKey(aStep.mEntry.mConfig, aOrder.mKey);
     if (!caller.ok()) {
-      ReplyTo(aStep,
-              aOrder.mCall,
-              TopicOf(aOrder.mBody),
-              Denied(aStep,
-                     KindOf(caller.status()),
-                     std::string(caller.status().message())));
+      Deny(aStep,
+           aOrder.mCall,
+           TopicOf(aOrder.mBody),
+           aOrder.mHost,
+           caller.status());
       return;
     }
     workspace = *caller;
@@ -265,20 +280,21 @@
     return;
   }
   if (route == nullptr || route->mKind != CallKind::eBatch) {
-    ReplyTo(
-      aStep,
-      aSubmission.mCall,
-      OrderTopic::eSubmitJob,
-      Denied(aStep, ErrorKind::eNotFound, "no batch route has this path"));
+    Deny(aStep,
+         aSubmission.mCall,
+         OrderTopic::eSubmitJob,
+         aSubmission.mHost,
+         MakeError(ErrorKind::eNotFound,
+                   "no batch route has this path",
+                   "check the host and the path"));
     return;
   }
   if (!caller.ok()) {
-    ReplyTo(aStep,
-            aSubmission.mCall,
-            OrderTopic::eSubmitJob,
-            Denied(aStep,
-                   KindOf(caller.status()),
-                   std::string(caller.status().message())));
+    Deny(aStep,
+         aSubmission.mCall,
+         OrderTopic::eSubmitJob,
+         aSubmission.mHost,
+         caller.status());
     return;
   }
   if (RefuseWithoutControl(aStep, aSubmission.mCall, OrderTopic::eSubmitJob)) {
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -48,6 +48,31 @@
   aStep.mOut.emplace_back(std::move(log));
 }
 
+// One line for each change of the verdict and each lease after a time without
+// one.
+void
+LogVerdict(EntryStep& aStep, const RenewReply& aReply)
+{
+  EntrySession& session = aStep.mEntry.mSession;
+  const bool granted = aReply.mVerdict == RenewVerdict::eGranted;
+  const bool gained = granted && !HasValidLease(aStep.mEntry, aStep.mNow);
+  if (aReply.mVerdict == session.mVerdict && !gained) {
+    return;
+  }
+  session.mVerdict = aReply.mVerdict;
+  DecisionLog log;
+  log.mEvent = "lease";
+  log.mChoice = granted ? "granted"
+                : aReply.mVerdict == RenewVerdict::eRevisionTooOld
+                  ? "copy_too_old"
+                  : "unknown_session";
+  log.mReason = session.mConfirmedLeader.mValue;
+  log.mExtra = CopyFields(aStep.mEntry, aStep.mNow);
+  log.mExtra.push_back(
+    { "leader_revision", std::to_string(aReply.mRevision.mValue) });
+  aStep.mOut.emplace_back(std::move(log));
+}
+
 void
 MarkLeaderLost(EntryStep& aStep)
 {
@@ -240,6 +265,7 @@
     session.mReplyBy = kNever;
   }
   ConfirmLeader(aStep, aFrom);
+  LogVerdict(aStep, aReply);
   FetchFromLeaderIfNewer(aStep, aFrom, aReply.mRevision);
   switch (aReply.mVerdict) {
     case RenewVerdict::eGranted:
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -7,6 +7,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/config/change.h"
+#include "caraway/wire/session_messages.h"
 
 namespace caraway {
 
@@ -32,7 +33,8 @@
   MonoTime mResendAt = kNever; // when to resend all open calls to mLeader
   MonoTime mRedirectedAt = kLongAgo; // time to follow the last redirect
   Epoch mLastEndedEpoch; // replies with this epoch or an older one are ignored
-  Revision mRenewedRevision; // revision in the last Renew
+  Revision mRenewedRevision;                      // revision in the last Renew
+  RenewVerdict mVerdict = RenewVerdict::eGranted; // of the last reply
 };
 
 struct ConfigFetcher
@@ -43,6 +45,7 @@
   MonoTime mReplyBy = kNever;       // kNever: no poll is in flight
   Revision mPartRevision;           // of the snapshot being received
   std::vector<ConfigChange> mParts; // received so far, in order
+  PeerAddress mSource;              // sent the newest part of the copy
 };
 
 struct DrainState
--- a/caraway/runtime/process_metrics.cpp
+++ b/caraway/runtime/process_metrics.cpp
@@ -29,7 +29,8 @@
                           "text/plain; version=0.0.4");
 }
 
-// Peak resident memory in bytes; 0 if it is not available.
+} // namespace
+
 uint64_t
 PeakMemory()
 {
@@ -40,8 +41,6 @@
            : 0;
 }
 
-} // namespace
-
 void
 AddMetric(HttpResponse& aResponse,
           const char* aName,
--- a/caraway/runtime/process_metrics.h
+++ b/caraway/runtime/process_metrics.h
@@ -6,6 +6,10 @@
 
 namespace caraway {
 
+// Peak resident memory in bytes; 0 if it is not available.
+uint64_t
+PeakMemory();
+
 // Appends dropped log lines, peak memory and peer message counters to a metrics
 // response; leaves any other response unchanged.
 void
--- a/caraway/runtime/runtime.h
+++ b/caraway/runtime/runtime.h
@@ -20,6 +20,7 @@
 
 // 3. Settings, logs and the end of the process
 #include "caraway/runtime/logging.h"
+#include "caraway/runtime/memory_watch.h"
 #include "caraway/runtime/process_end.h"
 #include "caraway/runtime/settings_reader.h"
 
