A replica that has just started serves no configuration before it knows the commit

ConfigPolls::mCurrent follows KnowsCommit: until then a poll is kept, and answered without changes after a second.

--- a/caraway/control/config_polls.cpp
+++ b/caraway/control/config_polls.cpp
@@ -104,9 +104,11 @@
 }
 
 bool
-IsBehind(const ConfigHistory& aHistory, const ConfigFetch& aFetch)
+IsBehind(const ConfigPolls& aPolls,
+         const ConfigHistory& aHistory,
+         const ConfigFetch& aFetch)
 {
-  return aFetch.mHeld < aHistory.mView.mRevision;
+  return aPolls.mCurrent && aFetch.mHeld < aHistory.mView.mRevision;
 }
 
 size_t
@@ -122,9 +124,11 @@
 // the kept changes do not reach back to it, or they are more than the objects
 // that there are.
 bool
-NeedsSnapshot(const ConfigHistory& aHistory, const ConfigFetch& aFetch)
+NeedsSnapshot(const ConfigPolls& aPolls,
+              const ConfigHistory& aHistory,
+              const ConfigFetch& aFetch)
 {
-  if (!IsBehind(aHistory, aFetch)) {
+  if (!IsBehind(aPolls, aHistory, aFetch)) {
     return false;
   }
   if (aFetch.mHeld.IsNone() || !HasChangesSince(aHistory, aFetch.mHeld)) {
@@ -142,11 +146,14 @@
            const PeerAddress& aTo,
            const ConfigFetch& aFetch)
 {
-  if (NeedsSnapshot(aHistory, aFetch)) {
+  if (NeedsSnapshot(aPolls, aHistory, aFetch)) {
     ++aPolls.mSnapshotParts;
     return { aTo, MakeSnapshotPart(aPolls, aNow, aHistory, aFetch) };
   }
-  aPolls.mDeltas += IsBehind(aHistory, aFetch) ? 1 : 0;
+  if (!IsBehind(aPolls, aHistory, aFetch)) {
+    return { aTo, ConfigDelta{ aFetch.mHeld, aFetch.mHeld, {} } };
+  }
+  ++aPolls.mDeltas;
   return { aTo, MakeDelta(aHistory, aFetch) };
 }
 
@@ -160,8 +167,8 @@
                   const ConfigFetch& aFetch)
 {
   aPolls.mPolls.erase(aFrom);
-  const bool behind = IsBehind(aHistory, aFetch);
-  if (NeedsSnapshot(aHistory, aFetch) ||
+  const bool behind = IsBehind(aPolls, aHistory, aFetch);
+  if (NeedsSnapshot(aPolls, aHistory, aFetch) ||
       (behind && aNow >= aPolls.mNextRound)) {
     return { MakeAnswer(aPolls, aNow, aHistory, aFrom, aFetch) };
   }
@@ -179,7 +186,7 @@
   int64_t notified = 0; // holders that are sent a change now
   for (auto poll = aPolls.mPolls.begin(); poll != aPolls.mPolls.end();) {
     const ConfigFetch& fetch = poll->second.mFetch;
-    const bool behind = IsBehind(aHistory, fetch);
+    const bool behind = IsBehind(aPolls, aHistory, fetch);
     const MonoTime due = behind ? std::min(poll->second.mDue, aPolls.mNextRound)
                                 : poll->second.mDue;
     if (due > aNow) {
--- a/caraway/control/config_polls.h
+++ b/caraway/control/config_polls.h
@@ -1,7 +1,9 @@
 #pragma once
 // Distributes the configuration to its holders (entries and nodes) by long
 // polling. Any replica answers, with deltas or, where that is less to send,
-// with parts of a snapshot.
+// with parts of a snapshot. A replica that has just started answers without
+// changes until it knows what is committed: what it recovered may be long out
+// of date.
 
 #include <map>
 #include <vector>
@@ -31,6 +33,8 @@
 {
   std::map<PeerAddress, ConfigPoll> mPolls; // one per holder
   std::map<ConfigScope, CachedSnapshot> mSnapshots;
+  // The history includes all that was committed when this replica started.
+  bool mCurrent = true;
   MonoTime mNextDue = kNever;  // at or before the first due poll
   MonoTime mNextRound{ 0 };    // changes are collected until then
   uint64_t mDeltas = 0;        // answers with changes, for metrics
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -156,6 +156,7 @@
   control.mState = *std::move(state);
   control.mState.mApplied = aRecovered.mSnapshot.mIndex;
   control.mEntryLeft = aNow;
+  control.mPolls.mCurrent = false;
   control.mLeaderlessSince = aNow;
   control.mCommitWatch = { aNow, control.mState.mConfig.mView.mRevision };
   control.mAppliedReplicas = aRecovered.mSnapshot.mIndex.IsNone()
@@ -193,7 +194,10 @@
   TickDiscovery(step);
   RunRaftActions(step);
   UpdateLeadership(step);
-  const bool changed = aControl.mState.mConfig.mView.mRevision != before;
+  const bool current = KnowsCommit(aControl.mRaft);
+  const bool changed = aControl.mState.mConfig.mView.mRevision != before ||
+                       current != aControl.mPolls.mCurrent;
+  aControl.mPolls.mCurrent = current;
   if (changed || NextPollDue(aControl.mPolls) <= aNow) {
     AnswerDuePolls(step);
   }
--- a/tests/control_replicas_test.cpp
+++ b/tests/control_replicas_test.cpp
@@ -366,3 +366,51 @@
   BOOST_TEST(mLink.mReplicas[leader].mStopped);
   BOOST_TEST(mLink.Call(leader, "GET", "/readyz").mStatus == 503);
 }
+
+// Guards against a member that takes the state which a restarted replica has
+// recovered from its disk for the configuration in force.
+BOOST_AUTO_TEST_CASE(recovered_state_is_not_served_before_the_commit_is_known)
+{
+  ControlLink link(3);
+  for (LinkReplica& replica : link.mReplicas) {
+    replica.mSettings.mRaft.mSnapshotEvery = 50;
+  }
+  link.StartAll();
+  BOOST_REQUIRE(link.AwaitLeader());
+  for (int round = 0; round < 90; ++round) {
+    BOOST_REQUIRE(
+      link
+        .Write("PUT", "/admin/contracts/ws-" + std::to_string(round), kContract)
+        .mStatus == 200);
+  }
+  link.Run(Seconds(1));
+  for (size_t at = 0; at < 3; ++at) {
+    link.Kill(at);
+  }
+  // Each revision that a member is sent from the first moment on.
+  std::vector<uint64_t> served;
+  const PeerAddress member("10.1.0.1:1");
+  link.mPeers[member] = [&](const PeerAddress&, const Message& aMessage) {
+    if (const auto* delta = std::get_if<ConfigDelta>(&aMessage)) {
+      served.push_back(delta->mTo.mValue);
+    } else if (const auto* part = std::get_if<ConfigSnapshotPart>(&aMessage)) {
+      served.push_back(part->mRevision.mValue);
+    }
+  };
+  link.StartAll();
+  for (size_t at = 0; at < 3; ++at) {
+    BOOST_REQUIRE(
+      link.mReplicas[at].mControl->mState.mConfig.mView.mRevision.mValue < 90u);
+    link.SendFrom(member, ControlLink::AddressOf(at), ConfigFetch{});
+    BOOST_REQUIRE(link.AwaitLeader());
+    link.Run(Millis(200));
+    BOOST_TEST(served == std::vector<uint64_t>{ 90 },
+               boost::test_tools::per_element());
+    served.clear();
+    // Again for the next one, with all of them restarted.
+    for (size_t other = 0; other < 3; ++other) {
+      link.Kill(other);
+    }
+    link.StartAll();
+  }
+}
