A new session gets no lease below the revision at which it started

Callers saw: a denial by an entry that holds a lease and lacks changes which operators were told are in force. Cause: a renewal needed only revisions older than kFetchAllowance (1.5 s), also from an entry that had just started; a change acknowledged a moment before bound the entries that had leases then, and not this one.

Session::mNeeded is the newest revision when the session starts. The new case of membership_sessions_test failed before at revisions 0, 5 and 6 of 7. The renewal of control_batch_test now names the revision that its node has, as real nodes do; it named none and was granted a lease.

--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -101,7 +101,8 @@
     SessionStarted(leadership.mSessions,
                    aStep.mNow,
                    std::get<RegisterMember>(aCommand.mBody).mMember.mInstance,
-                   registered->mEpoch);
+                   registered->mEpoch,
+                   aStep.mControl.mState.mConfig.mView.mRevision);
   }
   const auto& plan = aStep.mControl.mState.mConfig.mView.mPlan;
   if (plan && plan->mVersion != aBefore.mPlanVersion) {
--- a/caraway/membership/sessions.cpp
+++ b/caraway/membership/sessions.cpp
@@ -53,10 +53,12 @@
 SessionStarted(Sessions& aSessions,
                MonoTime aNow,
                const InstanceId& aInstance,
-               Epoch aEpoch)
+               Epoch aEpoch,
+               Revision aNewest)
 {
   Session session;
   session.mEpoch = aEpoch;
+  session.mNeeded = aNewest;
   session.mStarted = aNow;
   session.mLeaseEnd = aNow;
   session.mLeaseItemsSequenceKnown = true;
@@ -114,7 +116,8 @@
   session.mLimit = aRenew.mLimit;
   session.mHeld = std::max(session.mHeld, aRenew.mRevision);
   session.mHoldsUntil = aNow + aRenew.mLeaseLeft - kRenewalDelay;
-  if (aRenew.mRevision < std::max(aSessions.mRequired, aSessions.mReported)) {
+  if (aRenew.mRevision <
+      std::max({ aSessions.mRequired, aSessions.mReported, session.mNeeded })) {
     reply.mVerdict = RenewVerdict::eRevisionTooOld;
     return reply;
   }
--- a/caraway/membership/sessions.h
+++ b/caraway/membership/sessions.h
@@ -23,6 +23,9 @@
   MonoTime mStarted;
   MonoTime mLeaseEnd; // at the grantor; mStarted before the first renewal
   Revision mHeld;     // highest revision it renewed with
+  // Newest when the session started: operators may have been told that it is in
+  // force. A lease needs at least this.
+  Revision mNeeded;
   // Until when it holds a lease by its own account. Earlier than mLeaseEnd if
   // replies do not arrive.
   MonoTime mHoldsUntil;
@@ -86,7 +89,8 @@
 SessionStarted(Sessions& aSessions,
                MonoTime aNow,
                const InstanceId& aInstance,
-               Epoch aEpoch);
+               Epoch aEpoch,
+               Revision aNewest);
 
 // aLeft: the process sent Leave, so nothing acts under its lease any more.
 void
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -356,6 +356,7 @@
   Renew renew;
   renew.mInstance = mNode->mMember.mInstance;
   renew.mEpoch = mNode->mEpoch;
+  renew.mRevision = mLink.LeaderControl().mState.mConfig.mView.mRevision;
   renew.mTarget.mModels = { kModel };
   // The second lease is one that the leader has not applied yet.
   const FencingToken later(batch.mToken.mValue + 1000000);
--- a/tests/membership_sessions_test.cpp
+++ b/tests/membership_sessions_test.cpp
@@ -57,7 +57,7 @@
   StartSessions(sessions, kStart, kLease, ViewWith({ { "a", "z1" } }));
   HandleRenew(sessions, kStart, RenewOf("a", 1, 5), Revision(5));
   SessionEnded(sessions, kStart, InstanceId("a"), Epoch(1), false);
-  SessionStarted(sessions, kStart, InstanceId("a"), Epoch(9));
+  SessionStarted(sessions, kStart, InstanceId("a"), Epoch(9), Revision(6));
   HandleRenew(sessions, kStart, RenewOf("a", 9, 6), Revision(6));
   BOOST_TEST(ReportInForce(sessions, kStart, Revision(6)).mValue == 5u);
   const MonoTime end = GrantorLeaseEnd(kStart, kLease);
@@ -84,7 +84,7 @@
   StartSessions(sessions, kStart, kLease, ViewWith({}));
   RevisionApplied(sessions, kStart, Revision(6));
   BOOST_TEST(ReportInForce(sessions, kStart, Revision(6)).mValue == 6u);
-  SessionStarted(sessions, kStart, InstanceId("b"), Epoch(9));
+  SessionStarted(sessions, kStart, InstanceId("b"), Epoch(9), Revision(5));
   auto reply = HandleRenew(sessions, kStart, RenewOf("b", 9, 5), Revision(6));
   BOOST_TEST((reply.mVerdict == RenewVerdict::eRevisionTooOld));
 }
@@ -131,3 +131,23 @@
   BOOST_TEST(
     LostMembers(sessions, expired + Seconds(5), Seconds(2), view).size() == 2u);
 }
+
+// A change that an operator was told is in force binds an entry that starts
+// right after it, however young the change is.
+BOOST_AUTO_TEST_CASE(new_session_gets_no_lease_below_what_was_acknowledged)
+{
+  Sessions sessions;
+  StartSessions(sessions, kStart, kLease, ViewWith({}));
+  RevisionApplied(sessions, kStart, Revision(6));
+  SessionStarted(
+    sessions, kStart + Millis(1), InstanceId("a"), Epoch(9), Revision(7));
+  const MonoTime now = kStart + Millis(2);
+  for (const uint64_t held : { 0U, 5U, 6U }) {
+    const auto reply =
+      HandleRenew(sessions, now, RenewOf("a", 9, held), Revision(7));
+    BOOST_TEST((reply.mVerdict == RenewVerdict::eRevisionTooOld));
+  }
+  const auto reply =
+    HandleRenew(sessions, now, RenewOf("a", 9, 7), Revision(7));
+  BOOST_TEST((reply.mVerdict == RenewVerdict::eGranted));
+}
