An entry decides by its copy once a leader has confirmed it

Callers saw: an entry that started counted as ready with any plan, passed through old ones on its way and took requests by them: jobs with a key that was dropped long ago went on to control, and calls to targets that had left were tried.

HasConfirmedPlan: a leader has granted this process a lease, which it does only to a copy that has all that was acknowledged before its session. Until then requests are held for the time that an entry at its start has, jobs and reads get 503 with a reason, and the readiness check fails. A running entry goes on by its confirmed copy while control is away, as before.

entry_early_test has four new cases; on the code before a request ran by the unconfirmed copy, readiness was 200, and the job was denied or passed on by it.

--- a/caraway/entry/early_requests.cpp
+++ b/caraway/entry/early_requests.cpp
@@ -1,4 +1,4 @@
-// Holds requests until the first configuration arrives.
+// Holds requests until the first configuration is confirmed.
 
 #include "caraway/entry/early_requests.h"
 
@@ -6,6 +6,7 @@
 
 #include "caraway/entry/drain.h"
 #include "caraway/entry/forward.h"
+#include "caraway/entry/session.h"
 
 namespace caraway {
 
@@ -26,7 +27,7 @@
 HoldEarlyRequest(EntryStep& aStep, ForwardRequest& aRequest)
 {
   Entry& entry = aStep.mEntry;
-  if (entry.mConfig.mPlan || RefusesNewWork(entry, aStep.mNow) ||
+  if (HasConfirmedPlan(entry) || RefusesNewWork(entry, aStep.mNow) ||
       entry.mEarlyRequests.size() >= kMaxHeldRequests) {
     return false;
   }
@@ -43,7 +44,7 @@
 void
 ProcessEarlyRequests(EntryStep& aStep)
 {
-  if (!aStep.mEntry.mConfig.mPlan) {
+  if (!HasConfirmedPlan(aStep.mEntry)) {
     return;
   }
   for (EarlyRequest& early : std::exchange(aStep.mEntry.mEarlyRequests, {})) {
--- a/caraway/entry/early_requests.h
+++ b/caraway/entry/early_requests.h
@@ -1,19 +1,19 @@
 #pragma once
-// Requests that arrive before the entry has its first configuration. The entry
-// has just started, and the load balancer may have no other one. They are held
-// for the fraction of a second that the configuration takes, because a refusal
-// would use up the caller's only retry.
+// Requests that arrive before the entry has a confirmed configuration. The
+// entry has just started, and the load balancer may have no other one. They are
+// held for the fraction of a second that the configuration takes, because a
+// refusal would use up the caller's only retry.
 
 #include "caraway/entry/entry_step.h"
 
 namespace caraway {
 
-// Holds the request if no configuration is known yet. Returns false if the
+// Holds the request if no configuration is confirmed yet. Returns false if the
 // request has to be processed now; aRequest is then unchanged.
 bool
 HoldEarlyRequest(EntryStep& aStep, ForwardRequest& aRequest);
 
-// Processes all held requests once a configuration is known.
+// Processes all held requests once a configuration is confirmed.
 void
 ProcessEarlyRequests(EntryStep& aStep);
 
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -52,7 +52,8 @@
   uint32_t mRefusals = 0; // replies that refused one of them
 };
 
-// A request held until the first configuration arrives, see early_requests.h.
+// A request held until the first configuration is confirmed, see
+// early_requests.h.
 struct EarlyRequest
 {
   ForwardRequest mRequest;
@@ -114,7 +115,8 @@
   // Of calls that were answered, from their start to the end of the answer.
   std::map<RouteId, UsualTime> mAnswerTimes;
 
-  // Requests received before the first configuration, in order of arrival.
+  // Requests received before the first confirmed configuration, in order of
+  // arrival.
   std::deque<EarlyRequest> mEarlyRequests;
   ReplicaDiscovery mReplicaDiscovery;
   TargetReports mReports;
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -59,8 +59,9 @@
     return Refusal(ErrorKind::eOverloaded,
                    "this instance has too many requests in progress");
   }
-  if (!entry.mConfig.mPlan) {
-    return Refusal(ErrorKind::eUnavailable, "no configuration is known yet");
+  if (!HasConfirmedPlan(entry)) {
+    return Refusal(ErrorKind::eUnavailable,
+                   "no configuration is confirmed yet");
   }
   if (!entry.mSettings.mServeWithoutLease &&
       !HasValidLease(entry, aStep.mNow)) {
@@ -223,7 +224,7 @@
     return false;
   }
   return HasValidLease(aEntry, aNow) ||
-         (aEntry.mSettings.mServeWithoutLease && aEntry.mConfig.mPlan);
+         (aEntry.mSettings.mServeWithoutLease && HasConfirmedPlan(aEntry));
 }
 
 } // namespace caraway
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -237,6 +237,16 @@
 {
   WorkspaceId workspace;
   if (!aOrder.mHost.empty()) {
+    if (!HasConfirmedPlan(aStep.mEntry)) {
+      Deny(aStep,
+           aOrder.mCall,
+           TopicOf(aOrder.mBody),
+           aOrder.mHost,
+           MakeError(ErrorKind::eUnavailable,
+                     "no configuration is confirmed yet",
+                     "send the request again"));
+      return;
+    }
     const absl::StatusOr<WorkspaceId> caller =
       WorkspaceOfKey(aStep.mEntry.mConfig, aOrder.mKey);
     if (!caller.ok()) {
@@ -266,19 +276,20 @@
 HandleJobSubmission(EntryStep& aStep, JobSubmission aSubmission)
 {
   const ConfigView& config = aStep.mEntry.mConfig;
+  if (!HasConfirmedPlan(aStep.mEntry)) {
+    Deny(aStep,
+         aSubmission.mCall,
+         OrderTopic::eSubmitJob,
+         aSubmission.mHost,
+         MakeError(ErrorKind::eUnavailable,
+                   "no configuration is confirmed yet",
+                   "send the request again"));
+    return;
+  }
   const absl::StatusOr<WorkspaceId> caller =
     WorkspaceOfKey(config, aSubmission.mKey);
   const PlanRoute* route =
-    config.mPlan == nullptr
-      ? nullptr
-      : FindPlanRoute(*config.mPlan, aSubmission.mHost, aSubmission.mPath);
-  if (config.mPlan == nullptr) {
-    ReplyTo(aStep,
-            aSubmission.mCall,
-            OrderTopic::eSubmitJob,
-            Failed(ErrorKind::eUnavailable, "no configuration is known yet"));
-    return;
-  }
+    FindPlanRoute(*config.mPlan, aSubmission.mHost, aSubmission.mPath);
   if (route == nullptr || route->mKind != CallKind::eBatch) {
     Deny(aStep,
          aSubmission.mCall,
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -11,6 +11,7 @@
 #include "caraway/base/lease.h"
 #include "caraway/entry/config_fetch.h"
 #include "caraway/entry/control_calls.h"
+#include "caraway/entry/early_requests.h"
 #include "caraway/entry/replica_discovery.h"
 #include "caraway/entry/resumed_streams.h"
 
@@ -180,6 +181,12 @@
   return !aEntry.mSession.mEpoch.IsNone() && aNow < aEntry.mSession.mLeaseEnd;
 }
 
+bool
+HasConfirmedPlan(const Entry& aEntry)
+{
+  return aEntry.mSession.mCopyConfirmed && aEntry.mConfig.mPlan;
+}
+
 Duration
 ControlAway(const Entry& aEntry, MonoTime aNow)
 {
@@ -275,6 +282,8 @@
       }
       session.mLeaseEnd = std::max(
         session.mLeaseEnd, HolderLeaseEnd({ aReply.mSentAt }, aReply.mLease));
+      session.mCopyConfirmed = true;
+      ProcessEarlyRequests(aStep);
       break;
     case RenewVerdict::eRevisionTooOld:
       FetchNow(aStep);
--- a/caraway/entry/session.h
+++ b/caraway/entry/session.h
@@ -11,6 +11,12 @@
 bool
 HasValidLease(const Entry& aEntry, MonoTime aNow);
 
+// True once a configuration has arrived and a leader has confirmed that it is
+// not older than what operators were told before this process started. Requests
+// are decided by it from then on, also while control is away.
+bool
+HasConfirmedPlan(const Entry& aEntry);
+
 // For how long no replica has replied as leader; 0 while there is contact.
 Duration
 ControlAway(const Entry& aEntry, MonoTime aNow);
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -35,6 +35,9 @@
   Epoch mLastEndedEpoch; // replies with this epoch or an older one are ignored
   Revision mRenewedRevision;                      // revision in the last Renew
   RenewVerdict mVerdict = RenewVerdict::eGranted; // of the last reply
+  // A leader has granted a lease since the process started: the copy of the
+  // configuration is not older than what was acknowledged before that.
+  bool mCopyConfirmed = false;
 };
 
 struct ConfigFetcher
--- a/tests/entry_early_test.cpp
+++ b/tests/entry_early_test.cpp
@@ -57,8 +57,112 @@
   }
 };
 
+// The entry has started, and no leader has confirmed its copy yet.
+struct Unconfirmed : Early
+{
+  Unconfirmed()
+  {
+    mEntry.mSession = EntrySession{};
+    mEntry.mSession.mLeader = kControl;
+    mLease = false;
+    Step(Wakeup{});
+  }
+
+  // The leader replies again; the entry renews.
+  void ConfirmCopy()
+  {
+    mLease = true;
+    Advance(Millis(500));
+  }
+
+  int Ready()
+  {
+    const HttpCallId call(mNextCall++);
+    Step(ReadyQuery{ call });
+    return Status(call.mValue);
+  }
+
+  HttpCallId SubmitJob()
+  {
+    JobSubmission job;
+    job.mCall = HttpCallId(mNextCall++);
+    job.mJob = JobId("job-1");
+    job.mHost = "h";
+    job.mPath = "/look/x";
+    job.mKey = "dropped since";
+    Step(job);
+    return job.mCall;
+  }
+
+  // The error kind of the reply to an order; eNone if it has none.
+  ErrorKind OrderError(HttpCallId aCall) const
+  {
+    for (const OrderReply& reply : mOrders) {
+      const auto* failed = std::get_if<CallFailed>(&reply.mBody);
+      if (reply.mCall == aCall && failed != nullptr) {
+        return failed->mKind;
+      }
+    }
+    return ErrorKind::eNone;
+  }
+};
+
 } // namespace
 
+// Guards against requests that are decided by a copy which nobody has
+// confirmed: it may be older than what was acknowledged before the entry
+// started.
+BOOST_FIXTURE_TEST_CASE(request_waits_until_the_copy_is_confirmed, Unconfirmed)
+{
+  const uint64_t call = SendForward();
+  Configure();
+  BOOST_TEST(mTargetCalls.empty());
+  BOOST_TEST(Status(call) == 0);
+  ConfirmCopy();
+  BOOST_TEST(mTargetCalls.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(unconfirmed_copy_is_refused_in_time, Unconfirmed)
+{
+  Configure();
+  const uint64_t call = SendForward(Millis(900));
+  Advance(Millis(350));
+  BOOST_TEST(Status(call) == 503);
+  BOOST_TEST(!HeaderOf(call, "Retry-After").empty());
+  ConfirmCopy();
+  BOOST_TEST(mTargetCalls.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_is_ready_once_its_copy_is_confirmed, Unconfirmed)
+{
+  Configure();
+  BOOST_TEST(Ready() == 503);
+  ConfirmCopy();
+  BOOST_TEST(Ready() == 200);
+  // From then on it goes on without control.
+  mLease = false;
+  Advance(Seconds(10));
+  BOOST_TEST(Ready() == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(jobs_and_orders_are_not_decided_by_an_unconfirmed_copy,
+                        Unconfirmed)
+{
+  Configure();
+  BOOST_TEST((OrderError(SubmitJob()) == ErrorKind::eUnavailable));
+  ControlOrder read;
+  read.mCall = HttpCallId(mNextCall++);
+  read.mBody = ReadFile{};
+  read.mHost = "h";
+  read.mKey = "dropped since";
+  Step(read);
+  BOOST_TEST((OrderError(read.mCall) == ErrorKind::eUnavailable));
+  BOOST_TEST(Sent<ControlCall>().empty());
+  ConfirmCopy();
+  // Now the copy decides.
+  BOOST_TEST((OrderError(SubmitJob()) == ErrorKind::eNotFound));
+}
+
 BOOST_FIXTURE_TEST_SUITE(early, Early)
 
 BOOST_AUTO_TEST_CASE(held_request_is_served_once_the_configuration_is_known)
