entry_early_test: a key of the unconfirmed copy, so that the case fails without the check

The case of ff. jobs and orders used a key that the copy lacks, which was refused before as well. With a known key the read goes on to control on the code before.

--- a/tests/entry_early_test.cpp
+++ b/tests/entry_early_test.cpp
@@ -46,6 +46,10 @@
     route.mMaxAttempts = 2;
     route.mOpen = true;
     plan.mRoutes = { route };
+    PlanWorkspace workspace;
+    workspace.mId = WorkspaceId("p");
+    workspace.mKeys = { DigestOfKey("secret") };
+    plan.mWorkspaces = { workspace };
     Target target;
     target.mId = TargetId("t");
     target.mService = ServiceId("store");
@@ -89,7 +93,7 @@
     job.mJob = JobId("job-1");
     job.mHost = "h";
     job.mPath = "/look/x";
-    job.mKey = "dropped since";
+    job.mKey = "secret";
     Step(job);
     return job.mCall;
   }
@@ -154,13 +158,15 @@
   read.mCall = HttpCallId(mNextCall++);
   read.mBody = ReadFile{};
   read.mHost = "h";
-  read.mKey = "dropped since";
+  read.mKey = "secret"; // may have been dropped since
   Step(read);
   BOOST_TEST((OrderError(read.mCall) == ErrorKind::eUnavailable));
   BOOST_TEST(Sent<ControlCall>().empty());
   ConfirmCopy();
   // Now the copy decides.
   BOOST_TEST((OrderError(SubmitJob()) == ErrorKind::eNotFound));
+  Step(read);
+  BOOST_TEST(Sent<ControlCall>().size() == 1u);
 }
 
 BOOST_FIXTURE_TEST_SUITE(early, Early)
