Revision and content belong together: a renewal states a digest of the copy

ViewDigest (plan, zones, targets, members, input blocks) goes with the renewals of entries. At the leader's own revision a differing digest gets eCopyDiffers and an error line: no lease, the entry is out of service and fetches the whole copy from the leader, also at the same revision; meanwhile its renewals state no revision. After three replacements it states no digest any more, so that a fault of the comparison does not keep entries out of service.

New cases in membership_sessions_test and entry_session_test (neither verdict nor replacement existed before); control_restore_test compares digests of a member that follows a restored replica at each index. Messages changed (Renew): processes of this and the former landing do not mix.

--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -118,6 +118,9 @@
   MonoTime mStartedAt;
   MonoTime mLogicalBase; // logical time at mStartedAt
   Sessions mSessions;
+  // ViewDigest of the configuration at this revision.
+  Revision mDigestRevision;
+  uint64_t mDigest = 0;
   Grantor mGrantor;
   std::map<LogIndex, Proposal> mProposals;
   std::vector<WaitingPlanReply> mPlanReplies;
--- a/caraway/control/member_messages.cpp
+++ b/caraway/control/member_messages.cpp
@@ -1,6 +1,7 @@
 // Handles sessions, configuration leases and grants of members.
 
 #include "caraway/admission/grantor.h"
+#include "caraway/config/view_digest.h"
 #include "caraway/control/step.h"
 #include "caraway/ledger/ledger.h"
 
@@ -32,6 +33,32 @@
   Send(aStep, aTo, reply);
 }
 
+// The digest of the newest configuration, computed once a revision.
+uint64_t
+NewestDigest(ControlStep& aStep)
+{
+  Leadership& leadership = aStep.mControl.mLeadership;
+  const ConfigView& view = ViewOf(aStep);
+  if (leadership.mDigest == 0 || leadership.mDigestRevision != view.mRevision) {
+    leadership.mDigestRevision = view.mRevision;
+    leadership.mDigest = ViewDigest(view);
+  }
+  return leadership.mDigest;
+}
+
+void
+LogDifference(ControlStep& aStep, const Renew& aRenew)
+{
+  DecisionLog line;
+  line.mLevel = LogLevel::eError;
+  line.mEvent = "copy_differs";
+  line.mChoice = aRenew.mInstance.mValue;
+  line.mReason = "the member's configuration is not that of its revision";
+  line.mExtra = { { "revision", std::to_string(aRenew.mRevision.mValue) },
+                  { "epoch", std::to_string(aRenew.mEpoch.mValue) } };
+  aStep.mOut.emplace_back(std::move(line));
+}
+
 // Proposes the member's new target or draining flag if it differs.
 void
 UpdateFromRenewal(ControlStep& aStep, const Renew& aRenew)
@@ -128,7 +155,11 @@
   RenewReply reply = HandleRenew(aStep.mControl.mLeadership.mSessions,
                                  aStep.mNow,
                                  aMessage,
-                                 ViewOf(aStep).mRevision);
+                                 ViewOf(aStep).mRevision,
+                                 NewestDigest(aStep));
+  if (reply.mVerdict == RenewVerdict::eCopyDiffers) {
+    LogDifference(aStep, aMessage);
+  }
   if (reply.mVerdict == RenewVerdict::eGranted) {
     CheckLeases(aStep, aMessage, reply);
     // What entries report next is weighed by the share: a new leader credits
--- a/caraway/entry/config_fetch.cpp
+++ b/caraway/entry/config_fetch.cpp
@@ -55,6 +55,20 @@
   aFetcher.mParts.clear();
 }
 
+// Polls this replica next, if it is known.
+void
+FetchFrom(EntryStep& aStep, const PeerAddress& aReplica)
+{
+  Entry& entry = aStep.mEntry;
+  const std::vector<PeerAddress>& replicas = entry.mSettings.mControl;
+  const auto found = std::find(replicas.begin(), replicas.end(), aReplica);
+  if (found != replicas.end()) {
+    entry.mFetcher.mReplica = static_cast<size_t>(found - replicas.begin());
+    entry.mFetcher.mReplyBy = kNever;
+    entry.mFetcher.mNextFetch = aStep.mNow;
+  }
+}
+
 } // namespace
 
 void
@@ -72,7 +86,7 @@
     return;
   }
   ConfigFetch fetch;
-  fetch.mHeld = entry.mConfig.mRevision;
+  fetch.mHeld = StatedRevision(entry);
   fetch.mScope = ConfigScope::eAll;
   fetch.mSnapshotOffset = fetcher.mParts.size();
   fetch.mSnapshotRevision = fetcher.mPartRevision;
@@ -96,16 +110,31 @@
                        const PeerAddress& aLeader,
                        Revision aNewest)
 {
-  Entry& entry = aStep.mEntry;
-  const std::vector<PeerAddress>& replicas = entry.mSettings.mControl;
-  auto leader = std::find(replicas.begin(), replicas.end(), aLeader);
-  if (aNewest <= entry.mConfig.mRevision || leader == replicas.end() ||
-      FetchPeer(entry) == aLeader) {
+  if (aNewest > aStep.mEntry.mConfig.mRevision &&
+      FetchPeer(aStep.mEntry) != aLeader) {
+    FetchFrom(aStep, aLeader);
+  }
+}
+
+void
+ReplaceCopy(EntryStep& aStep, const PeerAddress& aLeader, MonoTime aSentAt)
+{
+  ConfigFetcher& fetcher = aStep.mEntry.mFetcher;
+  if (fetcher.mReplaceCopy || aSentAt < fetcher.mReplacedAt) {
     return;
   }
-  entry.mFetcher.mReplica = static_cast<size_t>(leader - replicas.begin());
-  entry.mFetcher.mReplyBy = kNever;
-  entry.mFetcher.mNextFetch = aStep.mNow;
+  aStep.mEntry.mSession.mLeaseEnd = kLongAgo;
+  aStep.mEntry.mSession.mCopyConfirmed = false;
+  ++fetcher.mReplacements;
+  fetcher.mReplaceCopy = true;
+  DropParts(fetcher);
+  FetchFrom(aStep, aLeader);
+}
+
+Revision
+StatedRevision(const Entry& aEntry)
+{
+  return aEntry.mFetcher.mReplaceCopy ? Revision() : aEntry.mConfig.mRevision;
 }
 
 void
@@ -141,7 +170,10 @@
 {
   Entry& entry = aStep.mEntry;
   ConfigFetcher& fetcher = entry.mFetcher;
-  if (aPart.mRevision <= entry.mConfig.mRevision) {
+  const bool isNews = fetcher.mReplaceCopy
+                        ? aPart.mRevision >= entry.mConfig.mRevision
+                        : aPart.mRevision > entry.mConfig.mRevision;
+  if (!isNews) {
     DropParts(fetcher);
     RecordPollReply(aStep, aFrom, false);
     return false;
@@ -163,6 +195,10 @@
     applied =
       ApplySnapshot(entry.mConfig, aPart.mRevision, fetcher.mParts).ok();
     fetcher.mSource = aFrom;
+    if (applied && fetcher.mReplaceCopy) {
+      fetcher.mReplaceCopy = false;
+      fetcher.mReplacedAt = aStep.mNow;
+    }
     DropParts(fetcher);
   }
   RecordPollReply(aStep, aFrom, true);
--- a/caraway/entry/config_fetch.h
+++ b/caraway/entry/config_fetch.h
@@ -21,6 +21,16 @@
                        const PeerAddress& aLeader,
                        Revision aNewest);
 
+// The leader has found that the copy is not what its revision says: fetches it
+// whole from there.
+// aSentAt: when the renewal with the copy's digest was sent.
+void
+ReplaceCopy(EntryStep& aStep, const PeerAddress& aLeader, MonoTime aSentAt);
+
+// The revision to state in renewals: none while the copy is being replaced.
+Revision
+StatedRevision(const Entry& aEntry);
+
 // Polls without delay, unless a poll is in flight.
 void
 FetchNow(EntryStep& aStep);
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -9,6 +9,7 @@
 #include "caraway/admission/fallback_share.h"
 #include "caraway/admission/token_holder.h"
 #include "caraway/base/lease.h"
+#include "caraway/config/view_digest.h"
 #include "caraway/entry/config_fetch.h"
 #include "caraway/entry/control_calls.h"
 #include "caraway/entry/early_requests.h"
@@ -49,6 +50,22 @@
   aStep.mOut.emplace_back(std::move(log));
 }
 
+const char*
+VerdictName(RenewVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case RenewVerdict::eGranted:
+      return "granted";
+    case RenewVerdict::eRevisionTooOld:
+      return "copy_too_old";
+    case RenewVerdict::eCopyDiffers:
+      return "copy_differs";
+    case RenewVerdict::eUnknownSession:
+      return "unknown_session";
+  }
+  return "";
+}
+
 // One line for each change of the verdict and each lease after a time without
 // one.
 void
@@ -63,10 +80,7 @@
   session.mVerdict = aReply.mVerdict;
   DecisionLog log;
   log.mEvent = "lease";
-  log.mChoice = granted ? "granted"
-                : aReply.mVerdict == RenewVerdict::eRevisionTooOld
-                  ? "copy_too_old"
-                  : "unknown_session";
+  log.mChoice = VerdictName(aReply.mVerdict);
   log.mReason = session.mConfirmedLeader.mValue;
   log.mExtra = CopyFields(aStep.mEntry, aStep.mNow);
   log.mExtra.push_back(
@@ -131,12 +145,15 @@
   Renew message;
   message.mInstance = entry.mSettings.mInstance;
   message.mEpoch = entry.mSession.mEpoch;
-  message.mRevision = entry.mConfig.mRevision;
+  message.mRevision = StatedRevision(entry);
   message.mSentAt = aStep.mNow.mMicros;
   message.mDraining = entry.mDrain.mSince != kNever;
   message.mLeaseLeft = HasValidLease(entry, aStep.mNow)
                          ? entry.mSession.mLeaseEnd - aStep.mNow
                          : Duration{};
+  message.mDigest = entry.mFetcher.mReplacements < kMostReplacements
+                      ? ViewDigest(entry.mConfig)
+                      : 0;
   entry.mSession.mRenewedRevision = message.mRevision;
   Send(aStep, entry.mSession.mLeader, std::move(message));
 }
@@ -290,6 +307,11 @@
       session.mNextSend =
         std::min(session.mNextSend, aStep.mNow + kNotYetPause);
       break;
+    case RenewVerdict::eCopyDiffers:
+      ReplaceCopy(aStep, aFrom, { aReply.mSentAt });
+      session.mNextSend =
+        std::min(session.mNextSend, aStep.mNow + kNotYetPause);
+      break;
     case RenewVerdict::eUnknownSession:
       session.mLastEndedEpoch = session.mEpoch;
       session.mEpoch = {};
--- a/caraway/entry/session_state.h
+++ b/caraway/entry/session_state.h
@@ -40,6 +40,8 @@
   bool mCopyConfirmed = false;
 };
 
+constexpr uint32_t kMostReplacements = 3;
+
 struct ConfigFetcher
 {
   size_t mReplica = 0; // index in mControl, modulo its size
@@ -49,6 +51,13 @@
   Revision mPartRevision;           // of the snapshot being received
   std::vector<ConfigChange> mParts; // received so far, in order
   PeerAddress mSource;              // sent the newest part of the copy
+  // The copy was found to differ from the configuration at its revision. The
+  // next snapshot replaces it, also at the same revision.
+  bool mReplaceCopy = false;
+  MonoTime mReplacedAt = kLongAgo;
+  // Times that the copy was replaced for that reason. From kMostReplacements on
+  // the comparison is taken to be at fault, and no digest is stated any more.
+  uint32_t mReplacements = 0;
 };
 
 struct DrainState
--- a/caraway/membership/sessions.cpp
+++ b/caraway/membership/sessions.cpp
@@ -96,7 +96,8 @@
 HandleRenew(Sessions& aSessions,
             MonoTime aNow,
             const Renew& aRenew,
-            Revision aNewest)
+            Revision aNewest,
+            uint64_t aDigest)
 {
   RenewReply reply;
   reply.mInstance = aRenew.mInstance;
@@ -121,6 +122,11 @@
     reply.mVerdict = RenewVerdict::eRevisionTooOld;
     return reply;
   }
+  if (aRenew.mRevision == aNewest && aRenew.mDigest != 0 && aDigest != 0 &&
+      aRenew.mDigest != aDigest) {
+    reply.mVerdict = RenewVerdict::eCopyDiffers;
+    return reply;
+  }
   session.mLeaseEnd = GrantorLeaseEnd(aNow, aSessions.mLease);
   return reply;
 }
--- a/caraway/membership/sessions.h
+++ b/caraway/membership/sessions.h
@@ -104,11 +104,13 @@
 void
 RevisionApplied(Sessions& aSessions, MonoTime aNow, Revision aRevision);
 
+// aDigest: ViewDigest of the configuration at aNewest.
 RenewReply
 HandleRenew(Sessions& aSessions,
             MonoTime aNow,
             const Renew& aRenew,
-            Revision aNewest);
+            Revision aNewest,
+            uint64_t aDigest = 0);
 
 // Returns the highest revision in force and records that it was reported.
 Revision
--- a/caraway/node/node_session.cpp
+++ b/caraway/node/node_session.cpp
@@ -199,6 +199,7 @@
       }
       EndSession(aNode, aNow, aOut);
       return;
+    case RenewVerdict::eCopyDiffers: // nodes state no digest
     case RenewVerdict::eRevisionTooOld:
       session.mFetchTimeout = aNow;
       session.mRenewAt = aNow + kAnswerTimeout;
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -114,7 +114,8 @@
            aValue.mLimit,
            aValue.mDraining,
            aValue.mLeases,
-           aValue.mLeaseLeft);
+           aValue.mLeaseLeft,
+           aValue.mDigest);
 }
 
 template<class Archive>
--- a/caraway/wire/session_messages.h
+++ b/caraway/wire/session_messages.h
@@ -45,6 +45,7 @@
   // Left of the configuration lease by the sender's clock, 0: none. The grantor
   // may have sent more, in replies that did not arrive.
   Duration mLeaseLeft;
+  uint64_t mDigest = 0; // entries: ViewDigest of the copy; 0: not stated
 };
 
 enum class RenewVerdict : uint8_t
@@ -52,6 +53,7 @@
   eGranted,
   eUnknownSession, // the epoch has ended; register again
   eRevisionTooOld, // fetch the configuration first
+  eCopyDiffers,    // from the configuration at its revision; fetch it whole
 };
 
 struct RenewReply
--- a/tests/control_restore_test.cpp
+++ b/tests/control_restore_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "caraway/base/random.h"
+#include "caraway/config/view_digest.h"
 #include "caraway/control/command.h"
 
 using namespace caraway;
@@ -155,6 +156,7 @@
     Commands commands{ Random(seed) };
     ControlState steady;
     ControlState restored;
+    ConfigView member; // follows by deltas of the restored replica
     for (uint64_t index = kFirst.mValue; index <= 400; ++index) {
       const ControlCommand command = commands.Next(steady);
       auto decoded = DecodeCommand(EncodeCommand(command));
@@ -164,6 +166,14 @@
       BOOST_TEST_REQUIRE(
         (steady.mConfig.mView.mRevision == restored.mConfig.mView.mRevision),
         "seed " << seed << ", index " << index);
+      for (auto change = FirstChangeAfter(restored.mConfig, member.mRevision);
+           change != restored.mConfig.mRecent.end();
+           ++change) {
+        ApplyChange(member, *change);
+      }
+      BOOST_TEST_REQUIRE(
+        (ViewDigest(member) == ViewDigest(steady.mConfig.mView)),
+        "seed " << seed << ", index " << index);
       // Each seed restores at other indexes, the first one at every index.
       if (index % seed == 0) {
         auto state = DecodeControlState(EncodeControlState(restored));
--- a/tests/entry_session_test.cpp
+++ b/tests/entry_session_test.cpp
@@ -293,4 +293,40 @@
   BOOST_TEST(mStopped);
 }
 
+// Guards against an entry that goes on by a copy which lacks changes at or
+// below its revision: it would lack them for good, with a lease.
+BOOST_AUTO_TEST_CASE(copy_that_differs_is_fetched_whole)
+{
+  const Revision held = mEntry.mConfig.mRevision;
+  mSent.clear();
+  Receive(kControl,
+          RenewReply{ InstanceId("entry-1"),
+                      Epoch(100),
+                      RenewVerdict::eCopyDiffers,
+                      Seconds(3),
+                      held,
+                      mNow.mMicros });
+  BOOST_TEST(Ready() == "503");
+  const auto fetches = Sent<ConfigFetch>();
+  BOOST_REQUIRE(!fetches.empty());
+  BOOST_TEST(fetches.back().mHeld.IsNone());
+  // Meanwhile no lease is asked for.
+  Advance(Millis(200));
+  for (const Renew& renew : Sent<Renew>()) {
+    BOOST_TEST(renew.mRevision.IsNone());
+  }
+  // The copy of the leader at the same revision takes its place.
+  ConfigSnapshotPart whole;
+  whole.mRevision = held;
+  whole.mChanges = { SetZoneService{ ZoneId("z"), false } };
+  whole.mLast = true;
+  Receive(kControl, whole);
+  BOOST_TEST(!ZoneInService(mEntry.mConfig, ZoneId("z")));
+  BOOST_TEST((mEntry.mConfig.mRevision == held));
+  const auto renewals = Sent<Renew>();
+  BOOST_REQUIRE(!renewals.empty());
+  BOOST_TEST((renewals.back().mRevision == held));
+  BOOST_TEST(Ready() == "200");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/membership_sessions_test.cpp
+++ b/tests/membership_sessions_test.cpp
@@ -151,3 +151,20 @@
     HandleRenew(sessions, now, RenewOf("a", 9, 7), Revision(7));
   BOOST_TEST((reply.mVerdict == RenewVerdict::eGranted));
 }
+
+// Guards against a lease for a copy that has the revision of the newest
+// configuration and not its content.
+BOOST_AUTO_TEST_CASE(copy_that_differs_at_its_revision_gets_no_lease)
+{
+  Sessions sessions;
+  StartSessions(sessions, kStart, kLease, ViewWith({ { "a", "z1" } }));
+  constexpr uint64_t kDigest = 77;
+  Renew renew = RenewOf("a", 1, 5);
+  const auto verdict = [&](uint64_t aDigest) {
+    renew.mDigest = aDigest;
+    return HandleRenew(sessions, kStart, renew, Revision(5), kDigest).mVerdict;
+  };
+  BOOST_TEST((verdict(kDigest) == RenewVerdict::eGranted));
+  BOOST_TEST((verdict(kDigest + 1) == RenewVerdict::eCopyDiffers));
+  BOOST_TEST((verdict(0) == RenewVerdict::eGranted)); // not stated
+}
