Elections take into account how long the last ones took

Cause: a vote takes a sync of the candidate and one of the voter, and a candidate gave up after 300 to 500 ms. With syncs of 300 ms and more, no election could succeed, and each attempt began at the same timeout. A voter also granted a pre-vote for the next term while the vote that it had just given was still being written, which ended that election.

Change: the time that an election in progress gets doubles with each term that passed without a leader, up to 16 times, and no pre-vote succeeds at a voter or candidate meanwhile. All replicas agree on the factor, since they count the same terms. Pre-votes that find no majority start no term, so the return of a majority is noticed as fast as before.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -61,6 +61,7 @@
     AppendToLog(raft, std::move(entry));
   }
   raft.mWrittenTo = raft.mDurable = LastIndex(raft);
+  raft.mLeaderTerm = LastTerm(raft);
   OnReplicasChanged(raft, aNow);
   if (IsVoter(raft, aSelf) && WasAlwaysOnlyVoter(raft)) {
     raft.mElectionDue = raft.mRefuseVotesUntil = aNow;
--- a/caraway/consensus/raft_election.cpp
+++ b/caraway/consensus/raft_election.cpp
@@ -7,19 +7,54 @@
 
 namespace caraway {
 
+namespace {
+
+// Elections that may take longer and longer, one after the other. A vote takes
+// a sync of the candidate and one of the voter, so elections between slow disks
+// fail until they are given more time than that.
+constexpr uint64_t kMaxElectionDoublings = 4;
+
+// The factor for the timeouts of an election in this term. All replicas agree
+// on it, since they count the terms that passed without a leader.
+int64_t
+ElectionPatience(const Raft& aRaft)
+{
+  const uint64_t failed = aRaft.mTerm.mValue > aRaft.mLeaderTerm.mValue
+                            ? aRaft.mTerm.mValue - aRaft.mLeaderTerm.mValue - 1
+                            : 0;
+  return int64_t{ 1 } << std::min(failed, kMaxElectionDoublings);
+}
+
 void
-ResetElectionTimer(Raft& aRaft, MonoTime aNow)
+DrawElectionTime(Raft& aRaft, MonoTime aNow, int64_t aPatience)
 {
   // Not before the leader lease that this replica supports has expired.
   const MonoTime first =
-    GrantorLeaseEnd(aNow, aRaft.mSettings.mElectionMin) + Micros(1);
-  const MonoTime last = aNow + aRaft.mSettings.mElectionMax;
+    GrantorLeaseEnd(aNow, aRaft.mSettings.mElectionMin * aPatience) + Micros(1);
+  const MonoTime last = aNow + aRaft.mSettings.mElectionMax * aPatience;
   const int64_t spread = std::max<int64_t>((last - first).mMicros, 1);
   aRaft.mElectionDue =
     first + Micros(static_cast<int64_t>(
               DrawBelow(aRaft.mRandom, static_cast<uint64_t>(spread))));
 }
 
+// Gives the candidate that this replica has voted for time to win.
+void
+AwaitElection(Raft& aRaft, MonoTime aNow)
+{
+  const int64_t patience = ElectionPatience(aRaft);
+  DrawElectionTime(aRaft, aNow, patience);
+  aRaft.mVoteInProgressUntil = aNow + aRaft.mSettings.mElectionMin * patience;
+}
+
+} // namespace
+
+void
+ResetElectionTimer(Raft& aRaft, MonoTime aNow)
+{
+  DrawElectionTime(aRaft, aNow, 1);
+}
+
 void
 BecomeFollower(Raft& aRaft, MonoTime aNow, Term aTerm, ReplicaId aLeader)
 {
@@ -40,6 +75,7 @@
 {
   BecomeFollower(aRaft, aNow, aRaft.mTerm, aLeader);
   aRaft.mRefuseVotesUntil = GrantorLeaseEnd(aNow, aRaft.mSettings.mElectionMin);
+  aRaft.mLeaderTerm = aRaft.mTerm;
   ResetElectionTimer(aRaft, aNow);
 }
 
@@ -103,7 +139,7 @@
   SetTerm(aRaft, Term(aRaft.mTerm.mValue + 1), aRaft.mSelf);
   aRaft.mAwaitsFirstElection = false;
   aRaft.mVotes.clear();
-  ResetElectionTimer(aRaft, aNow);
+  AwaitElection(aRaft, aNow);
   RequestVotes(aRaft, false, aOut);
   // This replica's own vote counts once it is synced; OnWritten then delivers
   // it as a reply.
@@ -180,8 +216,9 @@
     return;
   }
   if (aRequest.mPreVote) {
-    const bool granted =
-      aRequest.mTerm > aRaft.mTerm && IsUpToDate(aRaft, aRequest);
+    const bool granted = aRequest.mTerm > aRaft.mTerm &&
+                         aNow >= aRaft.mVoteInProgressUntil &&
+                         IsUpToDate(aRaft, aRequest);
     const Term term = granted ? aRequest.mTerm : aRaft.mTerm;
     Reply(aRaft, aMessage.mFrom, VoteReply{ term, true, granted }, aOut);
     return;
@@ -203,7 +240,7 @@
     SetTerm(aRaft, aRaft.mTerm, aMessage.mFrom);
   }
   aRaft.mAwaitsFirstElection = false;
-  ResetElectionTimer(aRaft, aNow);
+  AwaitElection(aRaft, aNow);
   RaftSend send = MakeMessage(aRaft, aMessage.mFrom);
   send.mMessage.mBody = VoteReply{ aRaft.mTerm, false, true };
   SendWhenSynced(aRaft, std::move(send), aOut);
--- a/caraway/consensus/raft_replication.cpp
+++ b/caraway/consensus/raft_replication.cpp
@@ -40,6 +40,7 @@
   const bool first = LastIndex(aRaft).IsNone();
   aRaft.mRole = RaftRole::eLeader;
   aRaft.mLeader = aRaft.mSelf;
+  aRaft.mLeaderTerm = aRaft.mTerm;
   aRaft.mPeers.clear();
   OnReplicasChanged(aRaft, aNow);
   LogEntry noop;
--- a/caraway/consensus/raft_state.h
+++ b/caraway/consensus/raft_state.h
@@ -131,7 +131,11 @@
 
   // Elections.
   MonoTime mElectionDue;
-  MonoTime mRefuseVotesUntil;           // set on contact with a leader
+  MonoTime mRefuseVotesUntil; // set on contact with a leader
+  Term mLeaderTerm; // newest term in which a leader is known to have led
+  // This replica has voted in mTerm, and no pre-vote for a later term succeeds
+  // here until the candidate had time to win.
+  MonoTime mVoteInProgressUntil;
   std::map<ReplicaId, uint64_t> mVotes; // granted, with the voter's folder
 
   // Leader.
