A replica that stops hands its vote to a learner first

Cause: a replica that got SIGTERM ended and told nobody. Its successor stood by as a learner with every entry, and got the vote only after 2 s of silence and two commits. With a voter lost in between, one vote of three was left. A leader that stopped was missed by silence as well.

Change: a replica that stops says so to the leader until it is answered. A learner that stays is promoted, the leaving voter is removed, and both are committed before it ends, within the 2 s of a stop. Without a learner it keeps its vote and ends at once. A leader does the same for itself and then resigns to the voter with the most complete log, which becomes a candidate at once: its lease is over, so nobody waits for it. A learner that stops is not promoted. A replica that asks to join again counts again.

The class: a planned change that the group learned of by silence only.

Between SIGTERM and the committed removal the leaving voter runs; a loss in these commits is as before.

--- a/caraway/consensus/raft.cpp
+++ b/caraway/consensus/raft.cpp
@@ -133,6 +133,10 @@
   {
     OnSnapshotPartReply(mRaft, mNow, mMessage, aBody, mOut);
   }
+  void operator()(const Resignation& aBody)
+  {
+    OnResignation(mRaft, mNow, mMessage, aBody, mOut);
+  }
 };
 
 } // namespace
@@ -216,7 +220,10 @@
 }
 
 void
-RaftResign(Raft& aRaft, MonoTime aNow, std::vector<RaftAction>& aOut)
+RaftResign(Raft& aRaft,
+           MonoTime aNow,
+           ReplicaId aSuccessor,
+           std::vector<RaftAction>& aOut)
 {
   // The others become candidates within one election timeout of the last
   // heartbeat, and may need a second attempt.
@@ -224,6 +231,11 @@
   if (!IsLeader(aRaft)) {
     return;
   }
+  for (const auto& [id, peer] : aRaft.mPeers) {
+    RaftSend send = MakeMessage(aRaft, id);
+    send.mMessage.mBody = Resignation{ aRaft.mTerm, aSuccessor };
+    aOut.emplace_back(std::move(send));
+  }
   BecomeFollower(aRaft, aNow, aRaft.mTerm, ReplicaId());
   aRaft.mElectionDue = aNow + aRaft.mSettings.mElectionMax * kElections;
   FinishStep(aRaft, aOut);
--- a/caraway/consensus/raft_api.h
+++ b/caraway/consensus/raft_api.h
@@ -54,9 +54,17 @@
 KnowsCommit(const Raft& aRaft);
 
 // Ends the leadership of this replica, and gives the others time to elect one
-// of them.
+// of them. aSuccessor is asked to become a candidate at once; none: nobody is.
 void
-RaftResign(Raft& aRaft, MonoTime aNow, std::vector<RaftAction>& aOut);
+RaftResign(Raft& aRaft,
+           MonoTime aNow,
+           ReplicaId aSuccessor,
+           std::vector<RaftAction>& aOut);
+
+// The voter whose log is the most complete of aAmong, as far as the leader
+// knows; none if there is none.
+ReplicaId
+BestSuccessor(const Raft& aRaft, const std::vector<ReplicaId>& aAmong);
 
 // Replaces the replica set by one that differs in one replica; fails with
 // eNotLeader except on the leader. New replicas must be added as learners first
--- a/caraway/consensus/raft_election.cpp
+++ b/caraway/consensus/raft_election.cpp
@@ -276,6 +276,27 @@
   }
 }
 
+void
+OnResignation(Raft& aRaft,
+              MonoTime aNow,
+              const RaftMessage& aMessage,
+              const Resignation& aBody,
+              RaftActions& aOut)
+{
+  const bool follows =
+    aRaft.mLeader.IsNone() || aRaft.mLeader == aMessage.mFrom;
+  if (aBody.mTerm != aRaft.mTerm || !follows ||
+      aRaft.mRole != RaftRole::eFollower) {
+    return;
+  }
+  aRaft.mLeader = ReplicaId();
+  aRaft.mRefuseVotesUntil = aNow - Micros(1);
+  if (aBody.mSuccessor == aRaft.mSelf && IsVoter(aRaft, aRaft.mSelf) &&
+      !aRaft.mInstallingSnapshot && !aRaft.mLostDisk) {
+    StartVote(aRaft, aNow, aOut);
+  }
+}
+
 bool
 CheckFirstElection(Raft& aRaft, const RaftMessage& aMessage)
 {
--- a/caraway/consensus/raft_internal.h
+++ b/caraway/consensus/raft_internal.h
@@ -84,6 +84,14 @@
             const VoteReply& aReply,
             RaftActions& aOut);
 
+// The leader of this term has resigned, so its lease need not be waited for.
+void
+OnResignation(Raft& aRaft,
+              MonoTime aNow,
+              const RaftMessage& aMessage,
+              const Resignation& aBody,
+              RaftActions& aOut);
+
 // True if the message may be handled. A replica of the initial set with an
 // empty disk takes part only in the first election. That election needs the
 // votes of all replicas, so any other traffic shows that this replica has lost
--- a/caraway/consensus/raft_membership.cpp
+++ b/caraway/consensus/raft_membership.cpp
@@ -48,6 +48,22 @@
   return aRaft.mReplicas.front().mReplicas;
 }
 
+ReplicaId
+BestSuccessor(const Raft& aRaft, const std::vector<ReplicaId>& aAmong)
+{
+  ReplicaId best;
+  LogIndex match;
+  for (const ReplicaId id : aAmong) {
+    const auto peer = aRaft.mPeers.find(id);
+    if (peer != aRaft.mPeers.end() && IsVoter(aRaft, id) &&
+        (best.IsNone() || peer->second.mMatch > match)) {
+      best = id;
+      match = peer->second.mMatch;
+    }
+  }
+  return best;
+}
+
 void
 OnReplicasChanged(Raft& aRaft, MonoTime aNow)
 {
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <type_traits>
 
+#include "absl/strings/str_cat.h"
+#include "caraway/consensus/raft_internal.h"
 #include "caraway/control/step.h"
 
 namespace caraway {
@@ -46,6 +48,7 @@
   std::is_same_v<T, LeaseItems> || std::is_same_v<T, ItemResults> ||
   std::is_same_v<T, ControlCall> || std::is_same_v<T, ControlMap> ||
   std::is_same_v<T, JoinGroup> || std::is_same_v<T, FoundGroup> ||
+  std::is_same_v<T, LeaveGroup> || std::is_same_v<T, MayLeave> ||
   std::is_same_v<T, TargetsHeard> || std::is_same_v<T, CrashReport> ||
   std::is_same_v<T, StartedParts> || std::is_same_v<T, StreamsBegun> ||
   std::is_same_v<T, OriginQuery>;
@@ -125,17 +128,28 @@
 }
 
 void
-FinishStop(ControlStep& aStep)
+TickStop(ControlStep& aStep)
 {
   Control& control = aStep.mControl;
   if (!control.mStopping || control.mStopped) {
     return;
   }
-  if (control.mLeadership.mProposals.empty() ||
-      aStep.mNow >= control.mStopDeadline) {
-    control.mStopped = true;
-    aStep.mOut.emplace_back(Stopped{});
+  const bool late = aStep.mNow >= control.mStopDeadline;
+  if (!late && (!control.mLeadership.mProposals.empty() || !Depart(aStep))) {
+    return;
   }
+  const char* choice = late                           ? "late"
+                       : control.mDeparture.mMayLeave ? "by_leader"
+                                                      : "at_once";
+  Log(aStep,
+      "departure",
+      choice,
+      absl::StrCat("voters ",
+                   VoterCount(control.mRaft),
+                   ", replicas ",
+                   ReplicasOf(control.mRaft).mReplicas.size()));
+  control.mStopped = true;
+  aStep.mOut.emplace_back(Stopped{});
 }
 
 } // namespace
@@ -192,6 +206,7 @@
   UpdateLeadership(step);
   RunLeaderDuties(step);
   TickDiscovery(step);
+  TickStop(step);
   RunRaftActions(step);
   UpdateLeadership(step);
   const bool current = KnowsCommit(aControl.mRaft);
@@ -205,7 +220,6 @@
   WatchGroup(step);
   WatchLeader(step);
   WatchCommit(step);
-  FinishStop(step);
 }
 
 MonoTime
@@ -224,7 +238,8 @@
     next = std::min(next, aControl.mDiscovery.mNextHello);
   }
   if (aControl.mStopping && !aControl.mStopped) {
-    next = std::min(next, aControl.mStopDeadline);
+    next = std::min(
+      { next, aControl.mStopDeadline, aControl.mDeparture.mNextCheck });
   }
   return next;
 }
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -181,6 +181,7 @@
   bool mStopping = false;
   bool mStopped = false;
   MonoTime mStopDeadline;
+  Departure mDeparture; // once mStopping
   ControlCounters mCounters;
 };
 
--- a/caraway/control/discovery.cpp
+++ b/caraway/control/discovery.cpp
@@ -74,7 +74,7 @@
 SendJoinRequest(ControlStep& aStep)
 {
   const Control& control = aStep.mControl;
-  if (IsLeader(control.mRaft)) {
+  if (IsLeader(control.mRaft) || control.mStopping) {
     return;
   }
   const JoinGroup join{ control.mSettings.mReplica,
@@ -92,6 +92,8 @@
   }
 }
 
+} // namespace
+
 ReplicaGroupStatus
 ObserveReplicaGroup(const ControlStep& aStep)
 {
@@ -123,11 +125,15 @@
       view.mLost = silence >= kLostTimeout;
     }
     view.mRetiring = control.mState.mRetiring.contains(instance);
+    view.mLeaving = replica.mId == groupStatus.mSelf
+                      ? control.mStopping
+                      : discovery.mLeaving.contains(replica.mId);
     groupStatus.mReplicas.push_back(std::move(view));
   }
   for (const auto& [id, known] : discovery.mKnown) {
     if (aStep.mNow - known.mHeardAt < kJoinRequestTtl &&
-        !control.mState.mRetiring.contains(known.mInstance)) {
+        !control.mState.mRetiring.contains(known.mInstance) &&
+        !discovery.mLeaving.contains(id)) {
       groupStatus.mJoining.push_back(
         { id, known.mAddress.mValue, known.mZone, known.mHeardAt });
     }
@@ -135,6 +141,8 @@
   return groupStatus;
 }
 
+namespace {
+
 ReplicaSet
 AfterStep(const ReplicaSet& aSet, const ReplicaStep& aStep)
 {
@@ -194,6 +202,7 @@
     aStep.mControl.mDiscovery.mKnown[aMessage.mReplica] = {
       aFrom, aMessage.mInstance, aMessage.mZone, aStep.mNow
     };
+    aStep.mControl.mDiscovery.mLeaving.erase(aMessage.mReplica);
   }
 }
 
@@ -241,13 +250,17 @@
   if (control.mSettings.mSeeds.empty()) {
     return;
   }
-  for (const ReplicaStep& next : PlanReplicaSteps(ObserveReplicaGroup(aStep))) {
+  const ReplicaGroupStatus groupStatus = ObserveReplicaGroup(aStep);
+  for (const ReplicaStep& next : PlanReplicaSteps(groupStatus)) {
     if (next.mKind == ReplicaStepKind::eResign) {
       Log(aStep,
           "replica_change",
           StepName(next.mKind),
-          "this replica retires and is to be removed by another leader");
-      RaftResign(control.mRaft, aStep.mNow, aStep.mRaft);
+          "this replica goes and is to be removed by another leader");
+      RaftResign(control.mRaft,
+                 aStep.mNow,
+                 BestSuccessor(control.mRaft, Successors(groupStatus)),
+                 aStep.mRaft);
       return;
     }
     const absl::StatusOr<LogIndex> index =
--- a/caraway/control/discovery.h
+++ b/caraway/control/discovery.h
@@ -3,6 +3,7 @@
 // replicas.
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "caraway/base/ids.h"
@@ -31,6 +32,17 @@
   std::map<ReplicaId, PeerAddress> mSenders;
   // On the leader: replicas that sent JoinGroup, in and outside the group.
   std::map<ReplicaId, KnownReplica> mKnown;
+  // On the leader: replicas that said that they stop, until they ask to join
+  // again.
+  std::set<ReplicaId> mLeaving;
+};
+
+// Of a replica that stops, see departure.cpp.
+struct Departure
+{
+  MonoTime mNextCheck{ 0 };
+  MonoTime mHandedOverAt = kNever; // it led and has resigned
+  bool mMayLeave = false;          // by the leader's word
 };
 
 } // namespace caraway
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -9,6 +9,7 @@
 #include "caraway/consensus/raft_api.h"
 #include "caraway/control/control_io.h"
 #include "caraway/control/control_state.h"
+#include "caraway/membership/replica_steps.h"
 
 namespace caraway {
 
@@ -137,6 +138,23 @@
 TickDiscovery(ControlStep& aStep);
 void
 ReconcileReplicas(ControlStep& aStep);
+// The group as this leader sees it.
+ReplicaGroupStatus
+ObserveReplicaGroup(const ControlStep& aStep);
+
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const LeaveGroup& aMessage); // departure.cpp
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const MayLeave& aMessage);
+// What a replica that stops does for its group. True once nothing is left to
+// do.
+bool
+Depart(ControlStep& aStep);
+
 // Whether a replica of the group runs on an instance.
 enum class Presence : uint8_t
 {
--- a/caraway/membership/replica_steps.cpp
+++ b/caraway/membership/replica_steps.cpp
@@ -23,7 +23,13 @@
 bool
 IsUsable(const ReplicaView& aOne)
 {
-  return aOne.mVoter && aOne.mAlive && !aOne.mRetiring;
+  return aOne.mVoter && aOne.Stays();
+}
+
+bool
+IsUsableLearner(const ReplicaView& aOne)
+{
+  return !aOne.mVoter && aOne.Stays();
 }
 
 size_t
@@ -57,13 +63,20 @@
                      [&](const ReplicaView& aOne) { return aOne.mId == aId; });
 }
 
+const ReplicaView*
+FindView(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId)
+{
+  const auto found =
+    std::find_if(aGroupStatus.mReplicas.begin(),
+                 aGroupStatus.mReplicas.end(),
+                 [&](const ReplicaView& aOne) { return aOne.mId == aId; });
+  return found == aGroupStatus.mReplicas.end() ? nullptr : &*found;
+}
+
 bool
-IsRetiring(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId)
+HasToGo(const ReplicaView& aOne)
 {
-  return std::any_of(
-    aGroupStatus.mReplicas.begin(),
-    aGroupStatus.mReplicas.end(),
-    [&](const ReplicaView& aOne) { return aOne.mId == aId && aOne.mRetiring; });
+  return aOne.mRetiring || aOne.mLeaving;
 }
 
 // True if another replica was heard at the address since: this one is gone.
@@ -123,7 +136,7 @@
   }
   std::vector<const ReplicaView*> learners;
   for (const ReplicaView& one : aGroupStatus.mReplicas) {
-    if (!one.mVoter && one.mAlive && !one.mRetiring) {
+    if (IsUsableLearner(one)) {
       learners.push_back(&one);
     }
   }
@@ -137,9 +150,9 @@
   }
 }
 
-// The voter to remove when there are more than wanted: a lost one, else a
-// retiring one, else one that is not alive, else one whose zone has another
-// voter; the newest among equals.
+// The voter to remove when there are more than wanted: a lost one, else one
+// that retires or leaves, else one that is not alive, else one whose zone has
+// another voter; the newest among equals.
 const ReplicaView*
 SurplusVoter(const ReplicaGroupStatus& aGroupStatus)
 {
@@ -154,7 +167,7 @@
       continue;
     }
     const int rank = one.mLost               ? 4
-                     : one.mRetiring         ? 3
+                     : HasToGo(one)          ? 3
                      : !one.mAlive           ? 2
                      : voters[one.mZone] > 1 ? 1
                                              : 0;
@@ -174,8 +187,9 @@
       CountUsable(aGroupStatus) >= aGroupStatus.mWantedVoters) {
     const ReplicaView* surplus = SurplusVoter(aGroupStatus);
     const bool others =
-      surplus != nullptr && (surplus->mLost || surplus->mRetiring);
-    if (!others && IsRetiring(aGroupStatus, aGroupStatus.mSelf)) {
+      surplus != nullptr && (surplus->mLost || HasToGo(*surplus));
+    const ReplicaView* self = FindView(aGroupStatus, aGroupStatus.mSelf);
+    if (!others && self != nullptr && HasToGo(*self)) {
       aSteps.push_back({ ReplicaStepKind::eResign, {}, {} });
     } else if (surplus != nullptr &&
                MajorityWithout(aGroupStatus, surplus->mId)) {
@@ -201,6 +215,42 @@
   return steps;
 }
 
+DepartureState
+PlanDeparture(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId)
+{
+  const ReplicaView* leaving = FindView(aGroupStatus, aId);
+  if (leaving == nullptr || !leaving->mVoter) {
+    return DepartureState::eLeft;
+  }
+  const bool successor =
+    CountUsable(aGroupStatus) >= aGroupStatus.mWantedVoters ||
+    std::any_of(aGroupStatus.mReplicas.begin(),
+                aGroupStatus.mReplicas.end(),
+                IsUsableLearner);
+  return successor ? DepartureState::eWaits : DepartureState::eKeepsVote;
+}
+
+bool
+MayHandOver(const ReplicaGroupStatus& aGroupStatus)
+{
+  return CountUsable(aGroupStatus) >= aGroupStatus.mWantedVoters ||
+         std::none_of(aGroupStatus.mReplicas.begin(),
+                      aGroupStatus.mReplicas.end(),
+                      IsUsableLearner);
+}
+
+std::vector<ReplicaId>
+Successors(const ReplicaGroupStatus& aGroupStatus)
+{
+  std::vector<ReplicaId> successors;
+  for (const ReplicaView& one : aGroupStatus.mReplicas) {
+    if (IsUsable(one) && one.mId != aGroupStatus.mSelf) {
+      successors.push_back(one.mId);
+    }
+  }
+  return successors;
+}
+
 bool
 MayRetire(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId)
 {
--- a/caraway/membership/replica_steps.h
+++ b/caraway/membership/replica_steps.h
@@ -22,6 +22,12 @@
   bool mAlive = true; // answered recently
   bool mLost = false; // silent for so long that it may be removed
   bool mRetiring = false;
+  bool mLeaving = false; // its process stops; it may come back or not
+
+  // Invariant of the plan: a replica that stays is promoted before a voter that
+  // does not is removed, and the latter runs until its removal is committed.
+  // Between two committed steps the group bears the losses that it did before.
+  bool Stays() const { return mAlive && !mRetiring && !mLeaving; }
 };
 
 // A replica that asks to join, a member or not. Replicas with new ids may
@@ -64,6 +70,26 @@
 std::vector<ReplicaStep>
 PlanReplicaSteps(const ReplicaGroupStatus& aGroupStatus);
 
+// What a replica that stops has to wait for.
+enum class DepartureState : uint8_t
+{
+  eWaits,     // a successor can take over its vote
+  eLeft,      // it has no vote
+  eKeepsVote, // there is no successor; the group counts on its return
+};
+
+DepartureState
+PlanDeparture(const ReplicaGroupStatus& aGroupStatus, ReplicaId aId);
+
+// True if a leader that leaves has nothing left to do before another replica
+// leads: the voters that stay suffice, or no learner can join them.
+bool
+MayHandOver(const ReplicaGroupStatus& aGroupStatus);
+
+// Voters that stay, without the leader.
+std::vector<ReplicaId>
+Successors(const ReplicaGroupStatus& aGroupStatus);
+
 // True if enough live replicas that are not retiring remain without aId to
 // provide mWantedVoters.
 bool
--- a/caraway/wire/discovery_messages.h
+++ b/caraway/wire/discovery_messages.h
@@ -41,6 +41,20 @@
   ZoneId mZone;
 };
 
+// Replica that stops -> leader, until it is answered.
+struct LeaveGroup
+{
+  ReplicaId mReplica;
+};
+
+// Leader -> replica that stops: the group no longer counts on its vote, or
+// nothing better is to be had by waiting.
+struct MayLeave
+{
+  ReplicaId mReplica;
+  bool mKeepsVote = false; // no successor is there; it counts until it is back
+};
+
 // Entry -> leader, twice a second: targets that sent a heartbeat recently.
 struct TargetsHeard
 {
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -65,6 +65,8 @@
     "StartTimeRequest",
     "StartTimeReply",
     "StartTimeRelease",
+    "LeaveGroup",
+    "MayLeave",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -76,7 +76,9 @@
                              RateNotice,
                              StartTimeRequest,
                              StartTimeReply,
-                             StartTimeRelease>;
+                             StartTimeRelease,
+                             LeaveGroup,
+                             MayLeave>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/raft_messages.h
+++ b/caraway/wire/raft_messages.h
@@ -84,6 +84,14 @@
   int64_t mSentAt = 0;      // echo
 };
 
+// Leader -> others: it leads no longer and holds no lease in this term. The
+// successor becomes a candidate at once.
+struct Resignation
+{
+  Term mTerm;
+  ReplicaId mSuccessor; // none: the others elect as after a loss
+};
+
 struct RaftMessage
 {
   GroupId mGroup;
@@ -95,7 +103,8 @@
                AppendRequest,
                AppendReply,
                SnapshotPart,
-               SnapshotPartReply>
+               SnapshotPartReply,
+               Resignation>
     mBody;
 };
 
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -79,6 +79,13 @@
            aValue.mSentAt);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, Resignation& aValue)
+{
+  aArchive(aValue.mTerm, aValue.mSuccessor);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RaftMessage& aValue)
--- a/caraway/wire/serialize_slots.h
+++ b/caraway/wire/serialize_slots.h
@@ -126,6 +126,20 @@
   aArchive(aValue.mReplica, aValue.mInstance, aValue.mZone);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, LeaveGroup& aValue)
+{
+  aArchive(aValue.mReplica);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, MayLeave& aValue)
+{
+  aArchive(aValue.mReplica, aValue.mKeepsVote);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, TargetsHeard& aValue)
--- a/tests/control_retirement_test.cpp
+++ b/tests/control_retirement_test.cpp
@@ -6,18 +6,12 @@
 
 #include <algorithm>
 
-#include "tests/control_entry.h"
+#include "tests/joined_group.h"
 
 using namespace caraway;
 
 namespace {
 
-InstanceId
-InstanceAt(size_t aReplica)
-{
-  return InstanceId("store-" + std::to_string(aReplica + 1));
-}
-
 // Four replicas, of which three vote, and an entry that calls the leader.
 struct RetirementGroup
 {
@@ -204,76 +198,6 @@
   }
 }
 
-namespace {
-
-// A group that one replica founded and that the others joined.
-struct JoinedGroup
-{
-  ControlLink mLink;
-  ControlEntry mEntry{ mLink };
-
-  explicit JoinedGroup(uint64_t aSeed)
-    : mLink(4, aSeed)
-  {
-    for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-      ControlSettings& settings = mLink.mReplicas[at].mSettings;
-      settings.mInstance = InstanceAt(at);
-      settings.mZone = ZoneId("z");
-      settings.mSeeds = { mEntry.mAddress };
-      settings.mInitialReplicas.mReplicas.clear();
-    }
-    mLink.mReplicas[0].mSettings.mInitialReplicas.mReplicas = {
-      { ReplicaId(1), ControlLink::AddressOf(0).mValue }
-    };
-    mLink.StartAll();
-    Run(Seconds(8));
-    BOOST_REQUIRE(mLink.Leader().has_value());
-    BOOST_REQUIRE(Replicas().size() == 4u);
-  }
-
-  const std::vector<Replica>& Replicas()
-  {
-    return mLink.LeaderControl().mAppliedReplicas.mReplicas;
-  }
-
-  bool Belongs(size_t aReplica)
-  {
-    return std::any_of(
-      Replicas().begin(), Replicas().end(), [&](const Replica& aOne) {
-        return aOne.mId == ReplicaId(aReplica + 1);
-      });
-  }
-
-  size_t Learner()
-  {
-    for (const Replica& replica : Replicas()) {
-      if (!replica.mVoter) {
-        return replica.mId.mValue - 1;
-      }
-    }
-    BOOST_FAIL("all replicas vote");
-    return 0;
-  }
-
-  // An entry tells replicas where the others are.
-  void Run(Duration aTime)
-  {
-    const MonoTime end = mLink.mNow + aTime;
-    while (mLink.mNow < end) {
-      ControlMap map;
-      for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-        map.mReplicas.push_back(ControlLink::AddressOf(at));
-      }
-      for (const PeerAddress& replica : map.mReplicas) {
-        mLink.SendFrom(mEntry.mAddress, replica, map);
-      }
-      mLink.Run(Millis(500));
-    }
-  }
-};
-
-} // namespace
-
 // Guards against a replica that stays outside its group for good, so that the
 // group has no successor for the next voter that it loses: it was removed while
 // it was cut off, and the leader that it knew is not the leader any more.
