Explorer of the control group: every sequence of events, then a lost disk

Ten kinds of events (planned stops, replacements, retirements, losses, lost disks, cuts, slow disks, all killed, a spare), at the leader or a follower, each begun once the deployment bears another loss; then one voter loses its disk while all others lose power, 0 to 1,500 ms later. Afterwards a leader within 12 s, all that was accepted, and every replica that runs in the group.

--- a/tests/joined_group.h
+++ b/tests/joined_group.h
@@ -20,12 +20,13 @@
   ControlEntry mEntry{ mLink };
   uint64_t mNextId; // for replicas that have lost their disks
 
-  // Three voters; further replicas are learners.
+  // Three voters; further replicas are learners. aSpares are not started.
   explicit JoinedGroup(uint64_t aSeed,
                        size_t aReplicas = 4,
-                       const RaftSettings& aRaft = {})
-    : mLink(aReplicas, aSeed)
-    , mNextId(aReplicas + 1)
+                       const RaftSettings& aRaft = {},
+                       size_t aSpares = 0)
+    : mLink(aReplicas + aSpares, aSeed)
+    , mNextId(aReplicas + aSpares + 1)
   {
     for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
       ControlSettings& settings = mLink.mReplicas[at].mSettings;
@@ -38,7 +39,9 @@
     mLink.mReplicas[0].mSettings.mInitialReplicas.mReplicas = {
       { ReplicaId(1), ControlLink::AddressOf(0).mValue }
     };
-    mLink.StartAll();
+    for (size_t at = 0; at < aReplicas; ++at) {
+      mLink.Start(at);
+    }
     Run(Seconds(8));
     BOOST_REQUIRE(mLink.Leader().has_value());
     BOOST_REQUIRE(Replicas().size() == aReplicas);
@@ -70,12 +73,13 @@
       });
   }
 
-  // Positions of the voters that do not lead.
+  // Positions of the voters that run and do not lead.
   std::vector<size_t> Followers()
   {
     std::vector<size_t> followers;
     for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-      if (Votes(at) && at != mLink.Leader().value()) {
+      if (mLink.mReplicas[at].mControl && Votes(at) &&
+          at != mLink.Leader().value()) {
         followers.push_back(at);
       }
     }
@@ -131,9 +135,18 @@
     mLink.Kill(aReplica);
   }
 
-  // All replicas that run restart, one of them with an empty disk and hence
-  // under a new id.
-  void LosePowerAndDisk(size_t aDisk)
+  // A replica that lost its disk comes back under a new id.
+  void EmptyDisk(size_t aReplica)
+  {
+    LinkReplica& lost = mLink.mReplicas[aReplica];
+    lost.mDisk = {};
+    lost.mSettings.mReplica = ReplicaId(mNextId++);
+    lost.mSettings.mInitialReplicas.mReplicas.clear();
+  }
+
+  // All replicas that run end at the same moment and are back after 1 s, one of
+  // them with an empty disk if aDisk is given.
+  void RestartAll(std::optional<size_t> aDisk = {})
   {
     std::vector<size_t> running;
     for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
@@ -142,15 +155,16 @@
         mLink.Kill(at);
       }
     }
-    LinkReplica& lost = mLink.mReplicas[aDisk];
-    lost.mDisk = {};
-    lost.mSettings.mReplica = ReplicaId(mNextId++);
-    lost.mSettings.mInitialReplicas.mReplicas.clear();
+    if (aDisk) {
+      EmptyDisk(*aDisk);
+    }
     mLink.Run(Seconds(1));
     for (const size_t at : running) {
       mLink.Start(at);
     }
   }
+
+  void LosePowerAndDisk(size_t aDisk) { RestartAll(aDisk); }
 };
 
 } // namespace caraway
