--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "absl/strings/str_cat.h"
 #include "caraway/admission/fallback_share.h"
 #include "caraway/admission/token_holder.h"
 #include "caraway/base/lease.h"
@@ -231,8 +232,7 @@
   const auto& answers = aEntry.mSession.mAnswers;
   std::string text;
   for (const PeerAddress& replica : aEntry.mSettings.mControl) {
-    text += text.empty() ? "" : " ";
-    text += replica.mValue + ":";
+    absl::StrAppend(&text, text.empty() ? "" : " ", replica.mValue, ":");
     const auto found = answers.find(replica);
     if (found == answers.end()) {
       text += "not_asked";
@@ -245,13 +245,17 @@
     } else if (reply.mDiskAway) {
       text += "disk_away";
     } else if (!reply.mLeader.Empty()) {
-      text += "names_" + reply.mLeader.mValue;
+      absl::StrAppend(&text, "names_", reply.mLeader.mValue);
     } else {
-      text += "knows_none,votes=" + std::to_string(reply.mVotes) + "/" +
-              std::to_string(reply.mVoters) +
-              ",term=" + std::to_string(reply.mTerm.mValue);
+      absl::StrAppend(&text,
+                      "knows_none,votes=",
+                      reply.mVotes,
+                      "/",
+                      reply.mVoters,
+                      ",term=",
+                      reply.mTerm.mValue);
     }
-    text += "," + std::to_string((aNow - answer.mAt).Millis()) + "ms";
+    absl::StrAppend(&text, ",", (aNow - answer.mAt).Millis(), "ms");
   }
   return text;
 }
