--- a/fuzz/consensus_fuzz.cpp
+++ b/fuzz/consensus_fuzz.cpp
@@ -31,6 +31,7 @@
   ePromote,
   eRemove,
   eWipe,
+  eResign,
   eCount,
 };
 
@@ -44,9 +45,9 @@
 std::ostream&
 operator<<(std::ostream& aOut, const Step& aStep)
 {
-  static constexpr std::array<const char*, 13> kNames{
+  static constexpr std::array<const char*, 14> kNames{
     "run", "propose", "crash",       "restart", "cut-link", "cut",  "heal",
-    "net", "disk",    "add-learner", "promote", "remove",   "wipe",
+    "net", "disk",    "add-learner", "promote", "remove",   "wipe", "resign",
   };
   return aOut << kNames.at(static_cast<size_t>(aStep.mKind)) << ' ' << aStep.mA
               << ' ' << aStep.mB;
@@ -72,7 +73,8 @@
                                          { 2, K::eAddLearner },
                                          { 4, K::ePromote },
                                          { 2, K::eRemove },
-                                         { 1, K::eWipe } }),
+                                         { 1, K::eWipe },
+                                         { 3, K::eResign } }),
     rc::gen::inRange<uint32_t>(0, 1000),
     rc::gen::inRange<uint32_t>(0, 1000));
 }
@@ -214,6 +216,12 @@
       case StepKind::eWipe:
         Wipe(aStep);
         break;
+      case StepKind::eResign:
+        // The successor may be any replica, also one that is down or behind.
+        if (WorldNode* leader = PickLeader(aStep.mB)) {
+          mWorld.Resign(*leader, node.mId);
+        }
+        break;
       default:
         ChangeSet(aStep);
     }
--- a/fuzz/consensus_world.h
+++ b/fuzz/consensus_world.h
@@ -468,6 +468,13 @@
     return status;
   }
 
+  void Resign(WorldNode& aNode, ReplicaId aSuccessor)
+  {
+    Do(aNode, [&](auto& aOut) {
+      RaftResign(*aNode.mRaft, Local(aNode), aSuccessor, aOut);
+    });
+  }
+
   void CutOff(ReplicaId aId)
   {
     for (const auto& [id, node] : mNodes) {
