--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -15,6 +15,8 @@
 
 // How long a stopping replica waits for proposals to be answered.
 constexpr Duration kStopTimeout = Seconds(2);
+// Between looks at them.
+constexpr Duration kProposalCheck = Millis(50);
 
 void
 HandleMessage(ControlStep& aStep,
@@ -135,7 +137,11 @@
     return;
   }
   const bool late = aStep.mNow >= control.mStopDeadline;
-  if (!late && (!control.mLeadership.mProposals.empty() || !Depart(aStep))) {
+  if (!late && !control.mLeadership.mProposals.empty()) {
+    control.mDeparture.mNextCheck = aStep.mNow + kProposalCheck;
+    return;
+  }
+  if (!late && !Depart(aStep)) {
     return;
   }
   const char* choice = late                           ? "late"
--- a/tests/control_departure_test.cpp
+++ b/tests/control_departure_test.cpp
@@ -163,3 +163,29 @@
     }
   }
 }
+
+// Guards against a stop that wakes up again and again at the same moment while
+// proposals of the leader wait for a majority that is cut off.
+BOOST_AUTO_TEST_CASE(leader_with_open_proposals_stops_in_time)
+{
+  JoinedGroup group(1, 4, QuickElections());
+  ControlLink& link = group.mLink;
+  const size_t leader = link.Leader().value();
+  for (size_t at = 0; at < 4; ++at) {
+    if (at != leader) {
+      link.mCut.insert(ControlLink::AddressOf(at));
+    }
+  }
+  link.Ask(leader,
+           "PUT",
+           "/admin/contracts/open",
+           R"({"rate":10,"burst":20})",
+           { { "X-Operation-Id", "open" } });
+  link.Run(Millis(5));
+  BOOST_TEST(!link.LeaderControl().mLeadership.mProposals.empty());
+  link.Post(leader, link.mNow, StopRequested{});
+  link.Run(Millis(10));
+  BOOST_TEST((NextWakeup(*link.mReplicas[leader].mControl) > link.mNow));
+  link.Run(Seconds(3));
+  BOOST_TEST(link.mReplicas[leader].mStopped);
+}
