--- a/caraway/control/departure.cpp
+++ b/caraway/control/departure.cpp
@@ -123,9 +123,15 @@
 HandleMessage(ControlStep& aStep, const PeerAddress&, const MayLeave& aMessage)
 {
   Control& control = aStep.mControl;
-  if (control.mStopping && aMessage.mReplica == control.mSettings.mReplica) {
-    control.mDeparture.mMayLeave = true;
+  if (!control.mStopping || control.mDeparture.mMayLeave ||
+      aMessage.mReplica != control.mSettings.mReplica) {
+    return;
   }
+  control.mDeparture.mMayLeave = true;
+  Log(aStep,
+      "departure",
+      aMessage.mKeepsVote ? "keeps_vote" : "replaced",
+      "by the leader's answer");
 }
 
 } // namespace caraway
