--- a/caraway/consensus/raft_election.cpp
+++ b/caraway/consensus/raft_election.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Elections that may take longer and longer, one after the other. A vote takes
-// a sync of the candidate and one of the voter, so elections between slow disks
-// fail until they are given more time than that.
+// A vote takes a sync of the candidate and one of the voter, so elections
+// between slow disks fail until they are given more time than that. The limit
+// keeps a later attempt within some seconds.
 constexpr uint64_t kMaxElectionDoublings = 4;
 
 // The factor for the timeouts of an election in this term. All replicas agree
--- a/tests/control_group_explorer_test.cpp
+++ b/tests/control_group_explorer_test.cpp
@@ -4,7 +4,8 @@
 // short of a vote although it should bear that loss.
 //
 // CARAWAY_EXPLORER_DEPTH=N enumerates sequences of N events instead of one and
-// CARAWAY_EXPLORER_SHARE=K plays one of K of them.
+// CARAWAY_EXPLORER_SHARE=K plays one of K of them, from the one with the number
+// CARAWAY_EXPLORER_FIRST.
 #define BOOST_TEST_MODULE control_group_explorer
 #include <boost/test/unit_test.hpp>
 
