--- a/tests/control_departure_test.cpp
+++ b/tests/control_departure_test.cpp
@@ -10,16 +10,6 @@
 
 namespace {
 
-RaftSettings
-QuickElections()
-{
-  RaftSettings raft;
-  raft.mHeartbeat = Millis(60);
-  raft.mElectionMin = Millis(300);
-  raft.mElectionMax = Millis(500);
-  return raft;
-}
-
 constexpr Duration kRecovery = Seconds(12);
 
 // Writes a contract and returns whether control has accepted it.
--- a/tests/control_group_explorer_test.cpp
+++ b/tests/control_group_explorer_test.cpp
@@ -22,16 +22,6 @@
 constexpr Duration kCatchUp = Millis(4800);
 constexpr Duration kRecovery = Seconds(12);
 
-RaftSettings
-QuickElections()
-{
-  RaftSettings raft;
-  raft.mHeartbeat = Millis(60);
-  raft.mElectionMin = Millis(300);
-  raft.mElectionMax = Millis(500);
-  return raft;
-}
-
 enum class Event : uint8_t
 {
   eStopAndReturn,  // as planned
--- a/tests/control_link.h
+++ b/tests/control_link.h
@@ -14,6 +14,17 @@
 
 namespace caraway {
 
+// The settings of deployments: short elections.
+inline RaftSettings
+QuickElections()
+{
+  RaftSettings raft;
+  raft.mHeartbeat = Millis(60);
+  raft.mElectionMin = Millis(300);
+  raft.mElectionMax = Millis(500);
+  return raft;
+}
+
 struct LinkDisk
 {
   RaftRecovered mRecovered;
--- a/tests/control_slow_disk_test.cpp
+++ b/tests/control_slow_disk_test.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-// The settings of deployments: short elections.
-RaftSettings
-QuickElections()
-{
-  RaftSettings raft;
-  raft.mHeartbeat = Millis(60);
-  raft.mElectionMin = Millis(300);
-  raft.mElectionMax = Millis(500);
-  return raft;
-}
-
 struct SlowDiskGroup
 {
   ControlLink mLink;
