Roll-outs by software version: orders, exposure, verdict, return

Cause: no code answered the operators' calls about roll-outs. Targets of a new version took their part of the traffic at once, and a bad one kept it.

A roll-out is part of the configuration; the leader judges the version on the entries' reports (sequential tests against the versions beside it) and proposes the next phase. Entries bound their trial requests by their own counts, so the sum stays within share and slack; batch items are leased within the same share. caraway rollout begin|read|abort.

--- a/caraway/config/change.h
+++ b/caraway/config/change.h
@@ -10,6 +10,7 @@
 #include "caraway/config/contract.h"
 #include "caraway/config/input_block.h"
 #include "caraway/config/member.h"
+#include "caraway/config/rollout.h"
 #include "caraway/config/route.h"
 #include "caraway/config/serving_plan.h"
 #include "caraway/config/target.h"
@@ -117,6 +118,12 @@
   std::string mVersion;
 };
 
+// Creates or replaces the roll-out of a service.
+struct SetRollout
+{
+  Rollout mRollout;
+};
+
 using ConfigChange = std::variant<SetContract,
                                   WithdrawContract,
                                   CreateKey,
@@ -133,7 +140,8 @@
                                   SetInputBlock,
                                   RemoveInputBlock,
                                   RememberVersion,
-                                  ForgetVersion>;
+                                  ForgetVersion,
+                                  SetRollout>;
 
 // A change and its revision.
 struct RevisedChange
--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -44,6 +44,9 @@
       aView.mPlanKeys[key] = workspace.mId;
     }
   }
+  std::erase_if(aView.mRollouts, [&](const auto& aEntry) {
+    return PlanServiceById(aPlan, aEntry.first) == nullptr;
+  });
   aView.mPlan = std::make_shared<const ServingPlan>(aPlan);
 }
 
@@ -127,6 +130,9 @@
           }
         }
       },
+      [&](const SetRollout& aSet) {
+        aView.mRollouts[aSet.mRollout.mService] = aSet.mRollout;
+      },
     },
     aChange);
   if (std::holds_alternative<RememberVersion>(aChange) ||
@@ -198,6 +204,13 @@
   return versions != aView.mVersions.end() && versions->second.size() > 1;
 }
 
+const Rollout*
+FindRollout(const ConfigView& aView, const ServiceId& aService)
+{
+  auto rollout = aView.mRollouts.find(aService);
+  return rollout == aView.mRollouts.end() ? nullptr : &rollout->second;
+}
+
 const InputBlock*
 FindInputBlock(const ConfigView& aView,
                const WorkspaceId& aWorkspace,
@@ -263,6 +276,9 @@
       [](const ForgetVersion& aForget) {
         return absl::StrCat("version/", aForget.mService.mValue);
       },
+      [](const SetRollout& aSet) {
+        return absl::StrCat("rollout/", aSet.mRollout.mService.mValue);
+      },
     },
     aChange);
 }
@@ -325,6 +341,10 @@
   for (const auto& [id, block] : aView.mInputBlocks) {
     add(SetInputBlock{ block });
   }
+  // After the plan, which drops those of services that it lacks.
+  for (const auto& [service, rollout] : aView.mRollouts) {
+    add(SetRollout{ rollout });
+  }
   for (const auto& [service, versions] : aView.mVersions) {
     for (const std::string& version : versions) {
       add(RememberVersion{ service, version });
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -34,6 +34,8 @@
   // its targets, and of former targets until ForgetVersion.
   std::map<ServiceId, std::set<std::string>> mVersions;
   std::shared_ptr<const ServingPlan> mPlan; // null until the first one is set
+  // The last roll-out of each service, also after its end.
+  std::map<ServiceId, Rollout> mRollouts;
   std::map<InputBlockId, InputBlock> mInputBlocks; // at most kMaxInputBlocks
   // Keys of mPlan. Contracts of its workspaces are in mContracts.
   std::map<KeyDigest, WorkspaceId> mPlanKeys;
@@ -64,6 +66,10 @@
 bool
 HasSeveralVersions(const ConfigView& aView, const ServiceId& aService);
 
+// The last roll-out of the service, nullptr if there was none.
+const Rollout*
+FindRollout(const ConfigView& aView, const ServiceId& aService);
+
 // The block in force that covers the request, nullptr if there is none.
 const InputBlock*
 FindInputBlock(const ConfigView& aView,
--- a/caraway/config/view_digest.cpp
+++ b/caraway/config/view_digest.cpp
@@ -62,6 +62,12 @@
     digest.Add(member.mEpoch.mValue);
     digest.Add(member.mDraining ? 1 : 0);
   }
+  digest.Add(aView.mRollouts.size());
+  for (const auto& [service, rollout] : aView.mRollouts) {
+    digest.Add(service.mValue);
+    digest.Add(rollout.mNumber);
+    digest.Add(static_cast<uint64_t>(rollout.mPhase));
+  }
   digest.Add(aView.mInputBlocks.size());
   for (const auto& [id, block] : aView.mInputBlocks) {
     digest.Add(id.mValue);
--- a/caraway/control/answers.cpp
+++ b/caraway/control/answers.cpp
@@ -65,6 +65,7 @@
   void operator()(const PendingLeaseReply& aPendingReply) const
   {
     if (auto* batch = std::get_if<ItemBatch>(&mReply)) {
+      CountLeasedItems(mStep, aPendingReply.mNode, *batch);
       SendItemBatch(mStep,
                     { aPendingReply.mFrom,
                       aPendingReply.mNode,
@@ -93,6 +94,13 @@
   {
     mStep.mControl.mLeadership.mTickPending = false;
   }
+
+  void operator()(const PendingOperatorCall& aPendingReply) const
+  {
+    if (const auto* body = std::get_if<CallReplyBody>(&mReply)) {
+      ReplyOperatorCall(mStep, aPendingReply.mCall, *body);
+    }
+  }
 };
 
 } // namespace
@@ -115,6 +123,9 @@
   } else if (const auto* change =
                std::get_if<PendingReplicasReply>(&aPendingReply)) {
     call = change->mCall;
+  } else if (const auto* order =
+               std::get_if<PendingOperatorCall>(&aPendingReply)) {
+    call = order->mCall;
   } else if (std::holds_alternative<PendingTick>(aPendingReply)) {
     aStep.mControl.mLeadership.mTickPending = false;
   }
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -72,6 +72,16 @@
   std::vector<ForgetVersion> mVersions;
 };
 
+// Takes a roll-out from one phase to the next. Changes nothing if it has left
+// the phase already.
+struct AdvanceRollout
+{
+  ServiceId mService;
+  uint64_t mNumber = 0; // of the roll-out
+  RolloutPhase mFrom = RolloutPhase::eTrial;
+  RolloutPhase mTo = RolloutPhase::eTrial;
+};
+
 using CommandBody = std::variant<ConfigOperation,
                                  RegisterMember,
                                  UpdateMember,
@@ -82,7 +92,8 @@
                                  LedgerTick,
                                  RemoveTargets,
                                  ChangeInputBlocks,
-                                 ForgetVersions>;
+                                 ForgetVersions,
+                                 AdvanceRollout>;
 
 struct ControlCommand
 {
@@ -113,6 +124,10 @@
 // An entry that has been absent for this long is taken to have stopped.
 constexpr Duration kExpiredEntryTtl = Seconds(60);
 
+// An order for the same version is taken for a resent one for this long after
+// the end of the roll-out.
+constexpr Duration kRolloutResend = Seconds(10);
+
 struct RegisterResult
 {
   Epoch mEpoch; // none: refused because the incarnation was replaced
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -76,6 +76,13 @@
   aArchive(aValue.mVersions);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, AdvanceRollout& aValue)
+{
+  aArchive(aValue.mService, aValue.mNumber, aValue.mFrom, aValue.mTo);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCommand& aValue)
--- a/caraway/control/config_calls.cpp
+++ b/caraway/control/config_calls.cpp
@@ -72,6 +72,13 @@
   if (const auto* describe = std::get_if<DescribeRetirement>(&aBody)) {
     return RetirementStatus(aStep, describe->mInstance);
   }
+  if (const auto* describe = std::get_if<DescribeRollout>(&aBody)) {
+    const Rollout* rollout = FindRollout(view, describe->mService);
+    return rollout != nullptr
+             ? CallReplyBody(RolloutReply{ *rollout })
+             : CallReplyBody(CallFailed{ ErrorKind::eNotFound,
+                                         "the service has had no roll-out" });
+  }
   if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
     return AnswerRetirement(aStep, retire->mInstance);
   }
--- a/caraway/control/config_polls.cpp
+++ b/caraway/control/config_polls.cpp
@@ -117,7 +117,8 @@
   return aView.mContracts.size() + aView.mKeys.size() + aView.mRoutes.size() +
          aView.mZoneInService.size() + aView.mTargetInService.size() +
          aView.mMembers.size() + aView.mTargets.size() +
-         aView.mInputBlocks.size() + (aView.mPlan ? 1 : 0);
+         aView.mInputBlocks.size() + aView.mRollouts.size() +
+         (aView.mPlan ? 1 : 0);
 }
 
 // True if the holder is behind and gets the whole configuration: it has none,
--- a/caraway/control/control.cpp
+++ b/caraway/control/control.cpp
@@ -53,7 +53,7 @@
   std::is_same_v<T, LeaveGroup> || std::is_same_v<T, MayLeave> ||
   std::is_same_v<T, TargetsHeard> || std::is_same_v<T, CrashReport> ||
   std::is_same_v<T, StartedParts> || std::is_same_v<T, StreamsBegun> ||
-  std::is_same_v<T, OriginQuery>;
+  std::is_same_v<T, OriginQuery> || std::is_same_v<T, RolloutReport>;
 
 struct EventHandler
 {
@@ -93,7 +93,10 @@
         std::get_if<PendingWriteReply>(&proposal.mPendingReply);
       const auto* change =
         std::get_if<PendingReplicasReply>(&proposal.mPendingReply);
-      if ((write != nullptr && write->mCall == aEvent.mCall) ||
+      const auto* order =
+        std::get_if<PendingOperatorCall>(&proposal.mPendingReply);
+      if ((order != nullptr && order->mCall == aEvent.mCall) ||
+          (write != nullptr && write->mCall == aEvent.mCall) ||
           (change != nullptr && change->mCall == aEvent.mCall)) {
         proposal.mPendingReply = std::monostate{};
       }
--- a/caraway/control/control_settings.h
+++ b/caraway/control/control_settings.h
@@ -8,6 +8,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/consensus/raft.h"
+#include "caraway/rollout/exposure.h"
 
 namespace caraway {
 
@@ -38,6 +39,7 @@
   // Entries that are cut off from control keep admitting an even share of each
   // rate, so the grantor reserves that share for them.
   bool mEntriesAdmitWhenCutOff = false;
+  ExposureLimit mExposure; // of versions on trial
   // A target without a heartbeat for this long is removed.
   Duration mTargetSilence = Seconds(5);
 };
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -18,6 +18,8 @@
 #include "caraway/control/group_watch.h"
 #include "caraway/membership/sessions.h"
 #include "caraway/poison/crash_evidence.h"
+#include "caraway/rollout/verdict.h"
+#include "caraway/wire/rollout_messages.h"
 
 namespace caraway {
 
@@ -89,6 +91,12 @@
 struct PendingTick
 {};
 
+// Of a call that an operator made at this replica.
+struct PendingOperatorCall
+{
+  HttpCallId mCall;
+};
+
 using PendingReply = std::variant<std::monostate,
                                   PendingRegisterReply,
                                   PendingLeaveReply,
@@ -98,7 +106,8 @@
                                   PendingLeaseReply,
                                   PendingBatchReply,
                                   PendingResultsReply,
-                                  PendingTick>;
+                                  PendingTick,
+                                  PendingOperatorCall>;
 
 struct Proposal
 {
@@ -110,6 +119,21 @@
 // as long as callers resume them. Takes up 5 MB.
 constexpr size_t kMaxStreamOrigins = 65536;
 
+// What the leader knows of the active roll-out of a service.
+struct RolloutWatch
+{
+  uint64_t mNumber = 0; // of the roll-out
+  // Last report of each entry. Those of entries that left keep counting.
+  std::map<InstanceId, RolloutReport> mReports;
+  // Batch items, which nodes run.
+  uint64_t mItemsLeased = 0;
+  uint64_t mTrialItemsLeased = 0;
+  AnswerCounts mItemsBeside;
+  std::map<TargetId, AnswerCounts> mTrialItems;
+  MonoTime mProposedAt{ -kNever.mMicros }; // when a step was last proposed
+  MonoTime mNextLine;                      // of the log, while it is active
+};
+
 // Soft state that only the leader has; cleared when the leadership ends.
 struct Leadership
 {
@@ -137,6 +161,7 @@
   std::map<InputBlockId, MonoTime> mBlockProposedAt;
   // Since when no target has had a software version that is still remembered.
   std::map<std::pair<ServiceId, std::string>, MonoTime> mVersionUnusedSince;
+  std::map<ServiceId, RolloutWatch> mRollouts;
   std::set<PeerAddress> mIdleNodes; // asked for items when none were ready
 };
 
@@ -152,6 +177,7 @@
   uint64_t mCrashesReported = 0; // ended targets, with suspects
   uint64_t mBlocksSet = 0;
   uint64_t mBlocksLifted = 0;
+  uint64_t mRolloutSteps = 0; // phases of roll-outs that this replica proposed
 };
 
 struct Control
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -182,6 +182,7 @@
     ReconcileReplicas(aStep);
     DecideInputBlocks(aStep);
     ForgetUnusedVersions(aStep);
+    RunRollouts(aStep);
     ProposeTick(aStep);
   }
 }
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -366,18 +366,22 @@
     Send(aStep, aFrom, ended);
     return;
   }
-  if (!NeedsLease(aStep, aMessage)) {
+  const uint32_t wanted = ItemsForRollout(
+    aStep, aMessage.mNode, std::min(aMessage.mWanted, kMaxLeasedItems));
+  if (wanted == 0 || !NeedsLease(aStep, aMessage)) {
     ItemBatch none;
     none.mGroup = aMessage.mGroup;
     none.mNodeEpoch = aMessage.mNodeEpoch;
     none.mSequence = aMessage.mSequence;
     none.mRetryAfter = kNoWorkRetry;
     Send(aStep, aFrom, none);
-    aStep.mControl.mLeadership.mIdleNodes.insert(aFrom);
+    if (wanted > 0) {
+      aStep.mControl.mLeadership.mIdleNodes.insert(aFrom);
+    }
     return;
   }
   LeaseItems lease = aMessage;
-  lease.mWanted = std::min(lease.mWanted, kMaxLeasedItems);
+  lease.mWanted = wanted;
   (void)Propose(
     aStep, lease, PendingLeaseReply{ aFrom, lease.mNode, lease.mModels });
 }
@@ -397,6 +401,7 @@
            aMessage.mGroup, aMessage.mNodeEpoch, aMessage.mSequence, true });
     return;
   }
+  CountItemResults(aStep, aMessage);
   // Log entries are applied in order, so the last one acknowledges all.
   std::vector<ItemResults> commands = SplitResults(aStep, aMessage);
   for (size_t at = 0; at < commands.size(); ++at) {
--- a/caraway/control/metrics.cpp
+++ b/caraway/control/metrics.cpp
@@ -77,6 +77,31 @@
     "replica_lag", contacts, [](const auto& aOne) { return aOne.mLag; });
 }
 
+void
+AddRollouts(MetricWriter& aOut, const Control& aControl)
+{
+  uint64_t active = 0;
+  uint64_t rolledBack = 0;
+  for (const auto& [service, rollout] :
+       aControl.mState.mConfig.mView.mRollouts) {
+    active += IsActive(rollout) ? 1 : 0;
+    rolledBack += rollout.mPhase == RolloutPhase::eRolledBack ? 1 : 0;
+  }
+  aOut.Line("rollouts_active", "gauge", active);
+  aOut.Line("rollouts_rolled_back", "gauge", rolledBack);
+  uint64_t requests = 0;
+  uint64_t trial = 0;
+  for (const auto& [service, watch] : aControl.mLeadership.mRollouts) {
+    for (const auto& [entry, report] : watch.mReports) {
+      requests += report.mRequests;
+      trial += report.mTrial;
+    }
+  }
+  aOut.Line("rollout_requests", "gauge", requests);
+  aOut.Line("rollout_trial_requests", "gauge", trial);
+  aOut.Line("rollout_steps_total", "counter", aControl.mCounters.mRolloutSteps);
+}
+
 } // namespace
 
 std::string
@@ -113,6 +138,7 @@
   out.Line("crashes_reported_total", "counter", counters.mCrashesReported);
   out.Line("input_blocks_set_total", "counter", counters.mBlocksSet);
   out.Line("input_blocks_lifted_total", "counter", counters.mBlocksLifted);
+  AddRollouts(out, aControl);
   return out.mText;
 }
 
--- a/caraway/control/operator_http.h
+++ b/caraway/control/operator_http.h
@@ -46,6 +46,17 @@
 void
 ReplyReplicas(ControlStep& aStep, HttpCallId aCall);
 
+// rollout_orders.cpp; false if the path and method name no roll-out.
+bool
+HandleRolloutOrder(ControlStep& aStep, const OperatorCall& aCall);
+bool
+HandleRolloutRead(ControlStep& aStep, const OperatorCall& aCall);
+// Replies to an applied call that an operator made at this replica.
+void
+ReplyOperatorCall(ControlStep& aStep,
+                  HttpCallId aCall,
+                  const CallReplyBody& aBody);
+
 // operator_writes.cpp; false if the path and method name no write.
 bool
 HandleOperatorWrite(ControlStep& aStep, const OperatorCall& aCall);
--- a/caraway/control/operator_parse.cpp
+++ b/caraway/control/operator_parse.cpp
@@ -299,6 +299,31 @@
   return WorkspaceId(workspace);
 }
 
+absl::StatusOr<RolloutRequest>
+ParseRolloutRequest(const std::string& aBody)
+{
+  constexpr uint64_t kMostSeconds = 24 * 3600;
+  absl::StatusOr<FieldReader> reader =
+    OpenObject(aBody, { "to", "duration_s" });
+  if (!reader.ok()) {
+    return reader.status();
+  }
+  RolloutRequest request;
+  request.mTo = reader->String("to", "");
+  request.mDuration = Seconds(
+    static_cast<int64_t>(reader->Integer("duration_s", 0, 1, kMostSeconds)));
+  if (request.mTo.empty()) {
+    reader->Fail("to", "send the software version that its targets state");
+  }
+  if (request.mDuration <= Duration{}) {
+    reader->Fail("duration_s", "send the seconds to complete in, at least 1");
+  }
+  if (!reader->mStatus.ok()) {
+    return reader->mStatus;
+  }
+  return request;
+}
+
 absl::StatusOr<ReplicaRequest>
 ParseReplicaRequest(const std::string& aBody)
 {
--- a/caraway/control/operator_parse.h
+++ b/caraway/control/operator_parse.h
@@ -47,4 +47,13 @@
 absl::StatusOr<ReplicaRequest>
 ParseReplicaRequest(const std::string& aBody);
 
+struct RolloutRequest
+{
+  std::string mTo; // software version
+  Duration mDuration;
+};
+
+absl::StatusOr<RolloutRequest>
+ParseRolloutRequest(const std::string& aBody);
+
 } // namespace caraway
--- a/caraway/control/operator_reads.cpp
+++ b/caraway/control/operator_reads.cpp
@@ -243,6 +243,9 @@
     ReplyJson(aStep, call, 200, StatusJson(aStep));
     return true;
   }
+  if (HandleRolloutRead(aStep, aCall)) {
+    return true;
+  }
   std::optional<absl::StatusOr<Json>> read = Read(aStep, aCall);
   if (!read) {
     return false;
--- a/caraway/control/operator_writes.cpp
+++ b/caraway/control/operator_writes.cpp
@@ -212,6 +212,9 @@
     HandleReplicaChange(aStep, aCall);
     return true;
   }
+  if (HandleRolloutOrder(aStep, aCall)) {
+    return true;
+  }
   std::optional<absl::StatusOr<Write>> write = ParseWrite(aStep, aCall);
   if (!write) {
     return false;
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -236,6 +236,25 @@
 void
 ForgetUnusedVersions(ControlStep& aStep);
 
+void
+HandleMessage(ControlStep& aStep,
+              const PeerAddress& aFrom,
+              const RolloutReport& aMessage); // rollouts.cpp
+// Judges the active roll-outs and proposes their next phases.
+void
+RunRollouts(ControlStep& aStep);
+// How many of the wanted items the node may lease, by the roll-out of the
+// service of its target.
+uint32_t
+ItemsForRollout(ControlStep& aStep, const InstanceId& aNode, uint32_t aWanted);
+// Counts items that a node has got, or has reported results of.
+void
+CountLeasedItems(ControlStep& aStep,
+                 const InstanceId& aNode,
+                 const ItemBatch& aBatch);
+void
+CountItemResults(ControlStep& aStep, const ItemResults& aResults);
+
 // For leaders: logs voters that fall silent or are heard again, each change of
 // the losses that the group bears, and proposals that are not committed.
 void
--- a/caraway/entry/direct_answers.cpp
+++ b/caraway/entry/direct_answers.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/input_crashes.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/entry/rollouts.h"
 #include "caraway/entry/start_times.h"
 #include "caraway/entry/target_reports.h"
 
@@ -90,6 +91,7 @@
     RecordAnsweredInput(aStep, aRequest);
   }
   NoteResult(aStep, attempt, attempt.mStatus < 500);
+  RecordRolloutAnswer(aStep, aRequest, attempt, attempt.mStatus < 500);
   CloseAttempt(aStep,
                aRequest,
                attempt.mStatus < 500 ? SlotEnding::eServed
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -10,6 +10,7 @@
 #include "caraway/entry/drain.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/entry/rollouts.h"
 #include "caraway/entry/start_times.h"
 
 namespace caraway {
@@ -235,6 +236,7 @@
     direct.mEvents.mLast ? direct.mEvents.mLast : direct.mResumeAfter;
   direct.mEvents.mPending.clear();
   aRequest.mAnswer = {};
+  RecordRolloutCall(aStep, aTarget);
   PlacementLoad& load = LoadOfTarget(aStep, aTarget);
   ++load.mOwn;
   attempt.mUnguarded = aSlotNode.Empty();
@@ -320,6 +322,9 @@
              willRetry ? "attempt_failed" : "request_failed",
              absl::StrCat(aMessage, aNotRun ? " (not run)" : ""));
   NoteResult(aStep, attempt, false);
+  if (!aNotRun) {
+    RecordRolloutAnswer(aStep, aRequest, attempt, false);
+  }
   CloseAttempt(aStep, aRequest, SlotEnding::eFailed, true);
   if (!willRetry) {
     FailDirectRequest(aStep, aRequest, aKind, aMessage);
--- a/caraway/entry/direct_internal.h
+++ b/caraway/entry/direct_internal.h
@@ -123,7 +123,7 @@
 
 // True if the target may be given this request (direct_targets.cpp).
 bool
-AcceptsRequest(const Entry& aEntry,
+AcceptsRequest(const EntryStep& aStep,
                const DirectCall& aDirect,
                const Target& aTarget);
 
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -10,6 +10,7 @@
 #include "caraway/entry/drain.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/entry/rollouts.h"
 #include "caraway/entry/start_times.h"
 
 namespace caraway {
@@ -34,12 +35,12 @@
 // False if the request continues a stream and no target of its version takes
 // requests, however busy they are.
 bool
-AnyAccepts(const Entry& aEntry, const DirectCall& aDirect)
+AnyAccepts(const EntryStep& aStep, const DirectCall& aDirect)
 {
-  const auto& targets = aEntry.mConfig.mTargets;
+  const auto& targets = aStep.mEntry.mConfig.mTargets;
   return !aDirect.mOrigin ||
          std::any_of(targets.begin(), targets.end(), [&](const auto& aOne) {
-           return AcceptsRequest(aEntry, aDirect, aOne.second);
+           return AcceptsRequest(aStep, aDirect, aOne.second);
          });
 }
 
@@ -49,7 +50,7 @@
   const Entry& entry = aStep.mEntry;
   std::vector<PlacementCandidate> candidates;
   for (const auto& [id, target] : entry.mConfig.mTargets) {
-    if (AcceptsRequest(entry, aDirect, target) &&
+    if (AcceptsRequest(aStep, aDirect, target) &&
         (NodeOfTarget(entry, target) != nullptr ||
          NeedsStartTime(aStep, target) || MayCallWithoutGrant(aStep, target))) {
       candidates.push_back({ id, target.mZone, target.mSlots });
@@ -202,6 +203,7 @@
       continue;
     }
     if (MayContinueAt(direct, target->second) &&
+        RolloutAccepts(aStep, direct, target->second) &&
         MayCallWithoutGrant(aStep, target->second)) {
       const Target chosen = target->second;
       CancelSlotRequests(aStep, aRequest);
@@ -289,8 +291,8 @@
   for (const PendingSlotRequest& slotRequest : direct.mSlotRequests) {
     query.mExclude.push_back(slotRequest.mTarget);
   }
-  const std::vector<PlacementCandidate> candidates =
-    CandidatesOf(aStep, direct);
+  std::vector<PlacementCandidate> candidates = CandidatesOf(aStep, direct);
+  PreferByRollout(aStep, direct, candidates);
   Placement placement = ChoosePlacement(
     candidates, entry.mPlacement, query, aStep.mNow, entry.mRandom);
   placement.mLog.mExtra.push_back(
@@ -327,7 +329,7 @@
     return;
   }
   if (!RequestNextSlot(aStep, aRequest)) {
-    if (!AnyAccepts(aStep.mEntry, direct)) {
+    if (!AnyAccepts(aStep, direct)) {
       RefuseContinuation(aStep, aRequest);
       return;
     }
@@ -460,7 +462,7 @@
   slotRequest->mExpectedWait = aReply.mExpectedWait;
   if (aReply.mState == SlotState::eGranted) {
     if (target == entry.mConfig.mTargets.end() ||
-        !AcceptsRequest(entry, request->mDirect, target->second) ||
+        !AcceptsRequest(aStep, request->mDirect, target->second) ||
         IsForAnotherStart(aReply, target->second)) {
       request->mDirect.mTried.push_back(slotRequest->mTarget);
       CancelSlotRequests(aStep, *request);
--- a/caraway/entry/direct_start_times.cpp
+++ b/caraway/entry/direct_start_times.cpp
@@ -33,7 +33,7 @@
   const auto& targets = aStep.mEntry.mConfig.mTargets;
   auto target = targets.find(aReserved.mTarget);
   if (target == targets.end() ||
-      !AcceptsRequest(aStep.mEntry, direct, target->second)) {
+      !AcceptsRequest(aStep, direct, target->second)) {
     CancelSlotRequests(aStep, aRequest);
     StartDirect(aStep, aRequest);
     return;
--- a/caraway/entry/direct_targets.cpp
+++ b/caraway/entry/direct_targets.cpp
@@ -2,6 +2,7 @@
 
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/entry/rollouts.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
 #include "caraway/routing/hash.h"
@@ -123,12 +124,14 @@
 }
 
 bool
-AcceptsRequest(const Entry& aEntry,
+AcceptsRequest(const EntryStep& aStep,
                const DirectCall& aDirect,
                const Target& aTarget)
 {
   return aTarget.mService == aDirect.mService &&
-         AcceptsNewWork(aEntry, aTarget) && MayContinueAt(aDirect, aTarget);
+         AcceptsNewWork(aStep.mEntry, aTarget) &&
+         MayContinueAt(aDirect, aTarget) &&
+         RolloutAccepts(aStep, aDirect, aTarget);
 }
 
 bool
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -22,6 +22,7 @@
 #include "caraway/entry/replica_discovery.h"
 #include "caraway/entry/reply.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/entry/rollouts.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/start_times.h"
 #include "caraway/entry/target_reports.h"
@@ -80,6 +81,7 @@
     ForgetAnswerTimes(aStep.mEntry);
   }
   VersionsChanged(aStep);
+  RolloutsChanged(aStep);
   RenewNow(aStep);
   ProcessEarlyRequests(aStep);
 }
@@ -303,6 +305,7 @@
     TickTargetReports(step);
     TickCrashReports(step);
     TickResumedStreams(step);
+    TickRollouts(step);
     TickDirectNodes(step);
     DeliverOwnStartTimes(step);
     TickDrain(step);
@@ -330,6 +333,7 @@
                              EarlyRequestsWakeup(aEntry),
                              NextWakeup(aEntry.mCrashReporter),
                              aEntry.mStreams.mTellAt,
+                             aEntry.mRollouts.mReportAt,
                              DrainWakeup(aEntry) });
   if (!aEntry.mSession.mEpoch.IsNone()) {
     next = std::min(next, NextWakeup(aEntry.mTokens));
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -8,6 +8,7 @@
 #include "caraway/base/ids.h"
 #include "caraway/base/stop_times.h"
 #include "caraway/base/time.h"
+#include "caraway/rollout/exposure.h"
 #include "caraway/routing/choose.h"
 #include "caraway/scheduling/start_pace.h"
 
@@ -31,6 +32,7 @@
   uint32_t mMaxAttempts = 3;
   uint32_t mMaxActiveRequests = 4096; // further requests are refused
   ColdTolerance mColdTolerance;       // for targets that state a cold rate
+  ExposureLimit mExposure;            // of versions on trial
   // For deployments that don't list the control replicas: addresses of entries
   // to ask for them.
   std::vector<PeerAddress> mSeeds;
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -18,6 +18,7 @@
 #include "caraway/entry/replica_discovery_state.h"
 #include "caraway/entry/request_state.h"
 #include "caraway/entry/resumed_streams_state.h"
+#include "caraway/entry/rollouts_state.h"
 #include "caraway/entry/session_state.h"
 #include "caraway/entry/start_times_state.h"
 #include "caraway/entry/target_reports_state.h"
@@ -122,6 +123,7 @@
   TargetReports mReports;
   CrashReporter mCrashReporter;
   ResumedStreams mStreams;
+  EntryRollouts mRollouts;
 };
 
 } // namespace caraway
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -104,6 +104,8 @@
   eReadResults,
   eReadItem,
   eEndJob,
+  eBeginRollout,
+  eRollout, // progress of a roll-out
 };
 
 // Action: the reply to a ControlOrder, a JobSubmission, a TargetHeartbeat or a
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -64,6 +64,14 @@
       aEntry.mPlacement.begin(),
       aEntry.mPlacement.end(),
       [](const auto& aLoad) { return aLoad.second.mRate.mPerSecond > 0; })));
+  uint64_t rolloutRequests = 0;
+  uint64_t trialRequests = 0;
+  for (const auto& [service, rollout] : aEntry.mRollouts.mServices) {
+    rolloutRequests += rollout.mExposure.mRequests;
+    trialRequests += rollout.mExposure.mTrial;
+  }
+  Gauge(out, "caraway_entry_rollout_requests", rolloutRequests);
+  Gauge(out, "caraway_entry_rollout_trial_requests", trialRequests);
   Counter(out, "caraway_entry_orders_refused_total", metrics.mOrdersRefused);
   Gauge(out, "caraway_entry_control_calls", aEntry.mCalls.size());
   Gauge(
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -38,6 +38,8 @@
       [](const ReadFile&) { return OrderTopic::eReadResults; },
       [](const ReadItem&) { return OrderTopic::eReadItem; },
       [](const CancelJob&) { return OrderTopic::eEndJob; },
+      [](const BeginRollout&) { return OrderTopic::eBeginRollout; },
+      [](const DescribeRollout&) { return OrderTopic::eRollout; },
       [](const auto&) { return OrderTopic::eTargetReport; },
     },
     aBody);
--- a/caraway/ledger/ledger.cpp
+++ b/caraway/ledger/ledger.cpp
@@ -66,7 +66,8 @@
          std::holds_alternative<ListJobs>(aBody) ||
          std::holds_alternative<ReadItem>(aBody) ||
          std::holds_alternative<ReadPlan>(aBody) ||
-         std::holds_alternative<DescribeRetirement>(aBody);
+         std::holds_alternative<DescribeRetirement>(aBody) ||
+         std::holds_alternative<DescribeRollout>(aBody);
 }
 
 CallReplyBody
--- a/caraway/node/node_config.cpp
+++ b/caraway/node/node_config.cpp
@@ -55,6 +55,17 @@
   }
 }
 
+// Returns waiting items if a roll-out takes the target's version out of use.
+void
+ReturnItemsByRollout(Node& aNode, MonoTime aNow, NodeActions& aOut)
+{
+  const Rollout* rollout =
+    FindRollout(aNode.mSession.mView, aNode.mRecord.mService);
+  if (rollout != nullptr && ExcludesNewWork(*rollout, aNode.mRecord)) {
+    ReturnWaitingItems(aNode, aNow, aOut);
+  }
+}
+
 void
 FinishFetch(Node& aNode, MonoTime aNow, bool aChanged, NodeActions& aOut)
 {
@@ -64,6 +75,7 @@
     return;
   }
   RefuseWorkOutOfService(aNode, aNow, aOut);
+  ReturnItemsByRollout(aNode, aNow, aOut);
   FetchConfig(aNode, aNow, aOut);
   if (aNode.mSession.mLive) {
     SendRenew(aNode, aNow, aOut);
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -13,6 +13,7 @@
 #include "caraway/base/error.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/config/rollout.h"
 #include "caraway/config/serving_plan.h"
 #include "caraway/config/target.h"
 
@@ -225,6 +226,25 @@
   Revision mSeen;
 };
 
+// Begins to move the traffic of a service to targets of a software version.
+struct BeginRollout
+{
+  ServiceId mService;
+  std::string mTo;
+  Duration mDuration; // time to complete in
+};
+
+struct DescribeRollout
+{
+  ServiceId mService;
+};
+
+// Takes an active roll-out back.
+struct AbortRollout
+{
+  ServiceId mService;
+};
+
 using CallBody = std::variant<PutFilePart,
                               ReadFile,
                               DescribeFile,
@@ -244,7 +264,10 @@
                               ReportTargets,
                               RetireReplica,
                               DescribeRetirement,
-                              OrderZone>;
+                              OrderZone,
+                              BeginRollout,
+                              DescribeRollout,
+                              AbortRollout>;
 
 struct ControlCall
 {
@@ -323,6 +346,11 @@
   bool mDone = false;
 };
 
+struct RolloutReply
+{
+  Rollout mRollout;
+};
+
 using CallReplyBody = std::variant<CallFailed,
                                    CallDone,
                                    FileReply,
@@ -332,7 +360,8 @@
                                    JobListReply,
                                    ClaimReply,
                                    PlanReply,
-                                   RetirementReply>;
+                                   RetirementReply,
+                                   RolloutReply>;
 
 struct ControlCallReply
 {
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -67,6 +67,7 @@
     "StartTimeRelease",
     "LeaveGroup",
     "MayLeave",
+    "RolloutReport",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -19,6 +19,7 @@
 #include "caraway/wire/poison_messages.h"
 #include "caraway/wire/raft_messages.h"
 #include "caraway/wire/rate_messages.h"
+#include "caraway/wire/rollout_messages.h"
 #include "caraway/wire/session_messages.h"
 #include "caraway/wire/slot_messages.h"
 #include "caraway/wire/stream_messages.h"
@@ -78,7 +79,8 @@
                              StartTimeReply,
                              StartTimeRelease,
                              LeaveGroup,
-                             MayLeave>;
+                             MayLeave,
+                             RolloutReport>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/serialize_calls.h
+++ b/caraway/wire/serialize_calls.h
@@ -211,6 +211,27 @@
   aArchive(aValue.mInstance);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, BeginRollout& aValue)
+{
+  aArchive(aValue.mService, aValue.mTo, aValue.mDuration);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DescribeRollout& aValue)
+{
+  aArchive(aValue.mService);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AbortRollout& aValue)
+{
+  aArchive(aValue.mService);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCall& aValue)
@@ -292,6 +313,13 @@
   aArchive(aValue.mDone);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, RolloutReply& aValue)
+{
+  aArchive(aValue.mRollout);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCallReply& aValue)
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -280,6 +280,27 @@
   aArchive(aValue.mService, aValue.mVersion);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, Rollout& aValue)
+{
+  aArchive(aValue.mService,
+           aValue.mTo,
+           aValue.mFrom,
+           aValue.mPhase,
+           aValue.mNumber,
+           aValue.mBegunAt,
+           aValue.mChangedAt,
+           aValue.mDuration);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetRollout& aValue)
+{
+  aArchive(aValue.mRollout);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, RevisedChange& aValue)
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -7,6 +7,7 @@
 #include "caraway/wire/serialize_calls.h"
 #include "caraway/wire/serialize_control.h"
 #include "caraway/wire/serialize_poison.h"
+#include "caraway/wire/serialize_rollout.h"
 #include "caraway/wire/serialize_slots.h"
 #include "caraway/wire/serialize_streams.h"
 
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -301,3 +301,32 @@
   BOOST_TEST(status(CallFailed{ ErrorKind::eUnavailable, "" }) == 503);
   BOOST_TEST(status(CallFailed{ ErrorKind::eOutcomeUnknown, "" }) == 502);
 }
+
+BOOST_AUTO_TEST_CASE(order_of_a_roll_out_is_read_or_refused)
+{
+  const EntryEvent event =
+    Event(ListenerUse::eOperators,
+          Request("POST",
+                  "/v1/Rollouts.Begin",
+                  R"({"service":"s","to":"v2","durationS":12})"));
+  const auto& order = std::get<ControlOrder>(event);
+  const auto& begin = std::get<BeginRollout>(order.mBody);
+  BOOST_TEST(begin.mService.mValue == "s");
+  BOOST_TEST(begin.mTo == "v2");
+  BOOST_TEST(begin.mDuration.Millis() == 12000);
+  for (const char* body :
+       { "",
+         "{",
+         "[]",
+         R"({"service":"s","durationS":12})",
+         R"({"service":"s","to":7,"durationS":12})",
+         R"({"service":"","to":"v2","durationS":12})",
+         R"({"service":"s","to":"v2","durationS":0})",
+         R"({"service":"s","to":"v2","durationS":-1})",
+         R"({"service":"s","to":"v2","durationS":1e300})" }) {
+    BOOST_TEST(Refused(ListenerUse::eOperators,
+                       Request("POST", "/v1/Rollouts.Begin", body)) == 400);
+  }
+  BOOST_TEST(std::holds_alternative<ControlOrder>(
+    Event(ListenerUse::eOperators, Request("GET", "/v1/Rollouts.Read/s"))));
+}
--- a/tools/caraway_main.cpp
+++ b/tools/caraway_main.cpp
@@ -29,6 +29,8 @@
   caraway [options] route remove <route>
   caraway [options] route list
   caraway [options] zone (out | in) <zone>
+  caraway [options] rollout begin <service> --to=VERSION --duration=S
+  caraway [options] rollout (read | abort) <service>
   caraway [options] input-block list
   caraway [options] input-block lift <block>
   caraway [options] target (out | in) <target>
@@ -69,6 +71,8 @@
   --method=METHOD         HTTP method of the route, or *.
   --idempotent            Calls of the route may be sent again.
   --open                  The route needs no key.
+  --to=VERSION            Software version that a service is to move to.
+  --duration=S            Seconds in which a roll-out is to complete.
   --endpoint=PATH         Endpoint of the items [/v1/chat/completions].
   --window=TIME           Deadline of the job, such as 24h, 90m or 30s [24h].
   --idempotency-key=KEY   The same key gives the same job.
--- a/tools/operator_commands.cpp
+++ b/tools/operator_commands.cpp
@@ -181,6 +181,19 @@
   return { "POST", "/admin/replicas", body };
 }
 
+Call
+RolloutCall(SettingsReader& aReader)
+{
+  const std::string path =
+    "/admin/rollouts/" + aReader.Optional("<service>", "");
+  if (aReader.Flag("begin")) {
+    Json body{ { "to", aReader.Required("to") } };
+    SetNumberFromFlag(aReader, body, "duration", "duration_s");
+    return { "PUT", path, body };
+  }
+  return { aReader.Flag("abort") ? "DELETE" : "GET", path, {} };
+}
+
 Call
 CallFromFlags(SettingsReader& aReader)
 {
@@ -197,6 +210,9 @@
   if (aReader.Flag("replica")) {
     return ReplicaCall(aReader);
   }
+  if (aReader.Flag("rollout")) {
+    return RolloutCall(aReader);
+  }
   if (aReader.Flag("zone")) {
     return { "POST",
              "/admin/zones/" + aReader.Optional("<zone>", "") + direction,
