Tolerance above contracts without a leader; placement by the pace of targets

An Instance-Load of four figures was dropped as unreadable, and no decision read it.

Both load forms are read; the time per event at each target is kept by its node and weighs in the placement.

--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -135,7 +135,8 @@
   const double filled =
     std::min(aContract.mBurst, aContract.mRate * aGrantor.mRateShare * seconds);
   aBucket.mLevel =
-    std::max(aBucket.mLevel, filled - aBucket.mRecent - aBucket.mGiven);
+    std::max(aBucket.mLevel,
+             filled - aBucket.mRecent - aBucket.mGiven + aBucket.mOverrun);
   aBucket.mLevel =
     std::min(aBucket.mLevel, LevelLimit(aBucket, aContract, true));
 }
@@ -230,6 +231,29 @@
   return division;
 }
 
+// Adds tokens above the contract for requests on hold that would get none.
+void
+AddOverrun(const Grantor& aGrantor,
+           GrantBucket& aBucket,
+           const GrantHolding& aHolding,
+           const Contract& aContract,
+           Division& aDivision,
+           MonoTime aNow)
+{
+  if (aNow >= aGrantor.mOverrunUntil) {
+    return;
+  }
+  const double left =
+    std::floor(kLeaderPart * OverrunOf(aGrantor.mTolerance, aContract)) -
+    aBucket.mOverrun;
+  const double extra = std::min(left, aHolding.mWaiting - aDivision.mBrief);
+  if (extra > 0) {
+    aBucket.mOverrun += extra;
+    aBucket.mLevel += extra; // RecordGrant takes it off
+    aDivision.mBrief += extra;
+  }
+}
+
 void
 RecordGrant(GrantBucket& aBucket,
             GrantHolding& aHolding,
@@ -297,7 +321,8 @@
   bucket.mLevel =
     std::min(bucket.mLevel,
              LevelLimit(bucket, aContract, AreHoldingsKnown(aGrantor, aNow)));
-  const Division division = DivideTokens(bucket, holding, aContract.mBurst);
+  Division division = DivideTokens(bucket, holding, aContract.mBurst);
+  AddOverrun(aGrantor, bucket, holding, aContract, division, aNow);
   RecordGrant(bucket, holding, division, aNow);
   const Duration retryAfter = RetryAfter(bucket, holding, aContract);
   // The holder refuses requests whose tokens will not come in time, so those
@@ -389,6 +414,15 @@
       : GrantorLeaseEnd(aNow, std::min(aGrantLease, aConfigLease));
 }
 
+void
+AllowOverrun(Grantor& aGrantor,
+             const RateTolerance& aTolerance,
+             MonoTime aUntil)
+{
+  aGrantor.mTolerance = aTolerance;
+  aGrantor.mOverrunUntil = aUntil;
+}
+
 GrantReply
 HandleGrantRequest(Grantor& aGrantor,
                    MonoTime aNow,
--- a/caraway/admission/grantor.h
+++ b/caraway/admission/grantor.h
@@ -45,6 +45,13 @@
              Term aTerm,
              MonoTime aEntryLeft);
 
+// Lets the grantor give out its part of the tolerance until aUntil. The caller
+// has made sure that no other leader does so within the same window.
+void
+AllowOverrun(Grantor& aGrantor,
+             const RateTolerance& aTolerance,
+             MonoTime aUntil);
+
 // Handles a request, which must come from a registered session: the caller has
 // checked its epoch.
 GrantReply
--- a/caraway/admission/grantor_state.h
+++ b/caraway/admission/grantor_state.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "caraway/admission/overrun.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/wire/grant_messages.h"
@@ -41,6 +42,7 @@
   // held.
   double mRecent = 0;
   double mGiven = 0;      // tokens granted since the election
+  double mOverrun = 0;    // of mGiven, above the contract
   bool mCredited = false; // the level accounts for the reported admissions
   std::map<Epoch, GrantHolding> mHoldings;    // by entry session
   std::set<std::pair<MonoTime, Epoch>> mEnds; // of mHoldings
@@ -75,6 +77,9 @@
   // Part of each rate that this grantor gives out. The rest belongs to entries
   // that cannot reach it and admit their equal share on their own.
   double mRateShare = 1;
+  // What this leader may grant above each contract, until mOverrunUntil.
+  RateTolerance mTolerance;
+  MonoTime mOverrunUntil{ -kNever.mMicros };
 };
 
 } // namespace caraway
--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -62,6 +62,8 @@
   uint32_t mRunning = 0;
   uint32_t mWaiting = 0;
   uint32_t mSlots = 0;
+  // How long work takes there now; 1: as usual. nullopt: not stated.
+  std::optional<double> mPace;
 };
 
 // Event: the status line and headers arrived.
@@ -83,6 +85,7 @@
   RequestId
     mAnsweredRequest; // request answered by the response, empty: not stated
   std::optional<StatedLoad> mLoad;
+  bool mLoadUnreadable = false; // a load was stated, in no known form
   // Requests/s that the target takes from all its callers together; nullopt:
   // the response states no limit.
   std::optional<double> mStatedRate;
--- a/caraway/control/apply_entries.cpp
+++ b/caraway/control/apply_entries.cpp
@@ -104,6 +104,11 @@
                    registered->mEpoch,
                    aStep.mControl.mState.mConfig.mView.mRevision);
   }
+  if (aOutcome.mMayOverrun) {
+    AllowOverrun(leadership.mGrantor,
+                 aStep.mControl.mSettings.mRateTolerance,
+                 leadership.mToleranceAskedAt + kLeaderOverrunTime);
+  }
   const auto& plan = aStep.mControl.mState.mConfig.mView.mPlan;
   if (plan && plan->mVersion != aBefore.mPlanVersion) {
     PlanApplied(aStep);
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -342,6 +342,14 @@
     return CallDone{};
   }
 
+  void operator()(const UseRateTolerance& aUse)
+  {
+    if (mState.mLogical - mState.mToleranceUsedAt >= aUse.mInterval) {
+      mState.mToleranceUsedAt = mState.mLogical;
+      mOutcome.mMayOverrun = true;
+    }
+  }
+
   void operator()(const AdvanceRollout& aAdvance)
   {
     const Rollout* rollout =
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -82,6 +82,13 @@
   RolloutPhase mTo = RolloutPhase::eTrial;
 };
 
+// Asks that the leader may grant above the contracts for a while. Granted at
+// most once in mInterval, whoever leads.
+struct UseRateTolerance
+{
+  Duration mInterval;
+};
+
 using CommandBody = std::variant<ConfigOperation,
                                  RegisterMember,
                                  UpdateMember,
@@ -93,7 +100,8 @@
                                  RemoveTargets,
                                  ChangeInputBlocks,
                                  ForgetVersions,
-                                 AdvanceRollout>;
+                                 AdvanceRollout,
+                                 UseRateTolerance>;
 
 struct ControlCommand
 {
@@ -102,6 +110,8 @@
   CommandBody mBody;
 };
 
+constexpr MonoTime kToleranceUnused{ -Seconds(24 * 3600).mMicros };
+
 struct ControlState
 {
   LogIndex mApplied; // last log entry applied
@@ -119,6 +129,8 @@
   // Entries whose session expired, and the logical time of that. They may be
   // cut off and still admit their share of each rate.
   std::map<InstanceId, MonoTime> mExpiredEntries;
+  // Logical time of the last UseRateTolerance that was granted.
+  MonoTime mToleranceUsedAt = kToleranceUnused;
 };
 
 // An entry that has been absent for this long is taken to have stopped.
@@ -153,6 +165,7 @@
   CommandReply mReply;
   std::vector<LedgerEffect> mEffects;
   std::vector<FinishedSession> mEnded;
+  bool mMayOverrun = false; // a UseRateTolerance was granted
 };
 
 CommandOutcome
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -83,6 +83,13 @@
   aArchive(aValue.mService, aValue.mNumber, aValue.mFrom, aValue.mTo);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, UseRateTolerance& aValue)
+{
+  aArchive(aValue.mInterval);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCommand& aValue)
@@ -92,11 +99,12 @@
 
 namespace {
 
-constexpr uint32_t kStateVersion = 4;
+constexpr uint32_t kStateVersion = 5;
 constexpr uint32_t kOldestStateVersion = 2;
 // The versions that added a field.
 constexpr uint32_t kVersionOfExpiredEntries = 3;
 constexpr uint32_t kVersionOfKeptSince = 4;
+constexpr uint32_t kVersionOfToleranceUse = 5;
 
 // The stored form of the durable state. The configuration is stored as the
 // changes that rebuild it.
@@ -116,6 +124,7 @@
   std::string mLedger;
   std::map<InstanceId, MonoTime> mExpiredEntries;
   Revision mKeptSince;
+  MonoTime mToleranceUsedAt = kToleranceUnused;
 };
 
 template<class Archive>
@@ -140,6 +149,9 @@
   if (aValue.mVersion >= kVersionOfKeptSince) {
     aArchive(aValue.mKeptSince);
   }
+  if (aValue.mVersion >= kVersionOfToleranceUse) {
+    aArchive(aValue.mToleranceUsedAt);
+  }
 }
 
 absl::Status
@@ -199,6 +211,7 @@
   stored.mRetiring = aState.mRetiring;
   stored.mLedger = EncodeLedger(aState.mLedger);
   stored.mExpiredEntries = aState.mExpiredEntries;
+  stored.mToleranceUsedAt = aState.mToleranceUsedAt;
   return EncodeWith(stored);
 }
 
@@ -230,6 +243,7 @@
   state.mGoneTargets = std::move(stored->mGoneTargets);
   state.mRetiring = std::move(stored->mRetiring);
   state.mExpiredEntries = std::move(stored->mExpiredEntries);
+  state.mToleranceUsedAt = stored->mToleranceUsedAt;
   absl::Status restored = RestoreConfig(*stored, state.mConfig);
   if (!restored.ok()) {
     return restored;
--- a/caraway/control/control_settings.h
+++ b/caraway/control/control_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "caraway/admission/overrun.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
 #include "caraway/consensus/raft.h"
@@ -39,7 +40,8 @@
   // Entries that are cut off from control keep admitting an even share of each
   // rate, so the grantor reserves that share for them.
   bool mEntriesAdmitWhenCutOff = false;
-  ExposureLimit mExposure; // of versions on trial
+  RateTolerance mRateTolerance; // above the contracts
+  ExposureLimit mExposure;      // of versions on trial
   // A target without a heartbeat for this long is removed.
   Duration mTargetSilence = Seconds(5);
 };
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -161,6 +161,7 @@
   std::map<InputBlockId, MonoTime> mBlockProposedAt;
   // Since when no target has had a software version that is still remembered.
   std::map<std::pair<ServiceId, std::string>, MonoTime> mVersionUnusedSince;
+  MonoTime mToleranceAskedAt; // when UseRateTolerance was proposed
   std::map<ServiceId, RolloutWatch> mRollouts;
   std::set<PeerAddress> mIdleNodes; // asked for items when none were ready
 };
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -33,6 +33,21 @@
                                          {} };
 }
 
+// The buckets of a new leader are empty, and nobody may know what was admitted
+// before. Its part of the tolerance bridges the time until they have refilled.
+void
+AskForRateTolerance(ControlStep& aStep)
+{
+  const RateTolerance& tolerance = aStep.mControl.mSettings.mRateTolerance;
+  if (tolerance.mWindow <= Duration{}) {
+    return;
+  }
+  aStep.mControl.mLeadership.mToleranceAskedAt = aStep.mNow;
+  // Logical time may lag behind the clock that ends the use, never run ahead.
+  (void)Propose(
+    aStep, UseRateTolerance{ tolerance.mWindow + kLeaderOverrunTime }, {});
+}
+
 void
 BeginLeadership(ControlStep& aStep)
 {
@@ -60,6 +75,7 @@
                TermOf(control.mRaft),
                control.mEntryLeft);
   UpdateRateShare(aStep);
+  AskForRateTolerance(aStep);
   // Entries that waited for the former leader continue at once.
   for (const auto& [id, member] : view.mMembers) {
     if (member.mRole == MemberRole::eEntry) {
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -12,6 +12,8 @@
 #include "caraway/entry/forward.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/session.h"
+#include "caraway/entry/targets.h"
+#include "caraway/scheduling/start_pace.h"
 
 namespace caraway {
 
@@ -93,6 +95,32 @@
   StartWork(aStep, aRequest);
 }
 
+// Admits the request above the contract, by this entry's part of what the
+// deployment tolerates. A process that is younger than a window admits none:
+// the former process of this entry may have.
+bool
+MayOverrun(EntryStep& aStep, const Contract& aContract)
+{
+  Entry& entry = aStep.mEntry;
+  const RateTolerance& tolerance = entry.mSettings.mRateTolerance;
+  if (aStep.mNow - entry.mSession.mStartedAt < tolerance.mWindow) {
+    return false;
+  }
+  const uint32_t allowed =
+    ShareOfRank(kEntryPart * OverrunOf(tolerance, aContract),
+                RankAmongEntries(entry, aContract.mWorkspace.mValue),
+                EntriesKnown(entry));
+  if (!SpendOverrun(entry.mOverrun,
+                    aStep.mNow,
+                    aContract.mWorkspace,
+                    tolerance.mWindow,
+                    allowed)) {
+    return false;
+  }
+  ++entry.mMetrics.mOverruns;
+  return true;
+}
+
 // Admits the request by this entry's share of the rate while control is
 // unreachable. The share starts empty, so a request whose token is due within
 // aMaxWait waits for it; then this returns false.
@@ -105,6 +133,10 @@
   Entry& entry = aStep.mEntry;
   const std::optional<Duration> wait = ReserveShare(
     entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry), aMaxWait);
+  if (!wait && MayOverrun(aStep, aContract)) {
+    StartOnFallbackShare(aStep, aRequest);
+    return true;
+  }
   if (!wait) {
     RefuseRate(aStep,
                aRequest,
--- a/caraway/entry/direct_answers.cpp
+++ b/caraway/entry/direct_answers.cpp
@@ -54,6 +54,46 @@
   }
 }
 
+void
+RecordStatedPace(EntryStep& aStep,
+                 DirectAttempt& aAttempt,
+                 const TargetCallBegan& aEvent)
+{
+  aStep.mEntry.mMetrics.mUnreadableLoads += aEvent.mLoadUnreadable ? 1 : 0;
+  auto load = aStep.mEntry.mPlacement.find(aAttempt.mTarget);
+  if (!aEvent.mLoad || !aEvent.mLoad->mPace ||
+      load == aStep.mEntry.mPlacement.end()) {
+    return;
+  }
+  aAttempt.mStatedPace = *aEvent.mLoad->mPace;
+  load->second.mStatedPace = aAttempt.mStatedPace;
+  load->second.mStatedPaceAt = aStep.mNow;
+}
+
+// The time of an answer against the usual time of its route's answers: per
+// event of a stream, since their number differs. 0: not measured, since the
+// target states no pace or several targets brought the answer.
+double
+MeasurePace(EntryStep& aStep, const CallerRequest& aRequest)
+{
+  constexpr uint64_t kLeastEvents = 8;
+  const DirectCall& direct = aRequest.mDirect;
+  const DirectAttempt& attempt = direct.mAttempts.back();
+  if (attempt.mStatedPace <= 0 || attempt.mStatus / 100 != 2 ||
+      direct.mAttempts.size() > 1) {
+    return 0;
+  }
+  double seconds = (aStep.mNow - attempt.mStartedAt).Seconds();
+  if (IsStream(direct)) {
+    if (direct.mEvents.mEvents < kLeastEvents) {
+      return 0;
+    }
+    seconds = (attempt.mLastByte - attempt.mAnsweredSince).Seconds() /
+              static_cast<double>(direct.mEvents.mEvents - 1);
+  }
+  return RecordAgainstUsual(aStep.mEntry.mUsualPaces[direct.mRoute], seconds);
+}
+
 // Stops sending requests to this start of the target. If aReport, control is
 // told that it leaves, so that other entries stop as well.
 void
@@ -91,6 +131,11 @@
     RecordAnsweredInput(aStep, aRequest);
   }
   NoteResult(aStep, attempt, attempt.mStatus < 500);
+  attempt.mPace = MeasurePace(aStep, aRequest);
+  auto load = aStep.mEntry.mPlacement.find(attempt.mTarget);
+  if (attempt.mPace > 0 && load != aStep.mEntry.mPlacement.end()) {
+    RecordPace(load->second.mOwnPace, attempt.mPace);
+  }
   RecordRolloutAnswer(aStep, aRequest, attempt, attempt.mStatus < 500);
   CloseAttempt(aStep,
                aRequest,
@@ -157,6 +202,7 @@
     return;
   }
   RecordAnswerRate(aStep, attempt.mTarget, attempt.mTargetStart, aEvent);
+  RecordStatedPace(aStep, attempt, aEvent);
   if (aEvent.mWrongTarget || aEvent.mLeaving) {
     StopUsingTarget(aStep, attempt.mTarget, aEvent.mLeaving);
   }
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -185,8 +185,11 @@
   for (const PlanRoute& route : aEntry.mConfig.mPlan->mRoutes) {
     routes.insert(route.mId);
   }
-  std::erase_if(aEntry.mAnswerTimes,
-                [&](const auto& aOne) { return !routes.contains(aOne.first); });
+  const auto isGone = [&](const auto& aOne) {
+    return !routes.contains(aOne.first);
+  };
+  std::erase_if(aEntry.mAnswerTimes, isGone);
+  std::erase_if(aEntry.mUsualPaces, isGone);
 }
 
 CallerRequest*
@@ -286,7 +289,9 @@
       attempt.mUnguarded && load->second.mUnguarded > 0 ? 1 : 0;
   }
   if (!attempt.mSlotNode.Empty()) {
-    Send(aStep, attempt.mSlotNode, SlotRelease{ aRequest.mId, aEnding });
+    Send(aStep,
+         attempt.mSlotNode,
+         SlotRelease{ aRequest.mId, aEnding, attempt.mPace });
   }
 }
 
--- a/caraway/entry/direct_nodes.cpp
+++ b/caraway/entry/direct_nodes.cpp
@@ -100,6 +100,7 @@
                      aReport.mBatch,
                      aReport.mLimit);
     RecordNodeRate(aStep, target->second, aReport.mRate, aReport.mRateWait);
+    LoadOfTarget(aStep, target->second).mNodePace = aReport.mPace;
   }
 }
 
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -71,7 +71,7 @@
   } else {
     Send(aStep,
          aSlotRequest.mNode,
-         SlotRelease{ aRequest.mId, SlotEnding::eCancelled });
+         SlotRelease{ aRequest.mId, SlotEnding::eCancelled, 0 });
   }
   auto load = aStep.mEntry.mPlacement.find(aSlotRequest.mTarget);
   if (load != aStep.mEntry.mPlacement.end() && load->second.mOwn > 0) {
@@ -444,8 +444,9 @@
   if (slotRequest == nullptr) {
     if (aReply.mState == SlotState::eGranted) {
       // Granted after the request was sent elsewhere or ended.
-      Send(
-        aStep, aFrom, SlotRelease{ aReply.mRequest, SlotEnding::eCancelled });
+      Send(aStep,
+           aFrom,
+           SlotRelease{ aReply.mRequest, SlotEnding::eCancelled, 0 });
     }
     return;
   }
@@ -458,6 +459,7 @@
                      aReply.mBatch,
                      aReply.mLimit);
     RecordNodeRate(aStep, target->second, aReply.mRate, aReply.mRateWait);
+    LoadOfTarget(aStep, target->second).mNodePace = aReply.mPace;
   }
   slotRequest->mExpectedWait = aReply.mExpectedWait;
   if (aReply.mState == SlotState::eGranted) {
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -59,6 +59,8 @@
   int mStatus = 0;
   Headers mHeaders;
   bool mEndsByClose = false; // the answer has no length and no chunks
+  double mStatedPace = 0;    // by the answer's head; 0: not stated
+  double mPace = 0; // of the whole answer, see MeasurePace; 0: not measured
   // The connection has closed, and the target is checked, see answer_end.cpp.
   bool mEndCheck = false;
 };
--- a/caraway/entry/direct_targets.cpp
+++ b/caraway/entry/direct_targets.cpp
@@ -5,7 +5,6 @@
 #include "caraway/entry/rollouts.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
-#include "caraway/routing/hash.h"
 
 namespace caraway {
 
@@ -43,23 +42,6 @@
 
 namespace {
 
-// Returns the rank of this entry among all entries by rendezvous hashing for
-// the target.
-uint32_t
-RankFor(const Entry& aEntry, const TargetId& aTarget)
-{
-  const InstanceId& self = aEntry.mSettings.mInstance;
-  const uint64_t own = RendezvousScore(self.mValue, aTarget.mValue);
-  uint32_t rank = 0;
-  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
-    if (member.mRole == MemberRole::eEntry && id != self &&
-        RendezvousScore(id.mValue, aTarget.mValue) > own) {
-      ++rank;
-    }
-  }
-  return rank;
-}
-
 // True if the node beside the target may have granted starts within the last
 // second.
 bool
@@ -91,7 +73,7 @@
   }
   if (load.mRankTopology != entry.mTopologyVersion) {
     load.mRankTopology = entry.mTopologyVersion;
-    load.mRank = RankFor(entry, aTarget.mId);
+    load.mRank = RankAmongEntries(entry, aTarget.mId.mValue);
   }
   const uint32_t entries = EntriesKnown(entry);
   if (service->mEngine &&
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "caraway/admission/overrun.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/stop_times.h"
 #include "caraway/base/time.h"
@@ -32,6 +33,7 @@
   uint32_t mMaxAttempts = 3;
   uint32_t mMaxActiveRequests = 4096; // further requests are refused
   ColdTolerance mColdTolerance;       // for targets that state a cold rate
+  RateTolerance mRateTolerance;       // above the contracts
   ExposureLimit mExposure;            // of versions on trial
   // For deployments that don't list the control replicas: addresses of entries
   // to ask for them.
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "caraway/admission/fallback_share.h"
+#include "caraway/admission/overrun.h"
 #include "caraway/admission/token_holder_state.h"
 #include "caraway/base/random.h"
 #include "caraway/config/config_view.h"
@@ -113,8 +114,10 @@
   // or another target answers at their address.
   std::set<std::pair<TargetId, int64_t>> mGoneTargets;
   FallbackShares mFallback;
+  OverrunSpending mOverrun;
   // Of calls that were answered, from their start to the end of the answer.
   std::map<RouteId, UsualTime> mAnswerTimes;
+  std::map<RouteId, UsualPace> mUsualPaces; // of targets that state a pace
 
   // Requests received before the first confirmed configuration, in order of
   // arrival.
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -48,6 +48,9 @@
   std::string out;
   Counter(out, "caraway_entry_requests_total", metrics.mRequests);
   Counter(out, "caraway_entry_admitted_total", metrics.mAdmitted);
+  Counter(out, "caraway_entry_overruns_total", metrics.mOverruns);
+  Counter(
+    out, "caraway_entry_unreadable_loads_total", metrics.mUnreadableLoads);
   Counter(out, "caraway_entry_tokens_returned_total", metrics.mReturned);
   Counter(out, "caraway_entry_dispatches_total", metrics.mDispatches);
   Counter(out, "caraway_entry_retries_total", metrics.mRetries);
--- a/caraway/entry/session.cpp
+++ b/caraway/entry/session.cpp
@@ -16,6 +16,7 @@
 #include "caraway/entry/early_requests.h"
 #include "caraway/entry/replica_discovery.h"
 #include "caraway/entry/resumed_streams.h"
+#include "caraway/routing/hash.h"
 
 namespace caraway {
 
@@ -439,4 +440,19 @@
   return std::max<uint32_t>(1, aEntry.mEntriesKnown);
 }
 
+uint32_t
+RankAmongEntries(const Entry& aEntry, std::string_view aKey)
+{
+  const InstanceId& self = aEntry.mSettings.mInstance;
+  const uint64_t own = RendezvousScore(self.mValue, aKey);
+  uint32_t rank = 0;
+  for (const auto& [id, member] : aEntry.mConfig.mMembers) {
+    if (member.mRole == MemberRole::eEntry && id != self &&
+        RendezvousScore(id.mValue, aKey) > own) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
 } // namespace caraway
--- a/caraway/entry/session.h
+++ b/caraway/entry/session.h
@@ -2,6 +2,8 @@
 // The entry's session with control: registration, lease renewal and leader
 // discovery.
 
+#include <string_view>
+
 #include "caraway/entry/entry_step.h"
 
 namespace caraway {
@@ -70,4 +72,9 @@
 uint32_t
 EntriesKnown(const Entry& aEntry);
 
+// The rank of this entry among all entries, by rendezvous hashing for the key.
+// Bounds that entries share without messages are divided by it.
+uint32_t
+RankAmongEntries(const Entry& aEntry, std::string_view aKey);
+
 } // namespace caraway
--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -57,6 +57,9 @@
   if (aNode.mRecord != aRecord && aRecord.mColdFor > Duration{}) {
     aNode.mColdUntil = aNow + aRecord.mColdFor;
   }
+  if (aNode.mRecord.mStartedAt != aRecord.mStartedAt) {
+    aNode.mPace = {};
+  }
   aNode.mRecord = aRecord;
 }
 
--- a/caraway/node/node_internal.h
+++ b/caraway/node/node_internal.h
@@ -67,6 +67,9 @@
 // Number of batch calls running at the target.
 uint32_t
 BatchCalls(const Node& aNode);
+// Of the target; 0 before the first answer that told.
+double
+KnownPace(const Node& aNode);
 
 // --- Rate that the target states (node_rate.cpp)
 
--- a/caraway/node/node_reports.cpp
+++ b/caraway/node/node_reports.cpp
@@ -70,6 +70,7 @@
   report.mBatch = BatchCalls(aNode);
   report.mRate = HeardRateOfTarget(aNode, aNow);
   report.mRateWait = RateWait(aNode, aNow);
+  report.mPace = KnownPace(aNode);
   auto& watchers = reports.mWatchers;
   for (auto watcher = watchers.begin(); watcher != watchers.end();) {
     if (aNow >= watcher->second.mUntil) {
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -37,6 +37,7 @@
   reply.mTargetStart = aNode.mRecord.mStartedAt;
   reply.mRate = HeardRateOfTarget(aNode, aNow);
   reply.mRateWait = RateWait(aNode, aNow);
+  reply.mPace = KnownPace(aNode);
   aOut.emplace_back(SendMessage{ aKey.first, std::move(reply) });
 }
 
@@ -214,6 +215,9 @@
               const PeerAddress& aFrom,
               const SlotRelease& aRelease)
 {
+  if (aRelease.mPace > 0) {
+    RecordPace(aNode.mPace, aRelease.mPace);
+  }
   auto slot = aNode.mSlots.mSlots.find({ aFrom, aRelease.mRequest });
   if (slot != aNode.mSlots.mSlots.end()) {
     ReleaseSlot(aNode, aNow, slot, aRelease.mEnding);
@@ -265,6 +269,12 @@
   }
 }
 
+double
+KnownPace(const Node& aNode)
+{
+  return aNode.mPace.mSamples == 0 ? 0 : PaceOf(aNode.mPace);
+}
+
 uint32_t
 BatchCalls(const Node& aNode)
 {
--- a/caraway/node/node_state.h
+++ b/caraway/node/node_state.h
@@ -14,6 +14,7 @@
 #include "caraway/node/node_target.h"
 #include "caraway/poison/crash_reporter.h"
 #include "caraway/scheduling/stated_rate.h"
+#include "caraway/scheduling/target_pace.h"
 
 namespace caraway {
 
@@ -86,6 +87,7 @@
   Revision mRecordRevision;    // revision in which the record was last read
   Target mRecord;              // the target's record in the configuration
   MonoTime mColdUntil{ 0 };    // as stated by the record when it last changed
+  TargetPace mPace;            // of this start of the target
   StatedRate mRate;            // of this start of the target
   MonoTime mQueryAt{ 0 };      // next ControlQuery to a seed
   size_t mNextSeed = 0;
--- a/caraway/routing/placement.cpp
+++ b/caraway/routing/placement.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// A target states a figure that changes many times a second.
+constexpr Duration kStatedPaceLifetime = Millis(300);
 // Older reports are ignored, since the load changes within a second.
 constexpr Duration kReportLifetime = Seconds(3);
 constexpr Duration kMinAvoidance = Millis(250);
@@ -49,7 +51,10 @@
         Random& aRandom)
 {
   const double places = SlotsOf(aCandidate, aLoad);
-  double score = OnlineAt(aLoad, aNow) / places;
+  // The request itself takes longer as well, so the pace tells idle targets
+  // apart. At the usual pace this is the load.
+  double score =
+    ((OnlineAt(aLoad, aNow) + 1) * PaceAt(aLoad, aNow) - 1) / places;
   if (aNow - aLoad.mReportAt < kReportLifetime) {
     score += kBatchCost * aLoad.mBatch / places;
   }
@@ -64,6 +69,15 @@
 
 } // namespace
 
+double
+PaceAt(const PlacementLoad& aLoad, MonoTime aNow)
+{
+  const double lasting =
+    aLoad.mNodePace > 0 ? aLoad.mNodePace : PaceOf(aLoad.mOwnPace);
+  const bool recent = aNow - aLoad.mStatedPaceAt < kStatedPaceLifetime;
+  return recent ? std::max(lasting, aLoad.mStatedPace) : lasting;
+}
+
 uint32_t
 OnlineAt(const PlacementLoad& aLoad, MonoTime aNow)
 {
@@ -122,6 +136,9 @@
   if (auto known = aLoads.find(chosen.mTarget); known != aLoads.end()) {
     const PlacementLoad& load = known->second;
     log.mExtra.push_back({ "online", absl::StrCat(OnlineAt(load, aNow)) });
+    if (const double pace = PaceAt(load, aNow); pace != 1) {
+      log.mExtra.push_back({ "pace", absl::StrCat(pace) });
+    }
     log.mExtra.push_back({ "places", absl::StrCat(SlotsOf(chosen, load)) });
     if (load.mLimit != 0) {
       log.mExtra.push_back(
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -14,6 +14,7 @@
 #include "caraway/base/time.h"
 #include "caraway/scheduling/start_pace.h"
 #include "caraway/scheduling/stated_rate.h"
+#include "caraway/scheduling/target_pace.h"
 
 namespace caraway {
 
@@ -37,6 +38,12 @@
   uint32_t mRank = 0; // of this entry among those that may call unguarded
   MonoTime mUnansweredSince = kNever; // oldest unanswered slot request
   StatedRate mRate;
+  // How long work takes there: as its node says (0: not known), by this entry's
+  // own answers, and as the target stated last.
+  double mNodePace = 0;
+  TargetPace mOwnPace;
+  double mStatedPace = 1;
+  MonoTime mStatedPaceAt{ -kNever.mMicros };
   // By the last reply or report: the rate allows no start before this time.
   MonoTime mNextStartAt{ -kNever.mMicros };
   // Entry that hands out the start times, see entry/start_times.h.
@@ -75,6 +82,10 @@
                 MonoTime aNow,
                 Random& aRandom);
 
+// Expected time of work at the target now, against the usual time.
+double
+PaceAt(const PlacementLoad& aLoad, MonoTime aNow);
+
 // Online requests at the target, by the own count and the last report.
 uint32_t
 OnlineAt(const PlacementLoad& aLoad, MonoTime aNow);
--- a/caraway/wire/dispatch_messages.h
+++ b/caraway/wire/dispatch_messages.h
@@ -140,6 +140,7 @@
   uint32_t mBatch = 0; // batch items among mRunning, which can be preempted
   std::optional<HeardRate> mRate;
   Duration mRateWait; // until the rate allows one more online start
+  double mPace = 0;   // of the target, see target_pace.h; 0: not known
 };
 
 } // namespace caraway
--- a/caraway/wire/serialize_messages.h
+++ b/caraway/wire/serialize_messages.h
@@ -121,7 +121,8 @@
            aValue.mCold,
            aValue.mBatch,
            aValue.mRate,
-           aValue.mRateWait);
+           aValue.mRateWait,
+           aValue.mPace);
 }
 
 template<class Archive>
--- a/caraway/wire/serialize_slots.h
+++ b/caraway/wire/serialize_slots.h
@@ -72,14 +72,15 @@
            aValue.mLimit,
            aValue.mTargetStart,
            aValue.mRate,
-           aValue.mRateWait);
+           aValue.mRateWait,
+           aValue.mPace);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, SlotRelease& aValue)
 {
-  aArchive(aValue.mRequest, aValue.mEnding);
+  aArchive(aValue.mRequest, aValue.mEnding, aValue.mPace);
 }
 
 template<class Archive>
--- a/caraway/wire/slot_messages.h
+++ b/caraway/wire/slot_messages.h
@@ -48,6 +48,7 @@
   int64_t mTargetStart = 0;
   std::optional<HeardRate> mRate;
   Duration mRateWait; // until the rate allows one more online start
+  double mPace = 0;   // of the target, see target_pace.h; 0: not known
 };
 
 enum class SlotEnding : uint8_t
@@ -62,6 +63,7 @@
 {
   RequestId mRequest;
   SlotEnding mEnding = SlotEnding::eServed;
+  double mPace = 0; // of this answer, against the usual time; 0: not measured
 };
 
 // Entry -> node, once a second: all of the node's slots that the entry holds.
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -330,3 +330,26 @@
   BOOST_TEST(std::holds_alternative<ControlOrder>(
     Event(ListenerUse::eOperators, Request("GET", "/v1/Rollouts.Read/s"))));
 }
+
+BOOST_AUTO_TEST_CASE(load_of_three_or_four_figures_is_read)
+{
+  const auto read = [](const char* aLoad) {
+    TargetCallBegan began;
+    began.mStatus = 200;
+    began.mHeaders = { { "Instance-Load", aLoad } };
+    platform::MakeTargetDialect().mReadAnswer(began);
+    return began;
+  };
+  BOOST_REQUIRE(read("3,1,8").mLoad);
+  BOOST_TEST(!read("3,1,8").mLoad->mPace);
+  const TargetCallBegan slow = read("3,1,8,250");
+  BOOST_REQUIRE(slow.mLoad);
+  BOOST_TEST(slow.mLoad->mWaiting == 1u);
+  BOOST_TEST(*slow.mLoad->mPace == 2.5);
+  for (const char* bad :
+       { "3,1", "3,1,8,0", "3,1,8,-5", "3,1,8,x", "3,1,8,100,1", "x" }) {
+    BOOST_TEST(!read(bad).mLoad);
+    BOOST_TEST(read(bad).mLoadUnreadable);
+  }
+  BOOST_TEST(!read("").mLoadUnreadable);
+}
--- /dev/null
+++ b/tests/runtime_no_answer_test.cpp
@@ -0,0 +1,136 @@
+// Guards against bytes of a target that are taken for a complete answer: a
+// response without a length that is reset while the upload is still being
+// written, and responses whose status is none.
+#define BOOST_TEST_MODULE runtime_no_answer
+#include <boost/test/unit_test.hpp>
+
+#include "raw_peer.h"
+
+using namespace caraway;
+
+namespace {
+
+constexpr size_t kLongUpload = 8 << 20; // more than the sockets take
+
+// A target that answers with mAnswer as soon as the first bytes of a request
+// arrive, reads no more and closes, and one call to it.
+struct HastyTarget
+{
+  HastyTarget(std::string aAnswer, size_t aUpload, bool aReset)
+    : mAnswer(std::move(aAnswer))
+    , mReset(aReset)
+    , mClient(mLoop, TargetClientSettings{})
+    , mGuard(mLoop, [this] { mLoop.Exit(); })
+  {
+    mListener = ListenOnLoopback(mLoop, &HastyTarget::OnAccept, this);
+    mGuard.ArmAt(mLoop.Now() + Seconds(60));
+    mClient.mOnBegan.connect(
+      [this](const TargetCallBegan& aBegan) { mStatus = aBegan.mStatus; });
+    mClient.mOnEnded.connect([this](const TargetCallEnded&) {
+      mEnded = true;
+      mLoop.Exit();
+    });
+    mClient.mOnFailed.connect([this](const TargetCallFailed& aFailed) {
+      mFailed = true;
+      mOutcome = aFailed.mOutcome;
+      mLoop.Exit();
+    });
+    StartTargetCall call;
+    call.mCall = TargetCallId(1);
+    call.mUrl =
+      "http://" + BoundAddress(evconnlistener_get_fd(mListener.get()));
+    call.mMethod = "POST";
+    call.mPath = "/";
+    call.mBody.assign(aUpload, 'u');
+    call.mFreshConnection = true;
+    mClient.Start(call);
+    mLoop.Run();
+  }
+
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t aSocket,
+                       sockaddr*,
+                       int,
+                       void* aSelf)
+  {
+    auto* self = static_cast<HastyTarget*>(aSelf);
+    self->mBuffer.reset(bufferevent_socket_new(
+      self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+      self->mBuffer.get(), &HastyTarget::OnFirstBytes, nullptr, nullptr, aSelf);
+    bufferevent_enable(self->mBuffer.get(), EV_READ);
+  }
+
+  // Answers and closes. The rest of the request is not read.
+  static void OnFirstBytes(bufferevent* aBuffer, void* aSelf)
+  {
+    auto* self = static_cast<HastyTarget*>(aSelf);
+    const evutil_socket_t handle = bufferevent_getfd(aBuffer);
+    (void)send(
+      handle, self->mAnswer.data(), self->mAnswer.size(), MSG_NOSIGNAL);
+    if (self->mReset) {
+      const linger setting{ 1, 0 };
+      (void)setsockopt(
+        handle, SOL_SOCKET, SO_LINGER, &setting, sizeof(setting));
+    }
+    self->mBuffer.reset();
+  }
+
+  // The call failed, with the outcome unknown: the target may have run it.
+  void ExpectNoAnswer() const
+  {
+    BOOST_TEST(mFailed);
+    BOOST_TEST(!mEnded);
+    BOOST_TEST((mOutcome == Outcome::eUnknown));
+  }
+
+  std::string mAnswer;
+  bool mReset = false;
+  Loop mLoop;
+  TargetClient mClient;
+  Timer mGuard;
+  ListenerPtr mListener;
+  BufferEventPtr mBuffer;
+  int mStatus = 0;
+  bool mEnded = false;
+  bool mFailed = false;
+  Outcome mOutcome = Outcome::eRan;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(part_of_an_answer_to_an_upload_that_is_cut_is_no_answer)
+{
+  for (const size_t upload : { size_t{ 1 } << 10, kLongUpload }) {
+    HastyTarget("HTTP/1.1 200 OK\r\n\r\npart", upload, true).ExpectNoAnswer();
+    HastyTarget(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", upload, true)
+      .ExpectNoAnswer();
+  }
+}
+
+// The kernel resets a connection that is closed with unread bytes.
+BOOST_AUTO_TEST_CASE(upload_that_nobody_reads_gets_no_answer_without_a_length)
+{
+  HastyTarget("HTTP/1.1 200 OK\r\n\r\npart", kLongUpload, false)
+    .ExpectNoAnswer();
+}
+
+BOOST_AUTO_TEST_CASE(response_whose_status_is_none_is_no_answer)
+{
+  for (const char* status : { "000", "099", "1000", "-1", "2e2", "", "20" }) {
+    const HastyTarget target("HTTP/1.1 " + std::string(status) +
+                               " x\r\nContent-Length: 2\r\n\r\nok",
+                             0,
+                             false);
+    target.ExpectNoAnswer();
+    BOOST_TEST(target.mStatus == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(interim_response_alone_is_no_answer)
+{
+  const HastyTarget target("HTTP/1.1 102 Processing\r\n\r\n", 0, false);
+  target.ExpectNoAnswer();
+  BOOST_TEST(target.mStatus == 0);
+}
