--- a/caraway/node/node_directory.cpp
+++ b/caraway/node/node_directory.cpp
@@ -59,6 +59,11 @@
   }
   if (aNode.mRecord.mStartedAt != aRecord.mStartedAt) {
     aNode.mPace = {};
+    // A node that restarts beside a target that lives on floods nothing: the
+    // target is warm.
+    if (aNode.mSettings.mSlowStart && aNode.mRecord.mStartedAt != 0) {
+      BeginSlowStart(aNode.mScheduler.mSlowStart);
+    }
   }
   aNode.mRecord = aRecord;
 }
--- a/caraway/node/node_metrics.cpp
+++ b/caraway/node/node_metrics.cpp
@@ -41,6 +41,9 @@
   Counter(text, "caraway_node_broken_total", counters.mFailed);
   Counter(text, "caraway_node_doubled_total", counters.mDuplicateDispatches);
   Counter(text, "caraway_node_preempted_total", counters.mPreempted);
+  Counter(
+    text, "caraway_node_slow_starts_total", aNode.mScheduler.mSlowStart.mBegun);
+  Gauge(text, "caraway_node_target_pace", KnownPace(aNode));
   Counter(text, "caraway_node_items_done_total", counters.mItemsDone);
   Counter(text, "caraway_node_items_failed_total", counters.mItemsFailed);
   Counter(text, "caraway_node_items_returned_total", counters.mItemsReturned);
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -44,6 +44,7 @@
   double mPrefetchSeconds = 2;
   // Items that wait longer for room are returned to the ledger.
   Duration mMaxItemWait = Seconds(10);
+  bool mSlowStart = false;                 // see scheduling/slow_start.h
   Duration mStopGrace = kDefaultStopGrace; // from the request to stop to a kill
 };
 
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -218,6 +218,13 @@
   if (aRelease.mPace > 0) {
     RecordPace(aNode.mPace, aRelease.mPace);
   }
+  if (aNode.mSettings.mSlowStart &&
+      aRelease.mEnding != SlotEnding::eCancelled) {
+    RecordStartAnswer(
+      aNode.mScheduler.mSlowStart,
+      JudgeStartAnswer(aRelease.mEnding == SlotEnding::eServed, aRelease.mPace),
+      aNode.mScheduler.mSettings.mFixedLimit);
+  }
   auto slot = aNode.mSlots.mSlots.find({ aFrom, aRelease.mRequest });
   if (slot != aNode.mSlots.mSlots.end()) {
     ReleaseSlot(aNode, aNow, slot, aRelease.mEnding);
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -137,7 +137,8 @@
 CallLimit(const Scheduler& aScheduler)
 {
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return aScheduler.mSettings.mFixedLimit;
+    return SlowStartLimit(aScheduler.mSlowStart,
+                          aScheduler.mSettings.mFixedLimit);
   }
   // For the baselines, only the latency goals limit the calls.
   if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -28,6 +28,7 @@
 #include "caraway/scheduling/knee.h"
 #include "caraway/scheduling/queue_drain.h"
 #include "caraway/scheduling/service_rate.h"
+#include "caraway/scheduling/slow_start.h"
 #include "caraway/scheduling/start_pace.h"
 
 namespace caraway {
@@ -56,6 +57,7 @@
   ThroughputKnee mKnee;
   ServiceRate mRate;
   StartPace mPace;
+  SlowStart mSlowStart; // with mFixedLimit only
   QueueDrain mDrain;
   MonoTime mNextReturn{ 0 }; // next free time for a caller that retries
   FairQueue mOnline;         // waiting online work that can be on time
