--- a/caraway/entry/rollouts.cpp
+++ b/caraway/entry/rollouts.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration kReportInterval = Millis(400);
 // Each target is slow at first, whatever its version.
-constexpr Duration kWarmUp = Seconds(3);
+constexpr Duration kWarmUp = Seconds(2);
 // Part of the time to return in which streams that began at a bad version may
 // be taken up there.
 constexpr int64_t kTakeUpDivisor = 4;
--- a/caraway/rollout/exposure.cpp
+++ b/caraway/rollout/exposure.cpp
@@ -11,8 +11,9 @@
 
 // The rest is for streams that can only go on at the version on trial.
 constexpr double kNewRequestShare = 0.8;
-// One target that is grey or slow must not stand for the version.
-constexpr size_t kLeastTrialTargets = 2;
+// One target that is grey or slow must not stand for the version; without it,
+// two are left.
+constexpr size_t kLeastTrialTargets = 3;
 
 } // namespace
 
--- a/caraway/rollout/verdict.cpp
+++ b/caraway/rollout/verdict.cpp
@@ -15,7 +15,7 @@
 // Chances of an error in one test: a sound version is called bad, a bad one
 // good. A fleet asks some ten questions in a roll-out.
 constexpr double kFalseAlarm = 0.0005;
-constexpr double kMissed = 0.01;
+constexpr double kMissed = 0.03;
 // What a version may do worse than those beside it, which have few answers of
 // their own at first: one and a half times their rate, at least one in fifty.
 constexpr double kWorseFactor = 1.5;
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -145,7 +145,7 @@
 PreemptionBound(const Scheduler& aScheduler)
 {
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return aScheduler.mSettings.mFixedLimit;
+    return CallLimit(aScheduler);
   }
   return std::min({ CallLimit(aScheduler),
                     aScheduler.mBatchCap.mValue,
--- a/tests/scheduling_slow_start_test.cpp
+++ b/tests/scheduling_slow_start_test.cpp
@@ -7,7 +7,7 @@
 #include <functional>
 #include <vector>
 
-#include "caraway/scheduling/slow_start.h"
+#include "caraway/scheduling/scheduler.h"
 
 using namespace caraway;
 
@@ -143,3 +143,31 @@
   }
   BOOST_TEST(SlowStartLimit(start, kSlots) == kSlots);
 }
+
+// Guards against batch items that are started up to the slots and preempted
+// down to the limit in the same step, again and again.
+BOOST_AUTO_TEST_CASE(batch_items_keep_within_the_limit)
+{
+  SchedulerSettings settings;
+  settings.mFixedLimit = kSlots;
+  Scheduler scheduler = MakeScheduler(settings);
+  scheduler.mHeld = false;
+  BeginSlowStart(scheduler.mSlowStart);
+  MonoTime now{ Seconds(100).mMicros };
+  for (uint64_t item = 1; item <= kSlots; ++item) {
+    Work work;
+    work.mId = WorkId(item);
+    work.mKind = WorkKind::eBatch;
+    work.mDeadline = now + Seconds(60);
+    AddBatch(scheduler, work);
+  }
+  std::vector<ScheduleStep> steps;
+  Schedule(scheduler, now, steps);
+  BOOST_TEST(steps.size() == 2u);
+  for (int round = 0; round < 5; ++round) {
+    steps.clear();
+    now = now + Millis(10);
+    Schedule(scheduler, now, steps);
+    BOOST_TEST(steps.empty());
+  }
+}
