Orders of roll-outs are applied in a file of their own

Change: apply_rollouts holds what applies orders and steps; RolloutAtNode serves the three. Behaviour is the same.

--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -3,8 +3,8 @@
 #include "caraway/control/command.h"
 
 #include <algorithm>
-#include <set>
 
+#include "caraway/control/apply_rollouts.h"
 #include "caraway/ledger/ledger.h"
 
 namespace caraway {
@@ -274,74 +274,6 @@
     }
   }
 
-  // Versions that targets of the service have, without aTo.
-  std::vector<std::string> VersionsBeside(const ServiceId& aService,
-                                          const std::string& aTo) const
-  {
-    std::set<std::string> versions;
-    for (const auto& [id, target] : mState.mConfig.mView.mTargets) {
-      if (target.mService == aService && target.mVersion != aTo) {
-        versions.insert(target.mVersion);
-      }
-    }
-    return { versions.begin(), versions.end() };
-  }
-
-  CallReplyBody ApplyBeginRollout(const BeginRollout& aBegin)
-  {
-    const ConfigView& view = mState.mConfig.mView;
-    const Rollout* last = FindRollout(view, aBegin.mService);
-    if (last != nullptr && last->mTo == aBegin.mTo &&
-        (IsActive(*last) ||
-         mState.mLogical - last->mChangedAt < kRolloutResend)) {
-      return CallDone{};
-    }
-    if (last != nullptr && IsActive(*last)) {
-      return CallFailed{ ErrorKind::eConflict,
-                         "a roll-out of the service to version " + last->mTo +
-                           " is active; abort it first" };
-    }
-    if (!view.mPlan ||
-        PlanServiceById(*view.mPlan, aBegin.mService) == nullptr) {
-      return CallFailed{ ErrorKind::eNotFound,
-                         "the plan has no service " + aBegin.mService.mValue };
-    }
-    Rollout rollout;
-    rollout.mService = aBegin.mService;
-    rollout.mTo = aBegin.mTo;
-    rollout.mFrom = VersionsBeside(aBegin.mService, aBegin.mTo);
-    rollout.mNumber = mIndex.mValue;
-    rollout.mBegunAt = rollout.mChangedAt = mState.mLogical;
-    rollout.mDuration = aBegin.mDuration;
-    AppendChange(mState.mConfig, SetRollout{ std::move(rollout) });
-    return CallDone{};
-  }
-
-  void SetRolloutPhase(Rollout aRollout, RolloutPhase aPhase)
-  {
-    aRollout.mPhase = aPhase;
-    aRollout.mChangedAt = mState.mLogical;
-    AppendChange(mState.mConfig, SetRollout{ std::move(aRollout) });
-  }
-
-  CallReplyBody ApplyAbortRollout(const AbortRollout& aAbort)
-  {
-    const Rollout* rollout = FindRollout(mState.mConfig.mView, aAbort.mService);
-    if (rollout == nullptr) {
-      return CallFailed{ ErrorKind::eNotFound,
-                         "the service has had no roll-out" };
-    }
-    if (rollout->mPhase == RolloutPhase::eCompleted) {
-      return CallFailed{ ErrorKind::eConflict,
-                         "the roll-out is completed; begin one to the version "
-                         "that the service is to go back to" };
-    }
-    if (IsActive(*rollout)) {
-      SetRolloutPhase(*rollout, RolloutPhase::eRolledBack);
-    }
-    return CallDone{};
-  }
-
   void operator()(const UseRateTolerance& aUse)
   {
     if (mState.mLogical - mState.mToleranceUsedAt >= aUse.mInterval) {
@@ -352,12 +284,7 @@
 
   void operator()(const AdvanceRollout& aAdvance)
   {
-    const Rollout* rollout =
-      FindRollout(mState.mConfig.mView, aAdvance.mService);
-    if (rollout != nullptr && rollout->mNumber == aAdvance.mNumber &&
-        rollout->mPhase == aAdvance.mFrom) {
-      SetRolloutPhase(*rollout, aAdvance.mTo);
-    }
+    ApplyAdvance(mState, aAdvance);
   }
 
   // Applies calls of operators and targets, which belong to no workspace. False
@@ -381,10 +308,10 @@
     } else if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
       mState.mRetiring.insert(retire->mInstance);
     } else if (const auto* begin = std::get_if<BeginRollout>(&aBody)) {
-      mOutcome.mReply = ApplyBeginRollout(*begin);
+      mOutcome.mReply = ApplyBegin(mState, mIndex, *begin);
       return true;
     } else if (const auto* abort = std::get_if<AbortRollout>(&aBody)) {
-      mOutcome.mReply = ApplyAbortRollout(*abort);
+      mOutcome.mReply = ApplyAbort(mState, *abort);
       return true;
     } else {
       return false;
--- a/caraway/control/rollouts.cpp
+++ b/caraway/control/rollouts.cpp
@@ -196,17 +196,27 @@
     {});
 }
 
-// The target beside a node, nullptr if it is not known.
-const Target*
-TargetBeside(const ControlStep& aStep, const InstanceId& aNode)
+// The target beside a node and the roll-out of its service; nullptr where there
+// is none.
+struct NodeRollout
+{
+  const Target* mTarget = nullptr;
+  const Rollout* mRollout = nullptr;
+};
+
+NodeRollout
+RolloutAtNode(const ControlStep& aStep, const InstanceId& aNode)
 {
   const ConfigView& view = ViewOf(aStep);
   auto member = view.mMembers.find(aNode);
   if (member == view.mMembers.end()) {
-    return nullptr;
+    return {};
   }
   auto target = view.mTargets.find(member->second.mTarget.mId);
-  return target == view.mTargets.end() ? nullptr : &target->second;
+  if (target == view.mTargets.end()) {
+    return {};
+  }
+  return { &target->second, FindRollout(view, target->second.mService) };
 }
 
 } // namespace
@@ -250,9 +260,7 @@
 uint32_t
 ItemsForRollout(ControlStep& aStep, const InstanceId& aNode, uint32_t aWanted)
 {
-  const Target* target = TargetBeside(aStep, aNode);
-  const Rollout* rollout =
-    target == nullptr ? nullptr : FindRollout(ViewOf(aStep), target->mService);
+  const auto [target, rollout] = RolloutAtNode(aStep, aNode);
   if (rollout == nullptr) {
     return aWanted;
   }
@@ -280,9 +288,7 @@
                  const InstanceId& aNode,
                  const ItemBatch& aBatch)
 {
-  const Target* target = TargetBeside(aStep, aNode);
-  const Rollout* rollout =
-    target == nullptr ? nullptr : FindRollout(ViewOf(aStep), target->mService);
+  const auto [target, rollout] = RolloutAtNode(aStep, aNode);
   if (rollout == nullptr || !IsActive(*rollout)) {
     return;
   }
@@ -296,9 +302,7 @@
 void
 CountItemResults(ControlStep& aStep, const ItemResults& aResults)
 {
-  const Target* target = TargetBeside(aStep, aResults.mNode);
-  const Rollout* rollout =
-    target == nullptr ? nullptr : FindRollout(ViewOf(aStep), target->mService);
+  const auto [target, rollout] = RolloutAtNode(aStep, aResults.mNode);
   if (rollout == nullptr || !IsActive(*rollout)) {
     return;
   }
