--- a/caraway/rollout/verdict.cpp
+++ b/caraway/rollout/verdict.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -129,12 +130,13 @@
   return bucket + 1 + kSlowBuckets;
 }
 
-RolloutVerdict
+// nullopt while nobody can tell which answers are slow.
+std::optional<RolloutVerdict>
 AskSlow(const Question& aQuestion)
 {
   const size_t slow = FirstSlowBucket(aQuestion.mBeside);
   if (slow >= kTimeBuckets) {
-    return RolloutVerdict::eUndecided;
+    return std::nullopt;
   }
   const auto trialsOf = [&](const AnswerCounts& aCounts) {
     return Trials{ TimedFrom(aCounts, 0), TimedFrom(aCounts, slow) };
@@ -193,7 +195,7 @@
   bool good = judgement.mAnswers > 0;
   for (const Question& question : questions) {
     const RolloutVerdict failures = AskFailures(question);
-    const RolloutVerdict slow = AskSlow(question);
+    const std::optional<RolloutVerdict> slow = AskSlow(question);
     if (failures == RolloutVerdict::eBad || slow == RolloutVerdict::eBad) {
       judgement.mVerdict = RolloutVerdict::eBad;
       judgement.mReason =
@@ -204,8 +206,7 @@
       return judgement;
     }
     const bool undecided = failures == RolloutVerdict::eUndecided ||
-                           (slow == RolloutVerdict::eUndecided &&
-                            FirstSlowBucket(question.mBeside) < kTimeBuckets);
+                           slow == RolloutVerdict::eUndecided;
     if (undecided && question.mMustDecide) {
       good = false;
       judgement.mReason = "too few answers on " + question.mName;
