Entry: one search for the state of a roll-out

Cause: FindActive repeated the search of FindState (found in the last read).

Change: FindActive calls it. Behaviour is the same.

--- a/caraway/entry/rollouts.cpp
+++ b/caraway/entry/rollouts.cpp
@@ -3,6 +3,7 @@
 #include "caraway/entry/rollouts.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "caraway/entry/session.h"
@@ -21,11 +22,14 @@
 constexpr int64_t kTakeUpDivisor = 4;
 
 // The state of the roll-out, nullptr if this entry has not taken it over.
-const ServiceRollout*
-FindState(const Entry& aEntry, const Rollout& aRollout)
+// Rollouts: EntryRollouts, const or not.
+template<class Rollouts>
+auto
+FindState(Rollouts& aRollouts, const Rollout& aRollout)
+  -> decltype(&aRollouts.mServices.begin()->second)
 {
-  auto state = aEntry.mRollouts.mServices.find(aRollout.mService);
-  return state == aEntry.mRollouts.mServices.end() ||
+  auto state = aRollouts.mServices.find(aRollout.mService);
+  return state == aRollouts.mServices.end() ||
              state->second.mNumber != aRollout.mNumber
            ? nullptr
            : &state->second;
@@ -35,11 +39,9 @@
 FindActive(EntryStep& aStep, const ServiceId& aService)
 {
   const Rollout* rollout = FindRollout(aStep.mEntry.mConfig, aService);
-  auto state = aStep.mEntry.mRollouts.mServices.find(aService);
-  const bool active = rollout != nullptr && IsActive(*rollout) &&
-                      state != aStep.mEntry.mRollouts.mServices.end() &&
-                      state->second.mNumber == rollout->mNumber;
-  return active ? &state->second : nullptr;
+  return rollout != nullptr && IsActive(*rollout)
+           ? FindState(aStep.mEntry.mRollouts, *rollout)
+           : nullptr;
 }
 
 bool
@@ -47,7 +49,8 @@
                const Rollout& aRollout,
                const DirectCall& aDirect)
 {
-  const ServiceRollout* state = FindState(aStep.mEntry, aRollout);
+  const ServiceRollout* state =
+    FindState(std::as_const(aStep.mEntry.mRollouts), aRollout);
   return state != nullptr && HasValidLease(aStep.mEntry, aStep.mNow) &&
          MayExpose(state->mExposure,
                    aStep.mEntry.mSettings.mExposure.mShare,
@@ -62,7 +65,8 @@
                      const Rollout& aRollout,
                      const DirectCall& aDirect)
 {
-  const ServiceRollout* state = FindState(aStep.mEntry, aRollout);
+  const ServiceRollout* state =
+    FindState(std::as_const(aStep.mEntry.mRollouts), aRollout);
   const Duration takeUp =
     aStep.mEntry.mSettings.mExposure.mRollbackTime / kTakeUpDivisor;
   return aDirect.mOrigin && state != nullptr &&
@@ -318,7 +322,8 @@
   }
   entry.mRollouts.mReportAt = aStep.mNow + kReportInterval;
   for (const auto& [service, rollout] : entry.mConfig.mRollouts) {
-    const ServiceRollout* state = FindState(entry, rollout);
+    const ServiceRollout* state =
+      FindState(std::as_const(entry.mRollouts), rollout);
     if (IsActive(rollout) && state != nullptr &&
         !entry.mSession.mLeader.Empty()) {
       Send(aStep, entry.mSession.mLeader, MakeReport(aStep, rollout, *state));
