--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
-	@printf '%s\n' $(CPPS) | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p build --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+	@printf '%s\n' $(CPPS) | xargs -P $(JOBS) -n 1 bash tools/lint_file.sh build
 
 clean:
 	@rm -rf build build-asan
