caraway explain where: where a request or job would go now, and why

Cause: operators could follow a past request through the logs, but not ask what the fleet would do with one now. Change: entry/where answers by the decisions of real requests on the entry's present state, without spending a token, asking a node or drawing from the random generator. Served on the operators' listener, or under the operators' token where callers use the same one (--operator-token-file of caraway-entry). ReadOperatorToken moved from control's main to the daemons' common settings.

--- a/caraway/entry/caller_http.cpp
+++ b/caraway/entry/caller_http.cpp
@@ -21,6 +21,7 @@
 #include "caraway/entry/reply.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/upload_id.h"
+#include "caraway/entry/where.h"
 #include "caraway/routing/hash.h"
 
 namespace caraway {
@@ -384,7 +385,7 @@
 HandleHttpRequest(EntryStep& aStep, const HttpRequest& aHttp)
 {
   ++aStep.mEntry.mMetrics.mRequests;
-  if (ServeHealth(aStep, aHttp)) {
+  if (ServeHealth(aStep, aHttp) || ServeWhere(aStep, aHttp)) {
     return;
   }
   if (auto error = ProcessRequest(aStep, aHttp)) {
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -27,6 +27,7 @@
 #include "caraway/entry/start_times.h"
 #include "caraway/entry/target_reports.h"
 #include "caraway/entry/targets.h"
+#include "caraway/entry/where.h"
 #include "caraway/routing/hash.h"
 
 namespace caraway {
@@ -241,6 +242,8 @@
                     IsReady(aStep.mEntry, aStep.mNow) ? 200 : 503,
                     {},
                     {});
+  } else if (const auto* where = std::get_if<WhereQuery>(&aEvent)) {
+    HandleWhereQuery(aStep, *where);
   } else if (const auto* sent = std::get_if<TargetCallSent>(&aEvent)) {
     HandleTargetSent(aStep, *sent);
   } else if (const auto* began = std::get_if<TargetCallBegan>(&aEvent)) {
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -3,6 +3,7 @@
 // variables.
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "caraway/admission/overrun.h"
@@ -43,6 +44,8 @@
   // unreachable. If false, requests with a key are refused once the
   // configuration lease has expired.
   bool mServeWithoutLease = false;
+  // SHA-256 of the operators' token in hexadecimal; empty: none may ask.
+  std::string mOperatorTokenDigest;
   Duration mStopGrace = kDefaultStopGrace; // from the request to stop to a kill
 };
 
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -84,6 +84,16 @@
   HttpCallId mCall;
 };
 
+// An operator asks where a request or job would go now, see entry/where.h.
+struct WhereQuery
+{
+  HttpCallId mCall;
+  WorkspaceId mWorkspace; // empty: of a route without a key
+  RouteId mRoute;         // empty: mModel is asked for
+  ModelId mModel;
+  InputParts mParts; // of the prompt; requests with the same ones go together
+};
+
 // Action: the request is for a batch route. The host parses the job from its
 // body and passes it back as a JobSubmission.
 struct ReadJobBody
--- a/daemons/caraway_control_main.cpp
+++ b/daemons/caraway_control_main.cpp
@@ -3,12 +3,8 @@
 
 #include "caraway/runtime/control_host.h"
 
-#include <array>
-
-#include <openssl/evp.h>
 #include <openssl/rand.h>
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "daemons/daemon_settings.h"
@@ -41,17 +37,6 @@
   --snapshot-every=N       Log entries between snapshots [20000].)") +
   kCommonUsage;
 
-std::string
-Sha256Hex(const std::string& aText)
-{
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int length = 0;
-  EVP_Digest(
-    aText.data(), aText.size(), digest.data(), &length, EVP_sha256(), nullptr);
-  return absl::BytesToHexString(
-    absl::string_view(reinterpret_cast<const char*>(digest.data()), length));
-}
-
 ReplicaSet
 ReadReplicas(SettingsReader& aReader)
 {
@@ -80,20 +65,13 @@
 ControlSettings
 ReadControlSettings(SettingsReader& aReader)
 {
-  constexpr size_t kMinTokenChars = 16;
   constexpr size_t kKeySeedBytes = 32;
   constexpr int64_t kSecondsPerHour = 3600;
   ControlSettings settings;
   aReader.Required("replica");
   settings.mReplica = ReplicaId(aReader.Number("replica", 1, 1, 1ULL << 32));
   settings.mInitialReplicas = ReadReplicas(aReader);
-  const std::string token = aReader.FileContents("operator-token-file");
-  if (!token.empty() && token.size() < kMinTokenChars) {
-    aReader.NoteError("--operator-token-file",
-                      "the token is too short",
-                      "use at least 16 random characters");
-  }
-  settings.mOperatorTokenDigest = Sha256Hex(token);
+  settings.mOperatorTokenDigest = ReadOperatorToken(aReader);
   settings.mConfigLease = aReader.Milliseconds(
     "config-lease-ms", settings.mConfigLease, Millis(500), Seconds(60));
   settings.mResultRetention =
--- a/daemons/caraway_entry_main.cpp
+++ b/daemons/caraway_entry_main.cpp
@@ -26,6 +26,8 @@
   --subset=N               Targets watched per model or service [6].
   --retry-budget=X         Retries per request, as a fraction [0.1].
   --max-active=N           Requests in progress at most [4096].
+  --operator-token-file=FILE  File with the operators' token, as control has it.
+                           With it, operators may ask where a request would go.
   --grace=SECONDS          Time from SIGTERM until the process is killed [10]. All
                            requests that it has read are answered before.)") +
   kCommonUsage;
@@ -58,6 +60,9 @@
   settings.mMaxActiveRequests = static_cast<uint32_t>(
     aReader.Number("max-active", settings.mMaxActiveRequests, 1, 100000));
   settings.mStopGrace = ReadStopGrace(aReader);
+  if (!aReader.Optional("operator-token-file", "").empty()) {
+    settings.mOperatorTokenDigest = ReadOperatorToken(aReader);
+  }
   settings.mSeed = SystemRandom();
   return settings;
 }
--- a/daemons/daemon_settings.cpp
+++ b/daemons/daemon_settings.cpp
@@ -2,8 +2,12 @@
 
 #include "daemons/daemon_settings.h"
 
+#include <array>
+
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 
+#include "absl/strings/escaping.h"
 #include "caraway/base/stop_times.h"
 
 namespace caraway {
@@ -58,6 +62,24 @@
                 "grace", kDefaultStopGrace.Seconds(), kShortest, kLongest)));
 }
 
+std::string
+ReadOperatorToken(SettingsReader& aReader)
+{
+  constexpr size_t kMinTokenChars = 16;
+  const std::string token = aReader.FileContents("operator-token-file");
+  if (!token.empty() && token.size() < kMinTokenChars) {
+    aReader.NoteError("--operator-token-file",
+                      "the token is too short",
+                      "use at least 16 random characters");
+  }
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int length = 0;
+  EVP_Digest(
+    token.data(), token.size(), digest.data(), &length, EVP_sha256(), nullptr);
+  return absl::BytesToHexString(
+    absl::string_view(reinterpret_cast<const char*>(digest.data()), length));
+}
+
 DaemonSettings
 ReadDaemonSettings(SettingsReader& aReader)
 {
--- a/daemons/daemon_settings.h
+++ b/daemons/daemon_settings.h
@@ -44,6 +44,11 @@
 Duration
 ReadStopGrace(SettingsReader& aReader);
 
+// Reads the file of --operator-token-file, which every usage text of a control
+// replica or entry declares. Returns the token's SHA-256 in hexadecimal.
+std::string
+ReadOperatorToken(SettingsReader& aReader);
+
 // A random number other than 0 from OpenSSL, for incarnations and seeds.
 uint64_t
 SystemRandom();
--- a/tools/caraway_main.cpp
+++ b/tools/caraway_main.cpp
@@ -8,6 +8,7 @@
 #include "tools/explain_command.h"
 #include "tools/folder_check.h"
 #include "tools/operator_commands.h"
+#include "tools/where_command.h"
 
 using namespace caraway;
 
@@ -41,6 +42,8 @@
           [--idempotency-key=KEY]
   caraway [options] batch (status | results | cancel) <job>
   caraway [options] batch list
+  caraway [options] explain where [--workspace=NAME] [--route=ID] [--model=NAME]
+          [--parts=LIST]
   caraway [options] explain <request> <log>...
   caraway [options] data check <folder>
   caraway (-h | --help)
@@ -76,6 +79,10 @@
   --endpoint=PATH         Endpoint of the items [/v1/chat/completions].
   --window=TIME           Deadline of the job, such as 24h, 90m or 30s [24h].
   --idempotency-key=KEY   The same key gives the same job.
+  --workspace=NAME        Workspace whose request it would be; none: without a key.
+  --route=ID              Route of the request or job.
+  --parts=LIST            Parts of its prompt but the last, comma separated.
+  --model=NAME            Its model, of a prompt with parts or without a route.
   -h --help               Show this help.
   --version               Show the version.
 
@@ -86,6 +93,16 @@
 CliResult
 Run(Loop& aLoop, SettingsReader& aReader)
 {
+  if (aReader.Flag("explain") && aReader.Flag("where")) {
+    EntryClient client;
+    client.mUrl = aReader.Required("entry");
+    client.mKey = aReader.Optional("token-file", "").empty()
+                    ? ""
+                    : aReader.FileContents("token-file");
+    client.mAuthority = aReader.Optional("ca", "");
+    aReader.Finish();
+    return RunWhereCommand(aLoop, client, aReader);
+  }
   if (aReader.Flag("explain")) {
     return ExplainRequest(
       aReader.Optional("<request>", ""),
