Connections to targets are kept, and prompts that share parts share targets

Change: routing/connection_pool decides which connections stay open, for how long and for which calls; only calls that may run again and have a run left use an idle one. ChoosePlacement gives each prefix a home by rendezvous hash and weighs reading it elsewhere against load.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,13 +1,16 @@
 // Measures routing on a virtual clock: a comparison of policies, retries while
 // a third of the targets fail, prefix affinity and load balance at the design
-// size, and the stability of subsets when entries and targets leave.
+// size, the stability of subsets when entries and targets leave, and the
+// placement of prompts that share parts.
 //
 // Prints a line `name value bound verdict` per figure; figures without a bound
 // are for comparison. Exits non-zero if a bound is missed.
 
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 
+#include "bench/placement_world.h"
 #include "bench/routing_world.h"
 
 namespace {
@@ -207,6 +210,83 @@
               MovedShare(full, fewerTargets));
 }
 
+// Prompts that share parts: what is read again although some target held it.
+void
+BenchPrompts()
+{
+  std::map<PlacementPolicy, double> again;
+  std::map<PlacementPolicy, double> first;
+  for (auto [policy, name] :
+       { std::pair(PlacementPolicy::eRoundRobin, "round_robin"),
+         std::pair(PlacementPolicy::ePowerOfTwo, "power_of_two"),
+         std::pair(PlacementPolicy::eLeastLoaded, "least_loaded"),
+         std::pair(PlacementPolicy::ePrefix, "prefix") }) {
+    PromptPlan plan;
+    plan.mPolicy = policy;
+    const PromptResult result = PromptWorld(plan).Run();
+    again[policy] = result.mReadAgain / result.mTokens;
+    first[policy] = Quantile(result.mFirst, 0.99);
+    PrintFigure(std::string("prompts_read_again_share_") + name, again[policy]);
+    PrintFigure(std::string("prompts_first_token_p50_s_") + name,
+                Quantile(result.mFirst, 0.5));
+    PrintFigure(std::string("prompts_first_token_p99_s_") + name,
+                first[policy]);
+    PrintFigure(std::string("prompts_max_by_mean_requests_") + name,
+                MaxByMean(result.mRequests));
+  }
+  const auto best = [](const std::map<PlacementPolicy, double>& aFigures) {
+    return std::min({ aFigures.at(PlacementPolicy::eRoundRobin),
+                      aFigures.at(PlacementPolicy::ePowerOfTwo),
+                      aFigures.at(PlacementPolicy::eLeastLoaded) });
+  };
+  PrintAtMost("prompts_read_again_ratio_to_best_baseline",
+              again[PlacementPolicy::ePrefix] / best(again),
+              0.75);
+  // Locality must not make callers wait.
+  PrintAtMost("prompts_first_token_p99_ratio_to_best_baseline",
+              first[PlacementPolicy::ePrefix] / best(first),
+              1.0);
+}
+
+// Processor time of one choice among 700 targets: with a prefix against
+// without, in one run.
+void
+BenchPlacementCost()
+{
+  std::vector<PlacementCandidate> candidates;
+  PlacementLoads loads;
+  for (int at = 0; at < 700; ++at) {
+    candidates.push_back({ TargetId("target-" + std::to_string(at)),
+                           ZoneId(std::to_string(at % 4)),
+                           8 });
+    loads[candidates.back().mTarget].mOwn = at % 3;
+  }
+  Random random(1);
+  const auto measure = [&](uint64_t aPrefix) {
+    PlacementQuery query;
+    query.mLocalZone = ZoneId("1");
+    query.mPrefix = aPrefix;
+    query.mPrefixShare = aPrefix == 0 ? 0 : 0.5;
+    const std::clock_t start = std::clock();
+    size_t sum = 0;
+    for (int round = 0; round < 500; ++round) {
+      sum +=
+        ChoosePlacement(candidates, loads, query, MonoTime{ 5000000 }, random)
+          .mIndex.value();
+    }
+    // The sum keeps the calls from being left out.
+    return static_cast<double>(std::clock() - start) + (sum == 0 ? 1 : 0);
+  };
+  measure(0);
+  const double plain = std::max(1.0, measure(0));
+  const double prefix = measure(77);
+  PrintFigure("placement_us_of_700_targets",
+              plain / 500 * 1e6 / CLOCKS_PER_SEC);
+  PrintFigure("placement_us_of_700_targets_prefix",
+              prefix / 500 * 1e6 / CLOCKS_PER_SEC);
+  PrintAtMost("placement_cost_ratio_prefix", prefix / plain, 3);
+}
+
 } // namespace
 
 int
@@ -216,5 +296,7 @@
   BenchFailingThird();
   BenchAffinity();
   BenchSubsets();
+  BenchPrompts();
+  BenchPlacementCost();
   return gFailed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/caraway/base/message_framing.cpp
+++ b/caraway/base/message_framing.cpp
@@ -302,8 +302,9 @@
   }
   if (framing.mError.empty() &&
       (aToHead || *code == kNoContent || *code == kNotModified)) {
-    return Framing{};
+    framing = {};
   }
+  framing.mHttp10 = line[kVersionSize - 1] == '0';
   return framing;
 }
 
--- a/caraway/base/message_framing.h
+++ b/caraway/base/message_framing.h
@@ -34,6 +34,7 @@
   std::string mError;    // why the message is invalid; empty: it is valid
   int mErrorStatus = 0;  // for an invalid request: 400 or 501
   bool mInterim = false; // the final response follows
+  bool mHttp10 = false;  // responses: the sender's version is HTTP/1.0
 };
 
 // aHead: the start line and the field lines, each with a line feed and without
--- a/caraway/base/target_call.h
+++ b/caraway/base/target_call.h
@@ -39,7 +39,8 @@
   std::string mPath; // with query
   Headers mHeaders;
   std::string mBody;
-  bool mFreshConnection = false;    // do not reuse an idle connection
+  bool mFreshConnection = false; // do not reuse an idle connection
+  uint32_t mIdleLimit = 8; // connections that may stay idle to this target
   Duration mTimeout = Seconds(600); // for receiving the next byte
   TargetCallContext mContext;
 };
@@ -54,6 +55,7 @@
 struct TargetCallSent
 {
   TargetCallId mCall;
+  bool mReusedConnection = false;
 };
 
 // Load that a target reports in a response.
--- a/caraway/entry/direct_answers.cpp
+++ b/caraway/entry/direct_answers.cpp
@@ -178,6 +178,8 @@
   if (CallerRequest* request =
         RequestOfTargetCall(aStep.mEntry, aEvent.mCall)) {
     LiveAttempt(*request).mSent = true;
+    aStep.mEntry.mMetrics.mReusedConnections +=
+      aEvent.mReusedConnection ? 1 : 0;
   }
 }
 
--- a/caraway/entry/direct_calls.cpp
+++ b/caraway/entry/direct_calls.cpp
@@ -11,7 +11,9 @@
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/rollouts.h"
+#include "caraway/entry/session.h"
 #include "caraway/entry/start_times.h"
+#include "caraway/routing/connection_pool.h"
 
 namespace caraway {
 
@@ -53,6 +55,29 @@
     [](const DirectAttempt& aOne) { return aOne.mBrokeUnanswered; }));
 }
 
+// A call that may not run again gets a connection of its own: bytes that a
+// target sends after an answer cannot be mistaken for the answer to it, and it
+// cannot meet the end of an idle connection.
+void
+ChooseConnection(const Entry& aEntry,
+                 const DirectCall& aDirect,
+                 const Target& aTarget,
+                 StartTargetCall& aStart)
+{
+  const auto& plan = aEntry.mConfig.mPlan;
+  const PlanService* service =
+    plan ? PlanServiceById(*plan, aTarget.mService) : nullptr;
+  const bool reuse = aEntry.mSettings.mReuseConnections && service != nullptr;
+  aStart.mIdleLimit = reuse ? IdleLimit(service->mMaxConnections,
+                                        aTarget.mSlots,
+                                        EntriesKnown(aEntry))
+                            : 0;
+  aStart.mFreshConnection =
+    aStart.mIdleLimit == 0 || !MayUseIdle(aDirect.mRepeatable,
+                                          CountPossibleRuns(aDirect),
+                                          aDirect.mMaxAttempts);
+}
+
 // Returns the time without progress after which a repeatable request is retried
 // elsewhere.
 Duration
@@ -227,9 +252,7 @@
   start.mPath = call.mPath;
   start.mHeaders = call.mHeaders;
   start.mBody = call.mBody;
-  // A separate connection for each call: bytes that a target sends after an
-  // answer cannot be mistaken for the answer to another request.
-  start.mFreshConnection = true;
+  ChooseConnection(entry, direct, aTarget, start);
   start.mContext.mRequest = aRequest.mId;
   start.mContext.mWorkspace = aRequest.mWorkspace;
   start.mContext.mExpected = aTarget.mId;
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -283,11 +283,10 @@
 {
   Entry& entry = aStep.mEntry;
   DirectCall& direct = aRequest.mDirect;
-  PlacementQuery query;
-  query.mRequest = aRequest.mId;
-  query.mWorkspace = aRequest.mWorkspace;
-  query.mLocalZone = entry.mSettings.mZone;
-  query.mExclude = direct.mTried;
+  PlacementQuery query{
+    aRequest.mId,  aRequest.mWorkspace,      entry.mSettings.mZone,
+    direct.mTried, aRequest.mTarget.mPrefix, PrefixShare(aRequest.mTarget)
+  };
   for (const PendingSlotRequest& slotRequest : direct.mSlotRequests) {
     query.mExclude.push_back(slotRequest.mTarget);
   }
@@ -298,6 +297,7 @@
   placement.mLog.mExtra.push_back(
     { "revision", absl::StrCat(entry.mConfig.mRevision.mValue) });
   aStep.mOut.emplace_back(std::move(placement.mLog));
+  entry.mMetrics.mHomePlacements += placement.mHome ? 1 : 0;
   if (!placement.mIndex) {
     return false;
   }
--- a/caraway/entry/entry_metrics.h
+++ b/caraway/entry/entry_metrics.h
@@ -17,10 +17,12 @@
   uint64_t mAdmitted = 0;        // tokens used to admit requests
   uint64_t mReturned = 0;   // tokens returned as the call provably didn't run
   uint64_t mDispatches = 0; // attempts sent to nodes or targets
-  uint64_t mRetries = 0;    // attempts after the first
-  uint64_t mAffinityRouted = 0; // routed by prefix affinity
-  uint64_t mQueries = 0;        // outcome queries sent
-  uint64_t mOrdersRefused = 0;  // at once, since control could not be reached
+  uint64_t mHomePlacements = 0;    // placed at the home of their prefix
+  uint64_t mReusedConnections = 0; // calls sent on an idle connection
+  uint64_t mRetries = 0;           // attempts after the first
+  uint64_t mAffinityRouted = 0;    // routed by prefix affinity
+  uint64_t mQueries = 0;           // outcome queries sent
+  uint64_t mOrdersRefused = 0; // at once, since control could not be reached
   std::map<int, uint64_t> mAnswers;          // responses by HTTP status
   std::map<std::string, uint64_t> mFailures; // errors by code
   std::map<std::string, uint64_t> mOutcomes; // errors by outcome
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -35,6 +35,12 @@
   ColdTolerance mColdTolerance;       // for targets that state a cold rate
   RateTolerance mRateTolerance;       // above the contracts
   ExposureLimit mExposure;            // of versions on trial
+  // Keep connections to targets open for later calls, see
+  // routing/connection_pool.h.
+  bool mReuseConnections = false;
+  // Send requests whose prompts share parts to the same target, see
+  // routing/placement.h.
+  bool mPrefixLocality = false;
   // For deployments that don't list the control replicas: addresses of entries
   // to ask for them.
   std::vector<PeerAddress> mSeeds;
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -123,6 +123,10 @@
     }
     request.mWorkspace = *std::move(workspace);
   }
+  if (entry.mSettings.mPrefixLocality) {
+    request.mTarget.mPrefix = HashOfParts(aHttp.mPromptParts);
+    request.mTarget.mSharedTokens = aHttp.mSharedTokens;
+  }
   request.mInputParts = std::move(aHttp.mPromptParts);
   request.mInputParts.push_back(
     WholeInput(aHttp.mMethod, aHttp.mPath, aHttp.mBody));
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -37,6 +37,7 @@
   uint32_t mOutputTokens = 0;
   // Parts of the prompt that other requests may have as well.
   InputParts mPromptParts;
+  uint32_t mSharedTokens = 0; // of these parts
 };
 
 // A call by an operator or caller that control answers.
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -53,6 +53,9 @@
     out, "caraway_entry_unreadable_loads_total", metrics.mUnreadableLoads);
   Counter(out, "caraway_entry_tokens_returned_total", metrics.mReturned);
   Counter(out, "caraway_entry_dispatches_total", metrics.mDispatches);
+  Counter(
+    out, "caraway_entry_reused_connections_total", metrics.mReusedConnections);
+  Counter(out, "caraway_entry_home_placements_total", metrics.mHomePlacements);
   Counter(out, "caraway_entry_retries_total", metrics.mRetries);
   Counter(out, "caraway_entry_affinity_hits_total", metrics.mAffinityRouted);
   Counter(out, "caraway_entry_outcome_queries_total", metrics.mQueries);
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -1,6 +1,7 @@
 #pragma once
 // State of one caller request in progress.
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -38,13 +39,22 @@
   bool mStream = false;
   uint32_t mPromptTokens = 0;
   uint32_t mOutputTokens = 0;
-  uint64_t mPrefix = 0; // hash for prefix affinity, 0: none
+  uint64_t mPrefix = 0;       // hash for prefix affinity, 0: none
+  uint32_t mSharedTokens = 0; // of the prompt's prefix, direct requests only
   std::string mMethod;
   std::string mPath; // with the query
   Headers mHeaders;  // filtered, only what the target may see
   std::string mBody;
 };
 
+// The part of the prompt's tokens that other requests share.
+inline double
+PrefixShare(const TargetCall& aCall)
+{
+  const double all = std::max(aCall.mPromptTokens, aCall.mSharedTokens);
+  return all > 0 ? aCall.mSharedTokens / all : 0;
+}
+
 // One attempt: a Dispatch to one node. The entry sends it once; the transport
 // may deliver it twice after a reconnect.
 struct Attempt
--- a/caraway/poison/input_part.cpp
+++ b/caraway/poison/input_part.cpp
@@ -39,6 +39,16 @@
     HashField(HashField(HashField(kWholeSeed, aMethod), aPath), aBody));
 }
 
+uint64_t
+HashOfParts(const InputParts& aParts)
+{
+  uint64_t hash = 0;
+  for (const InputPartId part : aParts) {
+    hash = XXH64(&part.mValue, sizeof(part.mValue), hash);
+  }
+  return hash;
+}
+
 std::string
 FormatParts(const InputParts& aParts)
 {
--- a/caraway/poison/input_part.h
+++ b/caraway/poison/input_part.h
@@ -16,6 +16,10 @@
 // Limit of parts that are kept of one request.
 constexpr size_t kMaxInputParts = 16;
 
+// All parts in their order; 0 if there are none.
+uint64_t
+HashOfParts(const InputParts& aParts);
+
 InputPartId
 PromptPart(std::string_view aModel, std::string_view aPart);
 
--- a/caraway/routing/placement.cpp
+++ b/caraway/routing/placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "caraway/routing/hash.h"
 
 namespace caraway {
 
@@ -28,6 +29,9 @@
 // Exceeds the load of one request at eight slots, so that entries with equal
 // views do not all send a burst to the same target before the next reports.
 constexpr double kScoreJitter = 0.25;
+// Reading a whole prompt that the target does not hold. Reading is faster than
+// writing: as much as two requests at eight slots.
+constexpr double kReadCost = 0.25;
 
 bool
 IsExcluded(const PlacementQuery& aQuery, const TargetId& aTarget)
@@ -43,6 +47,53 @@
     1, aLoad.mLimit != 0 ? aLoad.mLimit : aCandidate.mSlots);
 }
 
+// The candidate whose memory is to hold the query's prefix: one in the local
+// zone, unless reading the prefix costs more than to cross zones.
+std::optional<size_t>
+HomeOf(const std::vector<PlacementCandidate>& aCandidates,
+       const PlacementLoads& aLoads,
+       const PlacementQuery& aQuery,
+       MonoTime aNow)
+{
+  std::optional<size_t> home;
+  const bool anyZone = kReadCost * aQuery.mPrefixShare > kZoneCost;
+  bool homeLocal = false;
+  uint64_t homeScore = 0;
+  for (size_t at = 0; aQuery.mPrefix != 0 && at < aCandidates.size(); ++at) {
+    const PlacementCandidate& candidate = aCandidates[at];
+    const auto known = aLoads.find(candidate.mTarget);
+    if (IsExcluded(aQuery, candidate.mTarget) ||
+        (known != aLoads.end() && aNow < known->second.mAvoidUntil)) {
+      continue;
+    }
+    const bool local = anyZone || candidate.mZone == aQuery.mLocalZone;
+    const uint64_t score =
+      RendezvousScore(aQuery.mPrefix, candidate.mTarget.mValue);
+    if (!home || (local && !homeLocal) ||
+        (local == homeLocal && score > homeScore)) {
+      home = at;
+      homeLocal = local;
+      homeScore = score;
+    }
+  }
+  return home;
+}
+
+// Random, or by the prefix: requests that share it then go on to the same
+// targets, in the same order, while its home has more work than they.
+double
+JitterOf(const PlacementQuery& aQuery, const TargetId& aTarget, Random& aRandom)
+{
+  constexpr double kHashRange = 0x1.0p64;
+  const double share =
+    aQuery.mPrefix == 0
+      ? static_cast<double>(DrawBelow(aRandom, 1000)) / 1000.0
+      : 1 -
+          static_cast<double>(RendezvousScore(aQuery.mPrefix, aTarget.mValue)) /
+            kHashRange;
+  return kScoreJitter * share;
+}
+
 double
 ScoreOf(const PlacementCandidate& aCandidate,
         const PlacementLoad& aLoad,
@@ -63,8 +114,7 @@
     score += kRateWaitCost * (aLoad.mNextStartAt - aNow).Seconds();
   }
   score += aCandidate.mZone == aQuery.mLocalZone ? 0 : kZoneCost;
-  return score +
-         kScoreJitter * static_cast<double>(DrawBelow(aRandom, 1000)) / 1000.0;
+  return score + JitterOf(aQuery, aCandidate.mTarget, aRandom);
 }
 
 } // namespace
@@ -102,6 +152,7 @@
   bool bestAvoided = true;
   double bestScore = 0;
   size_t left = 0;
+  const std::optional<size_t> home = HomeOf(aCandidates, aLoads, aQuery, aNow);
   for (size_t at = 0; at < aCandidates.size(); ++at) {
     const PlacementCandidate& candidate = aCandidates[at];
     if (IsExcluded(aQuery, candidate.mTarget)) {
@@ -112,7 +163,9 @@
     const PlacementLoad& load =
       known == aLoads.end() ? kUnknown : known->second;
     const bool avoided = aNow < load.mAvoidUntil;
-    const double score = ScoreOf(candidate, load, aQuery, aNow, aRandom);
+    const double reading = at == home ? 0 : kReadCost * aQuery.mPrefixShare;
+    const double score =
+      ScoreOf(candidate, load, aQuery, aNow, aRandom) + reading;
     if (!best.mIndex || (bestAvoided && !avoided) ||
         (bestAvoided == avoided && score < bestScore)) {
       best.mIndex = at;
@@ -130,9 +183,13 @@
     log.mReason = "no target is left";
     return best;
   }
+  best.mHome = best.mIndex == home;
   const PlacementCandidate& chosen = aCandidates[*best.mIndex];
   log.mChoice = chosen.mTarget.mValue;
   log.mReason = bestAvoided ? "all candidates failed recently" : "least loaded";
+  if (aQuery.mPrefix != 0) {
+    log.mExtra.push_back({ "home", best.mHome ? "true" : "false" });
+  }
   if (auto known = aLoads.find(chosen.mTarget); known != aLoads.end()) {
     const PlacementLoad& load = known->second;
     log.mExtra.push_back({ "online", absl::StrCat(OnlineAt(load, aNow)) });
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -4,6 +4,12 @@
 // The load is this entry's own requests at the target plus those of others in
 // the last report, per slot. Batch items count little, since online work
 // preempts them at once.
+//
+// Load pattern: prompts that begin with parts which thousands of others share.
+// Spread by load alone, each target reads the same parts, and what all targets
+// hold is what a single one could. So requests that share their parts go to one
+// target, their home, as long as the work ahead there costs less than reading
+// the parts elsewhere. All entries agree on the home without messages or state.
 
 #include <map>
 #include <optional>
@@ -66,11 +72,14 @@
   WorkspaceId mWorkspace; // for the log
   ZoneId mLocalZone;
   std::vector<TargetId> mExclude; // already asked or tried
+  uint64_t mPrefix = 0;    // hash of the shared parts of the prompt, 0: none
+  double mPrefixShare = 0; // of the prompt's tokens
 };
 
 struct Placement
 {
   std::optional<size_t> mIndex; // into the candidates; nullopt: none is left
+  bool mHome = false;           // the home of the query's prefix
   DecisionLog mLog;
 };
 
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -100,7 +100,13 @@
 {
 }
 
-TargetClient::~TargetClient() = default;
+TargetClient::~TargetClient()
+{
+  // No callbacks from connections that are closed from here on.
+  for (auto& [id, idle] : mIdle) {
+    evhttp_connection_set_closecb(idle.mConnection.get(), nullptr, nullptr);
+  }
+}
 
 EvHttpConnectionPtr
 TargetClient::TakeConnection(Call& aCall,
@@ -109,14 +115,9 @@
                              bool aFresh)
 {
   if (!aFresh) {
-    // Newest first: it is the least likely to have been closed by the target.
-    for (auto idle = mIdle.rbegin(); idle != mIdle.rend(); ++idle) {
-      if (idle->mAuthority == aCall.mAuthority) {
-        EvHttpConnectionPtr connection = std::move(idle->mConnection);
-        mIdle.erase(std::next(idle).base());
-        aCall.mReusedConnection = true;
-        return connection;
-      }
+    if (EvHttpConnectionPtr idle = TakeIdleConnection(aCall)) {
+      aCall.mReusedConnection = true;
+      return idle;
     }
   }
   return EvHttpConnectionPtr(evhttp_connection_base_bufferevent_new(
@@ -142,6 +143,8 @@
     return;
   }
   call.mAuthority = absl::StrCat(host, ":", port);
+  call.mRequest = aStart.mContext.mRequest;
+  call.mIdleLimit = aStart.mIdleLimit;
   call.mConnection = TakeConnection(
     call, host, static_cast<uint16_t>(port), aStart.mFreshConnection);
   evhttp_connection_set_timeout(
@@ -196,7 +199,7 @@
   const bool first = call->mBytesSent == 0 && aInfo->n_deleted > 0;
   call->mBytesSent += aInfo->n_deleted;
   if (first && !call->mClosed) {
-    call->mClient->mOnSent.emit({ call->mId });
+    call->mClient->mOnSent.emit({ call->mId, call->mReusedConnection });
   }
 }
 
@@ -278,7 +281,8 @@
                      options.end(),
                      absl::AsciiStrToLower(aName)) != options.end();
   };
-  call->mKeep = !isOption("close") && !began.mEndsByClose;
+  call->mKeep = !isOption("close") && !began.mEndsByClose && !framing.mHttp10;
+  call->mReuseTime = ReuseTime(StatedIdleTime(began.mHeaders));
   std::erase_if(began.mHeaders, [&](const auto& aHeader) {
     return IsConnectionHeader(aHeader.first) || isOption(aHeader.first);
   });
@@ -344,9 +348,13 @@
   if (aRequest == nullptr || evhttp_request_get_response_code(aRequest) == 0 ||
       !call->mBegan) {
     const bool sent = call->mBytesSent > 0;
+    const char* broken =
+      call->mReusedConnection && call->mBytesBeforeHead == 0
+        ? "the reused connection closed before the answer"
+        : "the connection closed before the answer was complete";
     client->Fail(*call,
                  sent ? Outcome::eUnknown : Outcome::eNotRun,
-                 sent ? "the connection closed before the answer was complete"
+                 sent ? broken
                       : "the connection failed before the request was sent");
     return;
   }
@@ -374,6 +382,8 @@
 {
   const TargetCallId id = aCall.mId;
   std::string received = std::move(aCall.mReceived);
+  // What has broken this connection may have broken the others as well.
+  CloseIdle(DropTarget(mPool, aCall.mAuthority));
   CloseCall(id, false);
   // Deferred, so that the role gets no event while its actions are still being
   // carried out.
@@ -392,9 +402,16 @@
 void
 TargetClient::Cancel(const CancelTargetCall& aCancel)
 {
-  if (mCalls.contains(aCancel.mCall)) {
-    CloseCall(aCancel.mCall, false);
+  const auto known = mCalls.find(aCancel.mCall);
+  if (known == mCalls.end()) {
+    return;
+  }
+  const Call& call = *known->second;
+  if (call.mReusedConnection && !call.mBegan) {
+    // Connections may go silent without a reset while new ones work.
+    CloseIdle(DropTarget(mPool, call.mAuthority));
   }
+  CloseCall(aCancel.mCall, false);
 }
 
 void
@@ -416,24 +433,10 @@
   // Deferred, since one of the connection's callbacks may be running: frees the
   // connection or keeps it for reuse.
   mLoop.Defer([this, call, aReusable] {
-    if (aReusable && mIdle.size() < mSettings.mMaxIdle) {
-      mIdle.push_back(
-        { call->mAuthority, std::move(call->mConnection), mLoop.Now() });
-      mIdleTimer.ArmAt(mIdle.front().mSince + mSettings.mIdleReuse);
+    if (aReusable) {
+      KeepConnection(*call);
     }
   });
 }
 
-void
-TargetClient::DropIdle()
-{
-  const MonoTime now = mLoop.Now();
-  std::erase_if(mIdle, [&](const Idle& aIdle) {
-    return now - aIdle.mSince >= mSettings.mIdleReuse;
-  });
-  if (!mIdle.empty()) {
-    mIdleTimer.ArmAt(mIdle.front().mSince + mSettings.mIdleReuse);
-  }
-}
-
 } // namespace caraway
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -1,6 +1,6 @@
 #pragma once
 // HTTP client for calls to targets, based on evhttp. Idle connections are kept
-// for a few seconds and reused for calls that allow it.
+// and reused for calls that allow it, see routing/connection_pool.h.
 
 #include <map>
 #include <memory>
@@ -11,6 +11,7 @@
 
 #include "caraway/base/message_reader.h"
 #include "caraway/base/target_call.h"
+#include "caraway/routing/connection_pool.h"
 #include "caraway/runtime/libevent_handles.h"
 #include "caraway/runtime/loop.h"
 
@@ -18,8 +19,6 @@
 
 struct TargetClientSettings
 {
-  Duration mIdleReuse = Seconds(4); // an idle connection is closed after this
-  size_t mMaxIdle = 64;             // idle connections kept
   int mConnectSeconds = 2;
 };
 
@@ -52,6 +51,8 @@
     TargetClient* mClient = nullptr;
     TargetCallId mId;
     std::string mAuthority; // "ip:port", for reuse
+    RequestId mRequest;
+    uint32_t mIdleLimit = 0;
     EvHttpConnectionPtr mConnection;
     bool mReusedConnection = false;
     bool mBegan = false;
@@ -65,6 +66,7 @@
     bool mHeadPassed = false; // evhttp has the head
     bool mPassing = false;    // PassWholeHead changes the input
     bool mKeep = false;       // the target keeps the connection open
+    Duration mReuseTime;      // with mKeep
     std::string mReceived;    // bytes of the body not yet emitted
     bool mFlushQueued = false;
   };
@@ -79,9 +81,9 @@
 
   struct Idle
   {
-    std::string mAuthority;
+    TargetClient* mClient = nullptr;
+    ConnectionId mId;
     EvHttpConnectionPtr mConnection;
-    MonoTime mSince;
   };
 
   static int OnHeaders(evhttp_request* aRequest, void* aCall);
@@ -95,6 +97,8 @@
                        const evbuffer_cb_info* aInfo,
                        void* aCall);
 
+  static void OnIdleClosed(evhttp_connection* aConnection, void* aIdle);
+
   static void OnProbeEvent(bufferevent* aBuffer, short aEvents, void* aProbe);
 
   EvHttpConnectionPtr TakeConnection(Call& aCall,
@@ -109,14 +113,25 @@
   // Ends the call without an event, and keeps its connection if it is reusable.
   void CloseCall(TargetCallId aId, bool aReusable);
   void FinishProbe(uint64_t aCheck, TargetReach aReach);
-  // Closes the idle connections that are older than mIdleReuse.
+  // Takes an idle connection on which nothing has arrived; null if none is
+  // left.
+  EvHttpConnectionPtr TakeIdleConnection(const Call& aCall);
+  // Keeps the connection of a call that has ended.
+  void KeepConnection(Call& aCall);
+  // Closes idle connections that the pool has dropped.
+  void CloseIdle(const std::vector<ConnectionId>& aDropped);
+  // Closes the idle connections whose time is over.
   void DropIdle();
 
   Loop& mLoop;
   TargetClientSettings mSettings;
   std::map<TargetCallId, std::unique_ptr<Call>> mCalls;
   std::map<uint64_t, std::unique_ptr<Probe>> mProbes; // by check
-  std::vector<Idle> mIdle;
+  // Every connection in the pool is in mIdle; the others there are about to be
+  // closed.
+  ConnectionPool mPool;
+  std::map<ConnectionId, Idle> mIdle;
+  uint64_t mNextConnection = 1;
   Timer mIdleTimer;
 };
 
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -353,3 +353,20 @@
   }
   BOOST_TEST(!read("").mLoadUnreadable);
 }
+
+// The last part belongs to the request alone. Tokens that can't be read, or too
+// many of them, must not make a prompt look shared as a whole.
+BOOST_AUTO_TEST_CASE(tokens_of_the_shared_parts_are_read)
+{
+  const auto tokens = [](const char* aParts) {
+    HttpRequest request = Request("POST", "/p/x");
+    request.mHeaders = { { "Prefix-Hash", aParts } };
+    return std::get<ForwardRequest>(Event(ListenerUse::eCallers, request))
+      .mSharedTokens;
+  };
+  BOOST_TEST(tokens("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == 1210u);
+  BOOST_TEST(tokens("5c1e07a2:800") == 0u);
+  BOOST_TEST(tokens("") == 0u);
+  BOOST_TEST(tokens("a:x,b:-4,c,d:30,e:1") == 30u);
+  BOOST_TEST(tokens("a:4294967295,b:4294967295,c:1") == 1u << 24);
+}
