Order of callers where places are short; batch items keep out of recurring bursts

Cause: nodes ordered work by workspace alone, so that the importance which plans state decided nothing, large workspaces were cut for the excess of small ones, and callers that came back were dropped like new ones. Entries refused after three full nodes although others had reported free places, answered 504 to requests that had not run, and held those until their deadline. Batch items filled all slots of the target that asked first and were cut by each burst.

Change: ranked fair queue (importance, weight by contract, callers that return first); refusal/ decides when a request that no target took is refused and with which status; forecast of online calls at each target bounds batch starts, except for items that are due soon.

--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -38,8 +38,12 @@
     }
   }
   aView.mPlanKeys.clear();
+  aView.mPlanRanks.clear();
   for (const PlanWorkspace& workspace : aPlan.mWorkspaces) {
     aView.mContracts[workspace.mId] = ContractOf(aPlan, workspace);
+    if (workspace.mHasPriority) {
+      aView.mPlanRanks[workspace.mId] = workspace.mPriority;
+    }
     for (const KeyDigest& key : workspace.mKeys) {
       aView.mPlanKeys[key] = workspace.mId;
     }
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -39,6 +39,8 @@
   std::map<InputBlockId, InputBlock> mInputBlocks; // at most kMaxInputBlocks
   // Keys of mPlan. Contracts of its workspaces are in mContracts.
   std::map<KeyDigest, WorkspaceId> mPlanKeys;
+  // Importance of those workspaces of mPlan that override their routes'.
+  std::map<WorkspaceId, uint32_t> mPlanRanks;
   // Revision of each object's last change, for the optimistic concurrency check
   // of operator writes. Keyed "contract/lindholt", "key/ck_...", "route/...",
   // "zone/...", "target/...".
--- a/caraway/config/contract.h
+++ b/caraway/config/contract.h
@@ -1,6 +1,7 @@
 #pragma once
 // The contract of a workspace: the only source of the limits of that customer.
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -30,4 +31,16 @@
   bool mWithdrawn = false;      // true ends all its keys and running work
 };
 
+// The workspace's weight where places are short: what it may send, times its
+// share. A workspace without a limit counts as a large one.
+inline uint32_t
+ShareWeight(const Contract& aContract)
+{
+  constexpr double kUnlimited = 100; // requests/s
+  constexpr double kMost = 1000;
+  const double rate = aContract.mRate > 0 ? aContract.mRate : kUnlimited;
+  return aContract.mWeight *
+         static_cast<uint32_t>(std::clamp(rate, 1.0, kMost));
+}
+
 } // namespace caraway
--- a/caraway/entry/direct_internal.h
+++ b/caraway/entry/direct_internal.h
@@ -137,8 +137,28 @@
 bool
 TickReservedStart(EntryStep& aStep, CallerRequest& aRequest);
 
+// Retry-After when no target can be used; the next heartbeats may change that.
+constexpr Duration kNoTargetRetry = Seconds(1);
+
+// True if the caller may be refused with Retry-After: at most once, only before
+// the first call, and only if a third of its remaining time exceeds the latency
+// goal.
+bool
+MayAdviseRetry(const EntryStep& aStep, const CallerRequest& aRequest);
+
+// Refuses the request if it has waited for so long that it could not be served
+// any more, or that its caller would have no time left to return. Returns true
+// if it did (direct_refusals.cpp).
+bool
+RefuseAfterWait(EntryStep& aStep, CallerRequest& aRequest);
+
+// Refuses the request since all its slot requests were refused
+// (direct_refusals.cpp).
+void
+RefuseNoFreeSlot(EntryStep& aStep, CallerRequest& aRequest);
+
 // Refuses the request with Retry-After if it is proven not to have run;
-// otherwise fails it with an unknown outcome.
+// otherwise fails it with an unknown outcome (direct_refusals.cpp).
 void
 RefuseDirect(EntryStep& aStep,
              CallerRequest& aRequest,
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -12,6 +12,7 @@
 #include "caraway/entry/resumed_streams.h"
 #include "caraway/entry/rollouts.h"
 #include "caraway/entry/start_times.h"
+#include "caraway/refusal/slot_search.h"
 
 namespace caraway {
 
@@ -20,17 +21,10 @@
 // Slot requests in flight per request. As the first grant is used, waiting in
 // three queues comes close to one queue for all targets.
 constexpr size_t kMaxSlotRequests = 3;
-// The same, if some of them are for targets that state a rate and have no start
-// left at present.
-constexpr size_t kMaxRatedSlotRequests = 6;
+// A load report tells of free places for this long.
+constexpr Duration kFreePlaceLifetime = Seconds(1);
 // A node that has not replied by then is avoided for a while.
 constexpr Duration kSlotReplyTimeout = Millis(150);
-// Retry-After when no target can be used; the next heartbeats may change that.
-constexpr Duration kNoTargetRetry = Seconds(1);
-// Retry-After is at most a third of the caller's remaining time, the most that
-// callers honour.
-constexpr int64_t kRetryAfterDivisor = 3;
-constexpr Duration kMinRetryAfter = Millis(100);
 
 // False if the request continues a stream and no target of its version takes
 // requests, however busy they are.
@@ -79,18 +73,6 @@
   }
 }
 
-// True if the caller may be refused with Retry-After: at most once, only before
-// the first call, and only if a third of its remaining time exceeds the latency
-// goal.
-bool
-MayAdviseRetry(const EntryStep& aStep, const CallerRequest& aRequest)
-{
-  const DirectCall& direct = aRequest.mDirect;
-  return !direct.mIsCallerRetry && direct.mAttempts.empty() &&
-         (aRequest.mDeadline - aStep.mNow) / kRetryAfterDivisor >
-           direct.mLatencyGoal;
-}
-
 void
 RequestSlot(EntryStep& aStep,
             CallerRequest& aRequest,
@@ -110,6 +92,12 @@
   slotRequest.mWait = aRequest.mDeadline - aStep.mNow;
   slotRequest.mPromptTokens = aRequest.mTarget.mPromptTokens;
   slotRequest.mOutputTokens = aRequest.mTarget.mOutputTokens;
+  slotRequest.mRank = direct.mRank;
+  slotRequest.mIsCallerRetry = direct.mIsCallerRetry;
+  const auto& contracts = aStep.mEntry.mConfig.mContracts;
+  if (auto own = contracts.find(aRequest.mWorkspace); own != contracts.end()) {
+    slotRequest.mWeight = ShareWeight(own->second);
+  }
   PlacementLoad& load = LoadOfTarget(aStep, aTarget);
   slotRequest.mRate = HeardRateOf(load.mRate, aStep.mNow, aTarget.mStartedAt);
   ++load.mOwn;
@@ -139,28 +127,6 @@
   return shortest.value_or(Duration{});
 }
 
-Duration
-ShortestWait(const DirectCall& aDirect)
-{
-  Duration shortest = kNoTargetRetry;
-  for (const PendingSlotRequest& slotRequest : aDirect.mSlotRequests) {
-    if (slotRequest.mState != SlotRequestState::eSent) {
-      shortest = std::min(shortest, slotRequest.mExpectedWait);
-    }
-  }
-  return shortest;
-}
-
-void
-RefuseNoFreeSlot(EntryStep& aStep, CallerRequest& aRequest)
-{
-  RefuseDirect(aStep,
-               aRequest,
-               ErrorKind::eOverloaded,
-               "no target has a free slot in time",
-               ShortestWait(aRequest.mDirect));
-}
-
 // Records and logs that the node has not replied, so that other targets are
 // preferred for a while.
 void
@@ -224,10 +190,40 @@
   return false;
 }
 
-// True if fewer than kMaxSlotRequests wait at targets that state no rate, and
-// the request may still find one of those.
 bool
-MayRequestAnotherSlot(const EntryStep& aStep, const DirectCall& aDirect)
+HasFreePlace(const PlacementLoad& aLoad, MonoTime aNow)
+{
+  return aNow - aLoad.mReportAt < kFreePlaceLifetime &&
+         OnlineAt(aLoad, aNow) < aLoad.mLimit && aNow >= aLoad.mAvoidUntil &&
+         aNow >= aLoad.mNextStartAt;
+}
+
+// True if a target that was not asked yet has a free place by its last report.
+bool
+KnowsFreePlace(EntryStep& aStep, const DirectCall& aDirect)
+{
+  const PlacementLoads& loads = aStep.mEntry.mPlacement;
+  const auto isAsked = [&](const TargetId& aTarget) {
+    return std::find(aDirect.mTried.begin(), aDirect.mTried.end(), aTarget) !=
+             aDirect.mTried.end() ||
+           std::any_of(aDirect.mSlotRequests.begin(),
+                       aDirect.mSlotRequests.end(),
+                       [&](const PendingSlotRequest& aOne) {
+                         return aOne.mTarget == aTarget;
+                       });
+  };
+  const std::vector<PlacementCandidate> candidates =
+    CandidatesOf(aStep, aDirect);
+  return std::any_of(
+    candidates.begin(), candidates.end(), [&](const auto& aCandidate) {
+      auto load = loads.find(aCandidate.mTarget);
+      return load != loads.end() && HasFreePlace(load->second, aStep.mNow) &&
+             !isAsked(aCandidate.mTarget);
+    });
+}
+
+bool
+MayRequestAnotherSlot(EntryStep& aStep, const DirectCall& aDirect)
 {
   const PlacementLoads& loads = aStep.mEntry.mPlacement;
   const auto rated = std::count_if(
@@ -237,9 +233,11 @@
       auto load = loads.find(aSlotRequest.mTarget);
       return load != loads.end() && load->second.mRate.mPerSecond > 0;
     });
-  const size_t waiting = aDirect.mSlotRequests.size();
-  return waiting < kMaxRatedSlotRequests &&
-         waiting < kMaxSlotRequests + static_cast<size_t>(rated);
+  SlotSearch search;
+  search.mAsked = aDirect.mSlotRequests.size();
+  search.mRated = static_cast<size_t>(rated);
+  search.mHasFreePlace = KnowsFreePlace(aStep, aDirect);
+  return MayAskAnother(search);
 }
 
 } // namespace
@@ -358,7 +356,7 @@
     FailStoppingRequest(aStep, aRequest);
     return;
   }
-  if (TickReservedStart(aStep, aRequest) ||
+  if (TickReservedStart(aStep, aRequest) || RefuseAfterWait(aStep, aRequest) ||
       ReplaceUnansweredSlotRequests(aStep, aRequest)) {
     return;
   }
@@ -384,29 +382,6 @@
   aRequest.mDirect.mSlotRequests.clear();
 }
 
-void
-RefuseDirect(EntryStep& aStep,
-             CallerRequest& aRequest,
-             ErrorKind aKind,
-             const std::string& aMessage,
-             Duration aRetryAfter)
-{
-  CallerError error;
-  error.mKind = aKind;
-  error.mMessage = aMessage;
-  if (!DirectProvenNotRun(aRequest)) {
-    // An earlier attempt may have run, so the error must not say not_run.
-    error.mKind = ErrorKind::eTargetFailed;
-    FailRequest(aStep, aRequest, std::move(error));
-    return;
-  }
-  const Duration left = aRequest.mDeadline - aStep.mNow;
-  error.mRetryAfter =
-    std::max(kMinRetryAfter, std::min(aRetryAfter, left / kRetryAfterDivisor));
-  error.mFractionalRetryAfter = true;
-  FailRequest(aStep, aRequest, std::move(error));
-}
-
 namespace {
 
 // True if the node knows of a later start of the target, which may run another
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -88,6 +88,7 @@
   Duration mGapGoal;
   MonoTime mGoalAt;            // time of receipt plus the latency goal
   bool mIsCallerRetry = false; // a retry, to judge by its deadline
+  uint32_t mRank = 0;          // importance, 0 is the highest
   std::vector<PendingSlotRequest> mSlotRequests;
   // Times that all nodes in mSlotRequests were lost.
   uint32_t mNodeLossRounds = 0;
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -141,6 +141,10 @@
   request.mReceivedAt = aReceivedAt;
   request.mDeadline = DeadlineBeforeStop(entry, aReceivedAt + timeout);
   request.mDirect = DirectCallFor(*route, aHttp, aReceivedAt, entry.mRandom);
+  const auto& ranks = entry.mConfig.mPlanRanks;
+  const auto ownRank = ranks.find(request.mWorkspace);
+  request.mDirect.mRank =
+    ownRank == ranks.end() ? route->mPriority : ownRank->second;
   TargetCall& call = request.mTarget;
   call.mService = request.mDirect.mService;
   call.mIdempotent = request.mDirect.mRepeatable;
--- a/caraway/entry/outcome.cpp
+++ b/caraway/entry/outcome.cpp
@@ -9,6 +9,7 @@
 #include "caraway/entry/direct.h"
 #include "caraway/entry/drain.h"
 #include "caraway/entry/reply.h"
+#include "caraway/refusal/not_run.h"
 
 namespace caraway {
 
@@ -115,6 +116,7 @@
   }
   EndAttempts(aStep, aRequest, aCancelAll || aRequest.mTarget.mIdempotent);
   aError.mOutcome = OutcomeOf(aRequest);
+  aError.mKind = KindForCaller(aError.mKind, aError.mOutcome);
   if (aError.mOutcome == Outcome::eNotRun && aRequest.mTokenTaken) {
     ReturnToken(aStep.mEntry.mTokens, aStep.mNow, aRequest.mWorkspace);
     ++aStep.mEntry.mMetrics.mReturned;
--- a/caraway/entry/outcome.h
+++ b/caraway/entry/outcome.h
@@ -1,8 +1,9 @@
 #pragma once
 // The outcome of a request, and how a request fails.
 //
-// Invariant: an error says not_run only if every copy of every attempt was
-// proven not to have run.
+// Invariants: an error says not_run only if every copy of every attempt was
+// proven not to have run. One that says so never has status 502 or 504, which
+// would leave it open.
 
 #include "caraway/entry/entry_step.h"
 #include "caraway/entry/error_body.h"
--- a/caraway/node/node_metrics.cpp
+++ b/caraway/node/node_metrics.cpp
@@ -59,6 +59,15 @@
   Gauge(text,
         "caraway_node_batch_waiting",
         static_cast<double>(scheduler.mBatch.size()));
+  Gauge(text,
+        "caraway_node_online_expected",
+        ExpectedOnlineCalls(scheduler.mForecast));
+  Counter(text,
+          "caraway_node_forecast_intervals_total",
+          scheduler.mForecast.mChecked);
+  Counter(text,
+          "caraway_node_forecast_exceeded_total",
+          scheduler.mForecast.mExceeded);
   Gauge(text, "caraway_node_cold", scheduler.mLimit.mRamping ? 1 : 0);
   Gauge(text, "caraway_node_stated_rate", aNode.mRate.mPerSecond);
   Gauge(text,
--- a/caraway/node/node_schedule.cpp
+++ b/caraway/node/node_schedule.cpp
@@ -1,5 +1,6 @@
 // Carries out the decisions of the scheduler: start, preempt, expire.
 
+#include "absl/strings/str_cat.h"
 #include "caraway/node/node_internal.h"
 
 namespace caraway {
@@ -26,6 +27,12 @@
     { "running", std::to_string(RunningCalls(aNode)) },
     { "queued", std::to_string(QueuedCalls(aNode)) },
     { "limit", std::to_string(CallLimit(aNode.mScheduler)) },
+    { "online_expected",
+      std::to_string(ExpectedOnlineCalls(aNode.mScheduler.mForecast)) },
+    { "forecasts_exceeded",
+      absl::StrCat(aNode.mScheduler.mForecast.mExceeded,
+                   "/",
+                   aNode.mScheduler.mForecast.mChecked) },
   };
   aOut.emplace_back(std::move(log));
 }
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -88,6 +88,9 @@
       aNow + aRequest.mTimeToGoal * kWaitShareNumerator / kWaitShareDenominator;
   }
   work.mMayReturn = aRequest.mMayReturn;
+  work.mIsCallerRetry = aRequest.mIsCallerRetry;
+  work.mRank = aRequest.mRank;
+  work.mWeight = std::max<uint32_t>(1, aRequest.mWeight);
   return work;
 }
 
--- a/caraway/scheduling/fair_queue.cpp
+++ b/caraway/scheduling/fair_queue.cpp
@@ -42,6 +42,29 @@
   }
 }
 
+// The first work that is not of a caller that returns.
+std::deque<Work>::iterator
+FirstNew(FairFlow& aFlow)
+{
+  return std::find_if(aFlow.mWork.begin(),
+                      aFlow.mWork.end(),
+                      [](const Work& aWork) { return !aWork.mIsCallerRetry; });
+}
+
+// Cost of the work of callers that return.
+double
+ReturnedBacklog(const FairFlow& aFlow)
+{
+  double cost = 0;
+  for (const Work& work : aFlow.mWork) {
+    if (!work.mIsCallerRetry) {
+      break;
+    }
+    cost += work.mCost;
+  }
+  return cost;
+}
+
 } // namespace
 
 void
@@ -60,7 +83,8 @@
   flow.mBacklog += aWork.mCost;
   aQueue.mBacklog += aWork.mCost;
   ++aQueue.mSize;
-  flow.mWork.push_back(std::move(aWork));
+  flow.mWork.insert(aWork.mIsCallerRetry ? FirstNew(flow) : flow.mWork.end(),
+                    std::move(aWork));
 }
 
 const Work*
@@ -90,10 +114,16 @@
 
 bool
 RemoveFair(FairQueue& aQueue, const WorkspaceId& aWorkspace, WorkId aWork)
+{
+  return TakeFair(aQueue, aWorkspace, aWork).has_value();
+}
+
+std::optional<Work>
+TakeFair(FairQueue& aQueue, const WorkspaceId& aWorkspace, WorkId aWork)
 {
   auto found = aQueue.mFlows.find(aWorkspace);
   if (found == aQueue.mFlows.end()) {
-    return false;
+    return std::nullopt;
   }
   FairFlow& flow = found->second;
   auto place =
@@ -101,12 +131,12 @@
       return aOther.mId == aWork;
     });
   if (place == flow.mWork.end()) {
-    return false;
+    return std::nullopt;
   }
-  const Work work = std::move(*place);
+  Work work = std::move(*place);
   flow.mWork.erase(place);
   Release(aQueue, aWorkspace, flow, work);
-  return true;
+  return work;
 }
 
 void
@@ -127,11 +157,15 @@
 double
 CostAhead(const FairQueue& aQueue,
           const WorkspaceId& aWorkspace,
-          uint32_t aWeight)
+          uint32_t aWeight,
+          bool aIsCallerRetry)
 {
   auto found = aQueue.mFlows.find(aWorkspace);
-  const double own =
-    found == aQueue.mFlows.end() ? 0.0 : found->second.mBacklog;
+  double own = 0;
+  if (found != aQueue.mFlows.end()) {
+    own =
+      aIsCallerRetry ? ReturnedBacklog(found->second) : found->second.mBacklog;
+  }
   const double tag = found == aQueue.mFlows.end()
                        ? aQueue.mVirtualTime
                        : std::max(found->second.mTag, aQueue.mVirtualTime);
--- a/caraway/scheduling/fair_queue.h
+++ b/caraway/scheduling/fair_queue.h
@@ -7,6 +7,7 @@
 // when work arrives again, its tag is at least the virtual time.
 
 #include <deque>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -18,10 +19,11 @@
 
 struct FairFlow
 {
-  double mTag = 0;        // start tag of the head, or of the next arrival
-  double mBacklog = 0;    // cost of the waiting work
-  uint32_t mWeight = 1;   // that of the newest arrival
-  std::deque<Work> mWork; // in arrival order
+  double mTag = 0;      // start tag of the head, or of the next arrival
+  double mBacklog = 0;  // cost of the waiting work
+  uint32_t mWeight = 1; // that of the newest arrival
+  // Work of callers that return, then new work; both in arrival order.
+  std::deque<Work> mWork;
 };
 
 struct FairQueue
@@ -50,6 +52,10 @@
 bool
 RemoveFair(FairQueue& aQueue, const WorkspaceId& aWorkspace, WorkId aWork);
 
+// As RemoveFair, but returns the work.
+std::optional<Work>
+TakeFair(FairQueue& aQueue, const WorkspaceId& aWorkspace, WorkId aWork);
+
 // Corrects the charge once the actual cost is known. aDifference is the actual
 // cost minus the estimate.
 void
@@ -58,12 +64,14 @@
               uint32_t aWeight,
               double aDifference);
 
-// Upper bound of the cost that is served before new work of this workspace. A
-// workspace with a small backlog does not wait for the whole backlog of others.
+// Upper bound of the cost that is served before new work of this workspace, or
+// before that of a caller that returns. A workspace with a small backlog does
+// not wait for the whole backlog of others.
 double
 CostAhead(const FairQueue& aQueue,
           const WorkspaceId& aWorkspace,
-          uint32_t aWeight);
+          uint32_t aWeight,
+          bool aIsCallerRetry = false);
 
 // The workspace with the largest backlog per weight, or an empty id if the
 // queue is empty.
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -59,7 +59,7 @@
   if (work.mKind == WorkKind::eOnline) {
     aScheduler.mUrgent.erase({ work.mDeadline, aWork });
     aScheduler.mStartGoals.erase({ work.mStartGoal, aWork });
-    aScheduler.mLateWork.erase({ work.mDeadline, aWork });
+    aScheduler.mLateWork.erase({ work.mRank, work.mDeadline, aWork });
   } else {
     aScheduler.mBatch.erase({ work.mDeadline, aWork });
   }
@@ -78,6 +78,9 @@
 MonoTime
 LateWorkDeadline(const Work& aWork)
 {
+  if (aWork.mIsCallerRetry) {
+    return aWork.mDeadline;
+  }
   const Duration time = aWork.mDeadline - aWork.mQueuedAt;
   return aWork.mQueuedAt + time * kLateWaitNumerator / kLateWaitDenominator;
 }
@@ -107,19 +110,34 @@
   return at - aNow;
 }
 
-// Evicts the newest work of the largest backlog, unless that is the newcomer's
-// own workspace. Returns none if the newcomer has to be refused instead.
+// Evicts the work that gives way first. Returns none if the newcomer has to be
+// refused instead.
 WorkId
 MakeRoom(Scheduler& aScheduler, const Work& aNewcomer)
 {
-  const WorkspaceId largest = LargestBacklog(aScheduler.mOnline);
-  if (largest.Empty() || largest == aNewcomer.mWorkspace ||
-      aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+  if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
+    return {};
+  }
+  const std::optional<Work> evicted = EvictFor(aScheduler.mOnline, aNewcomer);
+  if (!evicted) {
     return {};
   }
-  const Work evicted = PopNewest(aScheduler.mOnline, largest);
-  TakeWaiting(aScheduler, evicted.mId);
-  return evicted.mId;
+  TakeWaiting(aScheduler, evicted->mId);
+  return evicted->mId;
+}
+
+// Cost of the late work that goes before work of this rank.
+double
+LateCostAhead(const Scheduler& aScheduler, uint32_t aRank)
+{
+  double cost = 0;
+  for (const auto& [rank, deadline, id] : aScheduler.mLateWork) {
+    if (rank >= aRank) {
+      break;
+    }
+    cost += aScheduler.mWaiting.at(id).mCost;
+  }
+  return cost;
 }
 
 } // namespace
@@ -159,6 +177,13 @@
          aScheduler.mForeign;
 }
 
+uint32_t
+OnlineCalls(const Scheduler& aScheduler)
+{
+  return aScheduler.mRunningOnline + aScheduler.mForeign +
+         static_cast<uint32_t>(WaitingOnline(aScheduler));
+}
+
 OfferResult
 OfferOnline(Scheduler& aScheduler, MonoTime aNow, const Work& aWork)
 {
@@ -199,8 +224,10 @@
   aScheduler.mWaiting.emplace(queued.mId, queued);
   if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
     queued.mWorkspace = {}; // the baselines use one flow for all
+    queued.mRank = 0;
+    queued.mIsCallerRetry = false;
   }
-  PushFair(aScheduler.mOnline, std::move(queued));
+  PushRanked(aScheduler.mOnline, std::move(queued));
   return result;
 }
 
@@ -213,7 +240,7 @@
   aScheduler.mWaiting.emplace(queued.mId, queued);
   if (aScheduler.mSettings.mPolicy == SchedulePolicy::eFirstCome) {
     queued.mWorkspace = {};
-    PushFair(aScheduler.mOnline, std::move(queued));
+    PushRanked(aScheduler.mOnline, std::move(queued));
   }
 }
 
@@ -233,7 +260,10 @@
   const Work work = TakeWaiting(aScheduler, aWork);
   const bool fair =
     aScheduler.mSettings.mPolicy == SchedulePolicy::eOnlineFirst;
-  RemoveFair(aScheduler.mOnline, fair ? work.mWorkspace : WorkspaceId(), aWork);
+  RemoveRanked(aScheduler.mOnline,
+               fair ? work.mRank : 0,
+               fair ? work.mWorkspace : WorkspaceId(),
+               aWork);
   return true;
 }
 
@@ -245,11 +275,11 @@
     const WorkId id = aScheduler.mStartGoals.begin()->second;
     aScheduler.mStartGoals.erase(aScheduler.mStartGoals.begin());
     Work& work = aScheduler.mWaiting.at(id);
-    if (RemoveFair(aScheduler.mOnline, work.mWorkspace, id)) {
+    if (RemoveRanked(aScheduler.mOnline, work.mRank, work.mWorkspace, id)) {
       aScheduler.mUrgent.erase({ work.mDeadline, id });
       work.mDeadline = LateWorkDeadline(work);
       aScheduler.mUrgent.insert({ work.mDeadline, id });
-      aScheduler.mLateWork.insert({ work.mDeadline, id });
+      aScheduler.mLateWork.insert({ work.mRank, work.mDeadline, id });
     }
   }
 }
@@ -280,8 +310,8 @@
   // In addition to the work ahead in fair order, one more call has to end
   // before a slot is free.
   const double mean = aScheduler.mRate.mCost;
-  const double ahead =
-    CostAhead(aScheduler.mOnline, aWork.mWorkspace, aWork.mWeight) + mean;
+  const double ahead = CostAhead(aScheduler.mOnline, aWork) +
+                       LateCostAhead(aScheduler, aWork.mRank) + mean;
   const std::optional<Duration> drain =
     mean > 0 ? DrainTime(aScheduler.mDrain, aNow, ahead / mean) : std::nullopt;
   return std::max(paced,
@@ -344,7 +374,7 @@
     --aScheduler.mRunningOnline;
   }
   if (online && aCost > 0) {
-    CorrectCharge(aScheduler.mOnline,
+    CorrectCharge(aScheduler.mOnline.mRanks[running.mWork.mRank],
                   running.mWork.mWorkspace,
                   running.mWork.mWeight,
                   aCost - running.mWork.mCost);
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -2,21 +2,26 @@
 // Decides which work starts at a target, and when. The engine admits every
 // request at once, so the order has to be decided here.
 //
-// Online work goes first, in fair order over workspaces. Batch work fills the
-// remaining capacity. When online work needs a slot, a batch call is preempted
+// Online work goes first: the most important, and in fair order over workspaces
+// among equals. Batch work fills the
+// remaining capacity; on targets with a fixed number of slots, the part that
+// online work has not used in the last ten seconds, unless the work is due
+// soon. When online work needs a slot, a batch call is preempted
 // in the same step: of resumable calls the one that can wait best, else the one
 // with the least progress. Two baseline policies are kept for comparison.
 //
 // Under overload, a queue in arrival order would make all work late. So work
 // whose goal has passed ("late work") is served after work that can still be on
 // time, and a caller that would wait beyond its goal is told when to retry
-// instead of being queued. A caller that has retried is queued. Late work that
-// has waited for two thirds of the time to its deadline expires, since the
-// overload has lasted too long for the queue to catch up.
+// instead of being queued. A caller that has retried is queued before the new
+// work of its workspace, and waits until its deadline. Other late work that has
+// waited for two thirds of the time to its deadline expires, since the overload
+// has lasted too long for the queue to catch up.
 
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -24,9 +29,10 @@
 #include "caraway/scheduling/batch_cap.h"
 #include "caraway/scheduling/burst_tracker.h"
 #include "caraway/scheduling/concurrency_limit.h"
-#include "caraway/scheduling/fair_queue.h"
 #include "caraway/scheduling/knee.h"
+#include "caraway/scheduling/online_forecast.h"
 #include "caraway/scheduling/queue_drain.h"
+#include "caraway/scheduling/ranked_queue.h"
 #include "caraway/scheduling/service_rate.h"
 #include "caraway/scheduling/slow_start.h"
 #include "caraway/scheduling/start_pace.h"
@@ -54,15 +60,16 @@
   ConcurrencyLimit mLimit;
   BatchCap mBatchCap;
   BurstTracker mBursts;
+  OnlineForecast mForecast;
   ThroughputKnee mKnee;
   ServiceRate mRate;
   StartPace mPace;
   SlowStart mSlowStart; // with mFixedLimit only
   QueueDrain mDrain;
   MonoTime mNextReturn{ 0 }; // next free time for a caller that retries
-  FairQueue mOnline;         // waiting online work that can be on time
-  // Waiting online work whose goal has passed, by its shortened deadline.
-  std::set<std::pair<MonoTime, WorkId>> mLateWork;
+  RankedQueue mOnline;       // waiting online work that can be on time
+  // Waiting online work whose goal has passed, by rank and deadline.
+  std::set<std::tuple<uint32_t, MonoTime, WorkId>> mLateWork;
   std::set<std::pair<MonoTime, WorkId>> mStartGoals; // of mOnline, by goal
   std::set<std::pair<MonoTime, WorkId>> mUrgent; // waiting online, by deadline
   std::map<WorkId, Work> mWaiting;               // online and batch
@@ -134,9 +141,10 @@
 bool
 RemoveWaiting(Scheduler& aScheduler, WorkId aWork);
 
-// Moves waiting work whose goal has passed behind the rest. Its deadline is cut
-// to two thirds of the time it had, since other work may go first for as long
-// as the overload lasts.
+// Moves waiting work whose goal has passed behind the rest of its rank. Its
+// deadline is cut to two thirds of the time it had, since other work may go
+// first for as long as the overload lasts; unless its caller has returned, and
+// would not do so again.
 void
 DemoteLateWork(Scheduler& aScheduler, MonoTime aNow);
 
@@ -198,6 +206,10 @@
 uint32_t
 BatchRoom(const Scheduler& aScheduler, MonoTime aNow);
 
+// Online calls that run and wait, those of others included.
+uint32_t
+OnlineCalls(const Scheduler& aScheduler);
+
 // True for batch work with less than 20% of the job's window left.
 bool
 NearDeadline(const Work& aWork, MonoTime aNow);
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -13,6 +13,13 @@
 // An online prompt waits behind them, and two would keep the prefill busy.
 constexpr uint32_t kMaxBatchPrefills = 1;
 constexpr uint32_t kProtectedDivisor = 10; // a tenth of the limit
+// Batch work that could wait for fewer of its runs is due soon: a run that is
+// cut, and its repetition, take about two.
+constexpr int64_t kSpareRuns = 2;
+// Online work that has used all slots leaves a quarter of them to batch work,
+// or due times would be all that starts it.
+constexpr uint32_t kMostKeptNumerator = 3;
+constexpr uint32_t kMostKeptDenominator = 4;
 // Items that a stated rate lets start within this time may wait here.
 constexpr Duration kItemsAhead = Seconds(2);
 
@@ -71,18 +78,52 @@
   return protectedCalls;
 }
 
-// The slack of a resumable batch call: how long it can wait and still meet its
-// goal. A call that will be late anyway ranks above all others.
+// How long resumable batch work can wait and still meet its goal. Negative if
+// it will be late anyway.
+Duration
+SpareTime(const Work& aWork, MonoTime aNow, Duration aThisRun)
+{
+  const Duration left =
+    std::max(Duration{}, aWork.mRunTime - aWork.mRan - aThisRun);
+  return aWork.mGoal - (aNow + left);
+}
+
+// The slack of a resumable batch call: its spare time. A call that will be late
+// anyway ranks above all others.
 int64_t
 SlackOf(const RunningWork& aRunning, MonoTime aNow)
 {
-  const Work& work = aRunning.mWork;
-  const Duration left = std::max(
-    Duration{}, work.mRunTime - work.mRan - (aNow - aRunning.mStarted));
-  const Duration spare = work.mGoal - (aNow + left);
+  const Duration spare =
+    SpareTime(aRunning.mWork, aNow, aNow - aRunning.mStarted);
   return spare < Duration{} ? kNever.mMicros - spare.mMicros : spare.mMicros;
 }
 
+// True if work with a goal can still meet it, but with little time to wait.
+bool
+IsDueSoon(const Work& aWork, MonoTime aNow, Duration aThisRun)
+{
+  const Duration spare = SpareTime(aWork, aNow, aThisRun);
+  return aWork.mGoal != MonoTime{} && spare >= Duration{} &&
+         spare < aWork.mRunTime * kSpareRuns;
+}
+
+// True if some batch work here is due soon: then others of its kind are likely
+// to wait elsewhere.
+bool
+HasWorkDueSoon(const Scheduler& aScheduler, MonoTime aNow)
+{
+  return std::any_of(aScheduler.mRunning.begin(),
+                     aScheduler.mRunning.end(),
+                     [&](const auto& aOne) {
+                       return IsDueSoon(
+                         aOne.second.mWork, aNow, aNow - aOne.second.mStarted);
+                     }) ||
+         (!aScheduler.mBatch.empty() &&
+          IsDueSoon(aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second),
+                    aNow,
+                    {}));
+}
+
 bool
 IsPreemptedBefore(const RunningWork& aLeft,
                   const RunningWork& aRight,
@@ -152,6 +193,20 @@
                     aScheduler.mKnee.mBound });
 }
 
+// Slots that the forecast keeps free for online work, beyond what it uses now.
+uint32_t
+SlotsKeptFree(const Scheduler& aScheduler, MonoTime aNow, uint32_t aLimit)
+{
+  if (HasWorkDueSoon(aScheduler, aNow)) {
+    return 0;
+  }
+  const uint32_t expected =
+    std::min(ExpectedOnlineCalls(aScheduler.mForecast),
+             aLimit * kMostKeptNumerator / kMostKeptDenominator);
+  const uint32_t online = OnlineCalls(aScheduler);
+  return expected > online ? expected - online : 0;
+}
+
 // Total number of calls up to which batch work may be added. The headroom below
 // PreemptionBound absorbs small bursts without preempting batch work.
 uint32_t
@@ -159,7 +214,7 @@
 {
   const uint32_t bound = PreemptionBound(aScheduler);
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return bound; // a preempted item resumes at its last event
+    return bound - std::min(bound, SlotsKeptFree(aScheduler, aNow, bound));
   }
   return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
@@ -187,15 +242,18 @@
   }
 }
 
-// Takes the next online work: first work that can be on time, then late work by
-// deadline.
+// Takes the next online work, the most important first: work that can be on
+// time, then late work by deadline.
 Work
 PopOnline(Scheduler& aScheduler)
 {
-  if (aScheduler.mOnline.mSize > 0) {
-    return PopFair(aScheduler.mOnline);
+  const bool hasLate = !aScheduler.mLateWork.empty();
+  if (aScheduler.mOnline.mSize > 0 &&
+      (!hasLate || FirstRank(aScheduler.mOnline) <=
+                     std::get<uint32_t>(*aScheduler.mLateWork.begin()))) {
+    return PopRanked(aScheduler.mOnline);
   }
-  const WorkId work = aScheduler.mLateWork.begin()->second;
+  const WorkId work = std::get<WorkId>(*aScheduler.mLateWork.begin());
   aScheduler.mLateWork.erase(aScheduler.mLateWork.begin());
   return aScheduler.mWaiting.at(work);
 }
@@ -230,7 +288,7 @@
 {
   while (aScheduler.mOnline.mSize > 0 &&
          CallsAtTarget(aScheduler) < aScheduler.mLimit.mValue) {
-    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+    Start(aScheduler, aNow, PopRanked(aScheduler.mOnline), aSteps);
   }
 }
 
@@ -241,7 +299,7 @@
   const uint32_t online = (limit + 1) / 2;
   while (aScheduler.mOnline.mSize > 0 &&
          aScheduler.mRunningOnline + aScheduler.mForeign < online) {
-    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+    Start(aScheduler, aNow, PopRanked(aScheduler.mOnline), aSteps);
   }
   while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld &&
          aScheduler.mRunning.size() - aScheduler.mRunningOnline <
@@ -270,6 +328,7 @@
          std::vector<ScheduleStep>& aSteps)
 {
   ExpireWaiting(aScheduler, aNow, aSteps);
+  RecordOnlineCalls(aScheduler.mForecast, aNow, OnlineCalls(aScheduler));
   ForgetOldStarts(aScheduler.mPace, aNow);
   AdjustBatchCap(aScheduler.mBatchCap,
                  aNow,
--- a/caraway/scheduling/usual_time.cpp
+++ b/caraway/scheduling/usual_time.cpp
@@ -28,6 +28,13 @@
   aTime.mDeviation += kWeight * (std::abs(difference) - aTime.mDeviation);
 }
 
+Duration
+MeanTime(const UsualTime& aTime)
+{
+  constexpr double kMicros = 1e6;
+  return Micros(static_cast<int64_t>(aTime.mSeconds * kMicros));
+}
+
 Duration
 UsuallyWithin(const UsualTime& aTime)
 {
--- a/caraway/scheduling/usual_time.h
+++ b/caraway/scheduling/usual_time.h
@@ -14,6 +14,9 @@
 void
 RecordTime(UsualTime& aTime, Duration aSample);
 
+Duration
+MeanTime(const UsualTime& aTime);
+
 // Most answers take no longer than this.
 Duration
 UsuallyWithin(const UsualTime& aTime);
--- a/caraway/scheduling/work.h
+++ b/caraway/scheduling/work.h
@@ -30,7 +30,9 @@
   MonoTime mStartGoal{ 0 }; // online: late if it starts after, 0: none
   // Online: the caller can be told to retry later. It does so once.
   bool mMayReturn = false;
-  Duration mWindow; // batch: the job's whole window
+  bool mIsCallerRetry = false; // online: the caller was refused and returned
+  uint32_t mRank = 0;          // online: 0 is the most important
+  Duration mWindow;            // batch: the job's whole window
   // Only for batch items that resume where they were stopped.
   MonoTime mGoal{ 0 }; // when the result is due, 0: no goal
   Duration mRunTime;   // expected in total, 0: unknown
--- a/caraway/wire/serialize_slots.h
+++ b/caraway/wire/serialize_slots.h
@@ -56,7 +56,10 @@
            aValue.mWait,
            aValue.mPromptTokens,
            aValue.mOutputTokens,
-           aValue.mRate);
+           aValue.mRate,
+           aValue.mRank,
+           aValue.mWeight,
+           aValue.mIsCallerRetry);
 }
 
 template<class Archive>
--- a/caraway/wire/slot_messages.h
+++ b/caraway/wire/slot_messages.h
@@ -24,6 +24,9 @@
   uint32_t mPromptTokens = 0; // estimate
   uint32_t mOutputTokens = 0; // estimate
   std::optional<HeardRate> mRate;
+  uint32_t mRank = 0;          // importance, 0 is the highest
+  uint32_t mWeight = 1;        // of the workspace, see ShareWeight
+  bool mIsCallerRetry = false; // the caller was refused and returned
 };
 
 enum class SlotState : uint8_t
