A refusal with a status of its own keeps its kind

Cause: a claim whose first request may have run is refused with 409 and the kind outcome_unknown; entry_control_test (claim_verdict_determines_the_reply) failed since the kind was replaced. Change: only kinds whose status is the default are replaced. Measured: entry_control 16, refusal_not_run 8, entry_direct 27, entry_outcome 25, entry_stop 8, node_slots 5, node_batch 18 cases pass (built by hand, without sanitizers).

--- a/caraway/entry/outcome.cpp
+++ b/caraway/entry/outcome.cpp
@@ -116,7 +116,9 @@
   }
   EndAttempts(aStep, aRequest, aCancelAll || aRequest.mTarget.mIdempotent);
   aError.mOutcome = OutcomeOf(aRequest);
-  aError.mKind = KindForCaller(aError.mKind, aError.mOutcome);
+  if (aError.mStatus == 0) {
+    aError.mKind = KindForCaller(aError.mKind, aError.mOutcome);
+  }
   if (aError.mOutcome == Outcome::eNotRun && aRequest.mTokenTaken) {
     ReturnToken(aStep.mEntry.mTokens, aStep.mNow, aRequest.mWorkspace);
     ++aStep.mEntry.mMetrics.mReturned;
