Batch items keep out of bursts by the period of the demand

Change: the forecast finds a period of 2 to 10 s in the online calls of the target; items start only into what online work left free one period ago for as long as they run. Without a period, nothing starts for a second after a cut.

--- a/caraway/node/node_metrics.cpp
+++ b/caraway/node/node_metrics.cpp
@@ -61,7 +61,7 @@
         static_cast<double>(scheduler.mBatch.size()));
   Gauge(text,
         "caraway_node_online_expected",
-        ExpectedOnlineCalls(scheduler.mForecast));
+        ExpectedOnlineCalls(scheduler.mForecast, scheduler.mItemTime));
   Counter(text,
           "caraway_node_forecast_intervals_total",
           scheduler.mForecast.mChecked);
--- a/caraway/scheduling/online_forecast.h
+++ b/caraway/scheduling/online_forecast.h
@@ -2,9 +2,12 @@
 // How many online calls a target will have at once, by its recent past.
 //
 // Answers the load of demand that swings within a second, again and again:
-// batch work that fills the pauses is cut by each burst. What the last bursts
-// used is kept free, so that most batch calls that start also end.
+// batch work that fills the pauses is cut by each burst. Where the demand
+// recurs with a period, a batch call starts only into what online work left
+// free one period ago, for as long as the call runs; else into what it left
+// free lately.
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -15,6 +18,7 @@
 struct OnlineForecast
 {
   std::deque<uint32_t> mPeaks; // most calls at once, by interval, oldest first
+  size_t mPeriod = 0;          // in intervals, 0: none is seen
   uint32_t mPeak = 0;          // of the present interval
   uint32_t mCalls = 0;         // by the last record
   MonoTime mInterval{ 0 };     // begin of the present interval
@@ -29,9 +33,9 @@
 void
 RecordOnlineCalls(OnlineForecast& aForecast, MonoTime aNow, uint32_t aCalls);
 
-// The most online calls at once to expect: those of the last ten seconds, which
-// covers bursts that recur within that time.
+// The most online calls at once to expect from now until aAhead: those of the
+// same time one period ago, or without a period those of the last ten seconds.
 uint32_t
-ExpectedOnlineCalls(const OnlineForecast& aForecast);
+ExpectedOnlineCalls(const OnlineForecast& aForecast, Duration aAhead);
 
 } // namespace caraway
--- a/caraway/scheduling/scheduler.cpp
+++ b/caraway/scheduling/scheduler.cpp
@@ -236,6 +236,9 @@
 {
   Work queued = aWork;
   queued.mKind = WorkKind::eBatch;
+  if (queued.mRunTime > Duration{}) {
+    aScheduler.mItemTime = queued.mRunTime;
+  }
   aScheduler.mBatch.insert({ queued.mDeadline, queued.mId });
   aScheduler.mWaiting.emplace(queued.mId, queued);
   if (aScheduler.mSettings.mPolicy == SchedulePolicy::eFirstCome) {
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -61,6 +61,8 @@
   BatchCap mBatchCap;
   BurstTracker mBursts;
   OnlineForecast mForecast;
+  MonoTime mCutAt{ -kNever.mMicros }; // last preemption of a batch call
+  Duration mItemTime; // expected run time of the last batch item, 0: unknown
   ThroughputKnee mKnee;
   ServiceRate mRate;
   StartPace mPace;
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -16,10 +16,12 @@
 // Batch work that could wait for fewer of its runs is due soon: a run that is
 // cut, and its repetition, take about two.
 constexpr int64_t kSpareRuns = 2;
-// Online work that has used all slots leaves a quarter of them to batch work,
-// or due times would be all that starts it.
+// Without a period, online work that has used all slots leaves a quarter of
+// them to batch work, or due times would be all that starts it.
 constexpr uint32_t kMostKeptNumerator = 3;
 constexpr uint32_t kMostKeptDenominator = 4;
+// A burst whose end is not known has mostly not ended this soon after a cut.
+constexpr Duration kPauseAfterCut = Seconds(1);
 // Items that a stated rate lets start within this time may wait here.
 constexpr Duration kItemsAhead = Seconds(2);
 
@@ -155,6 +157,7 @@
   Work work = victim->mWork;
   work.mRan = work.mRan + (aNow - victim->mStarted);
   aScheduler.mRunning.erase(work.mId);
+  aScheduler.mCutAt = aNow;
   AddBatch(aScheduler, work);
   aSteps.push_back({ StepKind::ePreempt, work.mId });
   return true;
@@ -193,16 +196,25 @@
                     aScheduler.mKnee.mBound });
 }
 
-// Slots that the forecast keeps free for online work, beyond what it uses now.
+// Slots that the forecast keeps free for online work while an item runs, beyond
+// what online work uses now.
 uint32_t
-SlotsKeptFree(const Scheduler& aScheduler, MonoTime aNow, uint32_t aLimit)
+SlotsKeptFree(const Scheduler& aScheduler,
+              MonoTime aNow,
+              uint32_t aLimit,
+              Duration aRunTime)
 {
   if (HasWorkDueSoon(aScheduler, aNow)) {
     return 0;
   }
-  const uint32_t expected =
-    std::min(ExpectedOnlineCalls(aScheduler.mForecast),
-             aLimit * kMostKeptNumerator / kMostKeptDenominator);
+  uint32_t expected = ExpectedOnlineCalls(aScheduler.mForecast, aRunTime);
+  if (aScheduler.mForecast.mPeriod == 0) {
+    if (aNow - aScheduler.mCutAt < kPauseAfterCut) {
+      return aLimit;
+    }
+    expected =
+      std::min(expected, aLimit * kMostKeptNumerator / kMostKeptDenominator);
+  }
   const uint32_t online = OnlineCalls(aScheduler);
   return expected > online ? expected - online : 0;
 }
@@ -210,11 +222,12 @@
 // Total number of calls up to which batch work may be added. The headroom below
 // PreemptionBound absorbs small bursts without preempting batch work.
 uint32_t
-BatchBound(const Scheduler& aScheduler, MonoTime aNow)
+BatchBound(const Scheduler& aScheduler, MonoTime aNow, Duration aRunTime)
 {
   const uint32_t bound = PreemptionBound(aScheduler);
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return bound - std::min(bound, SlotsKeptFree(aScheduler, aNow, bound));
+    return bound -
+           std::min(bound, SlotsKeptFree(aScheduler, aNow, bound, aRunTime));
   }
   return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
@@ -222,10 +235,11 @@
 void
 StartBatch(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
-  const uint32_t bound = BatchBound(aScheduler, aNow);
   PendingFirstTokens awaiting = CountPendingFirstTokens(aScheduler);
   while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld) {
-    if (CallsAtTarget(aScheduler) >= bound ||
+    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
+    const Duration runTime = std::max(Duration{}, work.mRunTime - work.mRan);
+    if (CallsAtTarget(aScheduler) >= BatchBound(aScheduler, aNow, runTime) ||
         !MayStart(aScheduler.mPace, aNow, StartKind::eBatch)) {
       return;
     }
@@ -236,7 +250,6 @@
         (awaiting.mOnline > 0 || awaiting.mBatch >= kMaxBatchPrefills)) {
       return;
     }
-    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
     awaiting.mBatch += work.mStreamed ? 1 : 0;
     Start(aScheduler, aNow, work, aSteps);
   }
@@ -383,7 +396,7 @@
 BatchRoom(const Scheduler& aScheduler, MonoTime aNow)
 {
   const auto waiting = static_cast<uint32_t>(aScheduler.mBatch.size());
-  uint32_t bound = BatchBound(aScheduler, aNow);
+  uint32_t bound = BatchBound(aScheduler, aNow, aScheduler.mItemTime);
   uint32_t used = CallsAtTarget(aScheduler) +
                   static_cast<uint32_t>(WaitingOnline(aScheduler)) + waiting;
   if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
--- a/tests/scheduling_forecast_test.cpp
+++ b/tests/scheduling_forecast_test.cpp
@@ -29,7 +29,8 @@
   int mResults = 0;
   int mLate = 0;
   int mCuts = 0;
-  int mWaited = 0; // online calls that did not start at once
+  int mLearnedCuts = 0; // of them, after the first two swings
+  int mWaited = 0;      // online calls that did not start at once
 };
 
 struct Target
@@ -88,7 +89,10 @@
     std::vector<ScheduleStep> steps;
     Schedule(aTarget.mScheduler, mNow, steps);
     for (const ScheduleStep& step : steps) {
-      mOutcome.mCuts += step.mKind == StepKind::ePreempt ? 1 : 0;
+      const bool cut = step.mKind == StepKind::ePreempt;
+      mOutcome.mCuts += cut ? 1 : 0;
+      mOutcome.mLearnedCuts +=
+        cut && mNow > kStart + (kQuiet + kBurst) * 2 ? 1 : 0;
       if (step.mKind == StepKind::eStart && !mDue.contains(step.mWork)) {
         aTarget.mOnlineEnds[step.mWork] =
           mNow + kOnlineTime / 2 +
@@ -201,6 +205,17 @@
   BOOST_TEST(outcome.mLate == 0);
 }
 
+// Bursts that take nearly all slots: once their period has been seen, items run
+// in the pauses.
+BOOST_AUTO_TEST_CASE(bursts_that_fill_the_targets_find_little_batch_work)
+{
+  const Outcome outcome = Swings().Play(4.0, 1.0);
+  BOOST_TEST(outcome.mResults > 150);
+  BOOST_TEST(outcome.mLearnedCuts * 10 < outcome.mResults * 3);
+  BOOST_TEST(outcome.mCuts < outcome.mResults);
+  BOOST_TEST(outcome.mLate * 50 < outcome.mResults);
+}
+
 // More items than the slots that online work leaves at all times: those due
 // soon use the pauses as well, and are cut in the bursts.
 BOOST_AUTO_TEST_CASE(items_that_are_due_soon_use_all_slots)
@@ -217,12 +232,12 @@
     const bool burst = ms % 6600 >= 3800;
     RecordOnlineCalls(forecast, kStart + Millis(ms), burst ? 6 : 1);
     if (ms > 6600) {
-      BOOST_TEST(ExpectedOnlineCalls(forecast) == 6u);
+      BOOST_TEST(ExpectedOnlineCalls(forecast, Seconds(7)) == 6u);
     }
   }
   BOOST_TEST(forecast.mExceeded == 1u); // the first burst
   // Ten seconds after the last burst it is forgotten.
   RecordOnlineCalls(forecast, kStart + Seconds(32), 1);
-  BOOST_TEST(ExpectedOnlineCalls(forecast) == 1u);
+  BOOST_TEST(ExpectedOnlineCalls(forecast, Seconds(7)) == 1u);
   BOOST_TEST(forecast.mSpared > 0u);
 }
