--- a/caraway/scheduling/online_forecast.cpp
+++ b/caraway/scheduling/online_forecast.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 namespace caraway {
@@ -136,6 +137,27 @@
   aForecast.mPeak = std::max(aForecast.mPeak, aCalls);
 }
 
+uint32_t
+LeastExpectedCalls(const OnlineForecast& aForecast, Duration aAhead)
+{
+  const Peaks& peaks = aForecast.mPeaks;
+  const auto ahead =
+    std::min(aForecast.mPeriod,
+             static_cast<size_t>(aAhead.mMicros / kInterval.mMicros) + 2);
+  const size_t begin = peaks.size() - 2 * aForecast.mPeriod;
+  uint32_t least = std::numeric_limits<uint32_t>::max();
+  for (size_t at = begin; at < begin + aForecast.mPeriod; ++at) {
+    least = std::min(least, Highest(peaks, at, at + ahead));
+  }
+  return least;
+}
+
+Duration
+PeriodOf(const OnlineForecast& aForecast)
+{
+  return kInterval * static_cast<int64_t>(aForecast.mPeriod);
+}
+
 uint32_t
 ExpectedOnlineCalls(const OnlineForecast& aForecast, Duration aAhead)
 {
--- a/caraway/scheduling/online_forecast.h
+++ b/caraway/scheduling/online_forecast.h
@@ -38,4 +38,13 @@
 uint32_t
 ExpectedOnlineCalls(const OnlineForecast& aForecast, Duration aAhead);
 
+// The least that ExpectedOnlineCalls returns at any time of a period, so the
+// best that a start can wait for. Needs a period.
+uint32_t
+LeastExpectedCalls(const OnlineForecast& aForecast, Duration aAhead);
+
+// 0: none is seen.
+Duration
+PeriodOf(const OnlineForecast& aForecast);
+
 } // namespace caraway
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -13,11 +13,12 @@
 // An online prompt waits behind them, and two would keep the prefill busy.
 constexpr uint32_t kMaxBatchPrefills = 1;
 constexpr uint32_t kProtectedDivisor = 10; // a tenth of the limit
-// Batch work that could wait for fewer of its runs is due soon: a run that is
-// cut, and its repetition, take about two.
-constexpr int64_t kSpareRuns = 2;
-// Without a period, online work that has used all slots leaves a quarter of
-// them to batch work, or due times would be all that starts it.
+// Batch work that could wait for fewer of its runs is due soon: one that waits
+// out a burst takes about as long as it runs.
+constexpr int64_t kSpareRuns = 1;
+// Without a period, or if items run for longer than its pauses, online work
+// that has used all slots leaves a quarter of them to batch work, or due times
+// would be all that starts it.
 constexpr uint32_t kMostKeptNumerator = 3;
 constexpr uint32_t kMostKeptDenominator = 4;
 // A burst whose end is not known has mostly not ended this soon after a cut.
@@ -207,13 +208,16 @@
   if (HasWorkDueSoon(aScheduler, aNow)) {
     return 0;
   }
+  const uint32_t most = aLimit * kMostKeptNumerator / kMostKeptDenominator;
   uint32_t expected = ExpectedOnlineCalls(aScheduler.mForecast, aRunTime);
-  if (aScheduler.mForecast.mPeriod == 0) {
+  const bool hasBetterTime =
+    aScheduler.mForecast.mPeriod != 0 &&
+    LeastExpectedCalls(aScheduler.mForecast, aRunTime) < most;
+  if (!hasBetterTime) {
     if (aNow - aScheduler.mCutAt < kPauseAfterCut) {
       return aLimit;
     }
-    expected =
-      std::min(expected, aLimit * kMostKeptNumerator / kMostKeptDenominator);
+    expected = std::min(expected, most);
   }
   const uint32_t online = OnlineCalls(aScheduler);
   return expected > online ? expected - online : 0;
@@ -341,7 +345,10 @@
          std::vector<ScheduleStep>& aSteps)
 {
   ExpireWaiting(aScheduler, aNow, aSteps);
-  RecordOnlineCalls(aScheduler.mForecast, aNow, OnlineCalls(aScheduler));
+  // A queue says no more than that all slots are needed.
+  RecordOnlineCalls(aScheduler.mForecast,
+                    aNow,
+                    std::min(OnlineCalls(aScheduler), CallLimit(aScheduler)));
   ForgetOldStarts(aScheduler.mPace, aNow);
   AdjustBatchCap(aScheduler.mBatchCap,
                  aNow,
