--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -13,9 +13,9 @@
 // An online prompt waits behind them, and two would keep the prefill busy.
 constexpr uint32_t kMaxBatchPrefills = 1;
 constexpr uint32_t kProtectedDivisor = 10; // a tenth of the limit
-// Batch work that could wait for fewer of its runs is due soon: one that waits
-// out a burst takes about as long as it runs.
-constexpr int64_t kSpareRuns = 1;
+// Batch work that could wait for fewer of its runs is due soon: a run that is
+// cut, and its repetition, take about two.
+constexpr int64_t kSpareRuns = 2;
 // Without a period, or if items run for longer than its pauses, online work
 // that has used all slots leaves a quarter of them to batch work, or due times
 // would be all that starts it.
