--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -13,6 +13,16 @@
 // An online prompt waits behind them, and two would keep the prefill busy.
 constexpr uint32_t kMaxBatchPrefills = 1;
 constexpr uint32_t kProtectedDivisor = 10; // a tenth of the limit
+// Batch work that could wait for fewer of its runs is due soon: a run that is
+// cut, and its repetition, take about two.
+constexpr int64_t kSpareRuns = 2;
+// Without a period, or if items run for longer than its pauses, online work
+// that has used all slots leaves a quarter of them to batch work, or due times
+// would be all that starts it.
+constexpr uint32_t kMostKeptNumerator = 3;
+constexpr uint32_t kMostKeptDenominator = 4;
+// A burst whose end is not known has mostly not ended this soon after a cut.
+constexpr Duration kPauseAfterCut = Seconds(1);
 // Items that a stated rate lets start within this time may wait here.
 constexpr Duration kItemsAhead = Seconds(2);
 
@@ -71,18 +81,52 @@
   return protectedCalls;
 }
 
-// The slack of a resumable batch call: how long it can wait and still meet its
-// goal. A call that will be late anyway ranks above all others.
+// How long resumable batch work can wait and still meet its goal. Negative if
+// it will be late anyway.
+Duration
+SpareTime(const Work& aWork, MonoTime aNow, Duration aThisRun)
+{
+  const Duration left =
+    std::max(Duration{}, aWork.mRunTime - aWork.mRan - aThisRun);
+  return aWork.mGoal - (aNow + left);
+}
+
+// The slack of a resumable batch call: its spare time. A call that will be late
+// anyway ranks above all others.
 int64_t
 SlackOf(const RunningWork& aRunning, MonoTime aNow)
 {
-  const Work& work = aRunning.mWork;
-  const Duration left = std::max(
-    Duration{}, work.mRunTime - work.mRan - (aNow - aRunning.mStarted));
-  const Duration spare = work.mGoal - (aNow + left);
+  const Duration spare =
+    SpareTime(aRunning.mWork, aNow, aNow - aRunning.mStarted);
   return spare < Duration{} ? kNever.mMicros - spare.mMicros : spare.mMicros;
 }
 
+// True if work with a goal can still meet it, but with little time to wait.
+bool
+IsDueSoon(const Work& aWork, MonoTime aNow, Duration aThisRun)
+{
+  const Duration spare = SpareTime(aWork, aNow, aThisRun);
+  return aWork.mGoal != MonoTime{} && spare >= Duration{} &&
+         spare < aWork.mRunTime * kSpareRuns;
+}
+
+// True if some batch work here is due soon: then others of its kind are likely
+// to wait elsewhere.
+bool
+HasWorkDueSoon(const Scheduler& aScheduler, MonoTime aNow)
+{
+  return std::any_of(aScheduler.mRunning.begin(),
+                     aScheduler.mRunning.end(),
+                     [&](const auto& aOne) {
+                       return IsDueSoon(
+                         aOne.second.mWork, aNow, aNow - aOne.second.mStarted);
+                     }) ||
+         (!aScheduler.mBatch.empty() &&
+          IsDueSoon(aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second),
+                    aNow,
+                    {}));
+}
+
 bool
 IsPreemptedBefore(const RunningWork& aLeft,
                   const RunningWork& aRight,
@@ -114,6 +158,7 @@
   Work work = victim->mWork;
   work.mRan = work.mRan + (aNow - victim->mStarted);
   aScheduler.mRunning.erase(work.mId);
+  aScheduler.mCutAt = aNow;
   AddBatch(aScheduler, work);
   aSteps.push_back({ StepKind::ePreempt, work.mId });
   return true;
@@ -152,14 +197,41 @@
                     aScheduler.mKnee.mBound });
 }
 
+// Slots that the forecast keeps free for online work while an item runs, beyond
+// what online work uses now.
+uint32_t
+SlotsKeptFree(const Scheduler& aScheduler,
+              MonoTime aNow,
+              uint32_t aLimit,
+              Duration aRunTime)
+{
+  if (HasWorkDueSoon(aScheduler, aNow)) {
+    return 0;
+  }
+  const uint32_t most = aLimit * kMostKeptNumerator / kMostKeptDenominator;
+  uint32_t expected = ExpectedOnlineCalls(aScheduler.mForecast, aRunTime);
+  const bool hasBetterTime =
+    aScheduler.mForecast.mPeriod != 0 &&
+    LeastExpectedCalls(aScheduler.mForecast, aRunTime) < most;
+  if (!hasBetterTime) {
+    if (aNow - aScheduler.mCutAt < kPauseAfterCut) {
+      return aLimit;
+    }
+    expected = std::min(expected, most);
+  }
+  const uint32_t online = OnlineCalls(aScheduler);
+  return expected > online ? expected - online : 0;
+}
+
 // Total number of calls up to which batch work may be added. The headroom below
 // PreemptionBound absorbs small bursts without preempting batch work.
 uint32_t
-BatchBound(const Scheduler& aScheduler, MonoTime aNow)
+BatchBound(const Scheduler& aScheduler, MonoTime aNow, Duration aRunTime)
 {
   const uint32_t bound = PreemptionBound(aScheduler);
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return bound; // a preempted item resumes at its last event
+    return bound -
+           std::min(bound, SlotsKeptFree(aScheduler, aNow, bound, aRunTime));
   }
   return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
@@ -167,10 +239,11 @@
 void
 StartBatch(Scheduler& aScheduler, MonoTime aNow, Steps& aSteps)
 {
-  const uint32_t bound = BatchBound(aScheduler, aNow);
   PendingFirstTokens awaiting = CountPendingFirstTokens(aScheduler);
   while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld) {
-    if (CallsAtTarget(aScheduler) >= bound ||
+    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
+    const Duration runTime = std::max(Duration{}, work.mRunTime - work.mRan);
+    if (CallsAtTarget(aScheduler) >= BatchBound(aScheduler, aNow, runTime) ||
         !MayStart(aScheduler.mPace, aNow, StartKind::eBatch)) {
       return;
     }
@@ -181,21 +254,23 @@
         (awaiting.mOnline > 0 || awaiting.mBatch >= kMaxBatchPrefills)) {
       return;
     }
-    const Work work = aScheduler.mWaiting.at(aScheduler.mBatch.begin()->second);
     awaiting.mBatch += work.mStreamed ? 1 : 0;
     Start(aScheduler, aNow, work, aSteps);
   }
 }
 
-// Takes the next online work: first work that can be on time, then late work by
-// deadline.
+// Takes the next online work, the most important first: work that can be on
+// time, then late work by deadline.
 Work
 PopOnline(Scheduler& aScheduler)
 {
-  if (aScheduler.mOnline.mSize > 0) {
-    return PopFair(aScheduler.mOnline);
+  const bool hasLate = !aScheduler.mLateWork.empty();
+  if (aScheduler.mOnline.mSize > 0 &&
+      (!hasLate || FirstRank(aScheduler.mOnline) <=
+                     std::get<uint32_t>(*aScheduler.mLateWork.begin()))) {
+    return PopRanked(aScheduler.mOnline);
   }
-  const WorkId work = aScheduler.mLateWork.begin()->second;
+  const WorkId work = std::get<WorkId>(*aScheduler.mLateWork.begin());
   aScheduler.mLateWork.erase(aScheduler.mLateWork.begin());
   return aScheduler.mWaiting.at(work);
 }
@@ -230,7 +305,7 @@
 {
   while (aScheduler.mOnline.mSize > 0 &&
          CallsAtTarget(aScheduler) < aScheduler.mLimit.mValue) {
-    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+    Start(aScheduler, aNow, PopRanked(aScheduler.mOnline), aSteps);
   }
 }
 
@@ -241,7 +316,7 @@
   const uint32_t online = (limit + 1) / 2;
   while (aScheduler.mOnline.mSize > 0 &&
          aScheduler.mRunningOnline + aScheduler.mForeign < online) {
-    Start(aScheduler, aNow, PopFair(aScheduler.mOnline), aSteps);
+    Start(aScheduler, aNow, PopRanked(aScheduler.mOnline), aSteps);
   }
   while (!aScheduler.mBatch.empty() && !aScheduler.mBatchHeld &&
          aScheduler.mRunning.size() - aScheduler.mRunningOnline <
@@ -270,6 +345,10 @@
          std::vector<ScheduleStep>& aSteps)
 {
   ExpireWaiting(aScheduler, aNow, aSteps);
+  // A queue says no more than that all slots are needed.
+  RecordOnlineCalls(aScheduler.mForecast,
+                    aNow,
+                    std::min(OnlineCalls(aScheduler), CallLimit(aScheduler)));
   ForgetOldStarts(aScheduler.mPace, aNow);
   AdjustBatchCap(aScheduler.mBatchCap,
                  aNow,
@@ -324,7 +403,7 @@
 BatchRoom(const Scheduler& aScheduler, MonoTime aNow)
 {
   const auto waiting = static_cast<uint32_t>(aScheduler.mBatch.size());
-  uint32_t bound = BatchBound(aScheduler, aNow);
+  uint32_t bound = BatchBound(aScheduler, aNow, aScheduler.mItemTime);
   uint32_t used = CallsAtTarget(aScheduler) +
                   static_cast<uint32_t>(WaitingOnline(aScheduler)) + waiting;
   if (aScheduler.mSettings.mPolicy != SchedulePolicy::eOnlineFirst) {
