runtime_no_answer_test: targets that keep their connection, streams, interim responses

Cases that were missing: a status that is none while the target keeps its connection, for plain answers and streams, with and without a long upload; after an interim response; a stream that is reset after an event.

--- a/tests/runtime_no_answer_test.cpp
+++ b/tests/runtime_no_answer_test.cpp
@@ -12,13 +12,28 @@
 
 constexpr size_t kLongUpload = 8 << 20; // more than the sockets take
 
+// What the target does when it has answered.
+enum class Then : uint8_t
+{
+  eClose,
+  eReset,
+  eStay, // keeps the connection open
+};
+
 // A target that answers with mAnswer as soon as the first bytes of a request
-// arrive, reads no more and closes, and one call to it.
+// arrive and reads no more, and one call to it.
 struct HastyTarget
 {
   HastyTarget(std::string aAnswer, size_t aUpload, bool aReset)
+    : HastyTarget(std::move(aAnswer),
+                  aUpload,
+                  aReset ? Then::eReset : Then::eClose)
+  {
+  }
+
+  HastyTarget(std::string aAnswer, size_t aUpload, Then aThen)
     : mAnswer(std::move(aAnswer))
-    , mReset(aReset)
+    , mThen(aThen)
     , mClient(mLoop, TargetClientSettings{})
     , mGuard(mLoop, [this] { mLoop.Exit(); })
   {
@@ -26,6 +41,8 @@
     mGuard.ArmAt(mLoop.Now() + Seconds(60));
     mClient.mOnBegan.connect(
       [this](const TargetCallBegan& aBegan) { mStatus = aBegan.mStatus; });
+    mClient.mOnBytes.connect(
+      [this](const TargetCallBytes& aBytes) { mBytes += aBytes.mBytes; });
     mClient.mOnEnded.connect([this](const TargetCallEnded&) {
       mEnded = true;
       mLoop.Exit();
@@ -68,7 +85,11 @@
     const evutil_socket_t handle = bufferevent_getfd(aBuffer);
     (void)send(
       handle, self->mAnswer.data(), self->mAnswer.size(), MSG_NOSIGNAL);
-    if (self->mReset) {
+    if (self->mThen == Then::eStay) {
+      bufferevent_disable(aBuffer, EV_READ);
+      return;
+    }
+    if (self->mThen == Then::eReset) {
       const linger setting{ 1, 0 };
       (void)setsockopt(
         handle, SOL_SOCKET, SO_LINGER, &setting, sizeof(setting));
@@ -85,13 +106,14 @@
   }
 
   std::string mAnswer;
-  bool mReset = false;
+  Then mThen = Then::eClose;
   Loop mLoop;
   TargetClient mClient;
   Timer mGuard;
   ListenerPtr mListener;
   BufferEventPtr mBuffer;
   int mStatus = 0;
+  std::string mBytes;
   bool mEnded = false;
   bool mFailed = false;
   Outcome mOutcome = Outcome::eRan;
@@ -134,3 +156,54 @@
   target.ExpectNoAnswer();
   BOOST_TEST(target.mStatus == 0);
 }
+
+// The same on connections that the target keeps, for plain answers and streams.
+BOOST_AUTO_TEST_CASE(response_whose_status_is_none_fails_while_its_target_stays)
+{
+  const std::string bodies[] = {
+    "Content-Length: 2\r\n\r\nok",
+    "Connection: keep-alive\r\nContent-Length: 2\r\n\r\nok",
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "d\r\nid: 1\ndata: e\n\r\n1\r\n\n\r\n0\r\n\r\n",
+    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    "id: 1\ndata: e\n\n",
+  };
+  for (const char* status : { "000", "099", "1000", "-1", "" }) {
+    for (const std::string& body : bodies) {
+      for (const size_t upload : { size_t{ 0 }, kLongUpload }) {
+        const HastyTarget target("HTTP/1.1 " + std::string(status) + " x\r\n" +
+                                   body,
+                                 upload,
+                                 Then::eStay);
+        target.ExpectNoAnswer();
+        BOOST_TEST(target.mStatus == 0);
+        BOOST_TEST(target.mBytes.empty());
+      }
+    }
+  }
+}
+
+// What follows an interim response is judged like any first line.
+BOOST_AUTO_TEST_CASE(status_that_is_none_after_an_interim_response)
+{
+  const HastyTarget target("HTTP/1.1 102 Processing\r\n\r\n"
+                           "HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\nok",
+                           0,
+                           Then::eStay);
+  target.ExpectNoAnswer();
+  BOOST_TEST(target.mStatus == 0);
+}
+
+// A stream that is reset after its first event has an event, but no end.
+BOOST_AUTO_TEST_CASE(stream_that_is_reset_has_no_end)
+{
+  for (const char* framing : { "Connection: close\r\n\r\nid: 1\ndata: e\n\n",
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "e\r\nid: 1\ndata: e\n\n\r\n" }) {
+    HastyTarget("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                  std::string(framing),
+                kLongUpload,
+                Then::eReset)
+      .ExpectNoAnswer();
+  }
+}
