HTTP listeners: crowds that send ahead, stop or stay silent

Cause: (1) libevent ends the process, "evhttp_read_cb: illegal connection state 7": after a response evhttp queues a call of its read callback for requests sent ahead, and beyond 32 queued callbacks it runs only after a read event has parsed the next request. (2) evhttp reads on without a limit for the connection while a response is unread, and the kernel's receive buffers, which the platform counts, had no bound. (3) Nodes and controls had the limits of a large server. (4) Plain answers counted neither while they are collected nor while they are unread. (5) Silent connections kept all places for 60 s.

Change: no read callback while a request is in progress; reading stops 32 KiB ahead; receive buffers, connections and bytes by the process's memory at every listener of caraway-platform; connections that sent most ahead, then those that stopped, are closed before others wait (caraway/connections/holding); time limits for a head, a request and a reader; large plain answers are passed on before they are whole while all together take an eighth of the memory.

--- a/caraway/entry/direct_answers.cpp
+++ b/caraway/entry/direct_answers.cpp
@@ -94,6 +94,22 @@
   return RecordAgainstUsual(aStep.mEntry.mUsualPaces[direct.mRoute], seconds);
 }
 
+// True if the answers that are collected take more than their share of memory,
+// and this one more than most do.
+bool
+ExceedsCollected(const Entry& aEntry, const std::string& aBody)
+{
+  constexpr size_t kLargeAnswer = 64 << 10;
+  if (aBody.size() <= kLargeAnswer) {
+    return false;
+  }
+  size_t collected = 0;
+  for (const auto& [serial, request] : aEntry.mRequests) {
+    collected += request.mAnswer.mBody.size();
+  }
+  return collected > aEntry.mSettings.mMaxCollectedBytes;
+}
+
 // Stops sending requests to this start of the target. If aReport, control is
 // told that it leaves, so that other entries stop as well.
 void
@@ -276,6 +292,10 @@
   }
   attempt.mLastByte = aStep.mNow;
   std::string& body = request->mAnswer.mBody;
+  if (request->mReplyBegun) {
+    SendReplyChunk(aStep, *request, aEvent.mBytes);
+    return;
+  }
   if (body.size() + aEvent.mBytes.size() > kMaxAnswerBytes) {
     DirectAttemptFailed(aStep,
                         *request,
@@ -285,6 +305,10 @@
     return;
   }
   body += aEvent.mBytes;
+  if (ExceedsCollected(aStep.mEntry, body)) {
+    ++aStep.mEntry.mMetrics.mAnswersPassedOn;
+    SendEvents(aStep, *request, std::exchange(body, {}));
+  }
 }
 
 void
--- a/caraway/entry/entry_metrics.h
+++ b/caraway/entry/entry_metrics.h
@@ -13,6 +13,7 @@
 {
   uint64_t mOverruns = 0;        // admitted above a contract, see overrun.h
   uint64_t mUnreadableLoads = 0; // load figures of targets
+  uint64_t mAnswersPassedOn = 0; // plain ones, before they were whole
   uint64_t mRequests = 0;        // caller requests received
   uint64_t mAdmitted = 0;        // tokens used to admit requests
   uint64_t mReturned = 0;   // tokens returned as the call provably didn't run
--- a/caraway/entry/entry_settings.h
+++ b/caraway/entry/entry_settings.h
@@ -2,6 +2,7 @@
 // Settings of the entry role, which the daemon fills from flags and environment
 // variables.
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -32,9 +33,12 @@
   double mRetryBudget = 0.1; // retries allowed per request
   uint32_t mMaxAttempts = 3;
   uint32_t mMaxActiveRequests = 4096; // further requests are refused
-  ColdTolerance mColdTolerance;       // for targets that state a cold rate
-  RateTolerance mRateTolerance;       // above the contracts
-  ExposureLimit mExposure;            // of versions on trial
+  // Bytes of all answers that are collected until they are whole. Beyond it,
+  // large ones are passed on as they arrive.
+  size_t mMaxCollectedBytes = 256 << 20;
+  ColdTolerance mColdTolerance; // for targets that state a cold rate
+  RateTolerance mRateTolerance; // above the contracts
+  ExposureLimit mExposure;      // of versions on trial
   // For deployments that don't list the control replicas: addresses of entries
   // to ask for them.
   std::vector<PeerAddress> mSeeds;
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -51,6 +51,8 @@
   Counter(out, "caraway_entry_overruns_total", metrics.mOverruns);
   Counter(
     out, "caraway_entry_unreadable_loads_total", metrics.mUnreadableLoads);
+  Counter(
+    out, "caraway_entry_answers_passed_on_total", metrics.mAnswersPassedOn);
   Counter(out, "caraway_entry_tokens_returned_total", metrics.mReturned);
   Counter(out, "caraway_entry_dispatches_total", metrics.mDispatches);
   Counter(out, "caraway_entry_retries_total", metrics.mRetries);
--- a/caraway/runtime/control_host.cpp
+++ b/caraway/runtime/control_host.cpp
@@ -433,6 +433,10 @@
                },
                [this](HttpResponse& aResponse) {
                  AddProcessMetrics(aResponse, mPeers.Counters());
+                 AddMetric(aResponse,
+                           kClosedConnectionsMetric,
+                           "counter",
+                           mHttp.ClosedConnections());
                  AddStorageMetrics(aResponse);
                  mHttp.Respond(aResponse);
                },
--- a/caraway/runtime/entry_host.cpp
+++ b/caraway/runtime/entry_host.cpp
@@ -136,6 +136,16 @@
   }
 }
 
+uint64_t
+EntryHost::ClosedConnections() const
+{
+  uint64_t closed = 0;
+  for (const Server& server : mServers) {
+    closed += server.mServer->ClosedConnections();
+  }
+  return closed;
+}
+
 HttpServer&
 EntryHost::ServerForCall(HttpCallId aCall)
 {
@@ -156,6 +166,8 @@
       },
       [this](HttpResponse& aResponse) {
         AddProcessMetrics(aResponse, mPeers.Counters());
+        AddMetric(
+          aResponse, kClosedConnectionsMetric, "counter", ClosedConnections());
         ServerForCall(aResponse.mCall).Respond(aResponse);
       },
       [this](const HttpBegin& aBegin) {
--- a/caraway/runtime/entry_host.h
+++ b/caraway/runtime/entry_host.h
@@ -48,6 +48,7 @@
   void CarryOut(EntryAction& aAction);
   void HandleRequest(ListenerUse aUse, const HttpRequest& aRequest);
   void HandleDecoded(DecodedRequest aDecoded);
+  uint64_t ClosedConnections() const;
   HttpServer& ServerForCall(HttpCallId aCall);
 
   Loop& mLoop;
--- a/caraway/runtime/http_inbound.cpp
+++ b/caraway/runtime/http_inbound.cpp
@@ -14,19 +14,6 @@
 
 namespace caraway {
 
-namespace {
-
-// evhttp passes its connection to the buffer's callbacks.
-evhttp_connection*
-ConnectionOf(bufferevent* aBuffer)
-{
-  void* connection = nullptr;
-  bufferevent_getcb(aBuffer, nullptr, nullptr, nullptr, &connection);
-  return static_cast<evhttp_connection*>(connection);
-}
-
-} // namespace
-
 void
 HttpServer::OnInput(evbuffer* aInput,
                     const evbuffer_cb_info* aInfo,
@@ -42,10 +29,15 @@
   if (inbound->mTrimming) {
     return;
   }
+  inbound->mMovedAt = inbound->mServer->mLoop.Now();
+  const size_t before = inbound->mReader.mMessageBytes;
   ForEachAddedPiece(aInput, aInfo->n_added, [&](std::string_view aPiece) {
     ReadBytes(inbound->mReader, aPiece);
   });
   MessageReader& reader = inbound->mReader;
+  if (before == 0 || reader.mMessageBytes < before + aInfo->n_added) {
+    inbound->mBeganAt = inbound->mMovedAt; // another message
+  }
   if (reader.mState != ReadState::eInvalid &&
       !inbound->mServer->ReserveInput(*inbound, aInfo->n_added)) {
     reader.mState = ReadState::eInvalid;
@@ -85,7 +77,7 @@
 HttpServer::WatchInbound(Inbound& aInbound)
 {
   evhttp_connection_set_closecb(
-    ConnectionOf(aInbound.mBuffer), &HttpServer::OnConnectionClosed, this);
+    ConnectionOf(aInbound), &HttpServer::OnConnectionClosed, this);
   aInbound.mWatched = true;
 }
 
@@ -101,13 +93,14 @@
   evbuffer_remove_cb(
     bufferevent_get_output(aBuffer), &HttpServer::OnOutput, &known->second);
   SetReserved(known->second, 0);
+  mUnsentBytes -= known->second.mUnsent;
   mInbound.erase(known);
 }
 
 void
 HttpServer::RejectInvalid(Inbound& aInbound)
 {
-  evhttp_connection* connection = ConnectionOf(aInbound.mBuffer);
+  evhttp_connection* connection = ConnectionOf(aInbound);
   if (const auto call = mCallByConnection.find(connection);
       call != mCallByConnection.end()) {
     // The response to the request before comes first. evhttp closes the
@@ -142,9 +135,16 @@
 // reset the connection and could destroy the response, so the rest is read and
 // dropped until the caller closes.
 void
-HttpServer::OnOutput(evbuffer* aOutput, const evbuffer_cb_info*, void* aInbound)
+HttpServer::OnOutput(evbuffer* aOutput,
+                     const evbuffer_cb_info* aInfo,
+                     void* aInbound)
 {
-  const auto* inbound = static_cast<const Inbound*>(aInbound);
+  auto* inbound = static_cast<Inbound*>(aInbound);
+  inbound->mUnsent += aInfo->n_added - aInfo->n_deleted;
+  inbound->mServer->mUnsentBytes += aInfo->n_added - aInfo->n_deleted;
+  if (aInfo->n_deleted > 0) {
+    inbound->mMovedAt = inbound->mServer->mLoop.Now();
+  }
   if (inbound->mRejected && evbuffer_get_length(aOutput) == 0) {
     const bool lingers = inbound->mReader.mErrorStatus == HTTP_SERVUNAVAIL;
     (void)shutdown(bufferevent_getfd(inbound->mBuffer),
--- a/caraway/runtime/http_limits.cpp
+++ b/caraway/runtime/http_limits.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <fcntl.h>
@@ -16,24 +17,36 @@
 void
 HttpServer::LimitConnections()
 {
-  // evhttp has no connection limit. Each open connection has about two events
-  // in the loop, so the number of events shows when to stop accepting.
-  constexpr int kEventsPerConnection = 2;
   constexpr Duration kInterval = Millis(100);
-  const int events =
-    event_base_get_num_events(mLoop.Base(), EVENT_BASE_COUNT_ADDED);
-  if (events > mSettings.mMaxConnections * kEventsPerConnection) {
-    evconnlistener_disable(mListener);
-  } else {
+  mLimitQueued = false;
+  CloseOverdue();
+  CloseExcess();
+  LimitQueuedBytes();
+  if (HasRoom()) {
     evconnlistener_enable(mListener);
+  } else {
+    evconnlistener_disable(mListener);
   }
-  LimitDescriptors();
-  LimitQueuedBytes();
   mConnectionTimer.ArmAt(mLoop.Now() + kInterval);
 }
 
 void
-HttpServer::LimitDescriptors()
+HttpServer::LimitConnectionsSoon()
+{
+  if (!std::exchange(mLimitQueued, true)) {
+    mConnectionTimer.ArmAt(mLoop.Now());
+  }
+}
+
+bool
+HttpServer::HasRoom() const
+{
+  return mInbound.size() < static_cast<size_t>(mSettings.mMaxConnections) &&
+         HasDescriptors();
+}
+
+bool
+HttpServer::HasDescriptors() const
 {
   // The kernel gives out the lowest free descriptor, so all below it are used.
   const int lowest =
@@ -41,9 +54,7 @@
   if (lowest >= 0) {
     close(lowest);
   }
-  if (lowest < 0 || lowest >= mSettings.mMaxDescriptors) {
-    evconnlistener_disable(mListener);
-  }
+  return lowest >= 0 && lowest < mSettings.mMaxDescriptors;
 }
 
 // A body whose length is stated is reserved with its head: of several bodies
@@ -56,9 +67,11 @@
   // evhttp refuses longer bodies by their head.
   const bool stated = reader.mState == ReadState::eLengthBody &&
                       reader.mFraming.mLength <= mSettings.mMaxBodyBytes;
-  const size_t wanted = std::max(
-    aInbound.mReserved,
-    aInbound.mArrived + (stated ? static_cast<size_t>(reader.mLeft) : 0));
+  // The reader keeps a copy of a head that has not ended.
+  const size_t wanted =
+    std::max(aInbound.mReserved,
+             aInbound.mArrived + reader.mHead.size() + reader.mLine.size() +
+               (stated ? static_cast<size_t>(reader.mLeft) : 0));
   const size_t before = aInbound.mReserved;
   SetReserved(aInbound, wanted);
   // Accept refuses requests that are complete.
@@ -69,6 +82,7 @@
       (wanted > kLargeInputBytes &&
        mLargeInputBytes > mSettings.mMaxLargeInputBytes)) {
     SetReserved(aInbound, before);
+    LimitConnectionsSoon();
     return false;
   }
   return true;
@@ -97,36 +111,21 @@
   SetReserved(known->second, known->second.mArrived);
 }
 
-size_t
-HttpServer::UnsentBytes() const
-{
-  size_t total = 0;
-  for (const auto& [buffer, inbound] : mInbound) {
-    total += inbound.mWatched
-               ? evbuffer_get_length(bufferevent_get_output(buffer))
-               : 0;
-  }
-  return total;
-}
-
 void
 HttpServer::LimitQueuedBytes()
 {
-  std::multimap<size_t, HttpCallId> queued; // by unsent bytes
-  size_t total = 0;
-  for (const auto& [id, call] : mCalls) {
-    const size_t bytes = evbuffer_get_length(bufferevent_get_output(
-      evhttp_connection_get_bufferevent(call.mConnection)));
-    if (call.mBegan && bytes > 0) {
-      queued.emplace(bytes, id);
-      total += bytes;
+  if (mUnsentBytes <= mSettings.mMaxQueuedTotalBytes) {
+    return;
+  }
+  std::multimap<size_t, bufferevent*> queued; // by unsent bytes
+  for (const auto& [buffer, inbound] : mInbound) {
+    if (inbound.mUnsent > 0) {
+      queued.emplace(inbound.mUnsent, buffer);
     }
   }
-  while (total > mSettings.mMaxQueuedTotalBytes && !queued.empty()) {
-    const auto largest = std::prev(queued.end());
-    total -= largest->first;
-    AbortSlowReader(largest->second);
-    queued.erase(largest);
+  while (mUnsentBytes > mSettings.mMaxQueuedTotalBytes && !queued.empty()) {
+    CloseConnection(std::prev(queued.end())->second, "unsent");
+    queued.erase(std::prev(queued.end()));
   }
 }
 
--- a/caraway/runtime/http_server.cpp
+++ b/caraway/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "caraway/runtime/http_server.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -21,7 +22,7 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
+constexpr int kMaxBacklog = 1024;
 // While a response is pending, the connection is still read to detect that the
 // caller closes it. Up to this many bytes of pipelined requests are buffered.
 constexpr size_t kPipelinedBytes = 32 << 10;
@@ -135,50 +136,19 @@
   aRequest->minor = 0;
 }
 
-// With aReset, any close of the socket resets the connection, also the one that
-// the kernel makes when the process is killed.
-void
-SetResetOnClose(evhttp_connection* aConnection, bool aReset)
-{
-  const linger setting{ aReset ? 1 : 0, 0 };
-  (void)setsockopt(
-    bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection)),
-    SOL_SOCKET,
-    SO_LINGER,
-    &setting,
-    sizeof(setting));
-}
-
-// True if only the end of the connection ends the response, which has begun.
-bool
-LastsUntilClose(evhttp_request* aRequest)
-{
-  return aRequest->chunked == 0 &&
-         evhttp_find_header(evhttp_request_get_output_headers(aRequest),
-                            "Content-Length") == nullptr;
-}
-
-// Closes the socket with a reset. The connection must be freed right after:
-// evhttp would shut the socket down in an orderly way before it closes it.
-void
-ResetSocket(evhttp_connection* aConnection)
-{
-  SetResetOnClose(aConnection, true);
-  bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
-  const evutil_socket_t socket = bufferevent_getfd(buffer);
-  bufferevent_setfd(buffer, -1);
-  evutil_closesocket(socket);
-}
-
-// Keeps reading while a response is pending, to detect a close. The low read
-// watermark is above the high one, so that evhttp's read callback, which
-// consumes nothing in this state, never runs.
+// Keeps reading while a response is pending, to detect a close. evhttp ends the
+// process if its read callback runs in this state, and it may have queued a
+// call of it for requests that were sent ahead.
 void
 WatchForClose(evhttp_connection* aConnection)
 {
   bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
-  bufferevent_setwatermark(
-    buffer, EV_READ, kPipelinedBytes * 2, kPipelinedBytes);
+  bufferevent_data_cb onWritten = nullptr;
+  bufferevent_event_cb onEvent = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(buffer, nullptr, &onWritten, &onEvent, &argument);
+  bufferevent_setcb(buffer, nullptr, onWritten, onEvent, argument);
+  bufferevent_setwatermark(buffer, EV_READ, 0, kPipelinedBytes);
   // The idle timeout limits how long a caller takes to send a request; a
   // response may take longer.
   bufferevent_set_timeouts(buffer, nullptr, nullptr);
@@ -252,7 +222,7 @@
     nullptr,
     nullptr,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-    kBacklog,
+    std::min(kMaxBacklog, mSettings.mMaxConnections),
     reinterpret_cast<const sockaddr*>(&address->mStorage),
     static_cast<int>(address->mLength));
   if (listener == nullptr) {
@@ -263,6 +233,15 @@
       "choose a free port and an address of this instance");
   }
   SetNoDelay(evconnlistener_get_fd(listener));
+  if (mSettings.mReceiveBytes > 0) {
+    // Accepted sockets inherit it, also while they wait to be accepted.
+    const int bytes = static_cast<int>(mSettings.mReceiveBytes);
+    (void)setsockopt(evconnlistener_get_fd(listener),
+                     SOL_SOCKET,
+                     SO_RCVBUF,
+                     &bytes,
+                     sizeof(bytes));
+  }
   evhttp_bind_listener(mHttp.get(), listener);
   mListener = listener;
   mAddress = BoundAddress(evconnlistener_get_fd(listener));
@@ -286,14 +265,27 @@
     bufferevent_openssl_set_allow_dirty_shutdown(buffer, 1);
   }
   server->ForgetInbound(buffer);
-  server->LimitDescriptors();
   Inbound& inbound = server->mInbound[buffer];
   inbound.mServer = server;
   inbound.mBuffer = buffer;
+  inbound.mSerial = server->mNextSerial++;
+  inbound.mMovedAt = server->mLoop.Now();
   evbuffer_add_cb(
     bufferevent_get_input(buffer), &HttpServer::OnInput, &inbound);
   evbuffer_add_cb(
     bufferevent_get_output(buffer), &HttpServer::OnOutput, &inbound);
+  // evhttp sets its callbacks, which lead to its connection, after this.
+  server->mLoop.Defer([server, buffer, serial = inbound.mSerial] {
+    const auto known = server->mInbound.find(buffer);
+    if (known != server->mInbound.end() && known->second.mSerial == serial &&
+        !known->second.mWatched) {
+      server->WatchInbound(known->second);
+    }
+  });
+  if (!server->HasRoom()) {
+    evconnlistener_disable(server->mListener);
+    server->LimitConnectionsSoon();
+  }
   return buffer;
 }
 
@@ -314,10 +306,15 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   if (mInputBytes > mSettings.mMaxInputBytes) {
     LogBusy(mInputBytes);
+    evhttp_request_set_on_complete_cb(
+      aRequest, &HttpServer::OnResponseSent, this);
+    StopWatchingForClose(connection);
     RejectBusy(aRequest);
     ReleaseCall(connection);
     return;
   }
+  evhttp_request_set_on_complete_cb(
+    aRequest, &HttpServer::OnResponseSent, this);
   const HttpCallId id(mNextCall++);
   evhttp_connection_set_closecb(
     connection, &HttpServer::OnConnectionClosed, this);
@@ -389,8 +386,8 @@
 HttpServer::StopWatchingForClose(evhttp_connection* aConnection) const
 {
   bufferevent* buffer = evhttp_connection_get_bufferevent(aConnection);
-  bufferevent_disable(buffer, EV_READ);
-  bufferevent_setwatermark(buffer, EV_READ, 0, 0);
+  // evhttp reads on while it sends the response.
+  bufferevent_setwatermark(buffer, EV_READ, 0, kPipelinedBytes);
   const timeval timeout{ mSettings.mIdleSeconds, 0 };
   bufferevent_set_timeouts(buffer, &timeout, &timeout);
 }
@@ -441,29 +438,6 @@
   ResetUnlessComplete(call->mRequest, call->mConnection);
 }
 
-void
-HttpServer::ResetUnlessComplete(evhttp_request* aRequest,
-                                evhttp_connection* aConnection)
-{
-  // A TLS connection shows by itself whether it was ended in an orderly way.
-  if (!LastsUntilClose(aRequest) || mTls != nullptr) {
-    return;
-  }
-  SetResetOnClose(aConnection, true);
-  mUnverified.insert(aConnection);
-  evhttp_request_set_on_complete_cb(
-    aRequest, &HttpServer::OnResponseSent, this);
-}
-
-// The socket has taken every byte of the response, so its close is the end.
-void
-HttpServer::OnResponseSent(evhttp_request* aRequest, void* aServer)
-{
-  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
-  static_cast<HttpServer*>(aServer)->mUnverified.erase(connection);
-  SetResetOnClose(connection, false);
-}
-
 void
 HttpServer::Chunk(const HttpChunk& aChunk)
 {
--- a/caraway/runtime/node_host.cpp
+++ b/caraway/runtime/node_host.cpp
@@ -88,6 +88,10 @@
       [this](const CheckTarget& aCheck) { mTarget.Check(aCheck); },
       [this](HttpResponse& aResponse) {
         AddProcessMetrics(aResponse, mPeers.Counters());
+        AddMetric(aResponse,
+                  kClosedConnectionsMetric,
+                  "counter",
+                  mHttp.ClosedConnections());
         mHttp.Respond(aResponse);
       },
       [](const DecisionLog& aDecision) { WriteLog(aDecision); },
--- a/caraway/runtime/process_metrics.h
+++ b/caraway/runtime/process_metrics.h
@@ -15,6 +15,10 @@
 void
 AddProcessMetrics(HttpResponse& aResponse, const PeerCounters& aPeers);
 
+// Connections closed since they held too much or took too long.
+constexpr const char* kClosedConnectionsMetric =
+  "caraway_http_connections_closed_total";
+
 // Appends one sample to a metrics response, as above.
 void
 AddMetric(HttpResponse& aResponse,
