Peer port: 256 bytes of a process that has not stated its address; more crowds

Cause: a connection at the peer port could bring a first frame of up to 1 MB, which is held until it is complete, though the first frame is an address.

Crowds added, with the bounds of: requests ahead at the readiness and operators' addresses and at a node, a crowd that returns at once, heads in pieces of one byte, frames that never end at the peer port.

--- a/caraway/runtime/peer_connection.cpp
+++ b/caraway/runtime/peer_connection.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr size_t kHeaderBytes = 4;
+// Longest first frame, an address: what is held of a process that is no peer.
+constexpr size_t kMaxAddressBytes = 256;
 constexpr Duration kIdleAfter = Seconds(2);
 constexpr int64_t kIdleFactor = 6;
 
@@ -47,10 +49,16 @@
                     this);
   // Buffer at most one frame of the maximum size, whatever the peer sends.
   bufferevent_setwatermark(
-    mBuffer.get(), EV_READ, 0, kMaxFrameBytes + kHeaderBytes);
+    mBuffer.get(), EV_READ, 0, MaxFrame() + kHeaderBytes);
   bufferevent_enable(mBuffer.get(), EV_READ | EV_WRITE);
 }
 
+size_t
+PeerConnection::MaxFrame() const
+{
+  return mPeer.Empty() ? kMaxAddressBytes : kMaxFrameBytes;
+}
+
 void
 PeerConnection::Start(const PeerAddress& aSelf)
 {
@@ -162,7 +170,7 @@
   uint32_t length = 0;
   while (evbuffer_copyout(input, &length, kHeaderBytes) ==
          static_cast<ev_ssize_t>(kHeaderBytes)) {
-    if (length > kMaxFrameBytes) {
+    if (length > MaxFrame()) {
       ++mTransport.mCounters.mMalformed;
       return false;
     }
@@ -194,6 +202,8 @@
       return false;
     }
     mPeer = PeerAddress(address);
+    bufferevent_setwatermark(
+      mBuffer.get(), EV_READ, 0, MaxFrame() + kHeaderBytes);
     mTransport.OnPeerIdentified(this, mPeer);
     return true;
   }
--- a/caraway/runtime/peer_connection.h
+++ b/caraway/runtime/peer_connection.h
@@ -49,6 +49,8 @@
 
 private:
   void Listen();
+  // Of the next frame that is received.
+  size_t MaxFrame() const;
 
   static void OnReadable(bufferevent* aBuffer, void* aConnection);
   static void OnEvent(bufferevent* aBuffer, short aWhat, void* aConnection);
--- a/tests/platform_crowd_memory_test.cpp
+++ b/tests/platform_crowd_memory_test.cpp
@@ -232,3 +232,68 @@
   CheckAnswers();
   std::filesystem::remove_all(folder);
 }
+
+BOOST_FIXTURE_TEST_CASE(requests_ahead_at_the_other_listeners, BoundedEntry)
+{
+  const auto crowd =
+    Crowd({ mPorts[1], mPorts[2] }, kConnections, [](size_t aAt) {
+      return Ahead(Request(std::to_string(aAt)));
+    });
+  CheckHolds();
+  CheckAnswers();
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_ahead_at_a_node, Bounded)
+{
+  StartRole("node", { "--target=127.0.0.1:1", "--http=127.0.0.1:0" }, 1);
+  const auto crowd = Crowd(mPorts, kConnections, [](size_t) {
+    return Ahead("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  });
+  CheckHolds();
+  CheckAnswers();
+}
+
+BOOST_FIXTURE_TEST_CASE(heads_in_pieces_of_one_byte, BoundedEntry)
+{
+  constexpr size_t kPieces = 64;
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nX: ";
+  auto crowd =
+    Crowd({ mPorts[0] }, kConnections, [](size_t) { return std::string(); });
+  for (size_t piece = 0; piece < kPieces; ++piece) {
+    for (const auto& sender : crowd) {
+      sender->mAhead += piece < head.size() ? head[piece] : 'x';
+      sender->Send();
+    }
+    Measure();
+  }
+  CheckHolds();
+  CheckAnswers();
+}
+
+BOOST_FIXTURE_TEST_CASE(a_crowd_that_returns_at_once, BoundedEntry)
+{
+  constexpr size_t kRounds = 5;
+  constexpr size_t kReturning = 300;
+  for (size_t round = 0; round < kRounds; ++round) {
+    const auto crowd = Crowd({ mPorts[0] }, kReturning, [](size_t aAt) {
+      return Ahead(Request(std::to_string(aAt)));
+    });
+  }
+  CheckHolds();
+  CheckAnswers();
+}
+
+// A frame of the peers' protocol begins with its length.
+BOOST_FIXTURE_TEST_CASE(frames_that_never_end_at_the_peer_port, BoundedEntry)
+{
+  const std::string key = " peer=127.0.0.1:";
+  const size_t at = mChild.mSeen.find(key);
+  BOOST_REQUIRE(at != std::string::npos);
+  const auto peer =
+    static_cast<uint16_t>(std::stoi(mChild.mSeen.substr(at + key.size())));
+  const auto crowd = Crowd({ peer }, kConnections, [](size_t) {
+    return std::string("\0\0\x0c\0", 4) + std::string(kAheadBytes, 'f');
+  });
+  CheckHolds();
+  CheckAnswers();
+}
