Unsent responses: stopped readers are closed first, a single large one never

Readers that have moved no byte for a second go first, then those with the most; the last one stays.

--- a/caraway/runtime/http_limits.cpp
+++ b/caraway/runtime/http_limits.cpp
@@ -117,13 +117,17 @@
   if (mUnsentBytes <= mSettings.mMaxQueuedTotalBytes) {
     return;
   }
-  std::multimap<size_t, bufferevent*> queued; // by unsent bytes
+  // Readers that have stopped go first, then those with the most.
+  constexpr Duration kStopped = Seconds(1);
+  std::multimap<std::pair<bool, size_t>, bufferevent*> queued;
   for (const auto& [buffer, inbound] : mInbound) {
     if (inbound.mUnsent > 0) {
-      queued.emplace(inbound.mUnsent, buffer);
+      const bool stopped = mLoop.Now() - inbound.mMovedAt >= kStopped;
+      queued.emplace(std::pair(stopped, inbound.mUnsent), buffer);
     }
   }
-  while (mUnsentBytes > mSettings.mMaxQueuedTotalBytes && !queued.empty()) {
+  // One whole response may be larger than the limit.
+  while (mUnsentBytes > mSettings.mMaxQueuedTotalBytes && queued.size() > 1) {
     CloseConnection(std::prev(queued.end())->second, "unsent");
     queued.erase(std::prev(queued.end()));
   }
