--- a/tests/platform_soak_test.cpp
+++ b/tests/platform_soak_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/soak/soak_fleet.h"
 #include "platform/soak/soak_kept.h"
 #include "platform/soak/soak_results.h"
+#include "platform/soak/soak_rollout_check.h"
 
 using namespace caraway;
 using namespace caraway::soak;
@@ -100,6 +101,21 @@
   size_t Findings() const { return mRecord.mViolations.size(); }
 };
 
+RolloutRecord
+EndedRollout(bool aBad, const char* aState)
+{
+  RolloutRecord rollout;
+  rollout.mFrom = "old";
+  rollout.mTo = "new";
+  rollout.mBad = aBad;
+  rollout.mShare = 0.1;
+  rollout.mSlack = 2;
+  rollout.mRollbackTime = Seconds(5);
+  rollout.mState = aState;
+  rollout.mEndedAt = MonoTime{ 0 } + Seconds(100);
+  return rollout;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(correct_request_has_no_findings)
@@ -326,6 +342,62 @@
   BOOST_TEST(job.Findings() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(roll_out_that_ends_wrongly_is_found)
+{
+  Record record;
+  RolloutRecord rollout = EndedRollout(true, "rolled_back");
+  CheckRollout(record, rollout);
+  CheckRollout(record, EndedRollout(false, "completed"));
+  BOOST_TEST(record.mViolations.size() == 0u);
+  CheckRollout(record, EndedRollout(true, "completed"));
+  CheckRollout(record, EndedRollout(false, "rolled_back"));
+  BOOST_TEST(record.mViolations.size() == 2u);
+  rollout = EndedRollout(true, "active");
+  rollout.mEndedAt.reset();
+  CheckRollout(record, rollout);
+  BOOST_TEST(record.mViolations.size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(exposure_above_share_and_slack_is_found)
+{
+  Record record;
+  RolloutRecord rollout = EndedRollout(true, "rolled_back");
+  rollout.mRuns.resize(100, { MonoTime{ 0 }, "old", true });
+  rollout.mRuns.resize(113, { MonoTime{ 0 }, "new", false });
+  CheckRollout(record, rollout); // 0.1 x 113 + 2 = 13.3
+  BOOST_TEST(record.mViolations.size() == 0u);
+  rollout.mRuns.push_back({ MonoTime{ 0 }, "new", false });
+  CheckRollout(record, rollout); // 14 of 114
+  BOOST_TEST(record.mViolations.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(request_at_a_version_out_of_use_is_found)
+{
+  Record record;
+  RolloutRecord back = EndedRollout(true, "rolled_back");
+  back.mSlack = 10;
+  back.mRuns = { { *back.mEndedAt + Seconds(5), "new", true },
+                 { *back.mEndedAt + Seconds(6), "new", false },
+                 { *back.mEndedAt + Seconds(6), "old", true } };
+  RolloutRecord completed = EndedRollout(false, "completed");
+  completed.mRuns = { { *completed.mEndedAt, "old", true },
+                      { *completed.mEndedAt + Millis(1), "old", false },
+                      { *completed.mEndedAt + Millis(1), "new", true } };
+  CheckRollout(record, back);
+  CheckRollout(record, completed);
+  BOOST_TEST(record.mViolations.size() == 0u);
+  back.mRuns.push_back({ *back.mEndedAt + Millis(5001), "new", true });
+  CheckRollout(record, back);
+  BOOST_TEST(record.mViolations.size() == 1u);
+  completed.mRuns.push_back({ *completed.mEndedAt + Millis(1), "old", true });
+  CheckRollout(record, completed);
+  BOOST_TEST(record.mViolations.size() == 2u);
+  completed.mRuns.pop_back();
+  completed.mCallsAtOld = 1;
+  CheckRollout(record, completed);
+  BOOST_TEST(record.mViolations.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(process_above_its_memory_is_found)
 {
   Record record;
