Roll-outs: completion under a new leader, batch items at a return

Causes, each shown by a test that failed before: - A new leader took entries that had not renewed yet for entries without a lease, and completed a draining roll-out without their reports. - A node started items that were leased before the return of their version and reached it after. - Results that a node sends again counted again as evidence; leases in flight of several nodes passed the share of the items. - Targets of the version that left while it drained left the service without targets for new work; it goes back to moving then. Small edits in node/node_batch.cpp and node/node_config.cpp.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "caraway/config/operations.h"
+#include "caraway/control/step.h"
 #include "tests/control_holder.h"
 
 using namespace caraway;
@@ -198,12 +199,48 @@
          InForceBoundSeconds(aHolders));
 }
 
+// One look of the leader at a roll-out, which it takes at each scan.
+void
+MeasureRollout()
+{
+  constexpr size_t kEntries = 390;
+  constexpr int kLooks = 100;
+  RolloutWatch watch;
+  for (size_t at = 0; at < kEntries; ++at) {
+    RolloutReport report;
+    report.mEntry = InstanceId("entry-" + std::to_string(at));
+    for (const char* route : { "completions", "chat", "embeddings" }) {
+      AnswerCounts counts;
+      counts.mAnswers = 100;
+      counts.mTimes[at % kTimeBuckets] = 100;
+      report.mAnswers.push_back({ RouteId(route), {}, counts });
+      for (const char* target : { "a", "b", "c", "d" }) {
+        report.mAnswers.push_back({ RouteId(route),
+                                    TargetId(std::string("target-") + target),
+                                    counts });
+      }
+    }
+    watch.mReports[report.mEntry] = std::move(report);
+  }
+  uint64_t answers = 0;
+  const auto begin = std::chrono::steady_clock::now();
+  for (int look = 0; look < kLooks; ++look) {
+    answers += JudgeRollout(SumEvidence(watch)).mAnswers;
+  }
+  const std::chrono::duration<double> taken =
+    std::chrono::steady_clock::now() - begin;
+  gFailed = gFailed || answers == 0;
+  Report(
+    "control.judge_rollout_seconds_390_entries", taken.count() / kLooks, 0);
+}
+
 } // namespace
 
 int
 main()
 {
   MeasureState();
+  MeasureRollout();
   for (size_t holders : { 2, 50, 390, 1090 }) {
     MeasureInForce(holders);
   }
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -128,8 +128,13 @@
   // Batch items, which nodes run.
   uint64_t mItemsLeased = 0;
   uint64_t mTrialItemsLeased = 0;
+  // Nodes of targets on trial whose next lease is proposed and not applied yet.
+  std::set<InstanceId> mTrialLeases;
   AnswerCounts mItemsBeside;
   std::map<TargetId, AnswerCounts> mTrialItems;
+  // The last results of each node that are counted. Nodes send them again until
+  // they are acknowledged.
+  std::map<InstanceId, std::pair<Epoch, uint64_t>> mResultsCounted;
   MonoTime mProposedAt{ -kNever.mMicros }; // when a step was last proposed
   MonoTime mNextLine;                      // of the log, while it is active
 };
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -382,6 +382,7 @@
   }
   LeaseItems lease = aMessage;
   lease.mWanted = wanted;
+  ReserveItems(aStep, aMessage.mNode);
   (void)Propose(
     aStep, lease, PendingLeaseReply{ aFrom, lease.mNode, lease.mModels });
 }
--- a/caraway/control/metrics.cpp
+++ b/caraway/control/metrics.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "caraway/consensus/raft_api.h"
 #include "caraway/control/control.h"
+#include "caraway/control/step.h"
 
 namespace caraway {
 
@@ -89,16 +90,14 @@
   }
   aOut.Line("rollouts_active", "gauge", active);
   aOut.Line("rollouts_rolled_back", "gauge", rolledBack);
-  uint64_t requests = 0;
-  uint64_t trial = 0;
+  Exposure sum;
   for (const auto& [service, watch] : aControl.mLeadership.mRollouts) {
-    for (const auto& [entry, report] : watch.mReports) {
-      requests += report.mRequests;
-      trial += report.mTrial;
-    }
+    const Exposure one = SumExposure(watch);
+    sum.mRequests += one.mRequests;
+    sum.mTrial += one.mTrial;
   }
-  aOut.Line("rollout_requests", "gauge", requests);
-  aOut.Line("rollout_trial_requests", "gauge", trial);
+  aOut.Line("rollout_requests", "gauge", sum.mRequests);
+  aOut.Line("rollout_trial_requests", "gauge", sum.mTrial);
   aOut.Line("rollout_steps_total", "counter", aControl.mCounters.mRolloutSteps);
 }
 
--- a/caraway/control/rollouts.cpp
+++ b/caraway/control/rollouts.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/config/stream_versions.h"
+#include "caraway/config/target_use.h"
 #include "caraway/control/step.h"
 #include "caraway/rollout/progress.h"
 
@@ -15,10 +16,7 @@
 // A step that was not applied by then is proposed again.
 constexpr Duration kProposeAgain = Seconds(1);
 constexpr Duration kLineInterval = Seconds(5);
-// Targets of the version must offer this part of the slots of the old ones
-// before the traffic moves.
-constexpr uint64_t kSlotShareNumerator = 7;
-constexpr uint64_t kSlotShareDenominator = 10;
+constexpr size_t kEntriesInLine = 3; // with the most trial requests
 
 const ConfigView&
 ViewOf(const ControlStep& aStep)
@@ -38,45 +36,37 @@
   return watch;
 }
 
-RolloutEvidence
-SumEvidence(const RolloutWatch& aWatch)
+void
+AddSlots(const ConfigView& aView,
+         const Rollout& aRollout,
+         RolloutStatus& aStatus)
 {
-  RolloutEvidence evidence;
-  for (const auto& [entry, report] : aWatch.mReports) {
-    for (const RouteAnswers& answers : report.mAnswers) {
-      AddCounts(answers.mTarget.Empty()
-                  ? evidence.mBeside[answers.mRoute]
-                  : evidence.mTrial[answers.mRoute][answers.mTarget],
-                answers.mCounts);
+  for (const auto& [id, target] : aView.mTargets) {
+    if (!TakesWork(aView, target)) {
+      continue;
+    }
+    if (IsTrialVersion(aRollout, target)) {
+      aStatus.mTrialSlots += target.mSlots;
+    } else if (IsOldVersion(aRollout, target)) {
+      aStatus.mOldSlots += target.mSlots;
     }
   }
-  if (aWatch.mItemsBeside.mAnswers > 0) {
-    evidence.mBeside[kBatchItems] = aWatch.mItemsBeside;
-  }
-  if (!aWatch.mTrialItems.empty()) {
-    evidence.mTrial[kBatchItems] = aWatch.mTrialItems;
-  }
-  return evidence;
 }
 
+// True if the entry may have calls in progress or begin new ones: it may hold a
+// lease, also one of a former leader or session.
 bool
-HasEnoughTargets(const ConfigView& aView, const Rollout& aRollout)
+MayHaveCalls(const ControlStep& aStep, const InstanceId& aEntry)
 {
-  uint64_t trial = 0;
-  uint64_t old = 0;
-  for (const auto& [id, target] : aView.mTargets) {
-    if (target.mDraining || !ZoneInService(aView, target.mZone)) {
-      continue;
-    }
-    trial += IsTrialVersion(aRollout, target) ? target.mSlots : 0;
-    old += IsOldVersion(aRollout, target) ? target.mSlots : 0;
-  }
-  return trial > 0 &&
-         trial * kSlotShareDenominator >= old * kSlotShareNumerator;
+  const Sessions& sessions = aStep.mControl.mLeadership.mSessions;
+  auto session = sessions.mSessions.find(aEntry);
+  return session != sessions.mSessions.end() &&
+         aStep.mNow <
+           std::max(session->second.mLeaseEnd,
+                    GrantorLeaseEnd(session->second.mStarted, sessions.mLease));
 }
 
-// Adds what entries report of calls at the old versions. An entry without a
-// lease is not waited for.
+// Adds what entries report of calls at the old versions.
 void
 AddCallsAtOld(const ControlStep& aStep,
               const Rollout& aRollout,
@@ -84,14 +74,11 @@
               RolloutStatus& aStatus)
 {
   const ConfigView& view = ViewOf(aStep);
-  const auto& sessions = aStep.mControl.mLeadership.mSessions.mSessions;
   const Revision changed =
     ObjectRevision(view, ObjectName(SetRollout{ aRollout }));
   aStatus.mAllReported = true;
   for (const auto& [id, member] : view.mMembers) {
-    auto session = sessions.find(id);
-    if (member.mRole != MemberRole::eEntry || session == sessions.end() ||
-        session->second.mHoldsUntil <= aStep.mNow) {
+    if (member.mRole != MemberRole::eEntry || !MayHaveCalls(aStep, id)) {
       continue;
     }
     auto report = aWatch.mReports.find(id);
@@ -110,12 +97,41 @@
 {
   RolloutStatus status;
   status.mJudgement = JudgeRollout(SumEvidence(aWatch));
-  status.mHasTargets = HasEnoughTargets(ViewOf(aStep), aRollout);
+  AddSlots(ViewOf(aStep), aRollout, status);
   status.mStreamTime = LongestStream(ViewOf(aStep));
   AddCallsAtOld(aStep, aRollout, aWatch, status);
   return status;
 }
 
+// The entries with the most trial requests, as "NAME:TRIAL/REQUESTS".
+std::string
+MostExposed(const RolloutWatch& aWatch)
+{
+  std::vector<const RolloutReport*> reports;
+  for (const auto& [entry, report] : aWatch.mReports) {
+    reports.push_back(&report);
+  }
+  const size_t count = std::min(kEntriesInLine, reports.size());
+  std::partial_sort(
+    reports.begin(),
+    reports.begin() + static_cast<ptrdiff_t>(count),
+    reports.end(),
+    [](const RolloutReport* aLeft, const RolloutReport* aRight) {
+      return aLeft->mTrial > aRight->mTrial;
+    });
+  std::string text;
+  for (size_t at = 0; at < count; ++at) {
+    absl::StrAppend(&text,
+                    at > 0 ? "," : "",
+                    reports[at]->mEntry.mValue,
+                    ":",
+                    reports[at]->mTrial,
+                    "/",
+                    reports[at]->mRequests);
+  }
+  return text;
+}
+
 void
 LogRollout(ControlStep& aStep,
            const Rollout& aRollout,
@@ -125,12 +141,7 @@
            std::string aChoice,
            std::string aReason)
 {
-  uint64_t requests = 0;
-  uint64_t trial = 0;
-  for (const auto& [entry, report] : aWatch.mReports) {
-    requests += report.mRequests;
-    trial += report.mTrial;
-  }
+  const Exposure exposure = SumExposure(aWatch);
   DecisionLog log;
   log.mLevel = aLevel;
   log.mEvent = "rollout";
@@ -144,8 +155,9 @@
       absl::StrCat((LogicalNow(aStep) - aRollout.mBegunAt).Millis()) },
     { "duration_ms", absl::StrCat(aRollout.mDuration.Millis()) },
     { "entries", absl::StrCat(aWatch.mReports.size()) },
-    { "requests", absl::StrCat(requests) },
-    { "trial_requests", absl::StrCat(trial) },
+    { "requests", absl::StrCat(exposure.mRequests) },
+    { "trial_requests", absl::StrCat(exposure.mTrial) },
+    { "most_exposed", MostExposed(aWatch) },
     { "trial_answers", absl::StrCat(aStatus.mJudgement.mAnswers) },
     { "trial_failures", absl::StrCat(aStatus.mJudgement.mFailures) },
     { "items", absl::StrCat(aWatch.mItemsLeased) },
@@ -221,6 +233,38 @@
 
 } // namespace
 
+RolloutEvidence
+SumEvidence(const RolloutWatch& aWatch)
+{
+  RolloutEvidence evidence;
+  for (const auto& [entry, report] : aWatch.mReports) {
+    for (const RouteAnswers& answers : report.mAnswers) {
+      AddCounts(answers.mTarget.Empty()
+                  ? evidence.mBeside[answers.mRoute]
+                  : evidence.mTrial[answers.mRoute][answers.mTarget],
+                answers.mCounts);
+    }
+  }
+  if (aWatch.mItemsBeside.mAnswers > 0) {
+    evidence.mBeside[kBatchItems] = aWatch.mItemsBeside;
+  }
+  if (!aWatch.mTrialItems.empty()) {
+    evidence.mTrial[kBatchItems] = aWatch.mTrialItems;
+  }
+  return evidence;
+}
+
+Exposure
+SumExposure(const RolloutWatch& aWatch)
+{
+  Exposure sum;
+  for (const auto& [entry, report] : aWatch.mReports) {
+    sum.mRequests += report.mRequests;
+    sum.mTrial += report.mTrial;
+  }
+  return sum;
+}
+
 void
 HandleMessage(ControlStep& aStep,
               const PeerAddress& aFrom,
@@ -264,7 +308,7 @@
   if (rollout == nullptr) {
     return aWanted;
   }
-  if (ExcludesNewWork(*rollout, *target) ||
+  if (IsOutOfUse(ViewOf(aStep), *target) ||
       (rollout->mPhase == RolloutPhase::eMoving &&
        IsOldVersion(*rollout, *target))) {
     return 0;
@@ -274,7 +318,9 @@
     return aWanted;
   }
   const RolloutWatch& watch = WatchOf(aStep, *rollout);
-  const Exposure items{ watch.mItemsLeased, watch.mTrialItemsLeased };
+  const Exposure items{ watch.mItemsLeased,
+                        watch.mTrialItemsLeased + watch.mTrialLeases.size() -
+                          watch.mTrialLeases.count(aNode) };
   return MayExpose(items,
                    aStep.mControl.mSettings.mExposure.mShare,
                    0,
@@ -283,6 +329,16 @@
            : 0;
 }
 
+void
+ReserveItems(ControlStep& aStep, const InstanceId& aNode)
+{
+  const auto [target, rollout] = RolloutAtNode(aStep, aNode);
+  if (rollout != nullptr && IsActive(*rollout) &&
+      IsTrialVersion(*rollout, *target)) {
+    WatchOf(aStep, *rollout).mTrialLeases.insert(aNode);
+  }
+}
+
 void
 CountLeasedItems(ControlStep& aStep,
                  const InstanceId& aNode,
@@ -293,6 +349,7 @@
     return;
   }
   RolloutWatch& watch = WatchOf(aStep, *rollout);
+  watch.mTrialLeases.erase(aNode);
   watch.mItemsLeased += aBatch.mItems.size();
   if (IsTrialVersion(*rollout, *target)) {
     watch.mTrialItemsLeased += aBatch.mItems.size();
@@ -307,6 +364,12 @@
     return;
   }
   RolloutWatch& watch = WatchOf(aStep, *rollout);
+  auto& counted = watch.mResultsCounted[aResults.mNode];
+  const std::pair results(aResults.mNodeEpoch, aResults.mSequence);
+  if (results <= counted) {
+    return;
+  }
+  counted = results;
   AnswerCounts& counts = IsTrialVersion(*rollout, *target)
                            ? watch.mTrialItems[target->mId]
                            : watch.mItemsBeside;
--- a/caraway/control/step.h
+++ b/caraway/control/step.h
@@ -240,6 +240,11 @@
 HandleMessage(ControlStep& aStep,
               const PeerAddress& aFrom,
               const RolloutReport& aMessage); // rollouts.cpp
+// Over all entries, by their last reports.
+Exposure
+SumExposure(const RolloutWatch& aWatch);
+RolloutEvidence
+SumEvidence(const RolloutWatch& aWatch);
 // Judges the active roll-outs and proposes their next phases.
 void
 RunRollouts(ControlStep& aStep);
@@ -247,6 +252,10 @@
 // service of its target.
 uint32_t
 ItemsForRollout(ControlStep& aStep, const InstanceId& aNode, uint32_t aWanted);
+// Counts the node's next lease towards the share of the version on trial until
+// it is applied.
+void
+ReserveItems(ControlStep& aStep, const InstanceId& aNode);
 // Counts items that a node has got, or has reported results of.
 void
 CountLeasedItems(ControlStep& aStep,
--- a/caraway/entry/rollouts.cpp
+++ b/caraway/entry/rollouts.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "caraway/config/target_use.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
 #include "caraway/routing/hash.h"
@@ -87,7 +88,7 @@
   std::vector<std::pair<uint64_t, TargetId>> trial;
   size_t old = 0;
   for (const auto& [id, target] : entry.mConfig.mTargets) {
-    if (target.mDraining || !ZoneInService(entry.mConfig, target.mZone)) {
+    if (!TakesWork(entry.mConfig, target)) {
       continue;
     }
     old += IsOldVersion(aRollout, target) ? 1 : 0;
--- a/caraway/node/node_batch.cpp
+++ b/caraway/node/node_batch.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "caraway/base/absl_view.h"
+#include "caraway/config/target_use.h"
 #include "caraway/node/batch_line.h"
 #include "caraway/node/node_internal.h"
 
@@ -269,7 +270,8 @@
     SendRenew(aNode, aNow, aOut);
   }
   const ErrorKind reason = RefusalReason(aNode, aNow);
-  if (reason == ErrorKind::eDraining || reason == ErrorKind::eZoneOut) {
+  if (reason == ErrorKind::eDraining || reason == ErrorKind::eZoneOut ||
+      IsOutOfUse(aNode.mSession.mView, aNode.mRecord)) {
     ReturnWaitingItems(aNode, aNow, aOut);
   }
 }
--- a/caraway/node/node_config.cpp
+++ b/caraway/node/node_config.cpp
@@ -1,5 +1,6 @@
 // Fetches the configuration from control and reacts to changes in it.
 
+#include "caraway/config/target_use.h"
 #include "caraway/node/node_internal.h"
 
 namespace caraway {
@@ -59,9 +60,7 @@
 void
 ReturnItemsByRollout(Node& aNode, MonoTime aNow, NodeActions& aOut)
 {
-  const Rollout* rollout =
-    FindRollout(aNode.mSession.mView, aNode.mRecord.mService);
-  if (rollout != nullptr && ExcludesNewWork(*rollout, aNode.mRecord)) {
+  if (IsOutOfUse(aNode.mSession.mView, aNode.mRecord)) {
     ReturnWaitingItems(aNode, aNow, aOut);
   }
 }
--- a/caraway/rollout/progress.cpp
+++ b/caraway/rollout/progress.cpp
@@ -20,6 +20,10 @@
 constexpr int64_t kTrialShareDenominator = 5;
 // Items and calls that crossed the change of phase have begun by then.
 constexpr Duration kLeastDraining = Seconds(1);
+// Targets of the version must offer this part of the slots of the old ones
+// before the traffic moves.
+constexpr uint64_t kSlotShareNumerator = 7;
+constexpr uint64_t kSlotShareDenominator = 10;
 
 Duration
 TrialTime(const Rollout& aRollout, const RolloutStatus& aStatus)
@@ -30,8 +34,28 @@
                   aRollout.mDuration - rest);
 }
 
+// What is missing while there are not enough targets.
+std::string
+TargetShortage(const RolloutStatus& aStatus)
+{
+  return aStatus.mTrialSlots == 0
+           ? "no target of the version takes work"
+           : absl::StrCat("too few targets of the version: ",
+                          aStatus.mTrialSlots,
+                          " slots beside ",
+                          aStatus.mOldSlots);
+}
+
 } // namespace
 
+bool
+HasEnoughTargets(const RolloutStatus& aStatus)
+{
+  return aStatus.mTrialSlots > 0 &&
+         aStatus.mTrialSlots * kSlotShareDenominator >=
+           aStatus.mOldSlots * kSlotShareNumerator;
+}
+
 std::optional<RolloutStep>
 NextRolloutStep(const Rollout& aRollout,
                 const RolloutStatus& aStatus,
@@ -47,19 +71,24 @@
   const Duration inPhase = aNow - aRollout.mChangedAt;
   switch (aRollout.mPhase) {
     case RolloutPhase::eTrial:
-      if (judgement.mVerdict == RolloutVerdict::eGood && aStatus.mHasTargets &&
+      if (judgement.mVerdict == RolloutVerdict::eGood &&
+          HasEnoughTargets(aStatus) &&
           inPhase >= TrialTime(aRollout, aStatus)) {
         return RolloutStep{ RolloutPhase::eMoving, judgement.mReason };
       }
       break;
     case RolloutPhase::eMoving:
-      if (inPhase >= kMovingTime && aStatus.mHasTargets) {
+      if (inPhase >= kMovingTime && HasEnoughTargets(aStatus)) {
         return RolloutStep{ RolloutPhase::eDraining, "the traffic has moved" };
       }
       break;
     case RolloutPhase::eDraining:
+      if (!HasEnoughTargets(aStatus)) {
+        // The old targets are still there and can help out again.
+        return RolloutStep{ RolloutPhase::eMoving, TargetShortage(aStatus) };
+      }
       if (inPhase >= kLeastDraining && aStatus.mAllReported &&
-          aStatus.mCallsAtOld == 0 && aStatus.mHasTargets) {
+          aStatus.mCallsAtOld == 0) {
         return RolloutStep{ RolloutPhase::eCompleted,
                             "nothing runs at the old versions" };
       }
@@ -79,10 +108,13 @@
   const Duration inPhase = aNow - aRollout.mChangedAt;
   if (aRollout.mPhase == RolloutPhase::eTrial &&
       inPhase > TrialTime(aRollout, aStatus)) {
-    return aStatus.mHasTargets ? aStatus.mJudgement.mReason
-                               : "no target of the version takes work";
+    return HasEnoughTargets(aStatus) ? aStatus.mJudgement.mReason
+                                     : TargetShortage(aStatus);
   }
   if (IsActive(aRollout) && aNow - aRollout.mBegunAt > aRollout.mDuration) {
+    if (!HasEnoughTargets(aStatus)) {
+      return TargetShortage(aStatus);
+    }
     return aStatus.mAllReported
              ? absl::StrCat(aStatus.mCallsAtOld, " calls at old versions")
              : "not all entries have reported since the last change";
--- a/caraway/rollout/progress.h
+++ b/caraway/rollout/progress.h
@@ -18,7 +18,9 @@
 struct RolloutStatus
 {
   RolloutJudgement mJudgement;
-  bool mHasTargets = false;  // some target has the version and takes work
+  // Of targets that take work: of the version on trial, and of the old ones.
+  uint64_t mTrialSlots = 0;
+  uint64_t mOldSlots = 0;
   bool mAllReported = false; // every entry has reported since the last change
   uint64_t mCallsAtOld = 0;  // by these reports
   Duration mStreamTime;      // longest time that a call may take
@@ -30,6 +32,10 @@
   std::string mReason;
 };
 
+// True if the targets of the version can take the service's traffic.
+bool
+HasEnoughTargets(const RolloutStatus& aStatus);
+
 // The next phase, or nullopt while the present one goes on. aNow is logical
 // time of control.
 std::optional<RolloutStep>
--- a/tests/control_rollout_test.cpp
+++ b/tests/control_rollout_test.cpp
@@ -4,92 +4,54 @@
 #define BOOST_TEST_MODULE control_rollout
 #include <boost/test/unit_test.hpp>
 
-#include "tests/control_link.h"
+#include "tests/control_group.h"
 
 using namespace caraway;
 
 namespace {
 
-const PeerAddress kEntry("10.0.1.1:1");
 const ServiceId kService("engine");
 
-struct Group
+struct Group : ControlGroup
 {
-  ControlLink mLink{ 3 };
   std::vector<CallReplyBody> mReplies;
-  Epoch mEpoch;
-  uint64_t mCalls = 0;
 
   Group()
   {
-    mLink.StartAll();
-    BOOST_REQUIRE(mLink.AwaitLeader());
-    mLink.mPeers[kEntry] = [this](const PeerAddress&, const Message& aMessage) {
+    mOnMessage = [this](const Message& aMessage) {
       if (const auto* reply = std::get_if<ControlCallReply>(&aMessage)) {
         mReplies.push_back(reply->mBody);
-      } else if (const auto* session = std::get_if<RegisterReply>(&aMessage)) {
-        mEpoch = session->mEpoch;
       }
     };
-    Join();
     ServingPlan plan;
     plan.mVersion = 1;
     plan.mServices.resize(1);
     plan.mServices[0].mId = kService;
     Call(ReplacePlan{ plan });
-    AddTarget("1", "v1");
-    AddTarget("2", "v2");
+    Call(ReportTargets{ { TargetOf("1", "v1", kService) }, {} });
+    Call(ReportTargets{ { TargetOf("2", "v2", kService) }, {} });
   }
 
-  // Registers the entry again and passes the targets' heartbeats on, so that
-  // neither is removed while a test waits.
+  // Registers the entry again, renews its lease and passes the targets'
+  // heartbeats on, so that neither is removed while a test waits.
   void Join()
   {
-    Register entry;
-    entry.mMember.mInstance = InstanceId("entry-1");
-    entry.mMember.mIncarnation = 1;
-    entry.mMember.mAddress = kEntry;
-    mEpoch = {};
-    mLink.SendFrom(kEntry, LeaderAddress(), entry);
-    mLink.SendFrom(kEntry,
-                   LeaderAddress(),
-                   TargetsHeard{ { TargetId("1"), TargetId("2") } });
-    mLink.Run(Millis(200));
-    BOOST_REQUIRE(!mEpoch.IsNone());
-  }
-
-  PeerAddress LeaderAddress()
-  {
-    return ControlLink::AddressOf(mLink.Leader().value());
+    Register();
+    RenewLease();
+    SendToLeader(TargetsHeard{ { TargetId("1"), TargetId("2") } });
   }
 
   // Sends an order to the leader, as the entry. Returns its last reply.
   CallReplyBody Call(CallBody aBody)
   {
     Join();
-    ControlCall call;
-    call.mCall = ++mCalls;
-    call.mEntry = InstanceId("entry-1");
-    call.mEntryEpoch = mEpoch;
-    call.mBody = std::move(aBody);
     mReplies.clear();
-    mLink.SendFrom(kEntry, LeaderAddress(), std::move(call));
-    mLink.Run(Seconds(2)); // a plan is acknowledged after 1.5 s at the latest
+    // A plan is acknowledged after 1.5 s at the latest.
+    SendCall(std::move(aBody), Seconds(2));
     BOOST_REQUIRE(!mReplies.empty());
     return mReplies.back();
   }
 
-  void AddTarget(const char* aId, const char* aVersion)
-  {
-    Target target;
-    target.mId = TargetId(aId);
-    target.mService = kService;
-    target.mAddress = std::string("10.0.2.1:") + aId;
-    target.mVersion = aVersion;
-    target.mStartedAt = 1;
-    Call(ReportTargets{ { target }, {} });
-  }
-
   ErrorKind Begin(const char* aVersion, const char* aService = "engine")
   {
     const CallReplyBody reply =
@@ -105,8 +67,28 @@
     return rollout == nullptr ? std::nullopt : std::optional(rollout->mRollout);
   }
 
-  // Reports answers as the only entry does, for as long as aTime.
-  void Report(uint64_t aFailuresInTen, Duration aTime)
+  const ConfigView& View()
+  {
+    return mLink.mReplicas[mLink.Leader().value()]
+      .mControl->mState.mConfig.mView;
+  }
+
+  void RenewLease()
+  {
+    Renew renew;
+    renew.mInstance = InstanceId("entry-1");
+    renew.mEpoch = mEpoch;
+    renew.mRevision = View().mRevision;
+    renew.mLeaseLeft = Seconds(2);
+    SendToLeader(renew);
+  }
+
+  // Reports answers as the only entry does, for as long as aTime or until the
+  // phase is aUntil.
+  void Report(uint64_t aFailuresInTen,
+              Duration aTime,
+              RolloutPhase aUntil = RolloutPhase::eRolledBack,
+              uint64_t aCallsAtOld = 0)
   {
     const std::optional<Rollout> rollout = Read();
     BOOST_REQUIRE(rollout);
@@ -114,29 +96,23 @@
     report.mEntry = InstanceId("entry-1");
     report.mService = kService;
     report.mNumber = rollout->mNumber;
+    report.mCallsAtOld = aCallsAtOld;
     AnswerCounts beside;
     AnswerCounts trial;
-    for (const MonoTime end = mLink.mNow + aTime; mLink.mNow < end;) {
+    for (const MonoTime end = mLink.mNow + aTime;
+         mLink.mNow < end && View().mRollouts.at(kService).mPhase != aUntil;) {
       beside.mAnswers += 100;
       trial.mAnswers += 10;
       trial.mFailures += aFailuresInTen;
       report.mRevision = Revision(1000000); // newer than any change
       report.mAnswers = { { RouteId("chat"), {}, beside },
                           { RouteId("chat"), TargetId("2"), trial } };
-      mLink.SendFrom(kEntry, LeaderAddress(), report);
-      mLink.SendFrom(kEntry,
-                     LeaderAddress(),
-                     TargetsHeard{ { TargetId("1"), TargetId("2") } });
+      SendToLeader(report);
+      RenewLease();
+      SendToLeader(TargetsHeard{ { TargetId("1"), TargetId("2") } });
       mLink.Run(Millis(400));
     }
   }
-
-  void ChangeLeader()
-  {
-    mLink.Kill(mLink.Leader().value());
-    BOOST_REQUIRE(mLink.AwaitLeader());
-    mLink.Run(Millis(200));
-  }
 };
 
 } // namespace
@@ -185,15 +161,41 @@
   BOOST_TEST(Read()->mNumber == number);
 }
 
+// A leader that has just been elected has no report yet; the old targets would
+// be stopped under the calls that run there.
+BOOST_FIXTURE_TEST_CASE(new_leader_waits_for_calls_at_the_old_version, Group)
+{
+  Begin("v2");
+  Report(0, Seconds(12), RolloutPhase::eDraining, 1);
+  BOOST_REQUIRE((Read()->mPhase == RolloutPhase::eDraining));
+  ChangeLeader();
+  mLink.Run(Millis(1500));
+  BOOST_TEST((Read()->mPhase == RolloutPhase::eDraining));
+  Report(0, Seconds(4), RolloutPhase::eCompleted, 1);
+  BOOST_TEST((Read()->mPhase == RolloutPhase::eDraining));
+  Report(0, Seconds(2), RolloutPhase::eCompleted, 0);
+  BOOST_TEST((Read()->mPhase == RolloutPhase::eCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(plan_that_drops_the_service_drops_its_roll_out, Group)
+{
+  Begin("v2");
+  ServingPlan plan;
+  plan.mVersion = 2;
+  plan.mServices.resize(1);
+  plan.mServices[0].mId = kService;
+  Call(ReplacePlan{ plan });
+  BOOST_TEST((Read()->mPhase == RolloutPhase::eTrial));
+  plan.mVersion = 3;
+  plan.mServices[0].mId = ServiceId("other");
+  Call(ReplacePlan{ plan });
+  BOOST_TEST(!Read());
+}
+
 BOOST_FIXTURE_TEST_CASE(acknowledged_order_outlives_a_loss_of_all_power, Group)
 {
   Begin("v2");
-  for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-    mLink.Kill(at);
-  }
-  mLink.StartAll();
-  BOOST_REQUIRE(mLink.AwaitLeader());
-  mLink.Run(Millis(200));
+  LosePower();
   BOOST_REQUIRE(Read());
   BOOST_TEST(Read()->mTo == "v2");
 }
@@ -216,7 +218,7 @@
   AnswerCounts trial;
   trial.mAnswers = trial.mFailures = 100;
   report.mAnswers = { { RouteId("chat"), TargetId("2"), trial } };
-  mLink.SendFrom(kEntry, LeaderAddress(), report);
+  SendToLeader(report);
   mLink.Run(Seconds(1));
   BOOST_TEST((Read()->mPhase == RolloutPhase::eTrial));
 }
--- a/tests/control_stream_versions_test.cpp
+++ b/tests/control_stream_versions_test.cpp
@@ -3,80 +3,46 @@
 #define BOOST_TEST_MODULE control_stream_versions
 #include <boost/test/unit_test.hpp>
 
-#include "tests/control_link.h"
+#include "tests/control_group.h"
 
 using namespace caraway;
 
 namespace {
 
-const PeerAddress kEntry("10.0.1.1:1");
 const ServiceId kService("engine");
 const StreamId kStream(7);
 
-struct Group
+struct Group : ControlGroup
 {
-  ControlLink mLink{ 3 };
   std::vector<OriginReply> mReplies; // to the last question
-  Epoch mEpoch;
-  uint64_t mCalls = 0;
 
   Group()
   {
-    mLink.StartAll();
-    BOOST_REQUIRE(mLink.AwaitLeader());
-    mLink.mPeers[kEntry] = [this](const PeerAddress&, const Message& aMessage) {
+    mOnMessage = [this](const Message& aMessage) {
       if (const auto* reply = std::get_if<OriginReply>(&aMessage)) {
         mReplies.push_back(*reply);
-      } else if (const auto* session = std::get_if<RegisterReply>(&aMessage)) {
-        mEpoch = session->mEpoch;
       }
     };
-    Register entry;
-    entry.mMember.mInstance = InstanceId("entry-1");
-    entry.mMember.mIncarnation = 1;
-    entry.mMember.mAddress = kEntry;
-    SendToAll(entry);
-    mLink.Run(Millis(200));
-    BOOST_REQUIRE(!mEpoch.IsNone());
   }
 
-  void Report(ReportTargets aReport) { Call(std::move(aReport)); }
-
-  // Sends an order to the leader, as the entry.
-  void Call(CallBody aBody)
-  {
-    ControlCall call;
-    call.mCall = ++mCalls;
-    call.mEntry = InstanceId("entry-1");
-    call.mEntryEpoch = mEpoch;
-    call.mBody = std::move(aBody);
-    mLink.SendFrom(
-      kEntry, ControlLink::AddressOf(mLink.Leader().value()), std::move(call));
-    mLink.Run(Millis(300));
-  }
+  void Call(CallBody aBody) { SendCall(std::move(aBody), Millis(300)); }
 
   void AddTarget(const char* aId,
                  const char* aVersion,
                  const ServiceId& aService = kService)
   {
-    Target target;
-    target.mId = TargetId(aId);
-    target.mService = aService;
-    target.mAddress = std::string("10.0.2.1:") + aId;
-    target.mVersion = aVersion;
-    target.mStartedAt = 1;
-    Report({ { target }, {} });
+    Call(ReportTargets{ { TargetOf(aId, aVersion, aService) }, {} });
   }
 
   void RemoveTarget(const char* aId)
   {
-    Report({ {}, { { TargetId(aId), 1 } } });
+    Call(ReportTargets{ {}, { { TargetId(aId), 1 } } });
   }
 
   void SendToAll(const Message& aMessage)
   {
     for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-      mLink.SendFrom(kEntry, ControlLink::AddressOf(at), aMessage);
+      mLink.SendFrom(kGroupEntry, ControlLink::AddressOf(at), aMessage);
     }
     mLink.Run(Millis(20));
   }
@@ -101,13 +67,6 @@
     SendToAll(StreamsBegun{ { { kService, aVersion } }, { { kStream, 0 } } });
   }
 
-  void ChangeLeader()
-  {
-    mLink.Kill(mLink.Leader().value());
-    BOOST_REQUIRE(mLink.AwaitLeader());
-    mLink.Run(Millis(200));
-  }
-
   // Lets time pass while the target's heartbeats arrive.
   void Pass(Duration aTime, const char* aId)
   {
@@ -188,12 +147,7 @@
   AddTarget("2", "v2");
   RemoveTarget("1");
   BeginStream("v1");
-  for (size_t at = 0; at < mLink.mReplicas.size(); ++at) {
-    mLink.Kill(at);
-  }
-  mLink.StartAll();
-  BOOST_REQUIRE(mLink.AwaitLeader());
-  mLink.Run(Millis(200));
+  LosePower();
   BOOST_TEST((Ask().mState == OriginState::eUnknown));
   BOOST_TEST(Ask().mLeader);
 }
@@ -211,7 +165,7 @@
   mLink.Run(Seconds(5));
   mLink.mCut.clear();
   mReplies.clear();
-  mLink.SendFrom(kEntry,
+  mLink.SendFrom(kGroupEntry,
                  ControlLink::AddressOf(leader),
                  OriginQuery{ RequestId("r"), kStream, kService });
   mLink.Run(Millis(5));
--- a/tests/entry_rollout_test.cpp
+++ b/tests/entry_rollout_test.cpp
@@ -117,6 +117,39 @@
   BOOST_TEST(mAtTrial == 0);
 }
 
+// The entry was frozen while the version was taken back and its targets left.
+BOOST_AUTO_TEST_CASE(entry_that_wakes_in_an_old_phase_uses_no_trial_target)
+{
+  for (int request = 0; request < 50; ++request) {
+    Serve();
+  }
+  BOOST_REQUIRE(mAtTrial > 0);
+  mAtTrial = 0;
+  mLease = false; // a renewal is not granted without the newer configuration
+  mNow = mNow + Seconds(60);
+  for (int request = 0; request < 50; ++request) {
+    Serve();
+  }
+  BOOST_TEST(mAtTrial == 0);
+}
+
+// The evacuation leaves no target of the version; callers are served beside it,
+// and the share is not made up for at once when the target is back.
+BOOST_AUTO_TEST_CASE(target_on_trial_that_is_taken_out_of_service_gets_nothing)
+{
+  Change(SetTargetService{ TargetId("t-a2"), false });
+  for (int request = 0; request < 50; ++request) {
+    Serve();
+  }
+  BOOST_TEST(mAtTrial == 0);
+  Change(SetTargetService{ TargetId("t-a2"), true });
+  for (int request = 51; request <= 100; ++request) {
+    Serve();
+    BOOST_REQUIRE(mAtTrial <= 0.1 * request);
+  }
+  BOOST_TEST(mAtTrial > 0);
+}
+
 // A slot that was asked for before the verdict is granted after it.
 BOOST_AUTO_TEST_CASE(grant_that_crosses_the_verdict_is_not_used)
 {
--- a/tests/node_batch_test.cpp
+++ b/tests/node_batch_test.cpp
@@ -42,6 +42,24 @@
   return sent[0].mResults;
 }
 
+// The configuration takes the target's version out of use.
+void
+TakeBack(NodeFixture& aNode)
+{
+  aNode.mNode.mRecord.mService = ServiceId("engine");
+  aNode.mNode.mRecord.mVersion = "v2";
+  Rollout rollout;
+  rollout.mService = ServiceId("engine");
+  rollout.mTo = "v2";
+  rollout.mPhase = RolloutPhase::eRolledBack;
+  const uint64_t held = aNode.mNode.mSession.mView.mRevision.mValue;
+  ConfigDelta delta;
+  delta.mFrom = Revision(held);
+  delta.mTo = Revision(held + 1);
+  delta.mChanges = { { Revision(held + 1), SetRollout{ rollout } } };
+  aNode.Hear(kTestControl, delta);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(lease_request_is_resent_under_one_sequence)
@@ -403,3 +421,39 @@
   BOOST_TEST((results[0].mVerdict == ItemVerdict::eReturned));
   BOOST_TEST(node.Sent<CrashReport>().empty());
 }
+
+// A roll-out that takes the target's version back loses no item and no result:
+// what waits goes back, what runs is finished, and items that were leased
+// before and come after it do not start.
+BOOST_AUTO_TEST_CASE(version_that_is_taken_back_loses_no_item_and_no_result)
+{
+  NodeFixture node(1);
+  node.MakeReady();
+  node.AnswerLeaseItems(2);
+  const auto started = node.Started();
+  BOOST_REQUIRE_EQUAL(started.size(), 1u);
+  node.Wait(Millis(100));
+  TakeBack(node);
+  const auto returned = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(returned.size(), 1u);
+  BOOST_TEST((returned[0].mVerdict == ItemVerdict::eReturned));
+  node.Answer(started[0].mCall, "{}", 200);
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 1u);
+  BOOST_TEST((results[0].mVerdict == ItemVerdict::eDone));
+}
+
+BOOST_AUTO_TEST_CASE(items_that_cross_the_return_of_their_version_do_not_start)
+{
+  NodeFixture node(4);
+  node.MakeReady();
+  BOOST_REQUIRE(node.mNode.mBatch.mLeasing);
+  TakeBack(node);
+  node.AnswerLeaseItems(2);
+  BOOST_TEST(node.Started().empty());
+  const auto results = ResultsAfterGrouping(node);
+  BOOST_REQUIRE_EQUAL(results.size(), 2u);
+  for (const ItemResult& result : results) {
+    BOOST_TEST((result.mVerdict == ItemVerdict::eReturned));
+  }
+}
--- a/tests/rollout_progress_test.cpp
+++ b/tests/rollout_progress_test.cpp
@@ -24,7 +24,7 @@
     mRollout.mTo = "v2";
     mRollout.mBegunAt = mRollout.mChangedAt = mNow;
     mRollout.mDuration = Seconds(12);
-    mStatus.mHasTargets = true;
+    mStatus.mTrialSlots = mStatus.mOldSlots = 8;
     mStatus.mStreamTime = Seconds(5);
     mStatus.mJudgement.mVerdict = RolloutVerdict::eGood;
   }
@@ -84,9 +84,14 @@
 
 BOOST_FIXTURE_TEST_CASE(traffic_does_not_move_to_too_few_targets, Order)
 {
-  mStatus.mHasTargets = false;
+  mStatus.mTrialSlots = 5;
   BOOST_TEST(!Leaves(Seconds(60)));
-  BOOST_TEST(!RolloutAlarm(mRollout, mStatus, mNow).empty());
+  BOOST_TEST(RolloutAlarm(mRollout, mStatus, mNow) ==
+             "too few targets of the version: 5 slots beside 8");
+  mStatus.mTrialSlots = 0;
+  BOOST_TEST(!Leaves(Seconds(60)));
+  BOOST_TEST(RolloutAlarm(mRollout, mStatus, mNow) ==
+             "no target of the version takes work");
 }
 
 BOOST_FIXTURE_TEST_CASE(old_targets_are_kept_while_calls_run_there, Order)
@@ -102,6 +107,21 @@
   BOOST_TEST(Leaves(Seconds(1)).has_value());
 }
 
+// Targets of the version leave, or their zone is evacuated, while the old ones
+// get nothing new any more.
+BOOST_FIXTURE_TEST_CASE(old_targets_help_out_again_if_new_ones_leave, Order)
+{
+  mRollout.mPhase = RolloutPhase::eDraining;
+  mStatus.mCallsAtOld = 1;
+  mStatus.mTrialSlots = 3;
+  BOOST_REQUIRE(Leaves(Seconds(1)));
+  BOOST_TEST((mRollout.mPhase == RolloutPhase::eMoving));
+  BOOST_TEST(!Leaves(Seconds(10)));
+  mStatus.mTrialSlots = 8;
+  BOOST_REQUIRE(Leaves(Seconds(2)));
+  BOOST_TEST((mRollout.mPhase == RolloutPhase::eDraining));
+}
+
 // 390 entries that never hear each other, with uneven traffic, restarts in the
 // middle and streams that are taken up again.
 BOOST_AUTO_TEST_CASE(exposure_stays_within_share_and_slack_over_all_entries)
