Admission: entries lend rate shares without a leader

Cause: without a leader, each entry admitted an equal share of each rate.

Change: where the deployment states a tolerance above contracts, up to eight entries a workspace (rendezvous hashing) divide its rate and 45 in 100 of the tolerance, and the others borrow from them request by request (LoanRequest, LoanReply). The grantor leaves out the parts of lenders that are away, by workspace, and gives out 13 in 100 of the tolerance in their place. In calm it grants up to 6 in 100 in advance of the refill for tokens that lie at other entries. Requests wait for a lender or a returning leader within their goal, at most 0.7 s and 512 at an entry; returns of refused callers are spread. Without a stated tolerance nothing changes.

SpendOverrun and its test are gone with the division among all entries; loans_stay_within_their_part_in_every_window checks the same bound (any window, 2, 21 and 390 entries), with restarts and freezes beside. caraway_entry_overruns_total gives way to the two loan counters.

The goal of none with a third of the entries lost is not reached.

--- a/caraway/admission/grantor.cpp
+++ b/caraway/admission/grantor.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "caraway/admission/hold.h"
+#include "caraway/admission/token_division.h"
 #include "caraway/base/lease.h"
 
 namespace caraway {
@@ -16,11 +17,6 @@
 constexpr Duration kSweepInterval = Seconds(10);
 constexpr Duration kMaxRetryAfter = Seconds(60);
 
-// Prefetched tokens are at most this part of the burst. So requests within the
-// rate and three quarters of the burst find a token at whichever entry they
-// arrive, even if all prefetched tokens are held by other entries.
-constexpr double kPrefetchShare = 0.25;
-
 bool
 AreHoldingsKnown(const Grantor& aGrantor, MonoTime aNow)
 {
@@ -50,9 +46,9 @@
     if (passed <= Duration{}) {
       return;
     }
-    aBucket.mLevel = std::min(
-      aBucket.mLevel + aContract.mRate * aGrantor.mRateShare * passed.Seconds(),
-      LevelLimit(aBucket, aContract, aKnown));
+    aBucket.mLevel = std::min(aBucket.mLevel + aContract.mRate * aBucket.mPart *
+                                                 passed.Seconds(),
+                              LevelLimit(aBucket, aContract, aKnown));
     aBucket.mRefilledAt = aEnd;
   };
   span(std::min(aUntil, aGrantor.mHoldingsKnownAt), false);
@@ -72,6 +68,33 @@
   aBucket.mHoldings.erase(aPlace);
 }
 
+void
+UpdatePart(const Grantor& aGrantor,
+           GrantBucket& aBucket,
+           const Contract& aContract)
+{
+  if (aGrantor.mDivision.mTolerance.mWindow <= Duration{}) {
+    aBucket.mPart = aGrantor.mRateShare;
+    return;
+  }
+  if (aBucket.mPartVersion == aGrantor.mDivisionVersion) {
+    return;
+  }
+  aBucket.mPartVersion = aGrantor.mDivisionVersion;
+  if (aGrantor.mDivision.mAway.empty()) {
+    aBucket.mPart = 1;
+    return;
+  }
+  if (aBucket.mEntriesVersion != aGrantor.mEntriesVersion) {
+    aBucket.mEntriesVersion = aGrantor.mEntriesVersion;
+    aBucket.mLenders =
+      LendersOf(aContract.mWorkspace,
+                aGrantor.mDivision.mEntries,
+                LenderCount(aGrantor.mDivision.mTolerance, aContract));
+  }
+  aBucket.mPart = GrantedPart(aGrantor.mDivision, aContract, aBucket.mLenders);
+}
+
 // Brings the bucket up to date. Each expiry of a lease is a separate step,
 // since its tokens limit the refill until then.
 void
@@ -80,6 +103,7 @@
        const Contract& aContract,
        MonoTime aNow)
 {
+  UpdatePart(aGrantor, aBucket, aContract);
   while (true) {
     const MonoTime brief = aBucket.mBriefGrants.empty()
                              ? kNever
@@ -133,7 +157,7 @@
   const double seconds =
     std::max(0.0, (aGrantor.mHistoryEnd - aGrantor.mHistoryStart).Seconds());
   const double filled =
-    std::min(aContract.mBurst, aContract.mRate * aGrantor.mRateShare * seconds);
+    std::min(aContract.mBurst, aContract.mRate * aBucket.mPart * seconds);
   aBucket.mLevel =
     std::max(aBucket.mLevel,
              filled - aBucket.mRecent - aBucket.mGiven + aBucket.mOverrun);
@@ -174,7 +198,8 @@
   if (aFirst) {
     aBucket.mFirstHeld += held;
   } else if (held > aHolding.mAmount) {
-    const double paid = std::min(aBucket.mLevel, held - aHolding.mAmount);
+    const double paid =
+      std::clamp(aBucket.mLevel, 0.0, held - aHolding.mAmount);
     aBucket.mLevel -= paid;
     aHolding.mUnpaid += held - aHolding.mAmount - paid;
   } else if (spent >= 0 && dropped > 0) {
@@ -194,70 +219,10 @@
   aHolding.mPrefetch = wanted - waiting;
 }
 
-// The part of aTokens for one want, in proportion to the sum of all wants.
-double
-ShareOf(double aTokens, double aMine, double aAll)
-{
-  return aAll <= aTokens ? aMine : std::floor(aTokens * aMine / aAll);
-}
-
-struct Division
-{
-  double mBrief = 0; // for requests on hold
-  double mHeld = 0;  // prefetched
-};
-
-// Requests on hold take precedence. Each waiting entry gets at least one token
-// while there are any, since its share of a few tokens would round down to 0.
-Division
-DivideTokens(const GrantBucket& aBucket,
-             const GrantHolding& aHolding,
-             double aBurst)
-{
-  const double tokens = std::floor(aBucket.mLevel);
-  if (tokens <= 0) {
-    return {};
-  }
-  Division division;
-  division.mBrief =
-    std::max(ShareOf(tokens, aHolding.mWaiting, aBucket.mWaiting),
-             std::min(1.0, aHolding.mWaiting));
-  const double rest =
-    std::min(tokens - aBucket.mWaiting,
-             std::floor(aBurst * kPrefetchShare) - aBucket.mHeld);
-  if (rest > 0) {
-    division.mHeld = ShareOf(rest, aHolding.mPrefetch, aBucket.mPrefetch);
-  }
-  return division;
-}
-
-// Adds tokens above the contract for requests on hold that would get none.
-void
-AddOverrun(const Grantor& aGrantor,
-           GrantBucket& aBucket,
-           const GrantHolding& aHolding,
-           const Contract& aContract,
-           Division& aDivision,
-           MonoTime aNow)
-{
-  if (aNow >= aGrantor.mOverrunUntil) {
-    return;
-  }
-  const double left =
-    std::floor(kLeaderPart * OverrunOf(aGrantor.mTolerance, aContract)) -
-    aBucket.mOverrun;
-  const double extra = std::min(left, aHolding.mWaiting - aDivision.mBrief);
-  if (extra > 0) {
-    aBucket.mOverrun += extra;
-    aBucket.mLevel += extra; // RecordGrant takes it off
-    aDivision.mBrief += extra;
-  }
-}
-
 void
 RecordGrant(GrantBucket& aBucket,
             GrantHolding& aHolding,
-            const Division& aDivision,
+            const TokenDivision& aDivision,
             MonoTime aNow)
 {
   const double tokens = aDivision.mBrief + aDivision.mHeld;
@@ -321,8 +286,19 @@
   bucket.mLevel =
     std::min(bucket.mLevel,
              LevelLimit(bucket, aContract, AreHoldingsKnown(aGrantor, aNow)));
-  Division division = DivideTokens(bucket, holding, aContract.mBurst);
-  AddOverrun(aGrantor, bucket, holding, aContract, division, aNow);
+  // After that time, no earlier leader granted in advance within a window.
+  const RateTolerance& tolerance = aGrantor.mDivision.mTolerance;
+  const bool advances =
+    tolerance.mWindow > Duration{} &&
+    aNow >= GrantorLeaseEnd(aGrantor.mHoldingsKnownAt, tolerance.mWindow);
+  TokenDivision division = DivideTokens(
+    bucket,
+    holding,
+    aContract.mBurst,
+    advances ? AdvanceFor(bucket, holding, aContract, tolerance) : 0);
+  if (aNow < aGrantor.mOverrunUntil) {
+    AddOverrun(bucket, holding, aContract, aGrantor.mTolerance, division);
+  }
   RecordGrant(bucket, holding, division, aNow);
   const Duration retryAfter = RetryAfter(bucket, holding, aContract);
   // The holder refuses requests whose tokens will not come in time, so those
@@ -414,6 +390,27 @@
       : GrantorLeaseEnd(aNow, std::min(aGrantLease, aConfigLease));
 }
 
+void
+DivideRates(Grantor& aGrantor,
+            MonoTime aNow,
+            const ConfigView& aConfig,
+            RateDivision aDivision)
+{
+  if (aDivision == aGrantor.mDivision) {
+    return;
+  }
+  for (auto& [id, bucket] : aGrantor.mBuckets) {
+    auto contract = aConfig.mContracts.find(id);
+    if (contract != aConfig.mContracts.end()) {
+      Refill(aGrantor, bucket, contract->second, aNow);
+    }
+  }
+  aGrantor.mEntriesVersion +=
+    aDivision.mEntries == aGrantor.mDivision.mEntries ? 0 : 1;
+  aGrantor.mDivision = std::move(aDivision);
+  ++aGrantor.mDivisionVersion;
+}
+
 void
 AllowOverrun(Grantor& aGrantor,
              const RateTolerance& aTolerance,
--- a/caraway/admission/grantor.h
+++ b/caraway/admission/grantor.h
@@ -6,7 +6,8 @@
 // reported spent nor expired. Refill adds rate * time to the level and stops at
 // burst - outstanding. So the requests admitted over any interval are at most
 // rate * time + burst, even if messages are lost, duplicated or delayed. Time
-// is that of the leader's clock.
+// is that of the leader's clock. Where a deployment states a tolerance, the
+// level may be negative by a part of it (AdvanceFor).
 //
 // A session has one request in flight at a time and ignores a reply to another
 // sequence, so a request states exactly what its session holds. Tokens for
@@ -45,6 +46,14 @@
              Term aTerm,
              MonoTime aEntryLeft);
 
+// Divides the rates with the lenders among the entries (lending.h), in place of
+// mRateShare. Time before aNow counts by the former division.
+void
+DivideRates(Grantor& aGrantor,
+            MonoTime aNow,
+            const ConfigView& aConfig,
+            RateDivision aDivision);
+
 // Lets the grantor give out its part of the tolerance until aUntil. The caller
 // has made sure that no other leader does so within the same window.
 void
--- a/caraway/admission/grantor_state.h
+++ b/caraway/admission/grantor_state.h
@@ -5,8 +5,10 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "caraway/admission/lending.h"
 #include "caraway/admission/overrun.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
@@ -31,7 +33,7 @@
 
 struct GrantBucket
 {
-  double mLevel = 0; // tokens available to grant
+  double mLevel = 0; // tokens available to grant; negative: in advance
   MonoTime mRefilledAt;
   double mHeld = 0;        // sum of mAmount over mHoldings
   double mOutstanding = 0; // mHeld plus the sum of mBriefGrants
@@ -41,8 +43,14 @@
   // Admissions since mHistoryStart that entries reported, plus tokens they
   // held.
   double mRecent = 0;
-  double mGiven = 0;      // tokens granted since the election
-  double mOverrun = 0;    // of mGiven, above the contract
+  double mGiven = 0;   // tokens granted since the election
+  double mOverrun = 0; // of mGiven, above the contract
+  // Part of the rate that refills this bucket, and its lenders, with the
+  // versions of the grantor's division and entries for which they hold.
+  double mPart = 1;
+  uint64_t mPartVersion = 0;
+  std::vector<InstanceId> mLenders;
+  uint64_t mEntriesVersion = 0;
   bool mCredited = false; // the level accounts for the reported admissions
   std::map<Epoch, GrantHolding> mHoldings;    // by entry session
   std::set<std::pair<MonoTime, Epoch>> mEnds; // of mHoldings
@@ -77,6 +85,10 @@
   // Part of each rate that this grantor gives out. The rest belongs to entries
   // that cannot reach it and admit their equal share on their own.
   double mRateShare = 1;
+  // The same for each workspace, where the deployment states a tolerance.
+  RateDivision mDivision;
+  uint64_t mDivisionVersion = 1;
+  uint64_t mEntriesVersion = 1;
   // What this leader may grant above each contract, until mOverrunUntil.
   RateTolerance mTolerance;
   MonoTime mOverrunUntil{ -kNever.mMicros };
--- a/caraway/control/leadership.cpp
+++ b/caraway/control/leadership.cpp
@@ -127,6 +127,9 @@
 // grantor distributes only the rest. That holds for entries that an earlier
 // leader gave up as well.
 //
+// Where the deployment states a tolerance, lenders hold the shares instead, and
+// the division of each workspace differs (admission/lending.h).
+//
 // Invariant, for N entries: mRateShare <= 1 - C / N, where C is the number of
 // entries whose lease ended, by their own clocks, more than a scan and less
 // than kExpiredEntryTtl ago.
@@ -137,14 +140,16 @@
   if (!aStep.mControl.mSettings.mEntriesAdmitWhenCutOff) {
     return;
   }
-  const auto& expired = aStep.mControl.mState.mExpiredEntries;
   size_t present = 0;
-  auto away = static_cast<size_t>(
-    std::count_if(expired.begin(), expired.end(), [&](const auto& aExpired) {
-      return LogicalNow(aStep) - aExpired.second < kExpiredEntryTtl;
-    }));
-  for (const auto& [id, member] :
-       aStep.mControl.mState.mConfig.mView.mMembers) {
+  RateDivision division{ aStep.mControl.mSettings.mRateTolerance, {}, {} };
+  for (const auto& [id, since] : aStep.mControl.mState.mExpiredEntries) {
+    if (LogicalNow(aStep) - since < kExpiredEntryTtl) {
+      division.mEntries.push_back(id);
+      division.mAway.insert(id);
+    }
+  }
+  const ConfigView& view = aStep.mControl.mState.mConfig.mView;
+  for (const auto& [id, member] : view.mMembers) {
     if (member.mRole != MemberRole::eEntry) {
       continue;
     }
@@ -153,12 +158,20 @@
     // its election.
     const bool holds = session != leadership.mSessions.mSessions.end() &&
                        session->second.mHoldsUntil > aStep.mNow;
-    ++(holds ? present : away);
+    division.mEntries.push_back(id);
+    if (holds) {
+      ++present;
+    } else {
+      division.mAway.insert(id);
+    }
   }
   leadership.mGrantor.mRateShare =
-    present + away == 0
-      ? 1.0
-      : static_cast<double>(present) / static_cast<double>(present + away);
+    division.mEntries.empty() ? 1.0
+                              : static_cast<double>(present) /
+                                  static_cast<double>(division.mEntries.size());
+  if (division.mTolerance.mWindow > Duration{}) {
+    DivideRates(leadership.mGrantor, aStep.mNow, view, std::move(division));
+  }
 }
 
 void
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -10,6 +10,7 @@
 #include "caraway/entry/control_replies.h"
 #include "caraway/entry/direct.h"
 #include "caraway/entry/forward.h"
+#include "caraway/entry/loans.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/session.h"
 #include "caraway/entry/targets.h"
@@ -23,6 +24,14 @@
 // Retry-After while control is unreachable: by then another leader has usually
 // been elected and has granted tokens.
 constexpr Duration kControlUnreachableRetry = Millis(700);
+// Callers that are refused then return one after the other within this time.
+constexpr Duration kReturnSpread = Seconds(1);
+// Requests that wait longer than kGrantReplyTimeout.
+constexpr size_t kMostOnHold = 512;
+// Between two rounds over the lenders for one request.
+constexpr Duration kLookAgain = Millis(100);
+constexpr int64_t kHoldPartOfGoal = 2;
+constexpr int64_t kHoldPartOfDeadline = 3;
 
 void
 LogAdmission(EntryStep& aStep,
@@ -95,48 +104,18 @@
   StartWork(aStep, aRequest);
 }
 
-// Admits the request above the contract, by this entry's part of what the
-// deployment tolerates. A process that is younger than a window admits none:
-// the former process of this entry may have.
-bool
-MayOverrun(EntryStep& aStep, const Contract& aContract)
-{
-  Entry& entry = aStep.mEntry;
-  const RateTolerance& tolerance = entry.mSettings.mRateTolerance;
-  if (aStep.mNow - entry.mSession.mStartedAt < tolerance.mWindow) {
-    return false;
-  }
-  const uint32_t allowed =
-    ShareOfRank(kEntryPart * OverrunOf(tolerance, aContract),
-                RankAmongEntries(entry, aContract.mWorkspace.mValue),
-                EntriesKnown(entry));
-  if (!SpendOverrun(entry.mOverrun,
-                    aStep.mNow,
-                    aContract.mWorkspace,
-                    tolerance.mWindow,
-                    allowed)) {
-    return false;
-  }
-  ++entry.mMetrics.mOverruns;
-  return true;
-}
-
 // Admits the request by this entry's share of the rate while control is
 // unreachable. The share starts empty, so a request whose token is due within
 // aMaxWait waits for it; then this returns false.
 bool
-AdmitOnFallbackShare(EntryStep& aStep,
-                     CallerRequest& aRequest,
-                     const Contract& aContract,
-                     Duration aMaxWait)
+AdmitOnOwnShare(EntryStep& aStep,
+                CallerRequest& aRequest,
+                const Contract& aContract,
+                Duration aMaxWait)
 {
   Entry& entry = aStep.mEntry;
   const std::optional<Duration> wait = ReserveShare(
     entry.mFallback, aStep.mNow, aContract, EntriesKnown(entry), aMaxWait);
-  if (!wait && MayOverrun(aStep, aContract)) {
-    StartOnFallbackShare(aStep, aRequest);
-    return true;
-  }
   if (!wait) {
     RefuseRate(aStep,
                aRequest,
@@ -153,6 +132,109 @@
   return true;
 }
 
+void
+StartOnLoan(EntryStep& aStep, CallerRequest& aRequest)
+{
+  ++aStep.mEntry.mMetrics.mAdmitted; // the lender has counted the admission
+  LogAdmission(aStep,
+               aRequest,
+               LogLevel::eDebug,
+               "admitted",
+               "control is unreachable; borrowed from the shares of the rate");
+  StartWork(aStep, aRequest);
+}
+
+// Until when the request may wait for a lender or a grantor. A caller within
+// its goal is served earlier this way than by a refusal and a return. Without a
+// goal, two thirds of the caller's time remain.
+MonoTime
+HoldEnd(const EntryStep& aStep, const CallerRequest& aRequest)
+{
+  const MonoTime shortest = aStep.mNow + kGrantReplyTimeout;
+  if (aStep.mEntry.mWaitingForGrant.size() >= kMostOnHold) {
+    return shortest;
+  }
+  const Duration goal = aRequest.mDirect.mLatencyGoal;
+  const Duration time =
+    goal > Duration{}
+      ? goal / kHoldPartOfGoal
+      : (aRequest.mDeadline - aRequest.mReceivedAt) / kHoldPartOfDeadline;
+  return std::max(
+    shortest, aRequest.mReceivedAt + std::min(time, kControlUnreachableRetry));
+}
+
+// Admits the request on a loan from the entries that divide the rate. Without
+// one, it waits for the grantor for as long as it may.
+bool
+AdmitOnLoan(EntryStep& aStep,
+            CallerRequest& aRequest,
+            const Contract& aContract)
+{
+  if (aRequest.mLoan.mHoldUntil == kNever) {
+    aRequest.mLoan.mHoldUntil = HoldEnd(aStep, aRequest);
+  }
+  switch (BorrowShare(aStep, aRequest, aContract)) {
+    case BorrowResult::eGranted:
+      StartOnLoan(aStep, aRequest);
+      return true;
+    case BorrowResult::eNone:
+      break;
+    case BorrowResult::eDelayed:
+    case BorrowResult::eAsked:
+      return false;
+  }
+  if (aStep.mNow < aRequest.mLoan.mHoldUntil) {
+    return false;
+  }
+  RefuseRate(
+    aStep,
+    aRequest,
+    NextReturn(aStep.mEntry.mLoans.mReturns,
+               aStep.mNow,
+               aContract.mWorkspace,
+               aContract.mRate / EntriesKnown(aStep.mEntry),
+               kControlUnreachableRetry,
+               kReturnSpread),
+    "control is unreachable and no entry has a share of the rate left");
+  return true;
+}
+
+// Admits the request while control is unreachable. Returns false if it waits.
+bool
+AdmitOnFallbackShare(EntryStep& aStep,
+                     CallerRequest& aRequest,
+                     const Contract& aContract,
+                     Duration aMaxWait)
+{
+  return UsesLoans(aStep.mEntry)
+           ? AdmitOnLoan(aStep, aRequest, aContract)
+           : AdmitOnOwnShare(aStep, aRequest, aContract, aMaxWait);
+}
+
+// When to look at a waiting request again, if the grantor does not reply.
+MonoTime
+NextLook(const CallerRequest& aRequest, MonoTime aNow, MonoTime aGrantWaitUntil)
+{
+  const RequestLoan& loan = aRequest.mLoan;
+  if (aRequest.mShareStartAt) {
+    return *aRequest.mShareStartAt;
+  }
+  if (!loan.mPending.Empty()) {
+    return loan.mReplyBy;
+  }
+  return loan.mHoldUntil != kNever
+           ? std::min(loan.mHoldUntil, aNow + kLookAgain)
+           : aGrantWaitUntil;
+}
+
+void
+Unpark(Entry& aEntry, const CallerRequest& aRequest)
+{
+  std::deque<uint64_t>& parked = aEntry.mWaitingForGrant;
+  parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
+               parked.end());
+}
+
 // Admits or refuses the request. Returns false if it has to wait. aAsked: the
 // request has waited for a reply of the grantor.
 bool
@@ -210,7 +292,7 @@
   }
   aRequest.mPhase = RequestPhase::eAdmitting;
   aRequest.mGrantWaitUntil =
-    aRequest.mShareStartAt.value_or(aStep.mNow + kGrantReplyTimeout);
+    NextLook(aRequest, aStep.mNow, aStep.mNow + kGrantReplyTimeout);
   aStep.mEntry.mWaitingForGrant.push_back(aRequest.mSerial);
   ScheduleRequest(aStep, aRequest);
 }
@@ -219,6 +301,9 @@
 RetryWaitingForGrant(EntryStep& aStep)
 {
   Entry& entry = aStep.mEntry;
+  if (!IsOutOfTouch(entry, aStep.mNow)) {
+    StopLending(entry.mLoans.mBuckets);
+  }
   std::deque<uint64_t> parked = std::move(entry.mWaitingForGrant);
   entry.mWaitingForGrant.clear();
   for (uint64_t serial : parked) {
@@ -227,9 +312,12 @@
         request->second.mPhase == RequestPhase::eAdmitting &&
         !TryAdmitRequest(aStep, request->second, true)) {
       entry.mWaitingForGrant.push_back(serial);
-      if (request->second.mShareStartAt) {
-        request->second.mGrantWaitUntil = *request->second.mShareStartAt;
-        ScheduleRequest(aStep, request->second);
+      CallerRequest& waiting = request->second;
+      const MonoTime look =
+        NextLook(waiting, aStep.mNow, waiting.mGrantWaitUntil);
+      if (look != waiting.mGrantWaitUntil) {
+        waiting.mGrantWaitUntil = look;
+        ScheduleRequest(aStep, waiting);
       }
     }
   }
@@ -238,26 +326,71 @@
 void
 GrantWaitExpired(EntryStep& aStep, CallerRequest& aRequest)
 {
-  std::deque<uint64_t>& parked = aStep.mEntry.mWaitingForGrant;
-  parked.erase(std::remove(parked.begin(), parked.end(), aRequest.mSerial),
-               parked.end());
+  Entry& entry = aStep.mEntry;
   if (aRequest.mShareStartAt) {
-    StartOnFallbackShare(aStep, aRequest);
+    Unpark(entry, aRequest);
+    if (UsesLoans(entry)) {
+      StartOnLoan(aStep, aRequest);
+    } else {
+      StartOnFallbackShare(aStep, aRequest);
+    }
     return;
   }
-  const Entry& entry = aStep.mEntry;
+  if (!aRequest.mLoan.mPending.Empty()) {
+    GiveUpLender(aStep, aRequest);
+  }
   auto contract = entry.mConfig.mContracts.find(aRequest.mWorkspace);
   if (entry.mSettings.mServeWithoutLease &&
       contract != entry.mConfig.mContracts.end() &&
       (!AreGrantsExpected(entry.mTokens, aStep.mNow) ||
-       !AnsweredSince(entry.mTokens,
-                      aRequest.mGrantWaitUntil - kGrantReplyTimeout))) {
-    AdmitOnFallbackShare(aStep, aRequest, contract->second, Duration{});
+       !AnsweredSince(entry.mTokens, aStep.mNow - kGrantReplyTimeout))) {
+    if (AdmitOnFallbackShare(aStep, aRequest, contract->second, Duration{})) {
+      Unpark(entry, aRequest);
+    } else {
+      aRequest.mGrantWaitUntil = NextLook(aRequest, aStep.mNow, aStep.mNow);
+      ScheduleRequest(aStep, aRequest);
+    }
+    return;
+  }
+  if (aRequest.mLoan.mHoldUntil != kNever &&
+      aStep.mNow < aRequest.mLoan.mHoldUntil) {
+    // The grantor is back; its reply decides.
+    aRequest.mGrantWaitUntil = aRequest.mLoan.mHoldUntil;
+    ScheduleRequest(aStep, aRequest);
     return;
   }
+  Unpark(entry, aRequest);
   RefuseRate(aStep, aRequest, Seconds(1));
 }
 
+void
+HandleLoanReply(EntryStep& aStep,
+                const PeerAddress& aFrom,
+                const LoanReply& aReply)
+{
+  Entry& entry = aStep.mEntry;
+  const auto serial = entry.mById.find(aReply.mRequest);
+  const auto found = serial == entry.mById.end()
+                       ? entry.mRequests.end()
+                       : entry.mRequests.find(serial->second);
+  if (found == entry.mRequests.end() ||
+      !ApplyLoanReply(aStep, aFrom, aReply, found->second)) {
+    return;
+  }
+  CallerRequest& request = found->second;
+  const auto contract = entry.mConfig.mContracts.find(request.mWorkspace);
+  if (request.mShareStartAt && *request.mShareStartAt <= aStep.mNow) {
+    Unpark(entry, request);
+    StartOnLoan(aStep, request);
+  } else if (contract != entry.mConfig.mContracts.end() &&
+             AdmitOnLoan(aStep, request, contract->second)) {
+    Unpark(entry, request);
+  } else {
+    request.mGrantWaitUntil = NextLook(request, aStep.mNow, aStep.mNow);
+    ScheduleRequest(aStep, request);
+  }
+}
+
 void
 SendGrantRequests(EntryStep& aStep)
 {
--- a/caraway/entry/admission_step.h
+++ b/caraway/entry/admission_step.h
@@ -14,11 +14,16 @@
 void
 RetryWaitingForGrant(EntryStep& aStep);
 
-// The wait of a request has ended: admits it by its share of the rate if
-// control is unreachable, else refuses it.
+// The wait of a request has ended: admits it by a share of the rate if control
+// is unreachable, else refuses it.
 void
 GrantWaitExpired(EntryStep& aStep, CallerRequest& aRequest);
 
+void
+HandleLoanReply(EntryStep& aStep,
+                const PeerAddress& aFrom,
+                const LoanReply& aReply);
+
 // Sends the token holder's next grant request, if one is due.
 void
 SendGrantRequests(EntryStep& aStep);
--- a/caraway/entry/entry.cpp
+++ b/caraway/entry/entry.cpp
@@ -16,6 +16,7 @@
 #include "caraway/entry/early_requests.h"
 #include "caraway/entry/forward.h"
 #include "caraway/entry/input_crashes.h"
+#include "caraway/entry/loans.h"
 #include "caraway/entry/orders.h"
 #include "caraway/entry/outcome.h"
 #include "caraway/entry/relay.h"
@@ -113,6 +114,10 @@
   } else if (const auto* grant = std::get_if<GrantReply>(&message)) {
     HandleGrantReply(aStep.mEntry.mTokens, aStep.mNow, *grant);
     RetryWaitingForGrant(aStep);
+  } else if (const auto* ask = std::get_if<LoanRequest>(&message)) {
+    HandleLoanRequest(aStep, from, *ask);
+  } else if (const auto* loan = std::get_if<LoanReply>(&message)) {
+    HandleLoanReply(aStep, from, *loan);
   } else if (const auto* call = std::get_if<ControlCallReply>(&message)) {
     HandleControlReply(aStep, *call);
   } else if (const auto* delta = std::get_if<ConfigDelta>(&message)) {
@@ -147,8 +152,8 @@
     HandleOriginReply(aStep, *origin);
   } else if (const auto* notice = std::get_if<RateNotice>(&message)) {
     RecordRateNotice(aStep, notice->mTarget, notice->mRate, "an entry");
-  } else if (const auto* ask = std::get_if<StartTimeRequest>(&message)) {
-    HandleStartTimeRequest(aStep, from, *ask);
+  } else if (const auto* start = std::get_if<StartTimeRequest>(&message)) {
+    HandleStartTimeRequest(aStep, from, *start);
   } else if (const auto* time = std::get_if<StartTimeReply>(&message)) {
     HandleStartTimeReply(aStep, *time);
   } else if (const auto* unused = std::get_if<StartTimeRelease>(&message)) {
--- a/caraway/entry/entry_metrics.h
+++ b/caraway/entry/entry_metrics.h
@@ -11,7 +11,8 @@
 
 struct EntryMetrics
 {
-  uint64_t mOverruns = 0;        // admitted above a contract, see overrun.h
+  uint64_t mLent = 0;            // requests started on this entry's rate shares
+  uint64_t mBorrowed = 0;        // requests started on those of other entries
   uint64_t mUnreadableLoads = 0; // load figures of targets
   uint64_t mRequests = 0;        // caller requests received
   uint64_t mAdmitted = 0;        // tokens used to admit requests
--- a/caraway/entry/entry_state.h
+++ b/caraway/entry/entry_state.h
@@ -9,13 +9,13 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "caraway/admission/fallback_share.h"
-#include "caraway/admission/overrun.h"
 #include "caraway/admission/token_holder_state.h"
 #include "caraway/base/random.h"
 #include "caraway/config/config_view.h"
 #include "caraway/entry/entry_metrics.h"
 #include "caraway/entry/entry_settings.h"
 #include "caraway/entry/forward_request.h"
+#include "caraway/entry/loans_state.h"
 #include "caraway/entry/replica_discovery_state.h"
 #include "caraway/entry/request_state.h"
 #include "caraway/entry/resumed_streams_state.h"
@@ -114,7 +114,7 @@
   // or another target answers at their address.
   std::set<std::pair<TargetId, int64_t>> mGoneTargets;
   FallbackShares mFallback;
-  OverrunSpending mOverrun;
+  EntryLoans mLoans;
   // Of calls that were answered, from their start to the end of the answer.
   std::map<RouteId, UsualTime> mAnswerTimes;
   std::map<RouteId, UsualPace> mUsualPaces; // of targets that state a pace
--- a/caraway/entry/metrics.cpp
+++ b/caraway/entry/metrics.cpp
@@ -48,7 +48,8 @@
   std::string out;
   Counter(out, "caraway_entry_requests_total", metrics.mRequests);
   Counter(out, "caraway_entry_admitted_total", metrics.mAdmitted);
-  Counter(out, "caraway_entry_overruns_total", metrics.mOverruns);
+  Counter(out, "caraway_entry_loans_given_total", metrics.mLent);
+  Counter(out, "caraway_entry_loans_taken_total", metrics.mBorrowed);
   Counter(
     out, "caraway_entry_unreadable_loads_total", metrics.mUnreadableLoads);
   Counter(out, "caraway_entry_tokens_returned_total", metrics.mReturned);
--- a/caraway/entry/request_state.h
+++ b/caraway/entry/request_state.h
@@ -10,6 +10,7 @@
 #include "caraway/base/http.h"
 #include "caraway/entry/control_work.h"
 #include "caraway/entry/direct_state.h"
+#include "caraway/entry/loans_state.h"
 #include "caraway/entry/order_work.h"
 #include "caraway/entry/session_state.h"
 #include "caraway/poison/input_part.h"
@@ -87,8 +88,9 @@
   MonoTime mReceivedAt;
   MonoTime mDeadline;
   MonoTime mGrantWaitUntil = kNever; // eAdmitting: end of the wait for a token
-  // eAdmitting: when its reserved token of the fallback share is due.
+  // eAdmitting: when its reserved token of a rate share is due.
   std::optional<MonoTime> mShareStartAt;
+  RequestLoan mLoan;
   bool mTokenTaken = false;
   bool mCallerGone = false;
   bool mReplyBegun = false; // HttpBegin was sent
--- a/caraway/wire/grant_messages.h
+++ b/caraway/wire/grant_messages.h
@@ -58,4 +58,21 @@
   std::vector<WorkspaceGrant> mGrants;
 };
 
+// Entry -> entry, while no grantor answers: asks a lender of the workspace's
+// rate to let one request start, see admission/lending.h.
+struct LoanRequest
+{
+  RequestId mRequest;
+  WorkspaceId mWorkspace;
+  Duration mWait; // refused unless it may start within this time
+};
+
+struct LoanReply
+{
+  RequestId mRequest;
+  WorkspaceId mWorkspace;
+  bool mGranted = false;
+  Duration mDelay; // until the start, or until the lender may have a loan
+};
+
 } // namespace caraway
--- a/caraway/wire/messages.cpp
+++ b/caraway/wire/messages.cpp
@@ -68,6 +68,8 @@
     "LeaveGroup",
     "MayLeave",
     "RolloutReport",
+    "LoanRequest",
+    "LoanReply",
   };
   return kNames[aMessage.index()];
 }
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -80,7 +80,9 @@
                              StartTimeRelease,
                              LeaveGroup,
                              MayLeave,
-                             RolloutReport>;
+                             RolloutReport,
+                             LoanRequest,
+                             LoanReply>;
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/caraway/wire/serialize_control.h
+++ b/caraway/wire/serialize_control.h
@@ -200,6 +200,20 @@
            aValue.mRecent);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, LoanRequest& aValue)
+{
+  aArchive(aValue.mRequest, aValue.mWorkspace, aValue.mWait);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LoanReply& aValue)
+{
+  aArchive(aValue.mRequest, aValue.mWorkspace, aValue.mGranted, aValue.mDelay);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, GrantRequest& aValue)
