--- a/caraway/node/node.cpp
+++ b/caraway/node/node.cpp
@@ -214,6 +214,7 @@
                        aSettings.mTokenGoal,
                        aSettings.mFirstTokenGoal };
   scheduler.mMaxOnlineQueue = aSettings.mMaxOnlineQueue;
+  scheduler.mSpareBursts = aSettings.mSpareBursts;
   node.mScheduler = MakeScheduler(scheduler);
   // The previous process of this node may have granted starts until its end, so
   // the first second grants none.
--- a/caraway/node/node_settings.h
+++ b/caraway/node/node_settings.h
@@ -45,6 +45,7 @@
   // Items that wait longer for room are returned to the ledger.
   Duration mMaxItemWait = Seconds(10);
   bool mSlowStart = false;                 // see scheduling/slow_start.h
+  bool mSpareBursts = false;               // see SchedulerSettings
   Duration mStopGrace = kDefaultStopGrace; // from the request to stop to a kill
 };
 
--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -52,6 +52,9 @@
   LimitSettings mLimit;
   uint32_t mMaxOnlineQueue = 512; // waiting online work; more is refused
   uint32_t mFixedLimit = 0; // slots stated by the target, 0: learned limit
+  // With mFixedLimit: batch work starts only into slots that bursts of online
+  // work leave free, see online_forecast.h.
+  bool mSpareBursts = false;
 };
 
 struct Scheduler
--- a/caraway/scheduling/scheduler_pick.cpp
+++ b/caraway/scheduling/scheduler_pick.cpp
@@ -230,8 +230,11 @@
 {
   const uint32_t bound = PreemptionBound(aScheduler);
   if (aScheduler.mSettings.mFixedLimit != 0) {
-    return bound -
-           std::min(bound, SlotsKeptFree(aScheduler, aNow, bound, aRunTime));
+    return aScheduler.mSettings.mSpareBursts
+             ? bound -
+                 std::min(bound,
+                          SlotsKeptFree(aScheduler, aNow, bound, aRunTime))
+             : bound; // a preempted item resumes at its last event
   }
   return bound - Headroom(aScheduler.mBursts, aNow, bound);
 }
@@ -345,10 +348,12 @@
          std::vector<ScheduleStep>& aSteps)
 {
   ExpireWaiting(aScheduler, aNow, aSteps);
-  // A queue says no more than that all slots are needed.
-  RecordOnlineCalls(aScheduler.mForecast,
-                    aNow,
-                    std::min(OnlineCalls(aScheduler), CallLimit(aScheduler)));
+  if (aScheduler.mSettings.mSpareBursts) {
+    // A queue says no more than that all slots are needed.
+    RecordOnlineCalls(aScheduler.mForecast,
+                      aNow,
+                      std::min(OnlineCalls(aScheduler), CallLimit(aScheduler)));
+  }
   ForgetOldStarts(aScheduler.mPace, aNow);
   AdjustBatchCap(aScheduler.mBatchCap,
                  aNow,
--- a/tests/scheduling_forecast_test.cpp
+++ b/tests/scheduling_forecast_test.cpp
@@ -58,6 +58,7 @@
   {
     SchedulerSettings settings;
     settings.mFixedLimit = kSlots;
+    settings.mSpareBursts = true;
     for (Target& target : mTargets) {
       target.mScheduler = MakeScheduler(settings);
       target.mScheduler.mHeld = false;
