--- a/tests/routing_prefix_test.cpp
+++ b/tests/routing_prefix_test.cpp
@@ -19,6 +19,7 @@
 Targets(int aCount)
 {
   std::vector<PlacementCandidate> targets;
+  targets.reserve(static_cast<size_t>(aCount));
   for (int at = 0; at < aCount; ++at) {
     targets.push_back({ TargetId("t" + std::to_string(at)),
                         ZoneId(at % 3 == 0 ? "a" : "b"),
