--- a/caraway/scheduling/scheduler.h
+++ b/caraway/scheduling/scheduler.h
@@ -3,12 +3,11 @@
 // request at once, so the order has to be decided here.
 //
 // Online work goes first: the most important, and in fair order over workspaces
-// among equals. Batch work fills the remaining capacity; on targets with a
-// fixed number of slots, what online work is expected to leave free, unless the
-// batch work is due soon. When online work needs a slot, a batch call is
-// preempted in the same step: of resumable calls the one that can wait best,
-// else the one with the least progress. Two baseline policies are kept for
-// comparison.
+// among equals. Batch work fills the remaining capacity; with mSpareBursts,
+// what online work is expected to leave free, unless the batch work is due
+// soon. When online work needs a slot, a batch call is preempted in the same
+// step: of resumable calls the one that can wait best, else the one with the
+// least progress. Two baseline policies are kept for comparison.
 //
 // Under overload, a queue in arrival order would make all work late. So work
 // whose goal has passed ("late work") is served after work that can still be on
