Slot search: a look at all targets only where it decides

Cause: each refused slot request listed all candidates for a free place, also while the request may ask another target in any case; that is a walk over all targets in just the moments of overload. Change: the usual limit is checked first. The result is the same, since the limit with a free place known is the larger one.

--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -236,6 +236,9 @@
   SlotSearch search;
   search.mAsked = aDirect.mSlotRequests.size();
   search.mRated = static_cast<size_t>(rated);
+  if (MayAskAnother(search)) {
+    return true; // without a look at all targets
+  }
   search.mHasFreePlace = KnowsFreePlace(aStep, aDirect);
   return MayAskAnother(search);
 }
