Variants of messages, calls and actions are classes, compiled once

Cause: each file that moves or drops a message compiled the special members of std::variant for all 57 types; symbols of 22 MB in one object of the sanitizer build. No behaviour changes.

--- a/caraway/config/change.h
+++ b/caraway/config/change.h
@@ -3,6 +3,8 @@
 // holders. Each change has a revision of its own.
 
 #include <string>
+#include <type_traits>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -124,24 +126,44 @@
   Rollout mRollout;
 };
 
-using ConfigChange = std::variant<SetContract,
-                                  WithdrawContract,
-                                  CreateKey,
-                                  WithdrawKey,
-                                  SetRoute,
-                                  RemoveRoute,
-                                  SetZoneService,
-                                  SetTargetService,
-                                  SetMember,
-                                  RemoveMember,
-                                  SetPlan,
-                                  SetTarget,
-                                  RemoveTarget,
-                                  SetInputBlock,
-                                  RemoveInputBlock,
-                                  RememberVersion,
-                                  ForgetVersion,
-                                  SetRollout>;
+using ConfigChangeVariant = std::variant<SetContract,
+                                         WithdrawContract,
+                                         CreateKey,
+                                         WithdrawKey,
+                                         SetRoute,
+                                         RemoveRoute,
+                                         SetZoneService,
+                                         SetTargetService,
+                                         SetMember,
+                                         RemoveMember,
+                                         SetPlan,
+                                         SetTarget,
+                                         RemoveTarget,
+                                         SetInputBlock,
+                                         RemoveInputBlock,
+                                         RememberVersion,
+                                         ForgetVersion,
+                                         SetRollout>;
+
+// Its special members are compiled in change.cpp only: each file that
+// moves or drops one would compile them for all of its types.
+struct ConfigChange : ConfigChangeVariant
+{
+  ConfigChange();
+  template<class T>
+  requires(!std::is_base_of_v<ConfigChangeVariant, std::remove_cvref_t<T>>)
+    // NOLINTNEXTLINE(bugprone-forwarding-reference-overload): it is constrained
+    ConfigChange(T&& aOne)
+    : ConfigChangeVariant(std::in_place_type<std::remove_cvref_t<T>>,
+                          std::forward<T>(aOne))
+  {
+  }
+  ConfigChange(const ConfigChange& aOther);
+  ConfigChange(ConfigChange&& aOther) noexcept;
+  ConfigChange& operator=(const ConfigChange& aOther);
+  ConfigChange& operator=(ConfigChange&& aOther) noexcept;
+  ~ConfigChange();
+};
 
 // A change and its revision.
 struct RevisedChange
--- a/caraway/control/control_io.h
+++ b/caraway/control/control_io.h
@@ -3,6 +3,8 @@
 // host.
 
 #include <string>
+#include <type_traits>
+#include <utility>
 #include <variant>
 
 #include "caraway/base/http.h"
@@ -113,22 +115,42 @@
                                   StorageFailed,
                                   StopRequested>;
 
-using ControlAction = std::variant<SendMessage,
-                                   HttpResponse,
-                                   HttpBegin,
-                                   HttpChunk,
-                                   HttpEnd,
-                                   HttpAbort,
-                                   RaftWrite,
-                                   RaftReadSnapshotPart,
-                                   RaftStoreSnapshotPart,
-                                   SaveSnapshot,
-                                   WriteBlob,
-                                   RemoveBlob,
-                                   ReadBlob,
-                                   DecisionLog,
-                                   Halt,
-                                   BeginGroup,
-                                   Stopped>;
+using ControlActionVariant = std::variant<SendMessage,
+                                          HttpResponse,
+                                          HttpBegin,
+                                          HttpChunk,
+                                          HttpEnd,
+                                          HttpAbort,
+                                          RaftWrite,
+                                          RaftReadSnapshotPart,
+                                          RaftStoreSnapshotPart,
+                                          SaveSnapshot,
+                                          WriteBlob,
+                                          RemoveBlob,
+                                          ReadBlob,
+                                          DecisionLog,
+                                          Halt,
+                                          BeginGroup,
+                                          Stopped>;
+
+// Its special members are compiled in control_io.cpp only: each file that
+// moves or drops one would compile them for all of its types.
+struct ControlAction : ControlActionVariant
+{
+  ControlAction();
+  template<class T>
+  requires(!std::is_base_of_v<ControlActionVariant, std::remove_cvref_t<T>>)
+    // NOLINTNEXTLINE(bugprone-forwarding-reference-overload): it is constrained
+    ControlAction(T&& aOne)
+    : ControlActionVariant(std::in_place_type<std::remove_cvref_t<T>>,
+                           std::forward<T>(aOne))
+  {
+  }
+  ControlAction(const ControlAction& aOther);
+  ControlAction(ControlAction&& aOther) noexcept;
+  ControlAction& operator=(const ControlAction& aOther);
+  ControlAction& operator=(ControlAction&& aOther) noexcept;
+  ~ControlAction();
+};
 
 } // namespace caraway
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <string>
+#include <type_traits>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -245,29 +247,49 @@
   ServiceId mService;
 };
 
-using CallBody = std::variant<PutFilePart,
-                              ReadFile,
-                              DescribeFile,
-                              ListFiles,
-                              DeleteFile,
-                              CreateJob,
-                              DescribeJob,
-                              ListJobs,
-                              CancelJob,
-                              Claim,
-                              CompleteClaim,
-                              ReleaseClaim,
-                              ReadItem,
-                              ReplacePlan,
-                              ReadPlan,
-                              SetZone,
-                              ReportTargets,
-                              RetireReplica,
-                              DescribeRetirement,
-                              OrderZone,
-                              BeginRollout,
-                              DescribeRollout,
-                              AbortRollout>;
+using CallBodyVariant = std::variant<PutFilePart,
+                                     ReadFile,
+                                     DescribeFile,
+                                     ListFiles,
+                                     DeleteFile,
+                                     CreateJob,
+                                     DescribeJob,
+                                     ListJobs,
+                                     CancelJob,
+                                     Claim,
+                                     CompleteClaim,
+                                     ReleaseClaim,
+                                     ReadItem,
+                                     ReplacePlan,
+                                     ReadPlan,
+                                     SetZone,
+                                     ReportTargets,
+                                     RetireReplica,
+                                     DescribeRetirement,
+                                     OrderZone,
+                                     BeginRollout,
+                                     DescribeRollout,
+                                     AbortRollout>;
+
+// Its special members are compiled in call_messages.cpp only: each file that
+// moves or drops one would compile them for all of its types.
+struct CallBody : CallBodyVariant
+{
+  CallBody();
+  template<class T>
+  requires(!std::is_base_of_v<CallBodyVariant, std::remove_cvref_t<T>>)
+    // NOLINTNEXTLINE(bugprone-forwarding-reference-overload): it is constrained
+    CallBody(T&& aOne)
+    : CallBodyVariant(std::in_place_type<std::remove_cvref_t<T>>,
+                      std::forward<T>(aOne))
+  {
+  }
+  CallBody(const CallBody& aOther);
+  CallBody(CallBody&& aOther) noexcept;
+  CallBody& operator=(const CallBody& aOther);
+  CallBody& operator=(CallBody&& aOther) noexcept;
+  ~CallBody();
+};
 
 struct ControlCall
 {
@@ -351,17 +373,37 @@
   Rollout mRollout;
 };
 
-using CallReplyBody = std::variant<CallFailed,
-                                   CallDone,
-                                   FileReply,
-                                   FileListReply,
-                                   FileBytesReply,
-                                   JobReply,
-                                   JobListReply,
-                                   ClaimReply,
-                                   PlanReply,
-                                   RetirementReply,
-                                   RolloutReply>;
+using CallReplyBodyVariant = std::variant<CallFailed,
+                                          CallDone,
+                                          FileReply,
+                                          FileListReply,
+                                          FileBytesReply,
+                                          JobReply,
+                                          JobListReply,
+                                          ClaimReply,
+                                          PlanReply,
+                                          RetirementReply,
+                                          RolloutReply>;
+
+// Its special members are compiled in call_messages.cpp only: each file that
+// moves or drops one would compile them for all of its types.
+struct CallReplyBody : CallReplyBodyVariant
+{
+  CallReplyBody();
+  template<class T>
+  requires(!std::is_base_of_v<CallReplyBodyVariant, std::remove_cvref_t<T>>)
+    // NOLINTNEXTLINE(bugprone-forwarding-reference-overload): it is constrained
+    CallReplyBody(T&& aOne)
+    : CallReplyBodyVariant(std::in_place_type<std::remove_cvref_t<T>>,
+                           std::forward<T>(aOne))
+  {
+  }
+  CallReplyBody(const CallReplyBody& aOther);
+  CallReplyBody(CallReplyBody&& aOther) noexcept;
+  CallReplyBody& operator=(const CallReplyBody& aOther);
+  CallReplyBody& operator=(CallReplyBody&& aOther) noexcept;
+  ~CallReplyBody();
+};
 
 struct ControlCallReply
 {
--- a/caraway/wire/messages.h
+++ b/caraway/wire/messages.h
@@ -7,6 +7,8 @@
 
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 #include <variant>
 
 #include "absl/status/statusor.h"
@@ -26,63 +28,83 @@
 
 namespace caraway {
 
-using Message = std::variant<RaftMessage,
-                             Register,
-                             RegisterReply,
-                             Renew,
-                             RenewReply,
-                             NotLeader,
-                             ConfigFetch,
-                             ConfigDelta,
-                             ConfigSnapshotPart,
-                             Leave,
-                             GrantRequest,
-                             GrantReply,
-                             Dispatch,
-                             AnswerPart,
-                             Refusal,
-                             CancelRequest,
-                             OutcomeQuery,
-                             OutcomeReply,
-                             Watch,
-                             LoadReport,
-                             LeaseItems,
-                             ItemBatch,
-                             ItemResults,
-                             ItemResultsAck,
-                             ItemsRevoked,
-                             ControlCall,
-                             ControlCallReply,
-                             LoadOrder,
-                             LoadOrderReply,
-                             SlotRequest,
-                             SlotReply,
-                             SlotRelease,
-                             SlotsHeld,
-                             ReplicaHello,
-                             ControlQuery,
-                             ControlMap,
-                             FoundGroup,
-                             JoinGroup,
-                             TargetsHeard,
-                             WorkAvailable,
-                             Leading,
-                             CrashReport,
-                             CrashReportAck,
-                             SuspectQuery,
-                             StartedParts,
-                             StreamsBegun,
-                             OriginQuery,
-                             OriginReply,
-                             RateNotice,
-                             StartTimeRequest,
-                             StartTimeReply,
-                             StartTimeRelease,
-                             LeaveGroup,
-                             MayLeave,
-                             RolloutReport,
-                             LoanRequest,
-                             LoanReply>;
+using MessageVariant = std::variant<RaftMessage,
+                                    Register,
+                                    RegisterReply,
+                                    Renew,
+                                    RenewReply,
+                                    NotLeader,
+                                    ConfigFetch,
+                                    ConfigDelta,
+                                    ConfigSnapshotPart,
+                                    Leave,
+                                    GrantRequest,
+                                    GrantReply,
+                                    Dispatch,
+                                    AnswerPart,
+                                    Refusal,
+                                    CancelRequest,
+                                    OutcomeQuery,
+                                    OutcomeReply,
+                                    Watch,
+                                    LoadReport,
+                                    LeaseItems,
+                                    ItemBatch,
+                                    ItemResults,
+                                    ItemResultsAck,
+                                    ItemsRevoked,
+                                    ControlCall,
+                                    ControlCallReply,
+                                    LoadOrder,
+                                    LoadOrderReply,
+                                    SlotRequest,
+                                    SlotReply,
+                                    SlotRelease,
+                                    SlotsHeld,
+                                    ReplicaHello,
+                                    ControlQuery,
+                                    ControlMap,
+                                    FoundGroup,
+                                    JoinGroup,
+                                    TargetsHeard,
+                                    WorkAvailable,
+                                    Leading,
+                                    CrashReport,
+                                    CrashReportAck,
+                                    SuspectQuery,
+                                    StartedParts,
+                                    StreamsBegun,
+                                    OriginQuery,
+                                    OriginReply,
+                                    RateNotice,
+                                    StartTimeRequest,
+                                    StartTimeReply,
+                                    StartTimeRelease,
+                                    LeaveGroup,
+                                    MayLeave,
+                                    RolloutReport,
+                                    LoanRequest,
+                                    LoanReply>;
+
+// Its special members are compiled in messages.cpp only: each file that
+// moves or drops one would compile them for all of its types.
+struct Message : MessageVariant
+{
+  Message();
+  template<class T>
+  requires(!std::is_base_of_v<MessageVariant, std::remove_cvref_t<T>>)
+    // NOLINTNEXTLINE(bugprone-forwarding-reference-overload): it is constrained
+    Message(T&& aOne)
+    : MessageVariant(std::in_place_type<std::remove_cvref_t<T>>,
+                     std::forward<T>(aOne))
+  {
+  }
+  Message(const Message& aOther);
+  Message(Message&& aOther) noexcept;
+  Message& operator=(const Message& aOther);
+  Message& operator=(Message&& aOther) noexcept;
+  ~Message();
+};
 
 constexpr size_t kMaxFrameBytes = 1 << 20; // length of one encoded message
 
--- a/fuzz/decode/make_corpus.cpp
+++ b/fuzz/decode/make_corpus.cpp
@@ -32,7 +32,7 @@
 void
 WriteMessages()
 {
-  if constexpr (kIndex < std::variant_size_v<Message>) {
+  if constexpr (kIndex < std::variant_size_v<MessageVariant>) {
     const Message message{ std::in_place_index<kIndex> };
     Write("message",
           std::string(MessageName(message)) + "-" + std::to_string(kIndex),
--- a/tests/wire_codec_test.cpp
+++ b/tests/wire_codec_test.cpp
@@ -81,8 +81,8 @@
       byte = static_cast<char>(random.mEngine());
     }
     if (bytes.size() >= 4) {
-      bytes[0] =
-        static_cast<char>(DrawBelow(random, std::variant_size_v<Message> + 1));
+      bytes[0] = static_cast<char>(
+        DrawBelow(random, std::variant_size_v<MessageVariant> + 1));
       bytes[1] = bytes[2] = bytes[3] = 0;
     }
     auto decoded = DecodeMessage(bytes);
