Roll-outs: a version that was taken back stays unused in later ones

Cause: an order for a third version while targets of one that was taken back are still there counted those as versions in service; they got requests again. Change: the order keeps the versions that the last roll-out left without work (mWithdrawn) until an order to one of them. Entries, nodes and the leader's counts leave their targets out. Tests: version_that_was_taken_back_stays_unused (control, over a loss of power), withdrawn_version_gets_nothing_in_a_later_roll_out (entry).

--- a/caraway/config/rollout.h
+++ b/caraway/config/rollout.h
@@ -29,6 +29,9 @@
   std::string mTo;
   // Versions that targets of the service had at the start, without mTo. Sorted.
   std::vector<std::string> mFrom;
+  // Versions that earlier roll-outs left without work, and that targets still
+  // had at the start. Sorted.
+  std::vector<std::string> mWithdrawn;
   RolloutPhase mPhase = RolloutPhase::eTrial;
   uint64_t mNumber = 0; // log index of the order; tells roll-outs apart
   MonoTime mBegunAt;    // logical time of control
@@ -59,11 +62,23 @@
            aRollout.mFrom.begin(), aRollout.mFrom.end(), aTarget.mVersion);
 }
 
+inline bool
+IsWithdrawnVersion(const Rollout& aRollout, const Target& aTarget)
+{
+  return aTarget.mService == aRollout.mService &&
+         std::binary_search(aRollout.mWithdrawn.begin(),
+                            aRollout.mWithdrawn.end(),
+                            aTarget.mVersion);
+}
+
 // True if the target gets no new work in this phase. Streams that began at its
 // version may still go on there.
 inline bool
 ExcludesNewWork(const Rollout& aRollout, const Target& aTarget)
 {
+  if (IsWithdrawnVersion(aRollout, aTarget)) {
+    return true;
+  }
   switch (aRollout.mPhase) {
     case RolloutPhase::eTrial:
     case RolloutPhase::eMoving:
--- a/caraway/control/apply_rollouts.cpp
+++ b/caraway/control/apply_rollouts.cpp
@@ -8,19 +8,24 @@
 
 namespace {
 
-// Versions that targets of the service have, without aTo.
-std::vector<std::string>
-VersionsBeside(const ConfigView& aView,
-               const ServiceId& aService,
-               const std::string& aTo)
+// Fills in the versions that targets of the service have beside the new one.
+// Those that the last roll-out left without work stay so.
+void
+SetVersionsBeside(const ConfigView& aView,
+                  const Rollout* aLast,
+                  Rollout& aRollout)
 {
-  std::set<std::string> versions;
+  std::set<std::string> from;
+  std::set<std::string> withdrawn;
   for (const auto& [id, target] : aView.mTargets) {
-    if (target.mService == aService && target.mVersion != aTo) {
-      versions.insert(target.mVersion);
+    if (target.mService == aRollout.mService &&
+        target.mVersion != aRollout.mTo) {
+      const bool unused = aLast != nullptr && ExcludesNewWork(*aLast, target);
+      (unused ? withdrawn : from).insert(target.mVersion);
     }
   }
-  return { versions.begin(), versions.end() };
+  aRollout.mFrom.assign(from.begin(), from.end());
+  aRollout.mWithdrawn.assign(withdrawn.begin(), withdrawn.end());
 }
 
 void
@@ -56,7 +61,7 @@
   Rollout rollout;
   rollout.mService = aBegin.mService;
   rollout.mTo = aBegin.mTo;
-  rollout.mFrom = VersionsBeside(view, aBegin.mService, aBegin.mTo);
+  SetVersionsBeside(view, last, rollout);
   rollout.mNumber = aIndex.mValue;
   rollout.mBegunAt = rollout.mChangedAt = aState.mLogical;
   rollout.mDuration = aBegin.mDuration;
--- a/caraway/control/rollout_orders.cpp
+++ b/caraway/control/rollout_orders.cpp
@@ -16,6 +16,7 @@
   return { { "service", aRollout.mService.mValue },
            { "to", aRollout.mTo },
            { "from", aRollout.mFrom },
+           { "withdrawn", aRollout.mWithdrawn },
            { "state", std::string(RolloutPhaseName(aRollout.mPhase)) },
            { "duration_s", aRollout.mDuration.Seconds() } };
 }
--- a/caraway/entry/rollouts.cpp
+++ b/caraway/entry/rollouts.cpp
@@ -225,6 +225,9 @@
   if (rollout == nullptr) {
     return true;
   }
+  if (IsWithdrawnVersion(*rollout, aTarget)) {
+    return false;
+  }
   switch (rollout->mPhase) {
     case RolloutPhase::eTrial:
       return !IsTrialVersion(*rollout, aTarget) ||
--- a/caraway/wire/serialize_config.h
+++ b/caraway/wire/serialize_config.h
@@ -287,6 +287,7 @@
   aArchive(aValue.mService,
            aValue.mTo,
            aValue.mFrom,
+           aValue.mWithdrawn,
            aValue.mPhase,
            aValue.mNumber,
            aValue.mBegunAt,
--- a/tests/control_rollout_test.cpp
+++ b/tests/control_rollout_test.cpp
@@ -207,6 +207,27 @@
   BOOST_TEST((Read()->mPhase == RolloutPhase::eRolledBack));
 }
 
+// The targets of the version that was taken back are still there when the next
+// version is ordered; they must not count as the versions in service.
+BOOST_FIXTURE_TEST_CASE(version_that_was_taken_back_stays_unused, Group)
+{
+  Begin("v2");
+  Call(AbortRollout{ kService });
+  BOOST_TEST((Begin("v3") == ErrorKind::eNone));
+  const std::optional<Rollout> next = Read();
+  BOOST_REQUIRE(next);
+  BOOST_TEST(next->mFrom == std::vector<std::string>{ "v1" },
+             boost::test_tools::per_element());
+  BOOST_TEST(next->mWithdrawn == std::vector<std::string>{ "v2" },
+             boost::test_tools::per_element());
+  LosePower();
+  BOOST_TEST(Read()->mWithdrawn.size() == 1U);
+  // A new order to the version brings it back.
+  Call(AbortRollout{ kService });
+  BOOST_TEST((Begin("v2") == ErrorKind::eNone));
+  BOOST_TEST(Read()->mWithdrawn.empty());
+}
+
 // Reports of an earlier roll-out of the service are no evidence on this one.
 BOOST_FIXTURE_TEST_CASE(evidence_of_another_roll_out_does_not_count, Group)
 {
--- a/tests/entry_rollout_test.cpp
+++ b/tests/entry_rollout_test.cpp
@@ -117,6 +117,26 @@
   BOOST_TEST(mAtTrial == 0);
 }
 
+// Its targets have not left yet when the next order comes.
+BOOST_AUTO_TEST_CASE(withdrawn_version_gets_nothing_in_a_later_roll_out)
+{
+  for (const RolloutPhase phase : { RolloutPhase::eTrial,
+                                    RolloutPhase::eMoving,
+                                    RolloutPhase::eDraining,
+                                    RolloutPhase::eRolledBack }) {
+    mRollout.mNumber = 8;
+    mRollout.mTo = "v3";
+    mRollout.mFrom = { phase == RolloutPhase::eDraining ? "v0" : "v1" };
+    mRollout.mWithdrawn = { "v2" };
+    EnterPhase(phase);
+    for (int request = 0; request < 20; ++request) {
+      Serve();
+    }
+  }
+  BOOST_TEST(mAtTrial == 0);
+  BOOST_TEST(mAtOld == 80);
+}
+
 // The entry was frozen while the version was taken back and its targets left.
 BOOST_AUTO_TEST_CASE(entry_that_wakes_in_an_old_phase_uses_no_trial_target)
 {
