--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 SECONDS_OF_FAULTS ?= 10
 
-.PHONY: all packages build build-asan test demo soak fuzz bench capacity format format-check lint clean
+.PHONY: all packages build build-asan test demo soak soak-rollouts fuzz bench capacity format format-check lint clean
 
 all: build
 
@@ -41,6 +41,9 @@
 soak: build
 	@build/caraway-platform-soak --program=build/caraway-platform --seed=$(SEED) --seconds=$(SECONDS_OF_FAULTS)
 
+soak-rollouts: build
+	@build/caraway-platform-soak --program=build/caraway-platform --seed=$(SEED) --rollouts=4 --rollouts-only=1
+
 fuzz: build
 	@bash fuzz/run.sh build $(SEED) $(STEPS) $(TARGET)
 
