--- a/fuzz/decode/make_corpus.cpp
+++ b/fuzz/decode/make_corpus.cpp
@@ -33,7 +33,8 @@
 WriteMessages()
 {
   if constexpr (kIndex < std::variant_size_v<MessageVariant>) {
-    const Message message{ std::in_place_index<kIndex> };
+    Message message;
+    message.emplace<kIndex>();
     Write("message",
           std::string(MessageName(message)) + "-" + std::to_string(kIndex),
           EncodeMessage(message));
