Grants that are not used give their start back to the target

Cause: a request waits at several targets and uses the first grant. The others were released, but each counted as a start of its target for a second. Targets that are cold, or may be, grant few starts. Change: an entry says that a slot was not used (SlotEnding::eUnused), and the node takes its start out of the window. A place counts as free only where nobody waits and no batch item would be cut for it. Tests: grants_that_are_given_back_stay_within_the_cold_bound (property), grant_that_is_not_used_leaves_its_start_to_another (fails before).

--- a/caraway/entry/direct_nodes.cpp
+++ b/caraway/entry/direct_nodes.cpp
@@ -98,7 +98,8 @@
                      aStep.mNow,
                      aReport.mRunning - aReport.mBatch + aReport.mQueued,
                      aReport.mBatch,
-                     aReport.mLimit);
+                     aReport.mLimit,
+                     aReport.mQueued);
     RecordNodeRate(aStep, target->second, aReport.mRate, aReport.mRateWait);
     LoadOfTarget(aStep, target->second).mNodePace = aReport.mPace;
   }
--- a/caraway/entry/direct_slots.cpp
+++ b/caraway/entry/direct_slots.cpp
@@ -65,7 +65,7 @@
   } else {
     Send(aStep,
          aSlotRequest.mNode,
-         SlotRelease{ aRequest.mId, SlotEnding::eCancelled, 0 });
+         SlotRelease{ aRequest.mId, SlotEnding::eUnused, 0 });
   }
   auto load = aStep.mEntry.mPlacement.find(aSlotRequest.mTarget);
   if (load != aStep.mEntry.mPlacement.end() && load->second.mOwn > 0) {
@@ -193,9 +193,10 @@
 bool
 HasFreePlace(const PlacementLoad& aLoad, MonoTime aNow)
 {
-  return aNow - aLoad.mReportAt < kFreePlaceLifetime &&
-         OnlineAt(aLoad, aNow) < aLoad.mLimit && aNow >= aLoad.mAvoidUntil &&
-         aNow >= aLoad.mNextStartAt;
+  // Requests also wait beside free slots, where a target is cold.
+  return aNow - aLoad.mReportAt < kFreePlaceLifetime && aLoad.mWaiting == 0 &&
+         OnlineAt(aLoad, aNow) + aLoad.mBatch < aLoad.mLimit &&
+         aNow >= aLoad.mAvoidUntil && aNow >= aLoad.mNextStartAt;
 }
 
 // True if a target that was not asked yet has a free place by its last report.
@@ -435,7 +436,8 @@
                      aStep.mNow,
                      aReply.mRunning + aReply.mQueued,
                      aReply.mBatch,
-                     aReply.mLimit);
+                     aReply.mLimit,
+                     aReply.mQueued);
     RecordNodeRate(aStep, target->second, aReply.mRate, aReply.mRateWait);
     LoadOfTarget(aStep, target->second).mNodePace = aReply.mPace;
   }
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -109,6 +109,9 @@
 {
   const WorkId work = aSlot->second.mWork;
   if (aSlot->second.mGranted) {
+    if (aEnding == SlotEnding::eUnused) {
+      ReturnStart(aNode.mScheduler.mPace, aSlot->second.mSince);
+    }
     // The quality of the answer is judged by the entry and does not change the
     // limit here, which is the target's own number of slots.
     RecordCallEnd(aNode.mScheduler,
@@ -221,8 +224,7 @@
   if (aRelease.mPace > 0) {
     RecordPace(aNode.mPace, aRelease.mPace);
   }
-  if (aNode.mSettings.mSlowStart &&
-      aRelease.mEnding != SlotEnding::eCancelled) {
+  if (aNode.mSettings.mSlowStart && aRelease.mEnding < SlotEnding::eCancelled) {
     RecordStartAnswer(
       aNode.mScheduler.mSlowStart,
       JudgeStartAnswer(aRelease.mEnding == SlotEnding::eServed, aRelease.mPace),
--- a/caraway/routing/placement.cpp
+++ b/caraway/routing/placement.cpp
@@ -210,9 +210,11 @@
                  MonoTime aNow,
                  uint32_t aOnline,
                  uint32_t aBatch,
-                 uint32_t aLimit)
+                 uint32_t aLimit,
+                 uint32_t aWaiting)
 {
   aLoad.mOnline = aOnline;
+  aLoad.mWaiting = aWaiting;
   aLoad.mBatch = aBatch;
   aLoad.mLimit = aLimit;
   aLoad.mOwnAtReport = aLoad.mOwn;
--- a/caraway/routing/placement.h
+++ b/caraway/routing/placement.h
@@ -29,6 +29,7 @@
   int64_t mStartedAt = 0; // start of the target; a new one resets the rest
   uint32_t mOwn = 0;      // own requests there, slot requested or running
   uint32_t mOnline = 0;   // last report: online requests, running and waiting
+  uint32_t mWaiting = 0;  // of these, waiting
   uint32_t mBatch = 0;    // last report: batch items
   uint32_t mLimit = 0;    // last report: slots, 0: no report yet
   uint32_t mOwnAtReport = 0; // own requests that the report includes
@@ -104,7 +105,8 @@
                  MonoTime aNow,
                  uint32_t aOnline,
                  uint32_t aBatch,
-                 uint32_t aLimit);
+                 uint32_t aLimit,
+                 uint32_t aWaiting);
 
 // Records that a request failed at the target. The target is avoided for a time
 // that doubles with each consecutive failure.
--- a/caraway/scheduling/start_pace.cpp
+++ b/caraway/scheduling/start_pace.cpp
@@ -147,6 +147,16 @@
   }
 }
 
+void
+ReturnStart(StartPace& aPace, MonoTime aStartedAt)
+{
+  auto start =
+    std::find(aPace.mStarts.begin(), aPace.mStarts.end(), aStartedAt);
+  if (start != aPace.mStarts.end()) {
+    aPace.mStarts.erase(start);
+  }
+}
+
 MonoTime
 NextStart(const StartPace& aPace)
 {
--- a/caraway/scheduling/start_pace.h
+++ b/caraway/scheduling/start_pace.h
@@ -12,7 +12,8 @@
 // The node grants at most B - S starts in any second. A grant may be used late,
 // but it occupies a slot until then, so at most S grants issued before a given
 // second are used within it: S + (B - S) = B. While the target reports that it
-// is cold, the node grants at most R.
+// is cold, the node grants at most R. A grant that its entry gives back unused
+// counts no more.
 //
 // A node that has just started does not know of earlier starts and grants
 // nothing for one second. A target that has just started is cold: entries that
@@ -132,6 +133,11 @@
 void
 RecordCallStart(StartPace& aPace, MonoTime aNow);
 
+// Takes back a start that was recorded at aStartedAt and was not used. Only for
+// the sliding window; time that passed at a stated rate is not made up for.
+void
+ReturnStart(StartPace& aPace, MonoTime aStartedAt);
+
 // When the quiet period ends, or else the oldest start leaves the window or the
 // stated rate allows another start; kNever if nothing of that is ahead.
 MonoTime
--- a/caraway/wire/slot_messages.h
+++ b/caraway/wire/slot_messages.h
@@ -58,7 +58,8 @@
 {
   eServed,    // the target responded
   eFailed,    // the call failed
-  eCancelled, // the slot was not used, or the call was cancelled
+  eCancelled, // the call was cancelled, or the slot may not have been used
+  eUnused,    // no call was sent, and none will be
 };
 
 // Entry -> node: releases a slot, or withdraws a queued request for one.
--- a/tests/node_slots_test.cpp
+++ b/tests/node_slots_test.cpp
@@ -50,9 +50,11 @@
     return reply->mState;
   }
 
-  void Release(const char* aRequest, const PeerAddress& aEntry = kTestEntry)
+  void Release(const char* aRequest,
+               const PeerAddress& aEntry = kTestEntry,
+               SlotEnding aEnding = SlotEnding::eServed)
   {
-    Hear(aEntry, SlotRelease{ RequestId(aRequest), SlotEnding::eServed });
+    Hear(aEntry, SlotRelease{ RequestId(aRequest), aEnding });
   }
 
   // Takes both slots, after a call of one second has set the expected duration.
@@ -83,6 +85,22 @@
   BOOST_TEST(Answered("c")->mRunning == 2u);
 }
 
+// Requests wait at several cold targets. Those that start elsewhere must not
+// use up the few starts of the others.
+BOOST_AUTO_TEST_CASE(grant_that_is_not_used_leaves_its_start_to_another)
+{
+  mNode.mScheduler.mPace.mPerSecond = 1;
+  BOOST_TEST((Ask("a") == SlotState::eGranted));
+  BOOST_TEST((Ask("b") == SlotState::eQueued));
+  Release("a", kTestEntry, SlotEnding::eUnused);
+  BOOST_REQUIRE(Answered("b").has_value());
+  BOOST_TEST((Answered("b")->mState == SlotState::eGranted));
+  // A call that was cancelled may have reached the target.
+  BOOST_TEST((Ask("c") == SlotState::eQueued));
+  Release("b", kTestEntry, SlotEnding::eCancelled);
+  BOOST_TEST(!Answered("c").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(request_that_would_miss_its_goal_is_refused_once)
 {
   Fill();
--- a/tests/routing_placement_test.cpp
+++ b/tests/routing_placement_test.cpp
@@ -62,7 +62,7 @@
     if (request % 8 == 7) { // a report every 8 requests
       for (PlacementLoads& each : views) {
         for (const auto& [name, count] : running) {
-          RecordLoadReport(each[TargetId(name)], now, count, 0, kSlots);
+          RecordLoadReport(each[TargetId(name)], now, count, 0, kSlots, 0);
         }
       }
     }
@@ -96,11 +96,11 @@
   PlacementLoads loads;
   Random random(1);
   const MonoTime now{ 5000000 };
-  RecordLoadReport(loads[TargetId("t0")], now, 2, 6, kSlots);
-  RecordLoadReport(loads[TargetId("t1")], now, 2, 0, kSlots);
+  RecordLoadReport(loads[TargetId("t0")], now, 2, 6, kSlots, 0);
+  RecordLoadReport(loads[TargetId("t1")], now, 2, 0, kSlots, 0);
   BOOST_TEST(Choose(targets, loads, now, random) == "t1");
   // A batch item can be preempted, so it counts less than an online request.
-  RecordLoadReport(loads[TargetId("t1")], now, 6, 0, kSlots);
+  RecordLoadReport(loads[TargetId("t1")], now, 6, 0, kSlots, 0);
   BOOST_TEST(Choose(targets, loads, now, random) == "t0");
 }
 
@@ -111,10 +111,10 @@
   PlacementLoads loads;
   Random random(1);
   const MonoTime now{ 5000000 };
-  RecordLoadReport(loads[TargetId("t0")], now, 1, 0, kSlots);
-  RecordLoadReport(loads[TargetId("far")], now, 1, 0, kSlots);
+  RecordLoadReport(loads[TargetId("t0")], now, 1, 0, kSlots, 0);
+  RecordLoadReport(loads[TargetId("far")], now, 1, 0, kSlots, 0);
   BOOST_TEST(Choose(targets, loads, now, random) == "t0");
-  RecordLoadReport(loads[TargetId("t0")], now, 7, 0, kSlots);
+  RecordLoadReport(loads[TargetId("t0")], now, 7, 0, kSlots, 0);
   BOOST_TEST(Choose(targets, loads, now, random) == "far");
 }
 
@@ -155,7 +155,7 @@
 {
   PlacementLoad load;
   const MonoTime now{ 50000000 };
-  RecordLoadReport(load, now, 8, 0, kSlots);
+  RecordLoadReport(load, now, 8, 0, kSlots, 0);
   BOOST_TEST(OnlineAt(load, now) == 8u);
   BOOST_TEST(OnlineAt(load, now + Seconds(4)) == 0u);
 }
--- a/tests/scheduling_cold_bound_test.cpp
+++ b/tests/scheduling_cold_bound_test.cpp
@@ -28,6 +28,7 @@
   uint64_t mSeed = 1;
   bool mNodeRestarts = false; // the node dies and restarts at random times
   bool mLateGrants = false;   // grants are used up to two seconds later
+  bool mUnused = false;       // some grants are given back in place of that
 };
 
 // A target whose callers all start as many calls as the limits allow.
@@ -60,8 +61,15 @@
   }
 
   std::vector<MonoTime> mSent;
+  size_t mGivenBack = 0;
 
 private:
+  struct Grant
+  {
+    MonoTime mIssuedAt;
+    MonoTime mUseAt;
+  };
+
   void StartNode()
   {
     mAlive = true;
@@ -88,17 +96,23 @@
            MayStart(mPace, mNow, StartKind::eOnline)) {
       RecordCallStart(mPace, mNow);
       const auto late = static_cast<int64_t>(DrawBelow(mRandom, 2000));
-      mGrants.push_back(mScenario.mLateGrants ? mNow + Millis(late) : mNow);
+      mGrants.push_back(
+        { mNow, mScenario.mLateGrants ? mNow + Millis(late) : mNow });
     }
   }
 
   void UseGrants()
   {
-    std::erase_if(mGrants, [&](MonoTime aAt) {
-      if (aAt > mNow) {
+    std::erase_if(mGrants, [&](const Grant& aGrant) {
+      if (aGrant.mUseAt > mNow) {
         return false;
       }
-      mSent.push_back(mNow);
+      if (mScenario.mUnused && DrawBelow(mRandom, 3) == 0) {
+        ReturnStart(mPace, aGrant.mIssuedAt);
+        ++mGivenBack;
+      } else {
+        mSent.push_back(mNow);
+      }
       return true;
     });
   }
@@ -138,7 +152,7 @@
   bool mAlive = true;
   MonoTime mRestartAt;
   MonoTime mUnansweredSince;
-  std::vector<MonoTime> mGrants; // unused ones: the time of use
+  std::vector<Grant> mGrants; // those not used yet
   std::vector<StartPace> mUnguarded;
 };
 
@@ -160,6 +174,40 @@
   BOOST_TEST(held);
 }
 
+// Requests wait at several targets, and all grants but the first are given
+// back.
+BOOST_AUTO_TEST_CASE(grants_that_are_given_back_stay_within_the_cold_bound)
+{
+  const bool held = rc::check([] {
+    Scenario scenario;
+    scenario.mRate = *rc::gen::inRange(6, 30);
+    scenario.mSeed = *rc::gen::inRange(1, 1000000);
+    scenario.mLateGrants = *rc::gen::arbitrary<bool>();
+    scenario.mNodeRestarts = *rc::gen::arbitrary<bool>();
+    scenario.mUnused = true;
+    ColdTargetSimulation simulation(scenario);
+    const auto most = static_cast<double>(simulation.Run(Seconds(8)));
+    RC_ASSERT(most <= ToleratedStarts(ColdTolerance(), scenario.mRate));
+    RC_ASSERT(simulation.mGivenBack > 0u);
+  });
+  BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(unused_start_makes_room_for_another)
+{
+  StartPace pace;
+  pace.mPerSecond = 2;
+  const MonoTime now{ 1000000 };
+  RecordCallStart(pace, now);
+  RecordCallStart(pace, now + Millis(1));
+  BOOST_TEST(!MayStart(pace, now + Millis(2), StartKind::eOnline));
+  ReturnStart(pace, now + Millis(1));
+  BOOST_TEST(MayStart(pace, now + Millis(2), StartKind::eOnline));
+  ReturnStart(pace, now + Millis(1)); // a repeated release
+  RecordCallStart(pace, now + Millis(2));
+  BOOST_TEST(!MayStart(pace, now + Millis(3), StartKind::eOnline));
+}
+
 BOOST_AUTO_TEST_CASE(
   node_restarts_and_unguarded_entries_stay_within_the_cold_bound)
 {
