HTTP listeners: five faults of the limits on connections

Found by the review: a response that comes after 60 s of silence could count as unread and be reset before its first write; a connection that was accepted in the same iteration was freed without its entry; refused chunked uploads held their bytes as idle connections; connections that hold nothing were closed for bytes; unsent bytes were looked at only each 100 ms. Change: the time to read begins with a response; a connection is watched before it is closed; a refused upload that holds bytes counts as receiving.

--- a/caraway/connections/holding.cpp
+++ b/caraway/connections/holding.cpp
@@ -58,7 +58,7 @@
          },
          fits);
   choose(
-    stopped,
+    [&](const HeldConnection& aOne) { return stopped(aOne) && aOne.mHeld > 0; },
     [](const HeldConnection& aOne) {
       return std::make_tuple(aOne.mHeld, aOne.mId);
     },
--- a/caraway/runtime/http_connections.cpp
+++ b/caraway/runtime/http_connections.cpp
@@ -134,7 +134,9 @@
   } else if (serving) {
     held.mUse = ConnectionUse::eServing;
   } else if (aInbound.mRejected) {
-    held.mUse = ConnectionUse::eIdle;
+    // evhttp keeps the chunks that came before the refusal.
+    held.mUse =
+      aInbound.mReserved > 0 ? ConnectionUse::eReceiving : ConnectionUse::eIdle;
   } else if (aInbound.mReader.mMessageBytes > 0) {
     held.mUse = ConnectionUse::eReceiving;
     if (InHead(aInbound.mReader)) {
@@ -214,6 +216,9 @@
   if (known == mInbound.end()) {
     return;
   }
+  if (!known->second.mWatched) {
+    WatchInbound(known->second); // accepted in this iteration of the loop
+  }
   ++mClosedConnections;
   const HeldConnection held = Holding(known->second, false);
   WriteLog(LogLevel::eWarning,
--- a/caraway/runtime/http_inbound.cpp
+++ b/caraway/runtime/http_inbound.cpp
@@ -35,7 +35,8 @@
     ReadBytes(inbound->mReader, aPiece);
   });
   MessageReader& reader = inbound->mReader;
-  if (before == 0 || reader.mMessageBytes < before + aInfo->n_added) {
+  if (reader.mState != ReadState::eInvalid &&
+      (before == 0 || reader.mMessageBytes < before + aInfo->n_added)) {
     inbound->mBeganAt = inbound->mMovedAt; // another message
   }
   if (reader.mState != ReadState::eInvalid &&
@@ -140,10 +141,16 @@
                      void* aInbound)
 {
   auto* inbound = static_cast<Inbound*>(aInbound);
+  // The time to read a response begins with it.
+  const bool begins = inbound->mUnsent == 0;
+  HttpServer& server = *inbound->mServer;
   inbound->mUnsent += aInfo->n_added - aInfo->n_deleted;
-  inbound->mServer->mUnsentBytes += aInfo->n_added - aInfo->n_deleted;
-  if (aInfo->n_deleted > 0) {
-    inbound->mMovedAt = inbound->mServer->mLoop.Now();
+  server.mUnsentBytes += aInfo->n_added - aInfo->n_deleted;
+  if (begins || aInfo->n_deleted > 0) {
+    inbound->mMovedAt = server.mLoop.Now();
+  }
+  if (server.mUnsentBytes > server.mSettings.mMaxQueuedTotalBytes) {
+    server.LimitConnectionsSoon();
   }
   if (inbound->mRejected && evbuffer_get_length(aOutput) == 0) {
     const bool lingers = inbound->mReader.mErrorStatus == HTTP_SERVUNAVAIL;
--- a/tests/connections_holding_test.cpp
+++ b/tests/connections_holding_test.cpp
@@ -54,6 +54,20 @@
              boost::test_tools::per_element());
 }
 
+// Uploads that move hold too much; closing slow readers would free nothing.
+BOOST_AUTO_TEST_CASE(connection_that_holds_nothing_is_not_closed_for_bytes)
+{
+  HoldingLimits limits;
+  limits.mBytes = 1000;
+  const std::vector<HeldConnection> held{
+    Held(1, ConnectionUse::eReceiving, 0, 1200, Millis(10)),
+    Held(2, ConnectionUse::eSending, 0, 0, Seconds(50)),
+    Held(3, ConnectionUse::eSending, 0, 1, Seconds(50)),
+  };
+  BOOST_TEST(ConnectionsToClose(held, limits) == Ids{ 3 },
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(places_are_taken_from_idle_connections_then_stopped_ones)
 {
   HoldingLimits limits;
