An answer that ends before its request has arrived is none

Cause: a target that has read what had arrived, answers without a length and closes ends its answer in an orderly way; the reset comes only with the rest of the upload, which evhttp counts as written once the socket has it. Change: the client asks the socket for unsent bytes when the connection ends. Nodes keep no idle connections of batch items, which no call would use. Tests: answer_that_ends_before_the_upload_is_received_is_none, status_that_is_none_on_a_kept_connection.

--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -131,6 +131,7 @@
   call.mHeaders = aTask.mHeaders;
   call.mBody = aTask.mBody;
   call.mFreshConnection = true;
+  call.mIdleLimit = 0; // no call would use it
   call.mTimeout = kRawItemTimeout;
   call.mContext.mRequest = RequestId(aTask.mCustomId);
   call.mContext.mWorkspace = aTask.mLease.mWorkspace;
--- a/caraway/runtime/target_client.cpp
+++ b/caraway/runtime/target_client.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <event2/keyvalq_struct.h>
 
 #include "absl/strings/ascii.h"
@@ -106,6 +109,11 @@
   for (auto& [id, idle] : mIdle) {
     evhttp_connection_set_closecb(idle.mConnection.get(), nullptr, nullptr);
   }
+  for (auto& [id, call] : mCalls) {
+    if (call->mConnection) {
+      evhttp_connection_set_closecb(call->mConnection.get(), nullptr, nullptr);
+    }
+  }
 }
 
 EvHttpConnectionPtr
@@ -147,6 +155,8 @@
   call.mIdleLimit = aStart.mIdleLimit;
   call.mConnection = TakeConnection(
     call, host, static_cast<uint16_t>(port), aStart.mFreshConnection);
+  evhttp_connection_set_closecb(
+    call.mConnection.get(), &TargetClient::OnClosing, &call);
   evhttp_connection_set_timeout(
     call.mConnection.get(),
     std::max<int>(1, static_cast<int>(aStart.mTimeout.Seconds())));
@@ -203,6 +213,19 @@
   }
 }
 
+// Called while the socket is still open. evhttp knows only what the socket has
+// taken; a target that ends its answer without having received the request has
+// broken off, also if it closes in an orderly way.
+void
+TargetClient::OnClosing(evhttp_connection* aConnection, void* aCall)
+{
+  int unsent = 0;
+  const evutil_socket_t socket =
+    bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection));
+  static_cast<Call*>(aCall)->mUploadCut =
+    ioctl(socket, SIOCOUTQ, &unsent) == 0 && unsent > 0;
+}
+
 void
 TargetClient::OnInput(evbuffer* aBuffer,
                       const evbuffer_cb_info* aInfo,
@@ -366,10 +389,12 @@
   const TargetCallId id = call->mId;
   const ReadState end = call->mReader.mState;
   const bool byClose = end == ReadState::eUntilClose;
-  if (!byClose && end != ReadState::eComplete) {
+  if (byClose ? call->mUploadCut : end != ReadState::eComplete) {
     client->Fail(*call,
                  Outcome::eUnknown,
-                 "the connection closed before the answer was complete");
+                 byClose ? "the target closed before it had the whole request"
+                         : "the connection closed before the answer was "
+                           "complete");
     return;
   }
   const bool keep = call->mKeep && !call->mReader.mTooMuch;
@@ -424,6 +449,7 @@
   if (!call->mConnection) {
     return;
   }
+  evhttp_connection_set_closecb(call->mConnection.get(), nullptr, nullptr);
   bufferevent* buffer =
     evhttp_connection_get_bufferevent(call->mConnection.get());
   evbuffer_remove_cb(
--- a/caraway/runtime/target_client.h
+++ b/caraway/runtime/target_client.h
@@ -56,8 +56,9 @@
     EvHttpConnectionPtr mConnection;
     bool mReusedConnection = false;
     bool mBegan = false;
-    bool mClosed = false;          // no further events
-    uint64_t mBytesSent = 0;       // drained from the output buffer
+    bool mClosed = false;    // no further events
+    bool mUploadCut = false; // the connection ended before the target had it
+    uint64_t mBytesSent = 0; // drained from the output buffer
     uint64_t mBytesBeforeHead = 0; // received before the headers were complete
     MessageReader mReader;         // of the answer's bytes
     // Holds the input until the head of the final response is complete; empty
@@ -97,6 +98,7 @@
                        const evbuffer_cb_info* aInfo,
                        void* aCall);
 
+  static void OnClosing(evhttp_connection* aConnection, void* aCall);
   static void OnIdleClosed(evhttp_connection* aConnection, void* aIdle);
 
   static void OnProbeEvent(bufferevent* aBuffer, short aEvents, void* aProbe);
--- a/tests/runtime_connection_reuse_test.cpp
+++ b/tests/runtime_connection_reuse_test.cpp
@@ -222,3 +222,22 @@
   // The target has read the request.
   BOOST_TEST((mOutcome == Outcome::eUnknown));
 }
+
+// The rules for answers that are none hold on kept connections as well.
+BOOST_FIXTURE_TEST_CASE(status_that_is_none_on_a_kept_connection, Calls)
+{
+  for (const char* status : { "000", "099", "1000", "-1", "" }) {
+    mTarget.mAnswers = { kPlain,
+                         "HTTP/1.1 " + std::string(status) +
+                           " x\r\nContent-Length: 2\r\n\r\nok" };
+    mTarget.mRequests = 0;
+    const size_t reused = mReused;
+    Call();
+    BOOST_TEST(mEnded);
+    Call();
+    BOOST_TEST(mReused == reused + 1);
+    BOOST_TEST(mFailed);
+    BOOST_TEST((mOutcome == Outcome::eUnknown));
+    BOOST_TEST(mBytes.empty());
+  }
+}
--- a/tests/runtime_no_answer_test.cpp
+++ b/tests/runtime_no_answer_test.cpp
@@ -17,7 +17,8 @@
 {
   eClose,
   eReset,
-  eStay, // keeps the connection open
+  eStay,      // keeps the connection open
+  eHalfClose, // ends its side, and neither reads on nor resets
 };
 
 // A target that answers with mAnswer as soon as the first bytes of a request
@@ -85,8 +86,11 @@
     const evutil_socket_t handle = bufferevent_getfd(aBuffer);
     (void)send(
       handle, self->mAnswer.data(), self->mAnswer.size(), MSG_NOSIGNAL);
-    if (self->mThen == Then::eStay) {
+    if (self->mThen == Then::eStay || self->mThen == Then::eHalfClose) {
       bufferevent_disable(aBuffer, EV_READ);
+      if (self->mThen == Then::eHalfClose) {
+        (void)shutdown(handle, SHUT_WR);
+      }
       return;
     }
     if (self->mThen == Then::eReset) {
@@ -138,6 +142,17 @@
     .ExpectNoAnswer();
 }
 
+// The end of the answer arrives while part of the upload is still in the
+// socket; a reset would come only after it.
+BOOST_AUTO_TEST_CASE(answer_that_ends_before_the_upload_is_received_is_none)
+{
+  for (const size_t kibibytes : { 128, 192, 256, 512, 1024 }) {
+    HastyTarget(
+      "HTTP/1.1 200 OK\r\n\r\npart", kibibytes << 10, Then::eHalfClose)
+      .ExpectNoAnswer();
+  }
+}
+
 BOOST_AUTO_TEST_CASE(response_whose_status_is_none_is_no_answer)
 {
   for (const char* status : { "000", "099", "1000", "-1", "2e2", "", "20" }) {
