Roll-outs: less evidence for a sound version, withdrawn versions are no evidence

Cause (review): a verdict of a sound version left out one target also without a bad answer, 24 answers in place of 16; one trial item held a verdict for hundreds of leases; an order for a service without streams ended late by construction; withdrawn versions whose targets were silent came back, and their answers counted as those beside the trial. Change: see the diff; exposure and the test for bad versions stay as they are.

--- a/caraway/config/rollout.h
+++ b/caraway/config/rollout.h
@@ -29,8 +29,8 @@
   std::string mTo;
   // Versions that targets of the service had at the start, without mTo. Sorted.
   std::vector<std::string> mFrom;
-  // Versions that earlier roll-outs left without work, and that targets still
-  // had at the start. Sorted.
+  // Versions that the roll-out before left without work, and earlier ones of
+  // which targets were there at the start. Sorted.
   std::vector<std::string> mWithdrawn;
   RolloutPhase mPhase = RolloutPhase::eTrial;
   uint64_t mNumber = 0; // log index of the order; tells roll-outs apart
@@ -63,12 +63,10 @@
 }
 
 inline bool
-IsWithdrawnVersion(const Rollout& aRollout, const Target& aTarget)
+IsWithdrawnVersion(const Rollout& aRollout, const std::string& aVersion)
 {
-  return aTarget.mService == aRollout.mService &&
-         std::binary_search(aRollout.mWithdrawn.begin(),
-                            aRollout.mWithdrawn.end(),
-                            aTarget.mVersion);
+  return std::binary_search(
+    aRollout.mWithdrawn.begin(), aRollout.mWithdrawn.end(), aVersion);
 }
 
 // True if the target gets no new work in this phase. Streams that began at its
@@ -76,7 +74,8 @@
 inline bool
 ExcludesNewWork(const Rollout& aRollout, const Target& aTarget)
 {
-  if (IsWithdrawnVersion(aRollout, aTarget)) {
+  if (aTarget.mService == aRollout.mService &&
+      IsWithdrawnVersion(aRollout, aTarget.mVersion)) {
     return true;
   }
   switch (aRollout.mPhase) {
--- a/caraway/control/apply_rollouts.cpp
+++ b/caraway/control/apply_rollouts.cpp
@@ -24,6 +24,13 @@
       (unused ? withdrawn : from).insert(target.mVersion);
     }
   }
+  // Targets of these may be silent at the moment.
+  if (aLast != nullptr && aLast->mPhase == RolloutPhase::eRolledBack) {
+    withdrawn.insert(aLast->mTo);
+  } else if (aLast != nullptr && aLast->mPhase == RolloutPhase::eCompleted) {
+    withdrawn.insert(aLast->mFrom.begin(), aLast->mFrom.end());
+  }
+  withdrawn.erase(aRollout.mTo);
   aRollout.mFrom.assign(from.begin(), from.end());
   aRollout.mWithdrawn.assign(withdrawn.begin(), withdrawn.end());
 }
--- a/caraway/control/rollouts.cpp
+++ b/caraway/control/rollouts.cpp
@@ -370,6 +370,9 @@
     return;
   }
   counted = results;
+  if (IsWithdrawnVersion(*rollout, target->mVersion)) {
+    return;
+  }
   AnswerCounts& counts = IsTrialVersion(*rollout, *target)
                            ? watch.mTrialItems[target->mId]
                            : watch.mItemsBeside;
--- a/caraway/entry/rollouts.cpp
+++ b/caraway/entry/rollouts.cpp
@@ -225,7 +225,7 @@
   if (rollout == nullptr) {
     return true;
   }
-  if (IsWithdrawnVersion(*rollout, aTarget)) {
+  if (IsWithdrawnVersion(*rollout, aTarget.mVersion)) {
     return false;
   }
   switch (rollout->mPhase) {
@@ -304,6 +304,9 @@
     return;
   }
   const Rollout& rollout = aStep.mEntry.mConfig.mRollouts.at(direct.mService);
+  if (IsWithdrawnVersion(rollout, aAttempt.mTargetVersion)) {
+    return;
+  }
   AnswerCounts& counts =
     aAttempt.mTargetVersion == rollout.mTo
       ? state->mEvidence.mTrial[direct.mRoute][aAttempt.mTarget]
--- a/caraway/rollout/progress.cpp
+++ b/caraway/rollout/progress.cpp
@@ -28,7 +28,8 @@
 Duration
 TrialTime(const Rollout& aRollout, const RolloutStatus& aStatus)
 {
-  const Duration rest = kMovingTime + aStatus.mStreamTime + kReserve;
+  const Duration rest =
+    kMovingTime + std::max(aStatus.mStreamTime, kLeastDraining) + kReserve;
   return std::max(aRollout.mDuration * kTrialShareNumerator /
                     kTrialShareDenominator,
                   aRollout.mDuration - rest);
--- a/caraway/rollout/verdict.cpp
+++ b/caraway/rollout/verdict.cpp
@@ -55,8 +55,8 @@
          static_cast<double>(std::max<uint64_t>(1, aBeside.mCount));
 }
 
-// Leaves out the target with the most bad answers, if others have answers: its
-// own fault may not be the version's.
+// Leaves out the target with the most bad answers, if it has any and others
+// have answers: its own fault may not be the version's.
 Trials
 WithoutWorst(const std::vector<Trials>& aTargets)
 {
@@ -71,7 +71,7 @@
       worst = &target;
     }
   }
-  if (counted > 1) {
+  if (counted > 1 && worst->mBad > 0) {
     sum.mCount -= worst->mCount;
     sum.mBad -= worst->mBad;
   }
@@ -165,9 +165,11 @@
         beside != aEvidence.mBeside.end()) {
       one.mBeside = beside->second;
     }
+    // Items are leased one by one at targets on trial, too few for a verdict.
     one.mMustDecide =
+      route != kBatchItems &&
       static_cast<double>(one.mBeside.mAnswers) >=
-      kLeastRouteShare * static_cast<double>(all.mBeside.mAnswers);
+        kLeastRouteShare * static_cast<double>(all.mBeside.mAnswers);
     for (const auto& [target, counts] : targets) {
       one.mTargets.push_back(counts);
       AddCounts(byTarget[target], counts);
