Lending: the own part first, lenders with a token before those with a delay

Cause (review): a borrower asked remote lenders before its own part, took the first lender that could serve within its whole hold, and asked no lender twice, so a request was held although a share was free elsewhere, or refused after lenders had said that they were in touch. A young lender refused for 0.7 s whatever its age. Retry-After could exceed what callers honour. A quiet entry stayed unsettled after a change of leader and went on lending. Change: own part at once; two rounds, without and with a delay; a lender that may have a loan in time is asked again; a young lender lends from the end of its 0.7 s; Retry-After within a third of the caller's time; unsettled holders ask until the grantor is settled.

--- a/caraway/admission/lending.cpp
+++ b/caraway/admission/lending.cpp
@@ -67,10 +67,11 @@
           const LenderPart& aPart,
           Duration aMaxWait)
 {
-  if (aContract.mWithdrawn || aContract.mRate <= 0 ||
-      aPart.mAge < kLongestLoanWait) {
+  if (aContract.mWithdrawn || aContract.mRate <= 0) {
     return { false, kLongestLoanWait };
   }
+  // A former process of this entry may have lent up to then.
+  const Duration young = std::max(Duration{}, kLongestLoanWait - aPart.mAge);
   const double part = kEntryPart * OverrunOf(aTolerance, aContract);
   const double capacity =
     std::max<uint32_t>(1, WholePart(part, aPart.mRank, aPart.mLenders));
@@ -80,12 +81,14 @@
     bucket.mTokens = capacity;
   } else if (bucket.mFilling) {
     bucket.mTokens = std::min(
-      capacity, bucket.mTokens + rate * (aNow - bucket.mFilledAt).Seconds());
+      capacity,
+      bucket.mTokens + rate * (aNow + young - bucket.mFilledAt).Seconds());
   }
-  bucket.mFilledAt = aNow;
+  bucket.mFilledAt = aNow + young;
   bucket.mFilling = aBuckets.mFilling = true;
   const double seconds = std::max(0.0, 1 - bucket.mTokens) / rate;
   const Duration wait =
+    young +
     Micros(static_cast<int64_t>(std::ceil(std::min(seconds, kMaxDelay) * 1e6)));
   if (wait > std::min(aMaxWait, kLongestLoanWait)) {
     return { false, wait };
--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -318,7 +318,8 @@
     aHolder.mReportAll ? CountedFor(aHolder.mRecent, aNow) : Duration{};
   request.mDemands = CollectAsks(aHolder, aNow);
   Sweep(aHolder, aNow);
-  if (request.mDemands.empty() && !aHolder.mReportAll) {
+  // While the grantor is not settled, its next reply may say that it is.
+  if (request.mDemands.empty() && !aHolder.mReportAll && aHolder.mSettled) {
     return std::nullopt;
   }
   aHolder.mUrgentLeft -= regular ? 0 : 1;
@@ -396,7 +397,7 @@
   if (aHolder.mInFlight) {
     return aHolder.mResendAt;
   }
-  if (aHolder.mActive.empty() && !aHolder.mReportAll) {
+  if (aHolder.mActive.empty() && !aHolder.mReportAll && aHolder.mSettled) {
     return kNever;
   }
   MonoTime urgent = aHolder.mReportAll ? aHolder.mUrgentAt : kNever;
--- a/caraway/entry/admission_step.cpp
+++ b/caraway/entry/admission_step.cpp
@@ -186,15 +186,18 @@
   if (aStep.mNow < aRequest.mLoan.mHoldUntil) {
     return false;
   }
+  const Duration back = NextReturn(aStep.mEntry.mLoans.mReturns,
+                                   aStep.mNow,
+                                   aContract.mWorkspace,
+                                   aContract.mRate / EntriesKnown(aStep.mEntry),
+                                   kControlUnreachableRetry,
+                                   kReturnSpread);
+  // The most that callers honour.
+  const Duration most = (aRequest.mDeadline - aStep.mNow) / kHoldPartOfDeadline;
   RefuseRate(
     aStep,
     aRequest,
-    NextReturn(aStep.mEntry.mLoans.mReturns,
-               aStep.mNow,
-               aContract.mWorkspace,
-               aContract.mRate / EntriesKnown(aStep.mEntry),
-               kControlUnreachableRetry,
-               kReturnSpread),
+    std::min(back, most),
     "control is unreachable and no entry has a share of the rate left");
   return true;
 }
--- a/caraway/entry/loans.cpp
+++ b/caraway/entry/loans.cpp
@@ -77,17 +77,41 @@
   return loan;
 }
 
+// The lender that the request asks next and that may have a loan by aBy;
+// nullptr: none.
+const InstanceId*
+AskNext(const EntryStep& aStep,
+        const Contract& aContract,
+        const std::vector<InstanceId>& aLenders,
+        size_t aFirst,
+        const RequestLoan& aLoan,
+        MonoTime aBy)
+{
+  return NextLender(aStep.mEntry.mLoans.mStates,
+                    aStep.mNow,
+                    aContract.mWorkspace,
+                    aLenders,
+                    aFirst,
+                    aLoan.mAsked,
+                    aBy);
+}
+
+// A lender that may have a loan while the request still waits is asked again.
 void
 NoteRefusal(EntryStep& aStep,
-            const WorkspaceId& aWorkspace,
+            CallerRequest& aRequest,
             const InstanceId& aLender,
             Duration aDelay)
 {
   LenderStates& states = aStep.mEntry.mLoans.mStates;
+  RequestLoan& loan = aRequest.mLoan;
   if (aDelay <= Duration{}) {
     states.mSilentUntil[aLender] = aStep.mNow + kInTouchDelay;
   } else {
-    states.mEmptyUntil[aWorkspace][aLender] = aStep.mNow + aDelay;
+    states.mEmptyUntil[aRequest.mWorkspace][aLender] = aStep.mNow + aDelay;
+  }
+  if (aStep.mNow + aDelay < loan.mHoldUntil) {
+    std::erase(loan.mAsked, aLender);
   }
 }
 
@@ -122,24 +146,37 @@
   }
   const std::vector<InstanceId>& lenders = Lenders(entry, aContract);
   const InstanceId& self = entry.mSettings.mInstance;
-  const Duration wait = std::max(Duration{}, loan.mHoldUntil - aStep.mNow);
-  const size_t first = std::hash<std::string>{}(self.mValue);
-  while (const InstanceId* lender = NextLender(entry.mLoans.mStates,
-                                               aStep.mNow,
-                                               aContract.mWorkspace,
-                                               lenders,
-                                               first,
-                                               loan.mAsked,
-                                               loan.mHoldUntil)) {
+  const auto own = std::find(lenders.begin(), lenders.end(), self);
+  if (own != lenders.end() &&
+      LendOwnPart(aStep, aContract.mWorkspace, {}).mGranted) {
+    aRequest.mShareStartAt = aStep.mNow;
+    return BorrowResult::eGranted;
+  }
+  // Borrowers begin at different lenders, and end with their own part.
+  const size_t first = own == lenders.end()
+                         ? std::hash<std::string>{}(self.mValue)
+                         : static_cast<size_t>(own - lenders.begin()) + 1;
+  while (true) {
+    // First those that may have a loan now, then those that will in time.
+    Duration wait;
+    const InstanceId* lender =
+      AskNext(aStep, aContract, lenders, first, loan, aStep.mNow);
+    if (lender == nullptr) {
+      wait = std::max(Duration{}, loan.mHoldUntil - aStep.mNow);
+      lender = AskNext(aStep, aContract, lenders, first, loan, loan.mHoldUntil);
+    }
+    if (lender == nullptr) {
+      return BorrowResult::eNone;
+    }
     loan.mAsked.push_back(*lender);
     if (*lender == self) {
-      const Loan own = LendOwnPart(aStep, aContract.mWorkspace, wait);
-      if (own.mGranted) {
-        aRequest.mShareStartAt = aStep.mNow + own.mDelay;
-        return own.mDelay > Duration{} ? BorrowResult::eDelayed
-                                       : BorrowResult::eGranted;
+      const Loan part = LendOwnPart(aStep, aContract.mWorkspace, wait);
+      if (part.mGranted) {
+        aRequest.mShareStartAt = aStep.mNow + part.mDelay;
+        return part.mDelay > Duration{} ? BorrowResult::eDelayed
+                                        : BorrowResult::eGranted;
       }
-      NoteRefusal(aStep, aContract.mWorkspace, self, own.mDelay);
+      NoteRefusal(aStep, aRequest, self, part.mDelay);
       continue;
     }
     loan.mPending = *lender;
@@ -149,7 +186,6 @@
          LoanRequest{ aRequest.mId, aContract.mWorkspace, wait });
     return BorrowResult::eAsked;
   }
-  return BorrowResult::eNone;
 }
 
 void
@@ -179,7 +215,7 @@
     ++entry.mMetrics.mBorrowed;
     aRequest.mShareStartAt = aStep.mNow + std::max(Duration{}, aReply.mDelay);
   } else {
-    NoteRefusal(aStep, aRequest.mWorkspace, loan.mPending, aReply.mDelay);
+    NoteRefusal(aStep, aRequest, loan.mPending, aReply.mDelay);
   }
   loan.mPending = {};
   return true;
