--- a/caraway/admission/token_holder.cpp
+++ b/caraway/admission/token_holder.cpp
@@ -318,8 +318,7 @@
     aHolder.mReportAll ? CountedFor(aHolder.mRecent, aNow) : Duration{};
   request.mDemands = CollectAsks(aHolder, aNow);
   Sweep(aHolder, aNow);
-  // While the grantor is not settled, its next reply may say that it is.
-  if (request.mDemands.empty() && !aHolder.mReportAll && aHolder.mSettled) {
+  if (request.mDemands.empty() && !aHolder.mReportAll) {
     return std::nullopt;
   }
   aHolder.mUrgentLeft -= regular ? 0 : 1;
@@ -397,7 +396,7 @@
   if (aHolder.mInFlight) {
     return aHolder.mResendAt;
   }
-  if (aHolder.mActive.empty() && !aHolder.mReportAll && aHolder.mSettled) {
+  if (aHolder.mActive.empty() && !aHolder.mReportAll) {
     return kNever;
   }
   MonoTime urgent = aHolder.mReportAll ? aHolder.mUrgentAt : kNever;
--- a/tests/node_slots_test.cpp
+++ b/tests/node_slots_test.cpp
@@ -90,6 +90,7 @@
 BOOST_AUTO_TEST_CASE(grant_that_is_not_used_leaves_its_start_to_another)
 {
   mNode.mScheduler.mPace.mPerSecond = 1;
+  mNode.mScheduler.mPace.mQuietUntil = MonoTime{ 0 }; // of the node's start
   BOOST_TEST((Ask("a") == SlotState::eGranted));
   BOOST_TEST((Ask("b") == SlotState::eQueued));
   Release("a", kTestEntry, SlotEnding::eUnused);
