--- a/bench/placement_world.h
+++ b/bench/placement_world.h
@@ -141,7 +141,7 @@
     for (size_t entry = 0; entry < mPlan.mEntries; ++entry) {
       for (size_t target = 0; target < mPlan.mTargets; ++target) {
         RecordLoadReport(
-          View(entry, target), Time(aNow), mOnline[target], 0, mPlan.mSlots);
+          View(entry, target), Time(aNow), mOnline[target], 0, mPlan.mSlots, 0);
       }
     }
   }
--- a/tests/routing_prefix_test.cpp
+++ b/tests/routing_prefix_test.cpp
@@ -140,7 +140,7 @@
     ++entry.mLoads[targets[at].mTarget].mOwn;
     for (Entry& other : entries) { // reports arrive after each request
       RecordLoadReport(
-        other.mLoads[targets[at].mTarget], kNow, sent[at], 0, kSlots);
+        other.mLoads[targets[at].mTarget], kNow, sent[at], 0, kSlots, 0);
     }
   }
   for (const auto& [target, count] : sent) {
