entry_direct_test: a released grant says that it was not used

The test expected SlotEnding::eCancelled, which since says that the slot may have been used; the entry states more now, and the test asks for it.

--- a/tests/entry_direct_test.cpp
+++ b/tests/entry_direct_test.cpp
@@ -186,7 +186,7 @@
   BOOST_TEST(mTargetCalls.size() == 1u);
   const auto released = Sent<SlotRelease>();
   BOOST_REQUIRE(released.size() == 1u);
-  BOOST_TEST((released[0].mEnding == SlotEnding::eCancelled));
+  BOOST_TEST((released[0].mEnding == SlotEnding::eUnused));
   // This grant was in flight before the release arrived.
   ReplySlot(first, call, SlotState::eGranted);
   BOOST_TEST(mTargetCalls.size() == 1u);
