Read-through: which endings answer is stated, not taken from their order

Cause: OnSlotRelease compared SlotEnding values by their order, which a new value would silently change; the head of entry_io.cpp named actions only. Behaviour is unchanged.

--- a/caraway/entry/entry_io.cpp
+++ b/caraway/entry/entry_io.cpp
@@ -1,4 +1,4 @@
-// Special members of the variant of actions.
+// Special members of the variants of events and actions.
 
 #include "caraway/entry/entry_io.h"
 
--- a/caraway/node/node_slots.cpp
+++ b/caraway/node/node_slots.cpp
@@ -224,7 +224,9 @@
   if (aRelease.mPace > 0) {
     RecordPace(aNode.mPace, aRelease.mPace);
   }
-  if (aNode.mSettings.mSlowStart && aRelease.mEnding < SlotEnding::eCancelled) {
+  const bool answered = aRelease.mEnding == SlotEnding::eServed ||
+                        aRelease.mEnding == SlotEnding::eFailed;
+  if (aNode.mSettings.mSlowStart && answered) {
     RecordStartAnswer(
       aNode.mScheduler.mSlowStart,
       JudgeStartAnswer(aRelease.mEnding == SlotEnding::eServed, aRelease.mPace),
