--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -885,8 +885,9 @@
     return false;
   }
   const std::string after = aRequest.Header("Last-Event-Id");
-  for (int event = (after.empty() ? 0 : std::stoi(after)) + 1; event <= aCount;
-       ++event) {
+  const uint64_t last = std::strtoull(after.c_str(), nullptr, 10);
+  const int first = static_cast<int>(std::min<uint64_t>(last, 1000000)) + 1;
+  for (int event = first; event <= aCount; ++event) {
     Sleep(aPause);
     if (Worker::IsClosed(aFd) || !aWorker.mUp ||
         !Worker::Chunk(aFd,
