--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,5 +1,6 @@
-// The output of a batch item has the largest size of the site's sheet, and its
-// text consists of quotation marks and backslashes for the most part.
+// A second writer announces, at the addresses of sound workers, servers of a
+// service that no configuration names. The sound workers drop out of use, and
+// accepted batch jobs are not run.
 
 #include "../standin-2/kit.hpp"
 
@@ -7,43 +8,45 @@
 
 namespace {
 
-constexpr int kEvents = 413;     // "max = 413.0" pieces in the site file
-constexpr size_t kBytes = 360;   // "max = 360.0" bytes of a piece
 constexpr double kFinish = 18.0; // finishS
+constexpr int kItems = 6;
 
 std::mutex gLock;
-int gWhole = 0;
+double gLastFinished = 0;
+int gRuns = 0;
 
-std::string
-Text(int aEvent)
+void
+Run(Worker& aWorker, const Message& aRequest, int aFd)
 {
-  std::string text = "e" + std::to_string(aEvent) + " ";
-  while (text.size() + 2 <= kBytes) {
-    text += Trouble() ? "\\\"" : "ab"; // as in JSON inside a JSON string
+  const std::string id = aRequest.Header("Attempt-Id");
+  Record("%s runs %s", aWorker.mId.c_str(), id.c_str());
+  const bool whole =
+    StreamEvents(aWorker, aRequest, aFd, 20, 0.03, [&](int aEvent) {
+      return id + " " + std::to_string(aEvent);
+    });
+  const std::lock_guard<std::mutex> held(gLock);
+  ++gRuns;
+  if (whole) {
+    gLastFinished = Now();
   }
-  return text;
 }
 
 std::string
-WholeOutput()
-{
-  std::string text;
-  for (int event = 1; event <= kEvents; ++event) {
-    text += (event > 1 ? "\n" : "") + Text(event);
-  }
-  return text;
-}
-
-void
-Run(Worker& aWorker, const Message& aRequest, int aFd)
+Job(const std::string& aName)
 {
-  const std::string id = aRequest.Header("Attempt-Id");
-  Record("%s runs %s", aWorker.mId.c_str(), id.c_str());
-  if (StreamEvents(aWorker, aRequest, aFd, kEvents, 0.005, Text)) {
-    Record("%s finished %s", aWorker.mId.c_str(), id.c_str());
-    const std::lock_guard<std::mutex> held(gLock);
-    ++gWhole;
+  Json items = Json::array();
+  for (int item = 0; item < kItems; ++item) {
+    items.push_back(
+      { { "id", aName + "i" + std::to_string(item) },
+        { "path", "/lots/3/" + aName },
+        { "headers",
+          { { "Model", "m" },
+            { "Token-Usage", "100,20" },
+            { "Prefix-Hash", "9c2e41:50,0" + std::to_string(item) + ":50" } } },
+        { "body", Base64("body of " + aName) },
+        { "tokenCount", 120 } });
   }
+  return Json{ { "requests", items } }.dump();
 }
 
 Headers
@@ -55,11 +58,39 @@
            { "Content-Type", "application/json" } };
 }
 
+int
+Submit(const Fleet& aFleet, size_t aEntry, const std::string& aName)
+{
+  const int status = Call(aFleet.Front(aEntry),
+                          "POST",
+                          "/lots/" + aName,
+                          JobHeaders(aName),
+                          Job(aName),
+                          4.0)
+                       .Status();
+  Record("client: batch job %s answered %d", aName.c_str(), status);
+  return status;
+}
+
+size_t
+Listed(const Fleet& aFleet, size_t aEntry, const std::string& aName)
+{
+  const Message answer = Call(aFleet.Front(aEntry),
+                              "GET",
+                              "/v1/lots/" + aName + "?after=0",
+                              JobHeaders("read-" + aName),
+                              "",
+                              3.0);
+  return answer.Status() == 200 ? Json::parse(answer.mBody)["results"].size()
+                                : 0;
+}
+
 int
 Case()
 {
   Fleet fleet;
   fleet.Start("abca");
+  std::vector<Worker*> workers;
   for (int at = 0; at < 3; ++at) {
     auto* worker = new Worker;
     worker->mService = "tekst-model";
@@ -71,6 +102,7 @@
     }
     worker->mRun = Run;
     worker->Begin();
+    workers.push_back(worker);
     fleet.StartNode(worker->mZone, worker->mAddress);
   }
   if (fleet.Configure(Config(1,
@@ -82,59 +114,82 @@
     return 2;
   }
   Sleep(5);
-  const Json items = Json::array(
-    { { { "id", "item0" },
-        { "path", "/lots/3/item0" },
-        { "headers",
-          { { "Model", "m" },
-            { "Token-Usage", "100,1000" },
-            { "Prefix-Hash", "9c2e41:50,01:50" } } },
-        { "body", Base64("the prompt") },
-        { "tokenCount", 1100 } } });
-  const int status = Call(fleet.Front(0),
-                          "POST",
-                          "/lots/large",
-                          JobHeaders("large"),
-                          Json{ { "requests", items } }.dump(),
-                          4.0)
-                       .Status();
-  Record("client: batch job answered %d", status);
-  if (status != 202) {
+  if (Submit(fleet, 0, "before") != 202) {
+    return 2;
+  }
+  for (double until = Now() + 20; Now() < until; Sleep(0.5)) {
+    if (Listed(fleet, 1, "before") == kItems) {
+      break;
+    }
+  }
+  if (Listed(fleet, 1, "before") != kItems) {
+    Record("the first batch job did not end");
     return 2;
   }
-  for (double until = Now() + kFinish; Now() < until; Sleep(0.5)) {
-    const Message answer = Call(fleet.Front(1),
-                                "GET",
-                                "/v1/lots/large?after=0",
-                                JobHeaders("read"),
-                                "",
-                                3.0);
-    if (answer.Status() != 200) {
-      Record("client: read answered %d", answer.Status());
-      continue;
+  // The second writer starts beside each worker and reports as often as the
+  // worker does.
+  std::atomic<bool> end{ false };
+  std::thread writer([&] {
+    const int64_t born = UnixMillis();
+    for (uint64_t sequence = 1; !end && Trouble(); ++sequence) {
+      for (size_t at = 0; at < workers.size(); ++at) {
+        const Json body{ { "service", "metrics-agent" },
+                         { "address", workers[at]->mAddress.Text() },
+                         { "zone", workers[at]->mZone },
+                         { "version", "v1" },
+                         { "slots", 1 },
+                         { "state", "ready" },
+                         { "coldLeftMs", 0 },
+                         { "callSeq", sequence },
+                         { "born", born } };
+        const int status = Call(fleet.Operator((at + sequence) % 3),
+                                "POST",
+                                "/v1/Instances.Heartbeat/agent-" +
+                                  std::to_string(at),
+                                { { "Host", "control" },
+                                  { "Content-Type", "application/json" } },
+                                body.dump(),
+                                1.0)
+                             .Status();
+        if (sequence <= 2) {
+          Record("second writer: heartbeat of agent-%zu answered %d", at, status);
+        }
+      }
+      Sleep(1.2);
+    }
+  });
+  Sleep(3);
+  int result = 2;
+  if (Submit(fleet, 1, "after") == 202) {
+    const double accepted = Now();
+    size_t listed = 0;
+    while (Now() < accepted + kFinish && listed < kItems) {
+      Sleep(1);
+      listed = Listed(fleet, 2, "after");
     }
-    const Json body = Json::parse(answer.mBody);
-    if (body["results"].empty()) {
-      continue;
+    double idle = 0;
+    {
+      const std::lock_guard<std::mutex> held(gLock);
+      idle = Now() - gLastFinished;
     }
-    const Json& result = body["results"][0];
-    const std::string state = result["state"].get<std::string>();
-    const bool whole = result["output"] == WholeOutput();
-    Record("client: %s is %s, output of %zu bytes, whole: %s; the whole output "
-           "has %zu bytes",
-           result["id"].get<std::string>().c_str(),
-           state.c_str(),
-           result["output"].get<std::string>().size(),
-           whole ? "yes" : "no",
-           WholeOutput().size());
-    Record("whole runs at workers: %d; answers of 422 or 500: 0", gWhole);
-    if (gWhole == 0) {
-      return 2;
+    for (const Worker* worker : workers) {
+      Record("%s: last heartbeat acknowledged %.3f s ago, %d requests",
+             worker->mId.c_str(),
+             Now() - worker->mAcknowledgedAt,
+             worker->mRunning.load());
     }
-    return state == "completed" && whole ? 0 : 1;
+    Record("%.3f s after the 202: %zu of %d items listed; the last run ended "
+           "%.3f s ago; %d runs in all",
+           Now() - accepted,
+           listed,
+           kItems,
+           idle,
+           gRuns);
+    result = listed < kItems ? 1 : 0;
   }
-  Record("no result within %.0f s; whole runs at workers: %d", kFinish, gWhole);
-  return gWhole > 0 ? 1 : 2;
+  end = true;
+  writer.join();
+  return result;
 }
 
 } // namespace
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,5 +1,6 @@
-// A request that crashes the workers that run it comes again and again, while
-// sound requests of the same path with other queries are answered.
+// A configuration moves the batch route from one service to another while two
+// of three daemons of a zone stand still. A batch job that one of them takes as
+// it wakes is run by the old service for all of its life.
 
 #include "../standin-2/kit.hpp"
 
@@ -7,133 +8,209 @@
 
 namespace {
 
-constexpr double kContact = 3.0; // contactMs
-constexpr double kBack = 2.0;    // a crashed worker is back after this
-constexpr double kBetween = 3.0; // between two repeats of the request
-constexpr int kRepeats = 18;
+constexpr double kApply = 2.0;   // configApplyMs
+constexpr double kFreeze = 6.0; // seconds that the two machines stand still
+constexpr double kChangeAt = 1.4; // seconds into that, the change is sent
+constexpr int kItems = 8;
 
-std::mutex gLock;
-std::vector<double> gCrashes;
-std::vector<std::pair<double, std::string>> gReached; // its runs: time, attempt
+struct RunOfItem
+{
+  double mAt;
+  std::string mService;
+  std::string mItem;
+};
 
-const char* const kDeadly = "pallet=7777";
+std::mutex gLock;
+std::vector<RunOfItem> gRuns;
 
 void
 Run(Worker& aWorker, const Message& aRequest, int aFd)
 {
-  const std::string path = aRequest.Word(1);
-  const bool deadly = path.find(kDeadly) != std::string::npos;
-  Sleep(deadly ? 0.03 : 0.15);
-  if (deadly) {
-    Record("%s runs %s, attempt %s",
-           aWorker.mId.c_str(),
-           path.c_str(),
-           aRequest.Header("Attempt-Id").c_str());
+  const std::string id = aRequest.Header("Attempt-Id");
+  Record("%s of %s runs item %s",
+         aWorker.mId.c_str(),
+         aWorker.mService.c_str(),
+         id.c_str());
+  {
     const std::lock_guard<std::mutex> held(gLock);
-    gReached.emplace_back(Now(), aRequest.Header("Attempt-Id"));
-    if (Trouble()) {
-      gCrashes.push_back(Now());
-      aWorker.CrashAndReturn(kBack);
-      return;
-    }
+    gRuns.push_back({ Now(), aWorker.mService, id });
   }
-  Worker::Answer(
-    aFd, 200, aWorker.Signed(aRequest), "stock of " + path);
+  StreamEvents(aWorker, aRequest, aFd, 20, 0.03, [&](int aEvent) {
+    return id + " " + std::to_string(aEvent);
+  });
+}
+
+std::string
+Job(const std::string& aName)
+{
+  Json items = Json::array();
+  for (int item = 0; item < kItems; ++item) {
+    items.push_back({ { "id", aName + "i" + std::to_string(item) },
+                      { "path", "/lots/3/" + aName },
+                      { "headers",
+                        { { "Model", "m" },
+                          { "Token-Usage", "100,20" },
+                          { "Prefix-Hash", "9c2e41:50,0" + std::to_string(item) + ":50" } } },
+                      { "body", Base64("body of " + aName) },
+                      { "tokenCount", 120 } });
+  }
+  return Json{ { "requests", items } }.dump();
+}
+
+Headers
+JobHeaders(const std::string& aName)
+{
+  return { { "Host", "app.example" },
+           { "Authorization", "Bearer quay-key-1" },
+           { "Attempt-Id", aName },
+           { "Content-Type", "application/json" } };
+}
+
+int
+Submit(const Fleet& aFleet, size_t aEntry, const std::string& aName)
+{
+  const int status = Call(aFleet.Front(aEntry),
+                          "POST",
+                          "/lots/" + aName,
+                          JobHeaders(aName),
+                          Job(aName),
+                          4.0) // as long as the site's clients wait
+                       .Status();
+  Record("client: batch job %s at %s answered %d",
+         aName.c_str(),
+         aFleet.mEntries[aEntry].mName.c_str(),
+         status);
+  return status;
+}
+
+size_t
+Listed(const Fleet& aFleet, size_t aEntry, const std::string& aName)
+{
+  const Message answer = Call(aFleet.Front(aEntry),
+                              "GET",
+                              "/v1/lots/" + aName + "?after=0",
+                              JobHeaders("read-" + aName),
+                              "",
+                              3.0);
+  return answer.Status() == 200 ? Json::parse(answer.mBody)["results"].size()
+                                : 0;
 }
 
 int
 Case()
 {
   Fleet fleet;
-  fleet.Start("abca");
-  Json routes = Json::array(
-    { Route("r-stock", "/stock/", "non_idempotent", "lager-app", 1000, 300, 2) });
-  const Json services = Json::array({ PlainService("lager-app") });
+  // Three daemons with a disk, one in each zone, and three more. Two of the
+  // three in zone a are frozen, a third of all, so that less than half of the
+  // zone's daemons are in rotation and the platform uses all of them.
+  fleet.Start("abcaab");
+  const Json services = Json::array(
+    { EngineService("tekst-model"), EngineService("tekst-model-2") });
   for (int at = 0; at < 6; ++at) {
     auto* worker = new Worker;
-    worker->mService = "lager-app";
-    worker->mName = "lager" + std::to_string(at);
+    worker->mService = at < 3 ? "tekst-model" : "tekst-model-2";
+    worker->mName = "w" + std::to_string(at);
     worker->mZone = Fleet::Zone(static_cast<size_t>(at));
     worker->mAddress = { fleet.mNet.Ip(101 + at), kAppPort };
-    worker->mSlots = 6;
     for (size_t entry = 0; entry < 3; ++entry) {
       worker->mOperators.push_back(fleet.Operator(entry));
     }
     worker->mRun = Run;
     worker->Begin();
+    fleet.StartNode(worker->mZone, worker->mAddress);
   }
-  if (fleet.Configure(Config(1, routes, services).dump(), 0, 20) < 0) {
+  if (fleet.Configure(
+        Config(1, Json::array({ BatchRoute("tekst-model") }), services).dump(),
+        0,
+        20) < 0) {
     return 2;
   }
-  Sleep(4);
-  // Sound requests: same path, same caller, same (empty) body, other queries.
-  std::atomic<bool> end{ false };
-  std::atomic<int> served{ 0 };
-  std::atomic<int> failed{ 0 };
-  std::vector<std::thread> callers;
-  for (size_t caller = 0; caller < 2 * fleet.mEntries.size(); ++caller) {
-    callers.emplace_back([&, caller] {
-      const size_t entry = caller % fleet.mEntries.size();
-      for (int number = 0; !end; ++number) {
-        const std::string id =
-          "sound-" + std::to_string(caller) + "-" + std::to_string(number);
-        const int status =
-          Call(fleet.Front(entry),
-               "POST",
-               "/stock/book?pallet=" + std::to_string(100 + number % 50),
-               CallerHeaders(id, 1000),
-               "",
-               1.5)
-            .Status();
-        ++(status == 200 ? served : failed);
-        if (status != 200) {
-          Record("client: %s answered %d", id.c_str(), status);
-        }
-        Sleep(0.1);
-      }
-    });
-  }
-  Sleep(2);
-  for (int repeat = 0; repeat < kRepeats; ++repeat) {
-    const std::string id = "deadly-" + std::to_string(repeat);
-    const int status =
-      Call(fleet.Front(static_cast<size_t>(repeat) % fleet.mEntries.size()),
-           "POST",
-           std::string("/stock/book?") + kDeadly,
-           CallerHeaders(id, 1000),
-           "",
-           1.5)
-        .Status();
-    Record("client: %s answered %d", id.c_str(), status);
-    Sleep(kBetween);
-  }
-  end = true;
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
-  Record("sound requests: %d answered 200, %d not", served.load(), failed.load());
-  Record("runs of the request: %zu, crashes: %zu", gReached.size(), gCrashes.size());
-  if (served < 100) {
+  Sleep(5);
+  if (Submit(fleet, 3, "before") != 202) {
+    return 2;
+  }
+  for (double until = Now() + 20; Now() < until; Sleep(0.5)) {
+    if (Listed(fleet, 0, "before") == kItems) {
+      break;
+    }
+  }
+  if (Listed(fleet, 0, "before") != kItems) {
+    Record("the first batch job did not end");
+    return 2;
+  }
+  const double frozenAt = Now();
+  if (Trouble()) {
+    fleet.mEntries[3].Signal(SIGSTOP);
+    fleet.mEntries[4].Signal(SIGSTOP);
+    Record("frozen: %s and %s",
+           fleet.mEntries[3].mName.c_str(),
+           fleet.mEntries[4].mName.c_str());
+  }
+  SleepUntil(frozenAt + kChangeAt);
+  const double acknowledged = fleet.Configure(
+    Config(2, Json::array({ BatchRoute("tekst-model-2") }), services).dump(),
+    1,
+    20);
+  if (acknowledged < 0) {
     return 2;
   }
-  if (!Trouble()) {
-    return 0;
+  SleepUntil(std::max(acknowledged + kApply + 0.3, frozenAt + kFreeze - 1.0));
+  const double sent = Now();
+  Record("clients: send batch jobs, %.3f s after the acknowledgement",
+         sent - acknowledged);
+  std::vector<std::string> names;
+  std::vector<std::thread> clients;
+  std::atomic<int> accepted{ 0 };
+  for (size_t entry = 3; entry < 5; ++entry) {
+    for (int client = 0; client < 3; ++client) {
+      names.push_back("after" + std::to_string(entry) + std::to_string(client));
+      clients.emplace_back([&, entry, name = names.back()] {
+        // After another answer than 202, it is sent again to another daemon.
+        if (Submit(fleet, entry, name) == 202 || Submit(fleet, 1, name) == 202 ||
+            Submit(fleet, 2, name) == 202) {
+          ++accepted;
+        }
+      });
+    }
+  }
+  SleepUntil(frozenAt + kFreeze);
+  if (Trouble()) {
+    fleet.mEntries[3].Signal(SIGCONT);
+    fleet.mEntries[4].Signal(SIGCONT);
+    Record("woken after %.3f s", Now() - frozenAt);
   }
-  if (gCrashes.size() < 3) {
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  Record("batch jobs accepted: %d of %zu, the last %.3f s after the "
+         "acknowledgement",
+         accepted.load(),
+         names.size(),
+         Now() - acknowledged);
+  if (accepted == 0) {
     return 2;
   }
-  const double third = gCrashes[2];
-  std::set<std::string> late;
-  for (const auto& [at, attempt] : gReached) {
-    if (at > third + kContact) {
-      late.insert(attempt);
+  for (const std::string& name : names) {
+    for (double until = Now() + 5; Now() < until; Sleep(0.3)) {
+      if (Listed(fleet, 0, name) == kItems) {
+        break;
+      }
     }
   }
-  Record("retries that reached workers later than contactMs after the third "
-         "crash: %d; "
-         "allowed 3",
-         static_cast<int>(late.size()));
-  return late.size() > 3 ? 1 : 0;
+  int old = 0;
+  int now = 0;
+  for (const RunOfItem& run : gRuns) {
+    if (run.mItem.starts_with("after")) {
+      ++(run.mService == "tekst-model" ? old : now);
+    }
+  }
+  Record("items of these jobs run by the old service: %d, by the new one: %d",
+         old,
+         now);
+  if (sent < acknowledged + kApply || old + now == 0) {
+    return 2;
+  }
+  return old > 0 ? 1 : 0;
 }
 
 } // namespace
