Reports of a service that no plan lists leave sound targets in use

A batch job that is accepted afterwards is never run, and requests would find no target.

Cause: ApplyTargetSeen took any service, removed the other records at the address, and refused the target's own heartbeats as those of an earlier start. At the entry, such a heartbeat under the id of a target made the target's own ones look late, and kept its record alive after its end.

Change: a target gets a record in the configuration once a plan lists its service; until then it is kept aside in the durable state, bounded, and gets its record together with that plan (control/apply_targets). The verdict is made when the report or the plan is applied, so it does not depend on their order. Records of a service that a plan removes stay. Stray records of earlier versions are removed by the leader. Reports that change nothing take no log entry. Entries tell heartbeats apart by id and service, bound what they keep of them, and log an unlisted service once for each address. A deregistration that names another service than the record's ends nothing; addresses are compared in one form.

Why it works: what another writer names can no longer take a record away, whatever id, address or start it gives, since both places that replace records ask the plan at that place of the log first.

--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -3,8 +3,10 @@
 #include "caraway/control/command.h"
 
 #include <algorithm>
+#include <memory>
 
 #include "caraway/control/apply_rollouts.h"
+#include "caraway/control/apply_targets.h"
 #include "caraway/ledger/ledger.h"
 
 namespace caraway {
@@ -137,8 +139,10 @@
     if (held && aReplace.mPlan.mVersion <= held->mVersion) {
       return;
     }
+    // Copied, since the view replaces it.
+    const std::shared_ptr<const ServingPlan> former = held;
     AppendChange(mState.mConfig, SetPlan{ aReplace.mPlan });
-    UpdateColdRates();
+    ApplyPlanToTargets(mState, former.get());
     ApplyPlanToJobs(mState.mLedger,
                     mIndex,
                     mState.mLogical,
@@ -171,109 +175,6 @@
     return CallDone{};
   }
 
-  bool IsGone(const Target& aTarget) const
-  {
-    return std::any_of(mState.mGoneTargets.begin(),
-                       mState.mGoneTargets.end(),
-                       [&](const EndedTarget& aGone) {
-                         return aGone.mTarget == aTarget.mId &&
-                                aGone.mStartedAt >= aTarget.mStartedAt;
-                       });
-  }
-
-  // Removes the targets that aNewcomer replaces at its address.
-  void RemoveOthersAtAddress(const Target& aNewcomer)
-  {
-    std::vector<RemoveTarget> replaced;
-    for (const auto& [id, target] : mState.mConfig.mView.mTargets) {
-      if (target.mAddress == aNewcomer.mAddress && id != aNewcomer.mId) {
-        replaced.push_back({ id, target.mStartedAt });
-      }
-    }
-    for (RemoveTarget& remove : replaced) {
-      AppendChange(mState.mConfig, std::move(remove));
-    }
-  }
-
-  bool IsReplaced(const Target& aTarget) const
-  {
-    const auto& targets = mState.mConfig.mView.mTargets;
-    return std::any_of(targets.begin(), targets.end(), [&](const auto& aEntry) {
-      return aEntry.second.mAddress == aTarget.mAddress &&
-             aEntry.first != aTarget.mId &&
-             aEntry.second.mStartedAt > aTarget.mStartedAt;
-    });
-  }
-
-  double ColdRateOf(const Target& aTarget) const
-  {
-    const auto& plan = mState.mConfig.mView.mPlan;
-    const PlanService* service =
-      plan ? PlanServiceById(*plan, aTarget.mService) : nullptr;
-    // If the plan lacks the service, no new requests go to the target, and
-    // those that may still run keep the previous rate.
-    return service == nullptr ? aTarget.mColdRate : service->mColdRate;
-  }
-
-  void UpdateColdRates()
-  {
-    std::vector<SetTarget> changed;
-    for (const auto& [id, target] : mState.mConfig.mView.mTargets) {
-      if (ColdRateOf(target) != target.mColdRate) {
-        changed.push_back({ target });
-        changed.back().mTarget.mColdRate = ColdRateOf(target);
-        // The cold period was not reported anew.
-        changed.back().mTarget.mColdFor = {};
-      }
-    }
-    for (SetTarget& change : changed) {
-      AppendChange(mState.mConfig, std::move(change));
-    }
-  }
-
-  void ApplyTargetSeen(Target aTarget)
-  {
-    aTarget.mColdRate = ColdRateOf(aTarget);
-    const auto& targets = mState.mConfig.mView.mTargets;
-    auto known = targets.find(aTarget.mId);
-    if (IsGone(aTarget) || IsReplaced(aTarget) ||
-        (known != targets.end() && IsLaterStart(known->second, aTarget))) {
-      return;
-    }
-    if (known != targets.end() &&
-        known->second.mStartedAt == aTarget.mStartedAt) {
-      // Draining is final for one start of a target.
-      aTarget.mDraining = aTarget.mDraining || known->second.mDraining;
-      if (known->second == aTarget) {
-        return;
-      }
-    }
-    RemoveOthersAtAddress(aTarget);
-    AppendChange(mState.mConfig, SetTarget{ std::move(aTarget) });
-  }
-
-  void ApplyTargetGone(const EndedTarget& aGone)
-  {
-    // Starts of targets; late heartbeats are only seconds old.
-    constexpr size_t kMaxGoneTargets = 1000;
-    mState.mGoneTargets.push_back(aGone);
-    while (mState.mGoneTargets.size() > kMaxGoneTargets) {
-      mState.mGoneTargets.pop_front();
-    }
-    RemoveTargetRecord(aGone);
-  }
-
-  void RemoveTargetRecord(const EndedTarget& aGone)
-  {
-    const auto& targets = mState.mConfig.mView.mTargets;
-    auto known = targets.find(aGone.mTarget);
-    if (known != targets.end() &&
-        known->second.mStartedAt <= aGone.mStartedAt) {
-      AppendChange(mState.mConfig,
-                   RemoveTarget{ aGone.mTarget, known->second.mStartedAt });
-    }
-  }
-
   void operator()(const UseRateTolerance& aUse)
   {
     if (mState.mLogical - mState.mToleranceUsedAt >= aUse.mInterval) {
@@ -300,10 +201,10 @@
       return true;
     } else if (const auto* report = std::get_if<ReportTargets>(&aBody)) {
       for (const Target& target : report->mSeen) {
-        ApplyTargetSeen(target);
+        ApplyTargetSeen(mState, target);
       }
       for (const EndedTarget& gone : report->mDeregistered) {
-        ApplyTargetGone(gone);
+        ApplyTargetGone(mState, gone);
       }
     } else if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
       mState.mRetiring.insert(retire->mInstance);
@@ -323,7 +224,14 @@
   void operator()(const RemoveTargets& aRemove)
   {
     for (const EndedTarget& gone : aRemove.mTargets) {
-      RemoveTargetRecord(gone);
+      RemoveTargetRecord(mState, gone);
+    }
+  }
+
+  void operator()(const RemoveUnlistedTargets& aRemove)
+  {
+    for (const UnlistedTargetStart& silent : aRemove.mTargets) {
+      RemoveUnlistedTarget(mState, silent);
     }
   }
 
--- a/caraway/control/command.h
+++ b/caraway/control/command.h
@@ -7,6 +7,7 @@
 // order of a hash table.
 
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -58,6 +59,34 @@
   std::vector<EndedTarget> mTargets;
 };
 
+// A target is told apart from another writer's that uses the same id.
+struct UnlistedTargetKey
+{
+  TargetId mTarget;
+  ServiceId mService;
+
+  auto operator<=>(const UnlistedTargetKey&) const = default;
+};
+
+// A start of a target whose service the serving plan does not list.
+struct UnlistedTarget
+{
+  Target mTarget;
+  MonoTime mColdUntil; // logical time
+};
+
+struct UnlistedTargetStart
+{
+  UnlistedTargetKey mKey;
+  int64_t mStartedAt = 0; // Unix milliseconds
+};
+
+// Removes unlisted targets whose heartbeats are missing.
+struct RemoveUnlistedTargets
+{
+  std::vector<UnlistedTargetStart> mTargets;
+};
+
 // Sets and removes blocks that the leader decided on.
 struct ChangeInputBlocks
 {
@@ -101,7 +130,8 @@
                                  ChangeInputBlocks,
                                  ForgetVersions,
                                  AdvanceRollout,
-                                 UseRateTolerance>;
+                                 UseRateTolerance,
+                                 RemoveUnlistedTargets>;
 
 struct ControlCommand
 {
@@ -124,6 +154,14 @@
   // Starts of targets that announced their end, oldest first. A late heartbeat
   // of such a start is ignored.
   std::deque<EndedTarget> mGoneTargets;
+  // Targets that no plan has listed since they were reported. They are not part
+  // of the configuration, so they neither replace a target at their address nor
+  // reach the members, until a plan lists their service.
+  std::map<UnlistedTargetKey, UnlistedTarget> mUnlistedTargets;
+  // Services that a plan removed while targets of them had a record. Work may
+  // still run there, so a late report of an earlier start does not replace such
+  // a record.
+  std::set<ServiceId> mWithdrawnServices;
   std::set<InstanceId> mRetiring; // instances whose control replica is to be
                                   // removed from the group
   // Entries whose session expired, and the logical time of that. They may be
--- a/caraway/control/command_codec.cpp
+++ b/caraway/control/command_codec.cpp
@@ -62,6 +62,34 @@
   aArchive(aValue.mTargets);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, UnlistedTargetKey& aValue)
+{
+  aArchive(aValue.mTarget, aValue.mService);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, UnlistedTarget& aValue)
+{
+  aArchive(aValue.mTarget, aValue.mColdUntil);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, UnlistedTargetStart& aValue)
+{
+  aArchive(aValue.mKey, aValue.mStartedAt);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RemoveUnlistedTargets& aValue)
+{
+  aArchive(aValue.mTargets);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ChangeInputBlocks& aValue)
@@ -99,12 +127,13 @@
 
 namespace {
 
-constexpr uint32_t kStateVersion = 5;
+constexpr uint32_t kStateVersion = 6;
 constexpr uint32_t kOldestStateVersion = 2;
 // The versions that added a field.
 constexpr uint32_t kVersionOfExpiredEntries = 3;
 constexpr uint32_t kVersionOfKeptSince = 4;
 constexpr uint32_t kVersionOfToleranceUse = 5;
+constexpr uint32_t kVersionOfUnlistedTargets = 6;
 
 // The stored form of the durable state. The configuration is stored as the
 // changes that rebuild it.
@@ -125,6 +154,8 @@
   std::map<InstanceId, MonoTime> mExpiredEntries;
   Revision mKeptSince;
   MonoTime mToleranceUsedAt = kToleranceUnused;
+  std::map<UnlistedTargetKey, UnlistedTarget> mUnlistedTargets;
+  std::set<ServiceId> mWithdrawnServices;
 };
 
 template<class Archive>
@@ -152,6 +183,9 @@
   if (aValue.mVersion >= kVersionOfToleranceUse) {
     aArchive(aValue.mToleranceUsedAt);
   }
+  if (aValue.mVersion >= kVersionOfUnlistedTargets) {
+    aArchive(aValue.mUnlistedTargets, aValue.mWithdrawnServices);
+  }
 }
 
 absl::Status
@@ -212,6 +246,8 @@
   stored.mLedger = EncodeLedger(aState.mLedger);
   stored.mExpiredEntries = aState.mExpiredEntries;
   stored.mToleranceUsedAt = aState.mToleranceUsedAt;
+  stored.mUnlistedTargets = aState.mUnlistedTargets;
+  stored.mWithdrawnServices = aState.mWithdrawnServices;
   return EncodeWith(stored);
 }
 
@@ -244,6 +280,8 @@
   state.mRetiring = std::move(stored->mRetiring);
   state.mExpiredEntries = std::move(stored->mExpiredEntries);
   state.mToleranceUsedAt = stored->mToleranceUsedAt;
+  state.mUnlistedTargets = std::move(stored->mUnlistedTargets);
+  state.mWithdrawnServices = std::move(stored->mWithdrawnServices);
   absl::Status restored = RestoreConfig(*stored, state.mConfig);
   if (!restored.ok()) {
     return restored;
--- a/caraway/control/config_calls.cpp
+++ b/caraway/control/config_calls.cpp
@@ -2,6 +2,7 @@
 // zones, targets and the retirement of replicas.
 
 #include "absl/strings/str_cat.h"
+#include "caraway/control/apply_targets.h"
 #include "caraway/control/step.h"
 
 namespace caraway {
@@ -60,6 +61,104 @@
   return std::nullopt;
 }
 
+// True if the report of an unlisted target has to be proposed. The changes of
+// one that are proposed are bounded, whatever it reports.
+bool
+ProposesUnlisted(ControlStep& aStep, const Target& aTarget)
+{
+  Control& control = aStep.mControl;
+  const UnlistedTargetKey key{ aTarget.mId, aTarget.mService };
+  auto& watches = control.mLeadership.mUnlistedWatches;
+  const auto held = control.mState.mUnlistedTargets.find(key);
+  const bool known = held != control.mState.mUnlistedTargets.end();
+  const bool changes = ChangesTargets(control.mState, aTarget);
+  if (!known && !changes) {
+    return false;
+  }
+  const auto [watch, made] = watches.try_emplace(key);
+  watch->second.mHeardAt = aStep.mNow;
+  const bool drains =
+    known && aTarget.mDraining && !held->second.mTarget.mDraining;
+  const bool due =
+    aStep.mNow - watch->second.mProposedAt >= control.mSettings.mTargetSilence;
+  if (!changes || !(made || drains || due)) {
+    return false;
+  }
+  watch->second.mProposedAt = aStep.mNow;
+  return true;
+}
+
+// True if the report changes anything.
+bool
+NeedsProposal(ControlStep& aStep, const ReportTargets& aReport)
+{
+  const ControlState& state = aStep.mControl.mState;
+  bool needed = !aReport.mDeregistered.empty();
+  for (const Target& target : aReport.mSeen) {
+    const bool changes = IsUnlisted(state, target)
+                           ? ProposesUnlisted(aStep, target)
+                           : ChangesTargets(state, target);
+    needed = needed || changes;
+  }
+  return needed;
+}
+
+void
+RemoveSilentUnlisted(ControlStep& aStep)
+{
+  Control& control = aStep.mControl;
+  auto& watches = control.mLeadership.mUnlistedWatches;
+  RemoveUnlistedTargets remove;
+  for (const auto& [key, unlisted] : control.mState.mUnlistedTargets) {
+    // A target without a watch counts as heard now.
+    const auto [watch, made] = watches.try_emplace(key);
+    if (made) {
+      watch->second.mHeardAt = aStep.mNow;
+    }
+    if (aStep.mNow - watch->second.mHeardAt >=
+        control.mSettings.mTargetSilence) {
+      remove.mTargets.push_back({ key, unlisted.mTarget.mStartedAt });
+      // Proposed again only after another silence of this length.
+      watch->second.mHeardAt = aStep.mNow;
+    }
+  }
+  std::erase_if(watches, [&](const auto& aEntry) {
+    return aStep.mNow - aEntry.second.mHeardAt >=
+             control.mSettings.mTargetSilence &&
+           !control.mState.mUnlistedTargets.contains(aEntry.first);
+  });
+  if (!remove.mTargets.empty()) {
+    (void)Propose(aStep, std::move(remove), {});
+  }
+}
+
+// Records that an earlier version made of targets that no plan lists. A target
+// that lives is kept as an unlisted one after its next report.
+void
+RemoveStrayRecords(ControlStep& aStep)
+{
+  constexpr Duration kInterval = Seconds(1);
+  Control& control = aStep.mControl;
+  if (aStep.mNow - control.mLeadership.mStraysProposedAt < kInterval) {
+    return;
+  }
+  RemoveTargets remove;
+  for (const auto& [id, target] : control.mState.mConfig.mView.mTargets) {
+    if (IsStrayRecord(control.mState, target)) {
+      remove.mTargets.push_back({ id, target.mStartedAt });
+      Log(aStep,
+          "remove_target",
+          id.mValue,
+          absl::StrCat("the configuration does not list its service ",
+                       target.mService.mValue));
+    }
+  }
+  if (!remove.mTargets.empty()) {
+    control.mLeadership.mStraysProposedAt = aStep.mNow;
+    (void)Propose(aStep, std::move(remove), {});
+  }
+}
+
 } // namespace
 
 std::optional<CallReplyBody>
@@ -82,6 +181,10 @@
   if (const auto* retire = std::get_if<RetireReplica>(&aBody)) {
     return AnswerRetirement(aStep, retire->mInstance);
   }
+  if (const auto* report = std::get_if<ReportTargets>(&aBody);
+      report != nullptr && !NeedsProposal(aStep, *report)) {
+    return CallDone{};
+  }
   if (const auto* replace = std::get_if<ReplacePlan>(&aBody)) {
     if (view.mPlan && replace->mPlan.mVersion <= view.mPlan->mVersion) {
       return CallDone{};
@@ -135,6 +238,8 @@
   if (!remove.mTargets.empty()) {
     (void)Propose(aStep, std::move(remove), {});
   }
+  RemoveStrayRecords(aStep);
+  RemoveSilentUnlisted(aStep);
 }
 
 } // namespace caraway
--- a/caraway/control/control_state.h
+++ b/caraway/control/control_state.h
@@ -139,6 +139,13 @@
   MonoTime mNextLine;                      // of the log, while it is active
 };
 
+// What the leader knows of an unlisted target.
+struct UnlistedTargetWatch
+{
+  MonoTime mHeardAt;
+  MonoTime mProposedAt; // when a change was last proposed
+};
+
 // Soft state that only the leader has; cleared when the leadership ends.
 struct Leadership
 {
@@ -162,6 +169,8 @@
   // When an entry last reported a heartbeat of the target, or when the removal
   // of the target was last proposed.
   std::map<TargetId, MonoTime> mTargetHeardAt;
+  std::map<UnlistedTargetKey, UnlistedTargetWatch> mUnlistedWatches;
+  MonoTime mStraysProposedAt; // when a removal of stray records was proposed
   // When a change of the block was last proposed.
   std::map<InputBlockId, MonoTime> mBlockProposedAt;
   // Since when no target has had a software version that is still remembered.
--- a/caraway/control/metrics.cpp
+++ b/caraway/control/metrics.cpp
@@ -121,6 +121,9 @@
   out.Line("keys", "gauge", view.mKeys.size());
   out.Line("members", "gauge", view.mMembers.size());
   out.Line("members_without_lease", "gauge", sessions.mWithoutLease);
+  out.Line("targets", "gauge", view.mTargets.size());
+  out.Line(
+    "targets_unlisted", "gauge", aControl.mState.mUnlistedTargets.size());
   out.Line("config_polls", "gauge", aControl.mPolls.mPolls.size());
   out.Line("open_proposals", "gauge", aControl.mLeadership.mProposals.size());
   out.Line("config_deltas_total", "counter", aControl.mPolls.mDeltas);
--- a/caraway/entry/forward_request.h
+++ b/caraway/entry/forward_request.h
@@ -76,6 +76,7 @@
 {
   HttpCallId mCall;
   TargetId mTarget;
+  ServiceId mService;     // empty: not given
   int64_t mStartedAt = 0; // 0: not given; the latest known start is meant
 };
 
--- a/caraway/entry/order_work.h
+++ b/caraway/entry/order_work.h
@@ -2,6 +2,7 @@
 // State of a request that control answers, which takes one or more control
 // calls.
 
+#include <cstdint>
 #include <string>
 
 #include "caraway/entry/forward_request.h"
@@ -9,9 +10,17 @@
 
 namespace caraway {
 
+// The lines that an order leaves in the log.
+enum class OrderLog : uint8_t
+{
+  eEnd, // how it ended
+  eNone,
+};
+
 struct OrderWork
 {
   OrderTopic mKind = OrderTopic::eTargetReport;
+  OrderLog mLog = OrderLog::eEnd;
   // If true, the job may exist although no reply came: the outcome is unknown.
   bool mCreateJobSent = false;
   // Submission of a batch job: the input file is stored before the job is
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -158,7 +158,9 @@
 }
 
 void
-EndOrder(EntryStep& aStep, CallerRequest& aRequest, CallReplyBody aBody)
+LogOrderEnd(EntryStep& aStep,
+            const CallerRequest& aRequest,
+            const CallReplyBody& aBody)
 {
   DecisionLog log;
   log.mEvent = "order";
@@ -177,6 +179,14 @@
     AddLeaderFields(aStep, log.mExtra);
   }
   aStep.mOut.emplace_back(std::move(log));
+}
+
+void
+EndOrder(EntryStep& aStep, CallerRequest& aRequest, CallReplyBody aBody)
+{
+  if (aRequest.mOrder.mLog == OrderLog::eEnd) {
+    LogOrderEnd(aStep, aRequest, aBody);
+  }
   if (!aRequest.mCallerGone) {
     ReplyTo(aStep, aRequest.mCall, aRequest.mOrder.mKind, std::move(aBody));
   }
@@ -341,12 +351,15 @@
 }
 
 void
-StartReport(EntryStep& aStep, HttpCallId aCall, ReportTargets aReport)
+StartReport(EntryStep& aStep,
+            HttpCallId aCall,
+            ReportTargets aReport,
+            OrderLog aLog)
 {
-  SendOrderCall(
-    aStep,
-    NewOrder(aStep, aCall, OrderTopic::eTargetReport, kReportTimeout),
-    std::move(aReport));
+  CallerRequest& request =
+    NewOrder(aStep, aCall, OrderTopic::eTargetReport, kReportTimeout);
+  request.mOrder.mLog = aLog;
+  SendOrderCall(aStep, request, std::move(aReport));
 }
 
 void
--- a/caraway/entry/orders.h
+++ b/caraway/entry/orders.h
@@ -16,7 +16,10 @@
 // Sends a report of targets to control. aCall is answered once control has
 // confirmed the report; if it is none, no reply is sent.
 void
-StartReport(EntryStep& aStep, HttpCallId aCall, ReportTargets aReport);
+StartReport(EntryStep& aStep,
+            HttpCallId aCall,
+            ReportTargets aReport,
+            OrderLog aLog = OrderLog::eEnd);
 
 void
 HandleOrderReply(EntryStep& aStep,
--- a/caraway/entry/target_reports.cpp
+++ b/caraway/entry/target_reports.cpp
@@ -13,6 +13,14 @@
 constexpr Duration kTargetsHeardInterval = Millis(500);
 // Interval of reports until the configuration shows the change.
 constexpr Duration kReportRetryInterval = Millis(500);
+// Heartbeats come at most some seconds late, so that older records are of no
+// use.
+constexpr Duration kHeartbeatRecordTtl = Seconds(60);
+constexpr Duration kDropInterval = Seconds(10);
+// Bounds the memory that a writer with ever new ids and addresses takes up.
+constexpr size_t kMaxHeartbeatRecords = 8192;
+constexpr size_t kMaxUnlistedAddresses = 1024;
+constexpr size_t kMaxGoneTargets = 1024;
 
 void
 Acknowledge(EntryStep& aStep, HttpCallId aCall)
@@ -21,6 +29,69 @@
     OrderReply{ aCall, OrderTopic::eTargetReport, CallDone{} });
 }
 
+void
+DropOldRecords(EntryStep& aStep)
+{
+  TargetReports& reports = aStep.mEntry.mReports;
+  if (aStep.mNow < reports.mNextDrop) {
+    return;
+  }
+  reports.mNextDrop = aStep.mNow + kDropInterval;
+  std::erase_if(reports.mHeartbeats, [&](const auto& aHeard) {
+    return aStep.mNow - aHeard.second.mHeardAt >= kHeartbeatRecordTtl;
+  });
+  std::erase_if(reports.mUnlistedHeard, [&](const auto& aHeard) {
+    return aStep.mNow - aHeard.second >= kHeartbeatRecordTtl;
+  });
+}
+
+HeartbeatRecord&
+RecordOf(EntryStep& aStep, const Target& aTarget)
+{
+  DropOldRecords(aStep);
+  auto& records = aStep.mEntry.mReports.mHeartbeats;
+  const std::pair key(aTarget.mId, aTarget.mService);
+  if (records.size() >= kMaxHeartbeatRecords && !records.contains(key)) {
+    records.erase(std::min_element(
+      records.begin(), records.end(), [](const auto& aOne, const auto& aTwo) {
+        return aOne.second.mHeardAt < aTwo.second.mHeardAt;
+      }));
+  }
+  return records[key];
+}
+
+bool
+IsListed(const Entry& aEntry, const ServiceId& aService)
+{
+  const auto& plan = aEntry.mConfig.mPlan;
+  return plan && PlanServiceById(*plan, aService) != nullptr;
+}
+
+// True if the configuration has the target, and not another writer's under its
+// id.
+bool
+HasRecord(const Entry& aEntry, const Target& aTarget)
+{
+  const auto known = aEntry.mConfig.mTargets.find(aTarget.mId);
+  return known != aEntry.mConfig.mTargets.end() &&
+         known->second.mService == aTarget.mService;
+}
+
+// True if this is the first heartbeat for a while that names a service at the
+// address that the configuration does not list.
+bool
+IsNewUnlisted(EntryStep& aStep, const std::string& aAddress)
+{
+  auto& heard = aStep.mEntry.mReports.mUnlistedHeard;
+  const auto known = heard.find(aAddress);
+  if (known != heard.end()) {
+    known->second = aStep.mNow;
+    return false;
+  }
+  return heard.size() < kMaxUnlistedAddresses &&
+         heard.emplace(aAddress, aStep.mNow).second;
+}
+
 // True if the heartbeat has to be reported to control. That a target is cold is
 // reported once, since the time that is left then passes by itself.
 bool
@@ -45,6 +116,19 @@
          held.mSlots != aTarget.mSlots;
 }
 
+void
+RememberGone(Entry& aEntry, const TargetId& aTarget, int64_t aStartedAt)
+{
+  auto& gone = aEntry.mGoneTargets;
+  if (gone.size() >= kMaxGoneTargets) {
+    // Those without a record get no requests anyway.
+    std::erase_if(gone, [&](const auto& aGone) {
+      return !aEntry.mConfig.mTargets.contains(aGone.first);
+    });
+  }
+  gone.insert({ aTarget, aStartedAt });
+}
+
 void
 LogTarget(EntryStep& aStep, const Target& aTarget, const char* aChoice)
 {
@@ -66,7 +150,7 @@
 HandleTargetHeartbeat(EntryStep& aStep, const TargetHeartbeat& aHeartbeat)
 {
   const Target& target = aHeartbeat.mTarget;
-  HeartbeatRecord& heard = aStep.mEntry.mReports.mHeartbeats[target.mId];
+  HeartbeatRecord& heard = RecordOf(aStep, target);
   const bool late = target.mStartedAt < heard.mStartedAt ||
                     (target.mStartedAt == heard.mStartedAt &&
                      aHeartbeat.mSequence < heard.mSequence);
@@ -80,7 +164,9 @@
   }
   heard.mSequence = aHeartbeat.mSequence;
   heard.mHeardAt = aStep.mNow;
-  aStep.mEntry.mReports.mPendingHeard.push_back(target.mId);
+  if (HasRecord(aStep.mEntry, target)) {
+    aStep.mEntry.mReports.mPendingHeard.push_back(target.mId);
+  }
   const bool changed = NeedsReport(aStep, target, heard);
   if (target.mColdFor > Duration{}) {
     heard.mColdUntil = aStep.mNow + target.mColdFor;
@@ -93,10 +179,19 @@
   // control, so that all entries learn of it in time.
   if (aStep.mNow - heard.mReportedAt >= kReportRetryInterval) {
     heard.mReportedAt = aStep.mNow;
-    LogTarget(aStep, target, target.mDraining ? "leaving" : "changed");
+    // Control keeps a target of an unlisted service aside. The configuration
+    // never shows it, so that each heartbeat is reported.
+    const bool unlisted = !IsListed(aStep.mEntry, target.mService) &&
+                          !HasRecord(aStep.mEntry, target);
+    if (!unlisted) {
+      LogTarget(aStep, target, target.mDraining ? "leaving" : "changed");
+    } else if (IsNewUnlisted(aStep, target.mAddress)) {
+      LogTarget(aStep, target, "service is not listed");
+    }
     StartReport(aStep,
                 target.mDraining ? aHeartbeat.mCall : HttpCallId(),
-                ReportTargets{ { target }, {} });
+                ReportTargets{ { target }, {} },
+                unlisted ? OrderLog::eNone : OrderLog::eEnd);
     if (target.mDraining) {
       return;
     }
@@ -109,15 +204,24 @@
                            const TargetDeregistration& aDeregistration)
 {
   Entry& entry = aStep.mEntry;
+  const auto known = entry.mConfig.mTargets.find(aDeregistration.mTarget);
+  const bool hasRecord = known != entry.mConfig.mTargets.end();
+  if (hasRecord && !aDeregistration.mService.Empty() &&
+      aDeregistration.mService != known->second.mService) {
+    // Another writer uses the id of a target.
+    Acknowledge(aStep, aDeregistration.mCall);
+    return;
+  }
   int64_t startedAt = aDeregistration.mStartedAt;
   if (startedAt == 0) {
-    auto known = entry.mConfig.mTargets.find(aDeregistration.mTarget);
-    auto heard = entry.mReports.mHeartbeats.find(aDeregistration.mTarget);
-    startedAt = std::max(
-      known == entry.mConfig.mTargets.end() ? 0 : known->second.mStartedAt,
-      heard == entry.mReports.mHeartbeats.end() ? 0 : heard->second.mStartedAt);
+    startedAt = hasRecord ? known->second.mStartedAt : 0;
+    for (const auto& [key, heard] : entry.mReports.mHeartbeats) {
+      const bool same = key.first == aDeregistration.mTarget &&
+                        (!hasRecord || key.second == known->second.mService);
+      startedAt = same ? std::max(startedAt, heard.mStartedAt) : startedAt;
+    }
   }
-  entry.mGoneTargets.insert({ aDeregistration.mTarget, startedAt });
+  RememberGone(entry, aDeregistration.mTarget, startedAt);
   Target gone;
   gone.mId = aDeregistration.mTarget;
   gone.mStartedAt = startedAt;
--- a/caraway/entry/target_reports_state.h
+++ b/caraway/entry/target_reports_state.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "caraway/base/http.h"
@@ -21,7 +23,12 @@
 
 struct TargetReports
 {
-  std::map<TargetId, HeartbeatRecord> mHeartbeats;
+  // By service too: another writer may use the id of a target.
+  std::map<std::pair<TargetId, ServiceId>, HeartbeatRecord> mHeartbeats;
+  // When a target of an unlisted service was last heard from at an address. Its
+  // first heartbeat there left a log line.
+  std::map<std::string, MonoTime> mUnlistedHeard;
+  MonoTime mNextDrop{ 0 };             // when old records are dropped next
   std::vector<TargetId> mPendingHeard; // heard from since the last TargetsHeard
   MonoTime mNextTargetsHeard{ 0 };
 };
--- a/caraway/runtime/socket_address.cpp
+++ b/caraway/runtime/socket_address.cpp
@@ -60,6 +60,17 @@
   return absl::StrCat("[", text.data(), "]:", ntohs(v6->sin6_port));
 }
 
+absl::StatusOr<std::string>
+NormalSocketAddress(const std::string& aText)
+{
+  const absl::StatusOr<SocketAddress> address = ParseSocketAddress(aText);
+  if (!address.ok()) {
+    return address.status();
+  }
+  return FormatSocketAddress(
+    reinterpret_cast<const sockaddr*>(&address->mStorage));
+}
+
 std::string
 BoundAddress(int aSocket)
 {
--- a/caraway/runtime/socket_address.h
+++ b/caraway/runtime/socket_address.h
@@ -25,6 +25,11 @@
 std::string
 FormatSocketAddress(const sockaddr* aAddress);
 
+// The same address in the one form that FormatSocketAddress gives it, so that
+// two texts of one address are equal.
+absl::StatusOr<std::string>
+NormalSocketAddress(const std::string& aText);
+
 // The address the socket is bound to, such as the port chosen for port 0. Empty
 // on error.
 std::string
--- a/tests/control_stream_versions_test.cpp
+++ b/tests/control_stream_versions_test.cpp
@@ -23,6 +23,13 @@
         mReplies.push_back(*reply);
       }
     };
+    // Targets have a record once a plan lists their service.
+    ServingPlan plan;
+    plan.mVersion = 1;
+    plan.mServices.resize(2);
+    plan.mServices[0].mId = kService;
+    plan.mServices[1].mId = ServiceId("other");
+    Call(ReplacePlan{ plan });
   }
 
   void Call(CallBody aBody) { SendCall(std::move(aBody), Millis(300)); }
@@ -105,7 +112,7 @@
 {
   const ServiceId other("other");
   ServingPlan plan;
-  plan.mVersion = 1;
+  plan.mVersion = 2;
   plan.mServices.resize(2);
   plan.mServices[0].mId = kService;
   plan.mServices[1].mId = other;
--- a/tests/platform_odd_input_test.cpp
+++ b/tests/platform_odd_input_test.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "caraway/base/json_text.h"
 #include "platform/heartbeat_json.h"
 #include "platform/jobs_json.h"
@@ -112,6 +113,34 @@
                 .ok());
 }
 
+// Control compares addresses as text. Two texts of one address would let two
+// targets have records there.
+BOOST_AUTO_TEST_CASE(address_is_read_in_one_form)
+{
+  for (const char* address : { "10.0.0.1:8080", "10.0.0.1:08080" }) {
+    const auto heartbeat = platform::ReadHeartbeat(
+      "i-1", Heartbeat("address", absl::StrCat("\"", address, "\"")));
+    BOOST_REQUIRE(heartbeat.ok());
+    BOOST_TEST(heartbeat->mTarget.mAddress == "10.0.0.1:8080");
+  }
+  for (const char* address : { "[::1]:8080", "[0:0::1]:8080" }) {
+    const auto heartbeat = platform::ReadHeartbeat(
+      "i-1", Heartbeat("address", absl::StrCat("\"", address, "\"")));
+    BOOST_REQUIRE(heartbeat.ok());
+    BOOST_TEST(heartbeat->mTarget.mAddress == "[::1]:8080");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(farewell_names_the_service_that_it_says)
+{
+  BOOST_TEST(
+    (platform::ReadFarewell("i-1", R"({"service":"metrics-agent"})").mService ==
+     ServiceId("metrics-agent")));
+  BOOST_TEST(
+    platform::ReadFarewell("i-1", R"({"service":7})").mService.Empty());
+  BOOST_TEST(platform::ReadFarewell("i-1", "").mService.Empty());
+}
+
 // The start time of a target orders its heartbeats. One that is far in the
 // future would keep the real ones out.
 BOOST_AUTO_TEST_CASE(farewell_with_an_impossible_start_names_none)
