A writer of one unlisted service leaves room for the target at its address

Cause: the four unlisted targets kept for an address were given to whoever came first, so a writer with ever new ids took all of them before a sound target's first report, which then had to wait for the heartbeat after its configuration.

Change: two of them at most are of one service.

Measured: control_unlisted_target_test, 11 cases pass.

--- a/caraway/control/apply_targets.cpp
+++ b/caraway/control/apply_targets.cpp
@@ -19,6 +19,9 @@
 // An address has one target; a few more let its own be kept beside those that
 // other writers report there.
 constexpr size_t kMaxUnlistedAtAddress = 4;
+// Of them: a target and the one that takes its place. So a writer that names
+// one service leaves room for the target, however many ids it uses.
+constexpr size_t kMaxUnlistedOfService = 2;
 
 const ConfigView&
 ViewOf(const ControlState& aState)
@@ -121,13 +124,16 @@
 bool
 HasRoomForUnlisted(const ControlState& aState, const Target& aTarget)
 {
-  const auto& unlisted = aState.mUnlistedTargets;
-  const auto atAddress =
-    std::count_if(unlisted.begin(), unlisted.end(), [&](const auto& aEntry) {
-      return aEntry.second.mTarget.mAddress == aTarget.mAddress;
-    });
-  return unlisted.size() < kMaxUnlistedTargets &&
-         static_cast<size_t>(atAddress) < kMaxUnlistedAtAddress;
+  size_t atAddress = 0;
+  size_t ofService = 0; // of those
+  for (const auto& [key, held] : aState.mUnlistedTargets) {
+    if (held.mTarget.mAddress == aTarget.mAddress) {
+      ++atAddress;
+      ofService += key.mService == aTarget.mService ? 1 : 0;
+    }
+  }
+  return aState.mUnlistedTargets.size() < kMaxUnlistedTargets &&
+         atAddress < kMaxUnlistedAtAddress && ofService < kMaxUnlistedOfService;
 }
 
 // What is kept of an unlisted target after the report; none if it changes
--- a/tests/control_unlisted_target_test.cpp
+++ b/tests/control_unlisted_target_test.cpp
@@ -279,6 +279,19 @@
   BOOST_TEST(HasTarget("t-1"));
 }
 
+// A target that waits for its configuration finds room beside such a writer.
+BOOST_AUTO_TEST_CASE(writer_with_ever_new_ids_leaves_room_for_a_target)
+{
+  State state;
+  for (int at = 0; at < 100; ++at) {
+    state.See(MakeTarget("agent-" + std::to_string(at), kUnlisted, 1000 + at));
+  }
+  state.See(MakeTarget("t-1", kService, 100));
+  state.Plan(1, { kService });
+  BOOST_TEST(state.At() == "t-1 ");
+  BOOST_TEST(state.mState.mUnlistedTargets.size() <= 2u);
+}
+
 // Unlisted targets that have fallen silent are not put to use later.
 BOOST_FIXTURE_TEST_CASE(silent_unlisted_target_is_dropped, Group)
 {
