Batch jobs are judged by the configuration in force where they are applied

Cause: the entry took key, route, service, goals and limits from its copy of the configuration, and control obeyed. What the leader did fill in came from its state at the proposal, so a plan that stood in the log before the job, not applied yet, was missed there and by the move of open jobs alike. An entry whose session ended registered again and sent the same call on.

Change: SubmitJob carries what the caller sent (digest or id of the key, host, path, items); control/apply_jobs decides when the command is applied. The caller gets the answer of the configuration in force: 401, 404, 429, or 503 if its key belongs to another workspace by now. An accepted job is acknowledged again. CancelJobByKey does the same for the end of a job.

Why it works: the decision and the effect are one step of the replicated state, so no plan can come between them, however old the entry's copy is and however often the call is sent.

--- a/caraway/config/config_view.cpp
+++ b/caraway/config/config_view.cpp
@@ -176,6 +176,17 @@
   aView.mRevision = aChange.mRevision;
 }
 
+bool
+IsKeyValid(const ConfigView& aView, const KeyId& aKey)
+{
+  const auto key = aView.mKeys.find(aKey);
+  if (key == aView.mKeys.end() || key->second.mWithdrawn) {
+    return false;
+  }
+  const auto contract = aView.mContracts.find(key->second.mWorkspace);
+  return contract != aView.mContracts.end() && !contract->second.mWithdrawn;
+}
+
 bool
 ZoneInService(const ConfigView& aView, const ZoneId& aZone)
 {
--- a/caraway/config/config_view.h
+++ b/caraway/config/config_view.h
@@ -52,6 +52,10 @@
 void
 ApplyChange(ConfigView& aView, const RevisedChange& aChange);
 
+// False if the key or its contract is withdrawn or doesn't exist.
+bool
+IsKeyValid(const ConfigView& aView, const KeyId& aKey);
+
 bool
 ZoneInService(const ConfigView& aView, const ZoneId& aZone);
 
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "caraway/control/apply_jobs.h"
 #include "caraway/control/apply_rollouts.h"
 #include "caraway/control/apply_targets.h"
 #include "caraway/ledger/ledger.h"
@@ -276,6 +277,24 @@
                                   "entry registers and calls again" });
       return;
     }
+    if (const auto* submit = std::get_if<SubmitJob>(&aCall.mBody)) {
+      mOutcome.mReply = ApplySubmitJob(mState,
+                                       mIndex,
+                                       mCommand.mUnixSeconds,
+                                       aCall,
+                                       *submit,
+                                       mOutcome.mEffects);
+      return;
+    }
+    if (const auto* cancel = std::get_if<CancelJobByKey>(&aCall.mBody)) {
+      mOutcome.mReply = ApplyCancelJobByKey(mState,
+                                            mIndex,
+                                            mCommand.mUnixSeconds,
+                                            aCall,
+                                            *cancel,
+                                            mOutcome.mEffects);
+      return;
+    }
     mOutcome.mReply = ApplyCall(mState.mLedger,
                                 mIndex,
                                 mState.mLogical,
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -104,28 +104,6 @@
                      "again later" };
 }
 
-// Takes the limits of a job from control's copy of the contract, since the
-// entry's copy may be older.
-std::optional<CallFailed>
-FillFromContract(const ControlStep& aStep,
-                 const WorkspaceId& aWorkspace,
-                 CreateJob& aCreate)
-{
-  const auto& contracts = ViewOf(aStep).mContracts;
-  auto contract = contracts.find(aWorkspace);
-  if (contract == contracts.end() || contract->second.mWithdrawn) {
-    return CallFailed{ ErrorKind::eNotPermitted,
-                       "the workspace has no contract in force; ask the "
-                       "operator" };
-  }
-  aCreate.mMaxItems = contract->second.mMaxBatchItems;
-  aCreate.mWeight = contract->second.mWeight;
-  if (aCreate.mWindow <= Duration{}) {
-    aCreate.mWindow = contract->second.mBatchWindow;
-  }
-  return std::nullopt;
-}
-
 CallReplyBody
 DescribeFileOf(const ControlStep& aStep,
                const ControlCall& aCall,
@@ -338,10 +316,10 @@
   }
   ControlCall call = aMessage;
   if (auto* create = std::get_if<CreateJob>(&call.mBody)) {
-    if (auto failed = FillFromContract(aStep, call.mWorkspace, *create)) {
-      Reply(aStep, aFrom, aMessage, *failed);
-      return;
-    }
+    // From an entry of an earlier version, which sends no key.
+    SubmitJob submit;
+    submit.mCreate = std::move(*create);
+    call.mBody = std::move(submit);
   }
   const absl::Status proposed = Propose(aStep, std::move(call), to);
   if (KindOf(proposed) == ErrorKind::eTooLarge ||
--- a/caraway/entry/auth.cpp
+++ b/caraway/entry/auth.cpp
@@ -90,15 +90,4 @@
   return Caller{ id, &contract->second };
 }
 
-bool
-IsKeyValid(const ConfigView& aConfig, const KeyId& aKey)
-{
-  auto key = aConfig.mKeys.find(aKey);
-  if (key == aConfig.mKeys.end() || key->second.mWithdrawn) {
-    return false;
-  }
-  auto contract = aConfig.mContracts.find(key->second.mWorkspace);
-  return contract != aConfig.mContracts.end() && !contract->second.mWithdrawn;
-}
-
 } // namespace caraway
--- a/caraway/entry/auth.h
+++ b/caraway/entry/auth.h
@@ -27,8 +27,4 @@
 absl::StatusOr<Caller>
 Authenticate(const ConfigView& aConfig, const std::string& aAuthorization);
 
-// Returns false if the key or its contract is withdrawn or doesn't exist.
-bool
-IsKeyValid(const ConfigView& aConfig, const KeyId& aKey);
-
 } // namespace caraway
--- a/caraway/entry/control_calls.cpp
+++ b/caraway/entry/control_calls.cpp
@@ -64,7 +64,7 @@
 bool
 MayStillBeAccepted(PendingCall& aCall, const CallReplyBody& aBody)
 {
-  if (!std::holds_alternative<CreateJob>(aCall.mMessage.mBody) ||
+  if (!std::holds_alternative<SubmitJob>(aCall.mMessage.mBody) ||
       !std::holds_alternative<CallFailed>(aBody)) {
     return false;
   }
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -104,17 +104,17 @@
     return;
   }
   work.mStep = ControlStep::eCreateJob;
-  CreateJob create;
+  SubmitJob submit;
+  submit.mKey = aRequest.mKey;
+  CreateJob& create = submit.mCreate;
   create.mJob = work.mJob;
   create.mKey = work.mKey;
   create.mInput = work.mFile;
   create.mEndpoint = work.mEndpoint;
   create.mWindow = work.mWindow;
   create.mModel = work.mModel;
-  create.mMaxItems = contract->second.mMaxBatchItems;
-  create.mWeight = contract->second.mWeight;
   create.mMetadata = work.mMetadata;
-  CallControl(aStep, aRequest, std::move(create));
+  CallControl(aStep, aRequest, std::move(submit));
 }
 
 void
@@ -350,7 +350,7 @@
       CallControl(aStep, aRequest, ListJobs{ JobId(work.mAfter), work.mLimit });
       break;
     case ControlStep::eCancelJob:
-      CallControl(aStep, aRequest, CancelJob{ work.mJob });
+      CallControl(aStep, aRequest, CancelJobByKey{ work.mJob, aRequest.mKey });
       break;
     default:
       break;
--- a/caraway/entry/order_work.h
+++ b/caraway/entry/order_work.h
@@ -22,13 +22,13 @@
   OrderTopic mKind = OrderTopic::eTargetReport;
   OrderLog mLog = OrderLog::eEnd;
   // If true, the job may exist although no reply came: the outcome is unknown.
-  bool mCreateJobSent = false;
+  bool mSubmitted = false;
   // Submission of a batch job: the input file is stored before the job is
   // created.
   FileId mFile;         // input file; empty if this is not a job submission
   std::string mLines;   // content of the input file
   uint64_t mStored = 0; // bytes of mLines sent
-  CreateJob mCreate;
+  SubmitJob mSubmit;
 };
 
 } // namespace caraway
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -170,13 +170,17 @@
   log.mLevel = failed != nullptr ? LogLevel::eWarning : LogLevel::eInfo;
   log.mChoice =
     failed != nullptr ? std::string(ErrorKindName(failed->mKind)) : "done";
-  log.mReason =
-    failed != nullptr ? failed->mMessage : aRequest.mOrder.mCreate.mJob.mValue;
+  log.mReason = failed != nullptr ? failed->mMessage
+                                  : aRequest.mOrder.mSubmit.mCreate.mJob.mValue;
   log.mExtra = {
     { "took_ms", std::to_string((aStep.mNow - aRequest.mReceivedAt).Millis()) }
   };
   if (failed != nullptr) {
     AddLeaderFields(aStep, log.mExtra);
+    // Control may have decided by a newer configuration.
+    for (LogField& field : CopyFields(aStep.mEntry, aStep.mNow)) {
+      log.mExtra.push_back(std::move(field));
+    }
   }
   aStep.mOut.emplace_back(std::move(log));
 }
@@ -194,7 +198,7 @@
 }
 
 // Sends the next part of the input file or, once all of it is stored,
-// CreateJob.
+// SubmitJob.
 void
 SendNextOrderCall(EntryStep& aStep, CallerRequest& aRequest)
 {
@@ -211,8 +215,8 @@
     SendOrderCall(aStep, aRequest, std::move(part));
     return;
   }
-  work.mCreateJobSent = true;
-  SendOrderCall(aStep, aRequest, work.mCreate);
+  work.mSubmitted = true;
+  SendOrderCall(aStep, aRequest, work.mSubmit);
 }
 
 CallFailed
@@ -284,6 +288,8 @@
   CallBody body = aOrder.mBody;
   if (const auto* zone = std::get_if<SetZone>(&aOrder.mBody)) {
     body = OrderZone{ *zone, aStep.mEntry.mConfig.mRevision };
+  } else if (const auto* cancel = std::get_if<CancelJob>(&aOrder.mBody)) {
+    body = CancelJobByKey{ cancel->mJob, DigestOfKey(aOrder.mKey) };
   }
   SendOrderCall(aStep, request, std::move(body));
 }
@@ -335,18 +341,16 @@
   OrderWork& work = request.mOrder;
   work.mFile = FileId("file-" + aSubmission.mJob.mValue);
   work.mLines = std::move(aSubmission.mLines);
-  CreateJob& create = work.mCreate;
-  create.mJob = aSubmission.mJob;
-  create.mInput = work.mFile;
-  create.mEndpoint = aSubmission.mHost;
-  create.mWindow = route->mItemLifetime;
-  create.mModel = ModelId(ChooseService(*route, 0).mValue);
-  create.mRoute = route->mId;
-  create.mItems = std::move(aSubmission.mItems);
-  create.mGoal = route->mCompletionGoal;
-  create.mMaxWaitingTokens = route->mMaxWaitingTokens;
-  create.mMaxAttempts =
-    static_cast<uint8_t>(std::clamp<uint32_t>(route->mMaxAttempts, 1, 255));
+  // Control decides by its own copy what key and route allow. This one may be
+  // older, as after a freeze.
+  SubmitJob& submit = work.mSubmit;
+  submit.mKey = DigestOfKey(aSubmission.mKey);
+  submit.mHost = aSubmission.mHost;
+  submit.mPath = std::move(aSubmission.mPath);
+  submit.mCreate.mJob = aSubmission.mJob;
+  submit.mCreate.mInput = work.mFile;
+  submit.mCreate.mEndpoint = std::move(aSubmission.mHost);
+  submit.mCreate.mItems = std::move(aSubmission.mItems);
   SendNextOrderCall(aStep, request);
 }
 
@@ -369,7 +373,7 @@
 {
   const bool failed = std::holds_alternative<CallFailed>(aBody);
   OrderWork& work = aRequest.mOrder;
-  const bool more = !work.mFile.Empty() && !work.mCreateJobSent;
+  const bool more = !work.mFile.Empty() && !work.mSubmitted;
   if (more && !failed) {
     SendNextOrderCall(aStep, aRequest);
     return;
@@ -383,7 +387,7 @@
   EndOrder(
     aStep,
     aRequest,
-    aRequest.mOrder.mCreateJobSent
+    aRequest.mOrder.mSubmitted
       ? Failed(ErrorKind::eOutcomeUnknown,
                "control has not confirmed the job; send the request again")
       : Failed(ErrorKind::eUnavailable,
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -15,6 +15,7 @@
 #include "caraway/base/error.h"
 #include "caraway/base/ids.h"
 #include "caraway/base/time.h"
+#include "caraway/config/api_key.h"
 #include "caraway/config/rollout.h"
 #include "caraway/config/serving_plan.h"
 #include "caraway/config/target.h"
@@ -247,6 +248,31 @@
   ServiceId mService;
 };
 
+// The key that a caller sent: one of the product's own interface, or the digest
+// of one of the plan. None: an entry of an earlier version passes the call on.
+using CallerKey = std::variant<std::monostate, KeyId, KeyDigest>;
+
+// A job as its caller submitted it. Key, route and limits are judged where the
+// command is applied, by the configuration at that place of the log: the
+// entry's copy may be older, and a change may stand in the log before the job.
+struct SubmitJob
+{
+  // Without what the configuration decides: the contract's figures and, with
+  // mHost, all that belongs to the route.
+  CreateJob mCreate;
+  CallerKey mKey;
+  // Of the request, for jobs of a route of the plan.
+  std::string mHost;
+  std::string mPath;
+};
+
+// CancelJob, if the key still belongs to the workspace where it is applied.
+struct CancelJobByKey
+{
+  JobId mJob;
+  CallerKey mKey;
+};
+
 using CallBodyVariant = std::variant<PutFilePart,
                                      ReadFile,
                                      DescribeFile,
@@ -269,7 +295,9 @@
                                      OrderZone,
                                      BeginRollout,
                                      DescribeRollout,
-                                     AbortRollout>;
+                                     AbortRollout,
+                                     SubmitJob,
+                                     CancelJobByKey>;
 
 // Its special members are compiled in call_messages.cpp only: each file that
 // moves or drops one would compile them for all of its types.
--- a/caraway/wire/serialize_calls.h
+++ b/caraway/wire/serialize_calls.h
@@ -232,6 +232,20 @@
   aArchive(aValue.mService);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, SubmitJob& aValue)
+{
+  aArchive(aValue.mCreate, aValue.mKey, aValue.mHost, aValue.mPath);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CancelJobByKey& aValue)
+{
+  aArchive(aValue.mJob, aValue.mKey);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, ControlCall& aValue)
--- a/tests/entry_control_test.cpp
+++ b/tests/entry_control_test.cpp
@@ -276,7 +276,9 @@
          { { "Idempotency-Key", "night" } });
   ReplyCall(OneCall<ReadFile>().first,
             FileBytesReply{ "{\"body\":{\"model\":\"m\"}}\nrest", 30, false });
-  const auto [message, create] = OneCall<CreateJob>();
+  const auto [message, submit] = OneCall<SubmitJob>();
+  const CreateJob& create = submit.mCreate;
+  BOOST_TEST(std::holds_alternative<KeyId>(submit.mKey));
   BOOST_TEST(create.mModel.mValue == "m");
   BOOST_TEST(create.mKey.mValue == "night");
   BOOST_TEST(create.mWindow.Millis() == 90 * 60 * 1000);
--- a/tests/entry_job_test.cpp
+++ b/tests/entry_job_test.cpp
@@ -34,7 +34,7 @@
     // The file of the job is stored first.
     const ControlCall part = LastCall();
     Reply(part, FileReply{});
-    BOOST_REQUIRE(std::holds_alternative<CreateJob>(LastCall().mBody));
+    BOOST_REQUIRE(std::holds_alternative<SubmitJob>(LastCall().mBody));
   }
 
   ControlCall LastCall()
@@ -66,7 +66,7 @@
     mSent.clear();
     mNow = mNow + Millis(600);
     Step(Wakeup{});
-    BOOST_REQUIRE(std::holds_alternative<CreateJob>(LastCall().mBody));
+    BOOST_REQUIRE(std::holds_alternative<SubmitJob>(LastCall().mBody));
   }
 };
 
