Reads carry the caller's key, which control compares

A woken entry let a removed key read the results, items and files of its workspace until it had the configuration.

ReadFile, ReadItem, DescribeFile, DescribeJob and both lists now carry the key, as SubmitJob does, and the leader compares it with the configuration that it has applied. None of them is in the log, so old logs are read as before; entries and replicas are restarted together, as for SubmitJob.

--- a/caraway/control/apply_jobs.cpp
+++ b/caraway/control/apply_jobs.cpp
@@ -3,7 +3,6 @@
 #include "caraway/control/apply_jobs.h"
 
 #include <algorithm>
-#include <optional>
 
 #include "caraway/ledger/ledger.h"
 
@@ -31,27 +30,6 @@
            : nullptr;
 }
 
-// Why the key does not allow a call for the workspace, if it does not.
-std::optional<CallFailed>
-CheckKey(const ConfigView& aView,
-         const CallerKey& aKey,
-         const WorkspaceId& aWorkspace)
-{
-  if (std::holds_alternative<std::monostate>(aKey)) {
-    return std::nullopt;
-  }
-  const WorkspaceId* workspace = WorkspaceOf(aView, aKey);
-  if (workspace == nullptr) {
-    return CallFailed{ ErrorKind::eUnauthenticated, "the key is unknown" };
-  }
-  if (*workspace != aWorkspace) {
-    return CallFailed{ ErrorKind::eOverloaded,
-                       "the key belongs to another workspace now; send the "
-                       "request again" };
-  }
-  return std::nullopt;
-}
-
 const PlanRoute*
 RouteOf(const ConfigView& aView, const SubmitJob& aSubmit)
 {
@@ -125,6 +103,26 @@
 
 } // namespace
 
+std::optional<CallFailed>
+CheckCallerKey(const ConfigView& aView,
+               const CallerKey& aKey,
+               const WorkspaceId& aWorkspace)
+{
+  if (std::holds_alternative<std::monostate>(aKey)) {
+    return std::nullopt;
+  }
+  const WorkspaceId* workspace = WorkspaceOf(aView, aKey);
+  if (workspace == nullptr) {
+    return CallFailed{ ErrorKind::eUnauthenticated, "the key is unknown" };
+  }
+  if (*workspace != aWorkspace) {
+    return CallFailed{ ErrorKind::eOverloaded,
+                       "the key belongs to another workspace now; send the "
+                       "request again" };
+  }
+  return std::nullopt;
+}
+
 CallReplyBody
 ApplySubmitJob(ControlState& aState,
                LogIndex aIndex,
@@ -134,7 +132,7 @@
                std::vector<LedgerEffect>& aEffects)
 {
   const ConfigView& view = ViewOf(aState);
-  if (auto failed = CheckKey(view, aSubmit.mKey, aCall.mWorkspace)) {
+  if (auto failed = CheckCallerKey(view, aSubmit.mKey, aCall.mWorkspace)) {
     return *failed;
   }
   CreateJob create = aSubmit.mCreate;
@@ -170,7 +168,8 @@
                     const CancelJobByKey& aCancel,
                     std::vector<LedgerEffect>& aEffects)
 {
-  if (auto failed = CheckKey(ViewOf(aState), aCancel.mKey, aCall.mWorkspace)) {
+  if (auto failed =
+        CheckCallerKey(ViewOf(aState), aCancel.mKey, aCall.mWorkspace)) {
     return *failed;
   }
   ControlCall call = aCall;
--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "caraway/base/absl_view.h"
+#include "caraway/control/apply_jobs.h"
 #include "caraway/control/step.h"
 #include "caraway/ledger/ledger.h"
 
@@ -83,6 +84,17 @@
   return std::nullopt;
 }
 
+// Returns why the caller's key does not allow the read, if it does not. Changes
+// are judged where they are applied.
+std::optional<CallFailed>
+CheckKeyOfRead(const ControlStep& aStep, const ControlCall& aCall)
+{
+  const CallerKey* key = CallerKeyOf(aCall.mBody);
+  return key != nullptr && IsReadOnly(aCall.mBody)
+           ? CheckCallerKey(ViewOf(aStep), *key, aCall.mWorkspace)
+           : std::nullopt;
+}
+
 // Parts of files are most of what the log holds. They leave the rest of its
 // pending bytes to everything else, and the last part of their own to files
 // that have begun.
@@ -283,6 +295,10 @@
     Reply(aStep, aFrom, aMessage, *std::move(answer));
     return;
   }
+  if (auto failed = CheckKeyOfRead(aStep, aMessage)) {
+    Reply(aStep, aFrom, aMessage, *failed);
+    return;
+  }
   if (const auto* item = std::get_if<ReadItem>(&aMessage.mBody)) {
     ReadItemLine(aStep, aFrom, aMessage, *item);
     return;
--- a/caraway/entry/control_replies.cpp
+++ b/caraway/entry/control_replies.cpp
@@ -33,6 +33,16 @@
   FailRequest(aStep, aRequest, std::move(error));
 }
 
+// Calls control with the key of the request's caller, if the call takes one.
+void
+CallWithKey(EntryStep& aStep, CallerRequest& aRequest, CallBody aBody)
+{
+  if (CallerKey* key = CallerKeyOf(aBody)) {
+    *key = aRequest.mKey;
+  }
+  CallControl(aStep, aRequest, std::move(aBody));
+}
+
 void
 ReplyJson(EntryStep& aStep, CallerRequest& aRequest, std::string aBody)
 {
@@ -105,7 +115,6 @@
   }
   work.mStep = ControlStep::eCreateJob;
   SubmitJob submit;
-  submit.mKey = aRequest.mKey;
   CreateJob& create = submit.mCreate;
   create.mJob = work.mJob;
   create.mKey = work.mKey;
@@ -114,7 +123,7 @@
   create.mWindow = work.mWindow;
   create.mModel = work.mModel;
   create.mMetadata = work.mMetadata;
-  CallControl(aStep, aRequest, std::move(submit));
+  CallWithKey(aStep, aRequest, std::move(submit));
 }
 
 void
@@ -169,7 +178,7 @@
     return;
   }
   work.mOffset = aReply.mNextOffset;
-  CallControl(aStep, aRequest, ReadFile{ work.mFile, work.mOffset });
+  CallWithKey(aStep, aRequest, ReadFile{ work.mFile, work.mOffset });
   ExtendDeadline(aStep, aRequest);
 }
 
@@ -327,30 +336,30 @@
       PutNextPart(aStep, aRequest);
       break;
     case ControlStep::eListFiles:
-      CallControl(
+      CallWithKey(
         aStep, aRequest, ListFiles{ FileId(work.mAfter), work.mLimit });
       break;
     case ControlStep::eDescribeFile:
     case ControlStep::eFindUploadOffset:
     case ControlStep::eCheckUpload:
-      CallControl(aStep, aRequest, DescribeFile{ work.mFile });
+      CallWithKey(aStep, aRequest, DescribeFile{ work.mFile });
       break;
     case ControlStep::eReadContent:
     case ControlStep::eReadFirstLine:
-      CallControl(aStep, aRequest, ReadFile{ work.mFile, 0 });
+      CallWithKey(aStep, aRequest, ReadFile{ work.mFile, 0 });
       break;
     case ControlStep::eDeleteFile:
     case ControlStep::eCancelUpload:
       CallControl(aStep, aRequest, DeleteFile{ work.mFile });
       break;
     case ControlStep::eDescribeJob:
-      CallControl(aStep, aRequest, DescribeJob{ work.mJob });
+      CallWithKey(aStep, aRequest, DescribeJob{ work.mJob });
       break;
     case ControlStep::eListJobs:
-      CallControl(aStep, aRequest, ListJobs{ JobId(work.mAfter), work.mLimit });
+      CallWithKey(aStep, aRequest, ListJobs{ JobId(work.mAfter), work.mLimit });
       break;
     case ControlStep::eCancelJob:
-      CallControl(aStep, aRequest, CancelJobByKey{ work.mJob, aRequest.mKey });
+      CallWithKey(aStep, aRequest, CancelJobByKey{ work.mJob, {} });
       break;
     default:
       break;
--- a/caraway/entry/orders.cpp
+++ b/caraway/entry/orders.cpp
@@ -289,7 +289,11 @@
   if (const auto* zone = std::get_if<SetZone>(&aOrder.mBody)) {
     body = OrderZone{ *zone, aStep.mEntry.mConfig.mRevision };
   } else if (const auto* cancel = std::get_if<CancelJob>(&aOrder.mBody)) {
-    body = CancelJobByKey{ cancel->mJob, DigestOfKey(aOrder.mKey) };
+    body = CancelJobByKey{ cancel->mJob, {} };
+  }
+  if (CallerKey* key = CallerKeyOf(body);
+      key != nullptr && !aOrder.mHost.empty()) {
+    *key = DigestOfKey(aOrder.mKey);
   }
   SendOrderCall(aStep, request, std::move(body));
 }
--- a/caraway/wire/call_messages.cpp
+++ b/caraway/wire/call_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "caraway/wire/call_messages.h"
 
+#include <concepts>
+
 namespace caraway {
 
 CallReplyBody::CallReplyBody() = default;
@@ -22,4 +24,30 @@
 CallBody::operator=(CallBody&& aOther) noexcept = default;
 CallBody::~CallBody() = default;
 
+CallerKey*
+CallerKeyOf(CallBody& aBody)
+{
+  return std::visit(
+    [](auto& aCall) -> CallerKey* {
+      if constexpr (requires {
+                      {
+                        aCall.mKey
+                        } -> std::same_as<CallerKey&>;
+                    }) {
+        return &aCall.mKey;
+      } else {
+        return nullptr;
+      }
+    },
+    static_cast<CallBodyVariant&>(aBody));
+}
+
+const CallerKey*
+CallerKeyOf(const CallBody& aBody)
+{
+  // The call itself is not changed.
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
+  return CallerKeyOf(const_cast<CallBody&>(aBody));
+}
+
 } // namespace caraway
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -63,6 +63,12 @@
   std::string mMetadata; // JSON object given by the caller
 };
 
+// The key that a caller sent: one of the product's own interface, or the digest
+// of one of the plan. Control judges it by its own configuration, since the
+// entry's copy may be older. None: an entry of an earlier version passes the
+// call on.
+using CallerKey = std::variant<std::monostate, KeyId, KeyDigest>;
+
 // Appends a part to an input file. Creates the file if mOffset is 0 and the id
 // is unknown.
 struct PutFilePart
@@ -82,17 +88,20 @@
   // For output files of jobs whose items have ids: mOffset is an index into the
   // results in order of completion.
   bool mByCompletion = false;
+  CallerKey mKey;
 };
 
 struct DescribeFile
 {
   FileId mFile;
+  CallerKey mKey;
 };
 
 struct ListFiles
 {
   FileId mAfter;
   uint32_t mLimit = 100;
+  CallerKey mKey;
 };
 
 struct DeleteFile
@@ -131,12 +140,14 @@
 struct DescribeJob
 {
   JobId mJob;
+  CallerKey mKey;
 };
 
 struct ListJobs
 {
   JobId mAfter;
   uint32_t mLimit = 100;
+  CallerKey mKey;
 };
 
 struct CancelJob
@@ -174,6 +185,7 @@
 {
   JobId mJob;
   std::string mItem;
+  CallerKey mKey;
 };
 
 // Replaces the serving plan, unless the present one has the same or a higher
@@ -248,10 +260,6 @@
   ServiceId mService;
 };
 
-// The key that a caller sent: one of the product's own interface, or the digest
-// of one of the plan. None: an entry of an earlier version passes the call on.
-using CallerKey = std::variant<std::monostate, KeyId, KeyDigest>;
-
 // A job as its caller submitted it. Key, route and limits are judged where the
 // command is applied, by the configuration at that place of the log: the
 // entry's copy may be older, and a change may stand in the log before the job.
@@ -319,6 +327,12 @@
   ~CallBody();
 };
 
+// The key of a call that is made with one; null for other calls.
+CallerKey*
+CallerKeyOf(CallBody& aBody);
+const CallerKey*
+CallerKeyOf(const CallBody& aBody);
+
 struct ControlCall
 {
   GroupId mGroup;
--- a/caraway/wire/serialize_calls.h
+++ b/caraway/wire/serialize_calls.h
@@ -59,21 +59,21 @@
 void
 serialize(Archive& aArchive, ReadFile& aValue)
 {
-  aArchive(aValue.mFile, aValue.mOffset, aValue.mByCompletion);
+  aArchive(aValue.mFile, aValue.mOffset, aValue.mByCompletion, aValue.mKey);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, DescribeFile& aValue)
 {
-  aArchive(aValue.mFile);
+  aArchive(aValue.mFile, aValue.mKey);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, ListFiles& aValue)
 {
-  aArchive(aValue.mAfter, aValue.mLimit);
+  aArchive(aValue.mAfter, aValue.mLimit, aValue.mKey);
 }
 
 template<class Archive>
@@ -107,14 +107,14 @@
 void
 serialize(Archive& aArchive, DescribeJob& aValue)
 {
-  aArchive(aValue.mJob);
+  aArchive(aValue.mJob, aValue.mKey);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, ListJobs& aValue)
 {
-  aArchive(aValue.mAfter, aValue.mLimit);
+  aArchive(aValue.mAfter, aValue.mLimit, aValue.mKey);
 }
 
 template<class Archive>
@@ -153,7 +153,7 @@
 void
 serialize(Archive& aArchive, ReadItem& aValue)
 {
-  aArchive(aValue.mJob, aValue.mItem);
+  aArchive(aValue.mJob, aValue.mItem, aValue.mKey);
 }
 
 template<class Archive>
--- a/tests/control_submit_job_test.cpp
+++ b/tests/control_submit_job_test.cpp
@@ -1,10 +1,12 @@
 // Guards against a batch job that an entry with an older configuration accepts,
 // as after a freeze, and that control then runs as only that one allows: at the
 // former service of its route, with a key or on a route that is gone, or above
-// a lowered limit.
+// a lowered limit. Also against reads that such an entry still lets a removed
+// key make.
 #define BOOST_TEST_MODULE control_submit_job
 #include <boost/test/unit_test.hpp>
 
+#include "caraway/ledger/ledger.h"
 #include "tests/control_group.h"
 #include "tests/direct_fixture.h"
 
@@ -56,6 +58,7 @@
   std::vector<CallReplyBody> mReplies;
   ControlCall mLast; // of the entry
   uint64_t mJobs = 0;
+  uint64_t mOrders = 0;
 
   Case()
   {
@@ -118,6 +121,17 @@
     return job.mJob;
   }
 
+  // Sends an order of a caller to the entry. Its call is still to be passed on.
+  void Order(CallBody aBody)
+  {
+    ControlOrder order;
+    order.mCall = HttpCallId(2000 + mOrders++);
+    order.mBody = std::move(aBody);
+    order.mHost = "h";
+    order.mKey = "secret";
+    mRig.Step(order);
+  }
+
   void Replace(const ServingPlan& aPlan, PlanTime aTime)
   {
     SendCall(ReplacePlan{ aPlan },
@@ -290,12 +304,7 @@
     Case test;
     const JobId job = test.Submit("key of p");
     BOOST_TEST((test.PassAndFail() == ErrorKind::eNone));
-    ControlOrder end;
-    end.mCall = HttpCallId(2000);
-    end.mBody = CancelJob{ job };
-    end.mHost = "h";
-    end.mKey = "secret";
-    test.mRig.Step(end);
+    test.Order(CancelJob{ job });
     ServingPlan plan = PlanOf(3, kFormer);
     plan.mWorkspaces[0].mKeys.pop_back();
     test.Replace(plan, time);
@@ -304,3 +313,59 @@
     BOOST_TEST((test.FindJob(job)->mStatus == JobStatus::eInProgress));
   }
 }
+
+BOOST_AUTO_TEST_CASE(removed_key_reads_nothing)
+{
+  enum class KeyState
+  {
+    eHeld,
+    eRemoved,
+    eOfOther, // of another workspace now
+  };
+  for (const auto& [state, wanted] :
+       { std::pair(KeyState::eHeld, ErrorKind::eNone),
+         std::pair(KeyState::eRemoved, ErrorKind::eUnauthenticated),
+         std::pair(KeyState::eOfOther, ErrorKind::eOverloaded) }) {
+    Case test;
+    const JobId job = test.Submit("key of p");
+    BOOST_TEST((test.PassAndFail() == ErrorKind::eNone));
+    ServingPlan plan = PlanOf(3, kFormer);
+    if (state != KeyState::eHeld) {
+      plan.mWorkspaces[0].mKeys.pop_back();
+    }
+    if (state == KeyState::eOfOther) {
+      plan.mWorkspaces[1].mKeys.push_back(DigestOfKey("secret"));
+    }
+    test.Replace(plan, PlanTime::eApplied);
+    ReadFile results{ OutputFileId(job) };
+    results.mByCompletion = true;
+    for (const CallBody& read :
+         { CallBody(results), CallBody(ReadItem{ job, "i1" }) }) {
+      test.mReplies.clear();
+      test.Order(read);
+      BOOST_TEST((test.PassAndFail() == wanted));
+      if (wanted != ErrorKind::eNone) {
+        BOOST_TEST((test.CallerError() == wanted));
+      }
+    }
+  }
+}
+
+// Keys of the product's own interface.
+BOOST_AUTO_TEST_CASE(unknown_key_id_reads_nothing)
+{
+  Case test;
+  const CallerKey key = KeyId("removed");
+  for (const CallBody& read : { CallBody(DescribeFile{ {}, key }),
+                                CallBody(ReadFile{ {}, 0, false, key }),
+                                CallBody(ListFiles{ {}, 1, key }),
+                                CallBody(DescribeJob{ {}, key }),
+                                CallBody(ListJobs{ {}, 1, key }) }) {
+    test.mReplies.clear();
+    test.SendCall(read, Millis(200));
+    BOOST_REQUIRE(test.mReplies.size() == 1u);
+    const auto* failed = std::get_if<CallFailed>(&test.mReplies[0]);
+    BOOST_REQUIRE(failed != nullptr);
+    BOOST_TEST((failed->mKind == ErrorKind::eUnauthenticated));
+  }
+}
--- a/tests/entry_control_test.cpp
+++ b/tests/entry_control_test.cpp
@@ -194,6 +194,18 @@
   BOOST_TEST(Status(call) == 200);
 }
 
+// Control compares the key, since the entry's configuration may be older.
+BOOST_AUTO_TEST_CASE(reads_carry_the_key_of_their_caller)
+{
+  Http("GET", "/v1/batches/batch_1");
+  const DescribeJob job = OneCall<DescribeJob>().second;
+  BOOST_REQUIRE(std::holds_alternative<KeyId>(job.mKey));
+  BOOST_TEST(!std::get<KeyId>(job.mKey).Empty());
+  Http("GET", "/v1/files/file-1/content");
+  const ReadFile content = OneCall<ReadFile>().second;
+  BOOST_TEST((content.mKey == job.mKey));
+}
+
 BOOST_AUTO_TEST_CASE(file_is_stored_in_consecutive_parts)
 {
   const std::string content(kMaxPartBytes + 10, 'x');
