--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 SECONDS_OF_FAULTS ?= 10
 
-.PHONY: all packages build build-asan test demo soak soak-rollouts fuzz bench capacity format format-check lint clean
+.PHONY: all packages build build-asan test input-cost demo soak soak-rollouts fuzz bench capacity format format-check lint clean
 
 all: build
 
@@ -34,6 +34,10 @@
 test: build-asan
 	@ctest --test-dir build-asan --output-on-failure -j $(JOBS)
 
+# Instructions per byte of input, which must not grow with its size.
+input-cost: build
+	@bash tests/input_cost.sh build
+
 demo: build
 	@bash tools/demo.sh build
 
--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -110,12 +110,9 @@
     return Denial(
       aStep, ErrorKind::eNotFound, "no route matches this host and path");
   }
-  if (route->mKind == CallKind::eBatch) {
-    aStep.mOut.emplace_back(ReadJobBody{ std::move(aHttp) });
-    return std::nullopt;
-  }
+  const bool isJob = route->mKind == CallKind::eBatch;
   CallerRequest request;
-  if (!route->mOpen && !entry.mConfig.mPlan->mWorkspaces.empty()) {
+  if (isJob || (!route->mOpen && !entry.mConfig.mPlan->mWorkspaces.empty())) {
     absl::StatusOr<WorkspaceId> workspace =
       WorkspaceOfKey(entry.mConfig, aHttp.mKey);
     if (!workspace.ok()) {
@@ -123,6 +120,11 @@
     }
     request.mWorkspace = *std::move(workspace);
   }
+  if (isJob) {
+    // Its body is decoded only for callers that are known.
+    aStep.mOut.emplace_back(ReadJobBody{ std::move(aHttp) });
+    return std::nullopt;
+  }
   if (entry.mSettings.mPrefixLocality) {
     request.mTarget.mPrefix = HashOfParts(aHttp.mPromptParts);
     request.mTarget.mSharedTokens = aHttp.mSharedTokens;
--- a/tests/platform_crowd_fleet_test.cpp
+++ b/tests/platform_crowd_fleet_test.cpp
@@ -8,6 +8,7 @@
 
 #include "caraway/runtime/http_server.h"
 #include "tests/crowd.h"
+#include "tests/json_shapes.h"
 
 using namespace caraway;
 
@@ -23,6 +24,7 @@
 constexpr size_t kEventBytes = 8 << 10;
 constexpr size_t kEvents = 400;           // of one stream
 constexpr size_t kUploadBytes = 60 << 10; // of one request
+constexpr size_t kShapeBytes = 4 << 20;   // of a job; the largest body allowed
 #ifdef __SANITIZE_ADDRESS__
 constexpr size_t kMemoryFactor = 2; // red zones and shadow of each block
 #else
@@ -39,15 +41,22 @@
   R"("service":"s","maxAttempts":1,"anonymous":true},)"
   R"({"name":"c","host":"h.example","pathPrefix":"/stream/",)"
   R"("kind":"streaming","timeoutMs":60000,"sloMs":300,"gapTargetMs":10000,)"
-  R"("priority":0,"service":"s","maxAttempts":1,"anonymous":true}],)"
+  R"("priority":0,"service":"s","maxAttempts":1,"anonymous":true},)"
+  R"({"name":"d","host":"h.example","pathPrefix":"/batch/","kind":"batch",)"
+  R"("timeoutMs":60000,"sloMs":300,"completionTargetMs":60000,"queueTtlS":60,)"
+  R"("priority":0,"service":"s","maxAttempts":1}],)"
+  R"("tenants":[{"name":"w","apiKeys":["secret"]}],)"
   R"("services":[{"name":"s","healthPath":"/healthz","maxConns":4000}]})";
 
 std::string
-Post(const std::string& aPath, const std::string& aBody)
+Post(const std::string& aPath,
+     const std::string& aBody,
+     const std::string& aKey = "none")
 {
   return "POST " + aPath + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a" +
-         aPath + "\r\nContent-Length: " + std::to_string(aBody.size()) +
-         "\r\n\r\n" + aBody;
+         aPath + "\r\nAuthorization: Bearer " + aKey +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
 }
 
 // Answers by path: /plain/large, /plain/small, /stream/, and never to /once/.
@@ -270,3 +279,32 @@
   CheckHolds();
   CheckAnswers();
 }
+
+// Guards against JSON that takes the only thread for minutes, or far more
+// memory than it has bytes: of callers without a key, and of those with one.
+BOOST_FIXTURE_TEST_CASE(largest_jobs_of_any_shape, CrowdedFleet)
+{
+  constexpr size_t kMargin = 4000; // for what is round the shape
+  for (const JsonShape& shape : kJsonShapes) {
+    const std::string value = shape.mMake(kShapeBytes - kMargin);
+    const std::string item =
+      R"({"id":"i","path":"/p","tokenCount":1,"headers":)";
+    for (const std::string& job :
+         { value,
+           R"({"requests":)" + value + "}",
+           R"({"requests":[)" + item + value + "}]}" }) {
+      for (const char* key : { "none", "secret" }) {
+        const std::string answer =
+          CrowdedProcess::Ask(mCallers, Post("/batch/", job, key));
+        const bool known = key == std::string("secret");
+        BOOST_TEST(answer.starts_with(known ? "HTTP/1.1 400" : "HTTP/1.1 401"),
+                   shape.mName << " " << key << " " << answer.substr(0, 200));
+        Measure();
+      }
+    }
+    mEntry.DrainOutput();
+    mControl.DrainOutput();
+  }
+  CheckHolds();
+  CheckAnswers();
+}
--- a/tests/platform_crowd_memory_test.cpp
+++ b/tests/platform_crowd_memory_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "tests/crowd.h"
+#include "tests/json_shapes.h"
 
 using namespace caraway;
 
@@ -19,6 +20,7 @@
 constexpr size_t kManyConnections = 3000; // more
 constexpr size_t kAheadBytes = 192 << 10; // sent ahead on each connection
 constexpr size_t kUploadBytes = 1 << 20;  // sent of a body that never ends
+constexpr size_t kShapeBytes = 4 << 20;   // of JSON; the largest body allowed
 #ifdef __SANITIZE_ADDRESS__
 constexpr size_t kMemoryFactor = 2; // red zones and shadow of each block
 #else
@@ -297,3 +299,36 @@
   CheckHolds();
   CheckAnswers();
 }
+
+// Guards against JSON that takes the only thread for minutes, or far more
+// memory than it has bytes.
+BOOST_FIXTURE_TEST_CASE(largest_json_of_any_shape_at_the_operators_listener,
+                        BoundedEntry)
+{
+  constexpr size_t kMargin = 4000; // for what is round the shape
+  const auto post = [](const char* aPath, const std::string& aBody) {
+    return std::string("POST ") + aPath +
+           " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  };
+  const std::string beat =
+    R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,)"
+    R"("state":"ready","callSeq":1,"models":)";
+  for (const JsonShape& shape : kJsonShapes) {
+    const std::string value = shape.mMake(kShapeBytes - kMargin);
+    for (const std::string& request :
+         { post("/v1/Instances.Heartbeat/t-1", value),
+           post("/v1/Instances.Heartbeat/t-1", beat + value + "}"),
+           post("/v1/Instances.Deregister/t-1", beat + value + "}"),
+           post("/v1/Config.Replace", value),
+           post("/v1/Config.Replace",
+                R"({"version":1,"services":[],"routeTable":)" + value +
+                  "}") }) {
+      BOOST_TEST(Ask(mPorts[2], request).starts_with("HTTP/1.1 "), shape.mName);
+      Measure();
+    }
+    DrainOutput();
+  }
+  CheckHolds();
+  CheckAnswers();
+}
