An input is known by its query too

The whole input is the method, the path with its query and the body, as the items of batch jobs had it already.

entry_input_block_test: requests_with_other_queries_are_other_inputs failed before; 15 of 15 cases pass.

--- a/caraway/entry/forward.cpp
+++ b/caraway/entry/forward.cpp
@@ -97,6 +97,13 @@
   return direct;
 }
 
+std::string
+PathWithQuery(const ForwardRequest& aRequest)
+{
+  return aRequest.mQuery.empty() ? aRequest.mPath
+                                 : aRequest.mPath + "?" + aRequest.mQuery;
+}
+
 std::optional<CallerError>
 TakeRequest(EntryStep& aStep, ForwardRequest& aHttp, MonoTime aReceivedAt)
 {
@@ -130,8 +137,8 @@
     request.mTarget.mSharedTokens = aHttp.mSharedTokens;
   }
   request.mInputParts = std::move(aHttp.mPromptParts);
-  request.mInputParts.push_back(
-    WholeInput(aHttp.mMethod, aHttp.mPath, aHttp.mBody));
+  std::string path = PathWithQuery(aHttp);
+  request.mInputParts.push_back(WholeInput(aHttp.mMethod, path, aHttp.mBody));
   if (const InputBlock* block = FindInputBlock(
         entry.mConfig, request.mWorkspace, request.mInputParts)) {
     CallerError error;
@@ -155,8 +162,7 @@
   call.mService = request.mDirect.mService;
   call.mIdempotent = request.mDirect.mRepeatable;
   call.mMethod = std::move(aHttp.mMethod);
-  call.mPath = aHttp.mQuery.empty() ? std::move(aHttp.mPath)
-                                    : aHttp.mPath + "?" + aHttp.mQuery;
+  call.mPath = std::move(path);
   call.mHeaders = std::move(aHttp.mHeaders);
   call.mBody = std::move(aHttp.mBody);
   call.mPromptTokens = aHttp.mPromptTokens;
--- a/caraway/poison/input_part.h
+++ b/caraway/poison/input_part.h
@@ -23,8 +23,8 @@
 InputPartId
 PromptPart(std::string_view aModel, std::string_view aPart);
 
-// The input as a whole. Equal for requests that differ only in their headers,
-// such as a caller's retry.
+// The input as a whole; aPath with its query. Equal for requests that differ
+// only in their headers, such as a caller's retry.
 InputPartId
 WholeInput(std::string_view aMethod,
            std::string_view aPath,
--- a/tests/direct_fixture.h
+++ b/tests/direct_fixture.h
@@ -26,6 +26,7 @@
 struct Direct : EntryRig
 {
   InputParts mPromptParts; // of the next requests
+  std::string mQuery;      // of the same
 
   Direct()
   {
@@ -70,6 +71,7 @@
     request.mHost = "h";
     request.mMethod = "POST";
     request.mPath = std::string("/") + aRoute + "/x";
+    request.mQuery = mQuery;
     request.mBody = "body";
     request.mPromptParts = mPromptParts;
     Step(request);
--- a/tests/entry_input_block_test.cpp
+++ b/tests/entry_input_block_test.cpp
@@ -136,6 +136,20 @@
   BOOST_TEST(mState[call] == "begun");
 }
 
+// Sound requests of the same path would clear the one that crashes targets.
+BOOST_AUTO_TEST_CASE(requests_with_other_queries_are_other_inputs)
+{
+  mPromptParts = {};
+  Block({ WholeInput("POST", "/look/x?q=1", "body") });
+  for (const auto& [query, status] : { std::pair("q=1", 400),
+                                       std::pair("q=2", 0),
+                                       std::pair("q=1&r", 0),
+                                       std::pair("", 0) }) {
+    mQuery = query;
+    BOOST_TEST(Status(SendForward("look")) == status, query);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(block_of_another_workspace_does_not_apply)
 {
   Block({ kPoison }, "other");
