Outputs are kept whole whatever their characters

Cause: the node keeps the output as a JSON string, in which these take two bytes, and the ledger ended items whose line was over 256 KiB, the size of one part of a file.

A line may have what a log entry holds, 752 KiB, and an output that JSON makes more than a third longer is kept in base64. The node's own bound is on the output, 544 KiB.

--- a/caraway/control/ledger_messages.cpp
+++ b/caraway/control/ledger_messages.cpp
@@ -21,6 +21,8 @@
 
 // A single result above this does not fit into a log entry.
 constexpr size_t kMaxLoggedResult = kMaxEntryBytes - 16 * 1024;
+static_assert(kMaxLoggedResult <= kMaxResultBytes);
+static_assert(kMaxResultBytes + kMaxElementOverhead < kMaxFrameBytes);
 
 // Starts the reply to a read whose bytes are still to be fetched.
 FilePiece
--- a/caraway/ledger/ledger_state.h
+++ b/caraway/ledger/ledger_state.h
@@ -25,8 +25,9 @@
 // of the message.
 constexpr uint64_t kMaxLineBytes = (uint64_t{ 1 } << 20) - 16384;
 constexpr uint64_t kMaxFileParts = 16384; // 64 KiB each in a file of 1 GiB
-// An output line and its newline must fit in one reply of 256 KiB.
-constexpr uint64_t kMaxResultBytes = 256 * 1024 - 1;
+// Of an output line. It goes through the log in one entry, of which 16 KiB are
+// left for the rest, and to its reader in one reply.
+constexpr uint64_t kMaxResultBytes = (uint64_t{ 768 } - 16) << 10;
 constexpr uint32_t kMaxLeaseItems = 64;
 constexpr uint8_t kMaxAttempts = 3;
 // Per workspace: claims, and the bytes of their stored answers.
--- a/caraway/ledger/results.cpp
+++ b/caraway/ledger/results.cpp
@@ -107,7 +107,7 @@
     return;
   }
   if (aResult.mBody.size() > kMaxResultBytes) {
-    FailItem(aChange, item, "result_too_large", "the result is over 256 KiB");
+    FailItem(aChange, item, "result_too_large", "the result is over 752 KiB");
     return;
   }
   const bool done = aResult.mVerdict == ItemVerdict::eDone;
--- a/caraway/node/batch_line.cpp
+++ b/caraway/node/batch_line.cpp
@@ -305,8 +305,34 @@
 std::string
 RawOutputLine(const BatchTask& aTask)
 {
-  return Dump(
-    Json{ { "custom_id", aTask.mCustomId }, { "output", aTask.mText } });
+  std::string line =
+    Dump(Json{ { "custom_id", aTask.mCustomId }, { "output", aTask.mText } });
+  // Base64 writes three bytes in four.
+  if (line.size() / 4 <= aTask.mText.size() / 3) {
+    return line;
+  }
+  std::string encoded =
+    Dump(Json{ { "custom_id", aTask.mCustomId },
+               { "output_base64", absl::Base64Escape(aTask.mText) } });
+  return encoded.size() < line.size() ? encoded : line;
+}
+
+std::optional<std::string>
+OutputOfRawLine(const Json& aLine)
+{
+  if (!aLine.is_object()) {
+    return std::nullopt;
+  }
+  if (aLine.contains("output")) {
+    return TextField(aLine, "output");
+  }
+  const auto encoded = aLine.find("output_base64");
+  std::string decoded;
+  if (encoded == aLine.end() || !encoded->is_string() ||
+      !absl::Base64Unescape(encoded->get_ref<const std::string&>(), &decoded)) {
+    return std::nullopt;
+  }
+  return decoded;
 }
 
 bool
--- a/caraway/node/batch_line.h
+++ b/caraway/node/batch_line.h
@@ -2,9 +2,12 @@
 // Parses input lines of batch files, builds requests from them and formats
 // the lines of output files.
 
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "absl/status/statusor.h"
 #include "caraway/node/node_batch_state.h"
 
@@ -47,10 +50,20 @@
 std::string
 StreamedAnswer(const BatchTask& aTask);
 
-// Formats the output line of a raw item: {"custom_id","output"}.
+// Text of a raw item that its output line holds whatever its characters.
+constexpr size_t kMaxRawText = 544 * 1024; // bytes
+
+// Formats the output line of a raw item: {"custom_id","output"}, or
+// {"custom_id","output_base64"} if that is shorter, since JSON writes a
+// character in up to six bytes.
 std::string
 RawOutputLine(const BatchTask& aTask);
 
+// The output in a line of RawOutputLine; nullopt if it has none, since the item
+// has failed.
+std::optional<std::string>
+OutputOfRawLine(const nlohmann::json& aLine);
+
 // False for an answer that was cut off.
 bool
 IsWholeJson(std::string_view aAnswer);
--- a/caraway/node/node_batch_run.cpp
+++ b/caraway/node/node_batch_run.cpp
@@ -337,7 +337,7 @@
     aTask.mBytesSinceEvent =
       progress ? 0 : aTask.mBytesSinceEvent + aBytes.size();
     if (aTask.mBytesSinceEvent > kMaxBytesSinceEvent ||
-        aTask.mText.size() + events.size() > kMaxAnswer) {
+        aTask.mText.size() + events.size() > kMaxRawText) {
       return BatchProgress::eLimitExceeded;
     }
     if (!progress) {
--- a/caraway/wire/call_messages.h
+++ b/caraway/wire/call_messages.h
@@ -365,7 +365,9 @@
 
 struct FileBytesReply
 {
-  std::string mBytes;       // at most 256 KiB, whole lines for output files
+  // At most 256 KiB. For output files whole lines, at least one if there is
+  // one.
+  std::string mBytes;
   uint64_t mNextOffset = 0; // offset of the next read
   bool mEnd = false;        // no more data at present
   uint64_t mTotal = 0;      // items of the job, for output files
--- a/tests/control_batch_test.cpp
+++ b/tests/control_batch_test.cpp
@@ -584,3 +584,36 @@
   BOOST_TEST(std::holds_alternative<FileReply>(mEntry->Call(
     PutFilePart{ FileId("file-last"), "in.jsonl", "batch", 0, "x", true })));
 }
+
+// Guards against items that were run whole and are listed as failed, since
+// their output is larger than one part of a file.
+BOOST_FIXTURE_TEST_CASE(results_of_the_largest_size_are_read_whole, Batch)
+{
+  constexpr size_t kLargest = 700 * 1024;
+  Start(3);
+  const ItemBatch batch = mNode->Ask<ItemBatch>(mNode->LeaseOf(1, 3));
+  BOOST_REQUIRE(batch.mItems.size() == 3u);
+  std::vector<std::string> lines;
+  for (const size_t bytes : { kLargest, size_t{ 9 }, kMaxPartBytes }) {
+    lines.push_back(R"({"o":")" + std::string(bytes, 'x') + R"("})");
+  }
+  const ItemResults all = mNode->ResultsOf(batch, 0);
+  for (size_t at = 0; at < lines.size(); ++at) {
+    ItemResults one = all;
+    one.mSequence = at + 1;
+    one.mResults = { all.mResults[at] };
+    one.mResults[0].mBody = lines[at];
+    BOOST_TEST(!mNode->Ask<ItemResultsAck>(one).mStale);
+  }
+  ReadFile read{ FileId("file-output-batch_1"), 0 };
+  for (const std::string& line : lines) {
+    const CallReplyBody reply = mEntry->Call(read);
+    BOOST_REQUIRE(std::holds_alternative<FileBytesReply>(reply));
+    const auto& piece = std::get<FileBytesReply>(reply);
+    BOOST_TEST((piece.mBytes == line + "\n"));
+    read.mOffset = piece.mNextOffset;
+  }
+  const CallReplyBody job = mEntry->Call(DescribeJob{ JobId("batch_1") });
+  BOOST_REQUIRE(std::holds_alternative<JobReply>(job));
+  BOOST_TEST(std::get<JobReply>(job).mJob.mCompleted == 3u);
+}
