--- a/caraway/runtime/data_folder_blobs.cpp
+++ b/caraway/runtime/data_folder_blobs.cpp
@@ -74,6 +74,7 @@
   auto file = OpenFile(BlobPath(aState, aName), O_RDWR);
   if (!file.ok() && KindOf(file.status()) == ErrorKind::eNotFound && aCreate) {
     file = CreateFile(aState.mSettings.mWatch, BlobPath(aState, aName));
+    aState.mBlobNames.insert(aName);
     ++aState.mBlobChanges.mMade;
   }
   if (!file.ok()) {
@@ -114,6 +115,7 @@
   std::erase_if(aState.mBlobs,
                 [&](const CachedBlob& aBlob) { return aBlob.mName == aName; });
   aState.mDirtyBlobs.erase(aName);
+  aState.mBlobNames.erase(aName);
   ++aState.mBlobChanges.mMade;
   return RemoveFile(aState.mSettings.mWatch, BlobPath(aState, aName));
 }
--- a/caraway/runtime/data_folder_recovery.cpp
+++ b/caraway/runtime/data_folder_recovery.cpp
@@ -34,7 +34,7 @@
 namespace {
 
 absl::Status
-CreateFolders(const DataFolderState& aState)
+CreateFolders(DataFolderState& aState)
 {
   std::error_code error;
   std::filesystem::create_directories(BlobFolder(aState), error);
@@ -42,6 +42,11 @@
     errno = error.value();
     return DiskError("creating", BlobFolder(aState));
   }
+  const auto blobs = ListFiles(BlobFolder(aState));
+  if (!blobs.ok()) {
+    return blobs.status();
+  }
+  aState.mBlobNames.insert(blobs->begin(), blobs->end());
   const FileWatch& watch = aState.mSettings.mWatch;
   // Names of blobs, too: the log writes them again without creating them.
   absl::Status status = SyncFolder(watch, BlobFolder(aState));
--- a/caraway/runtime/data_folder_snapshot.cpp
+++ b/caraway/runtime/data_folder_snapshot.cpp
@@ -1,7 +1,5 @@
 // Snapshots: storing them, and reading their parts for a transfer.
 
-#include <algorithm>
-
 #include <fcntl.h>
 
 #include "caraway/base/error.h"
@@ -83,15 +81,11 @@
 absl::StatusOr<SnapshotPart>
 FillNextFile(DataFolderState& aState, SnapshotPart aPart)
 {
-  auto names = ListFiles(BlobFolder(aState));
-  if (!names.ok()) {
-    return names.status();
-  }
   aPart.mAfter = aPart.mFile;
   aPart.mOffset = 0;
-  for (auto at = std::upper_bound(names->begin(), names->end(), aPart.mAfter);
-       at != names->end();
-       ++at) {
+  // A listing of the folder for each file would take longer the more there are.
+  const auto& names = aState.mBlobNames;
+  for (auto at = names.upper_bound(aPart.mAfter); at != names.end(); ++at) {
     aPart.mFile = *at;
     auto filled = FillBlobPart(aState, aPart);
     if (!filled.ok()) {
--- a/caraway/runtime/data_folder_state.h
+++ b/caraway/runtime/data_folder_state.h
@@ -80,6 +80,7 @@
 
   SnapshotMark mSnapshot;
 
+  std::set<std::string> mBlobNames; // of all files in the folder of blobs
   std::list<CachedBlob> mBlobs; // open descriptors, most recently used first
   std::map<std::string, uint64_t> mDirtyBlobs; // to the number of the last
                                                // write, since their last sync
--- a/caraway/runtime/data_folder_transfer.cpp
+++ b/caraway/runtime/data_folder_transfer.cpp
@@ -72,11 +72,9 @@
 absl::Status
 RemoveUnreferencedBlobs(DataFolderState& aState)
 {
-  auto names = ListFiles(BlobFolder(aState));
-  if (!names.ok()) {
-    return names.status();
-  }
-  for (const std::string& name : *names) {
+  // Copied, since removing a blob changes it.
+  const std::set<std::string> names = aState.mBlobNames;
+  for (const std::string& name : names) {
     if (aState.mIncoming.mBlobs.contains(name)) {
       continue;
     }
--- a/tests/runtime_data_folder_test.cpp
+++ b/tests/runtime_data_folder_test.cpp
@@ -57,6 +57,35 @@
 
 } // namespace
 
+// Guards against a leader that lists the folder of blobs for each part that it
+// sends, which keeps it from its heartbeats once there are thousands.
+BOOST_AUTO_TEST_CASE(parts_of_a_snapshot_come_without_a_listing)
+{
+  TemporaryFolder place;
+  {
+    auto folder = MustOpen(place.mPath);
+    for (const char* name : { "b", "d", "gone" }) {
+      BOOST_REQUIRE(folder->WriteBlob(name, 0, name).ok());
+    }
+  }
+  auto folder = MustOpen(place.mPath);
+  BOOST_REQUIRE(folder->WriteBlob("a", 0, "a").ok());
+  BOOST_REQUIRE(folder->WriteBlob("c", 0, "c").ok());
+  BOOST_REQUIRE(folder->RemoveBlob("gone").ok());
+  BOOST_REQUIRE(folder->SaveSnapshot(MarkOf(1, 1), "the state").ok());
+  // Only a listing would show it.
+  std::ofstream(fs::path(place.mPath) / "blobs" / "by-hand") << "x";
+  std::vector<std::string> files;
+  for (std::string at; files.empty() || files.back() != "state";) {
+    auto part = folder->ReadSnapshotPart(at, at.empty() ? 0 : at.size());
+    BOOST_REQUIRE_MESSAGE(part.ok(), part.status().ToString());
+    files.push_back(part->mFile);
+    at = part->mFile;
+  }
+  const std::vector<std::string> expected{ "a", "b", "c", "d", "state" };
+  BOOST_TEST(files == expected, boost::test_tools::per_element());
+}
+
 // Guards against losing the log, the vote or the folder's identity on restart.
 BOOST_AUTO_TEST_CASE(reopening_recovers_synced_data)
 {
