A draining target that falls silent stays out of use

Cause: the record of a silent target is removed after 5 s, and with it that this start drains. A report of the same start made a new record.

A draining target that falls silent counts as ended where the removal is applied; reports of that start are ignored from then on.

--- a/caraway/control/apply_targets.cpp
+++ b/caraway/control/apply_targets.cpp
@@ -230,6 +230,18 @@
   }
 }
 
+// Removes the record unless the target has started again.
+void
+RemoveTargetRecord(ControlState& aState, const EndedTarget& aGone)
+{
+  const auto& targets = ViewOf(aState).mTargets;
+  const auto known = targets.find(aGone.mTarget);
+  if (known != targets.end() && known->second.mStartedAt <= aGone.mStartedAt) {
+    AppendChange(aState.mConfig,
+                 RemoveTarget{ aGone.mTarget, known->second.mStartedAt });
+  }
+}
+
 } // namespace
 
 bool
@@ -288,13 +300,17 @@
 }
 
 void
-RemoveTargetRecord(ControlState& aState, const EndedTarget& aGone)
+RemoveSilentTarget(ControlState& aState, const EndedTarget& aSilent)
 {
   const auto& targets = ViewOf(aState).mTargets;
-  const auto known = targets.find(aGone.mTarget);
-  if (known != targets.end() && known->second.mStartedAt <= aGone.mStartedAt) {
-    AppendChange(aState.mConfig,
-                 RemoveTarget{ aGone.mTarget, known->second.mStartedAt });
+  const auto known = targets.find(aSilent.mTarget);
+  if (known != targets.end() && known->second.mDraining &&
+      known->second.mStartedAt <= aSilent.mStartedAt) {
+    // Draining is final for one start of a target. Without its record, a late
+    // report from before would put it back to use.
+    ApplyTargetGone(aState, { aSilent.mTarget, known->second.mStartedAt });
+  } else {
+    RemoveTargetRecord(aState, aSilent);
   }
 }
 
--- a/caraway/control/apply_targets.h
+++ b/caraway/control/apply_targets.h
@@ -37,9 +37,10 @@
 void
 ApplyTargetGone(ControlState& aState, const EndedTarget& aGone);
 
-// Removes the record unless the target has started again.
+// Removes the record unless the target has started again. One that was draining
+// counts as ended.
 void
-RemoveTargetRecord(ControlState& aState, const EndedTarget& aGone);
+RemoveSilentTarget(ControlState& aState, const EndedTarget& aSilent);
 
 void
 RemoveUnlistedTarget(ControlState& aState, const UnlistedTargetStart& aSilent);
--- a/caraway/control/command.cpp
+++ b/caraway/control/command.cpp
@@ -224,8 +224,8 @@
 
   void operator()(const RemoveTargets& aRemove)
   {
-    for (const EndedTarget& gone : aRemove.mTargets) {
-      RemoveTargetRecord(mState, gone);
+    for (const EndedTarget& silent : aRemove.mTargets) {
+      RemoveSilentTarget(mState, silent);
     }
   }
 
