Starts reserved under a higher stated rate are given up

Cause: the entry that divides the rate reserves starts up to 2 s ahead, and a lower rate changed the times of later requests only.

A reserved start holds the rate that it was reserved under. Entries that learn a lower one give it up at once and ask again, and the dividing entry begins as with a first rate.

--- a/caraway/entry/direct_start_times.cpp
+++ b/caraway/entry/direct_start_times.cpp
@@ -18,6 +18,17 @@
 
 using SlotRequests = std::vector<PendingSlotRequest>;
 
+// True if the target has stated a lower rate since the start was reserved:
+// those that were reserved with it come too fast now.
+bool
+IsRateLower(EntryStep& aStep,
+            const Target& aTarget,
+            const PendingSlotRequest& aReserved)
+{
+  const double rate = LoadOfTarget(aStep, aTarget).mRate.mPerSecond;
+  return rate > 0 && rate < aReserved.mStartRate;
+}
+
 // Calls the target if the time of the reserved start has come, else waits.
 void
 UseReservedStart(EntryStep& aStep,
@@ -25,19 +36,20 @@
                  const PendingSlotRequest& aReserved)
 {
   DirectCall& direct = aRequest.mDirect;
-  if (aStep.mNow < aReserved.mStartAt) {
-    direct.mCheckAt = aReserved.mStartAt;
-    ScheduleRequest(aStep, aRequest);
-    return;
-  }
   const auto& targets = aStep.mEntry.mConfig.mTargets;
   auto target = targets.find(aReserved.mTarget);
   if (target == targets.end() ||
-      !AcceptsRequest(aStep, direct, target->second)) {
+      !AcceptsRequest(aStep, direct, target->second) ||
+      IsRateLower(aStep, target->second, aReserved)) {
     CancelSlotRequests(aStep, aRequest);
     StartDirect(aStep, aRequest);
     return;
   }
+  if (aStep.mNow < aReserved.mStartAt) {
+    direct.mCheckAt = aReserved.mStartAt;
+    ScheduleRequest(aStep, aRequest);
+    return;
+  }
   const Target chosen = target->second;
   PlacementLoad& load = LoadOfTarget(aStep, chosen);
   load.mOwn -= load.mOwn > 0 ? 1 : 0;
@@ -118,6 +130,7 @@
     PendingSlotRequest reserved = *asked;
     reserved.mState = SlotRequestState::eReserved;
     reserved.mStartAt = aStep.mNow + aReply.mDelay;
+    reserved.mStartRate = aReply.mRate ? aReply.mRate->mPerSecond : 0;
     pending.erase(asked);
     CancelSlotRequests(aStep, *request);
     pending.push_back(reserved);
--- a/caraway/entry/direct_state.h
+++ b/caraway/entry/direct_state.h
@@ -34,6 +34,7 @@
   Duration mExpectedWait; // as estimated in the node's reply; 0: no reply yet
   bool mForStartTime = false; // mNode is empty
   MonoTime mStartAt;          // if eReserved
+  double mStartRate = 0; // if eReserved: the rate that it was reserved under
 };
 
 // One call to a target.
--- a/caraway/entry/start_times.cpp
+++ b/caraway/entry/start_times.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "caraway/entry/attempts.h"
 #include "caraway/entry/direct_internal.h"
 #include "caraway/entry/entry.h"
 #include "caraway/routing/hash.h"
@@ -64,6 +65,22 @@
            : nullptr;
 }
 
+// Lets requests that wait for their reserved start look at the rate now.
+void
+CheckReservedStarts(EntryStep& aStep, const TargetId& aTarget)
+{
+  for (auto& [serial, request] : aStep.mEntry.mRequests) {
+    const auto& pending = request.mDirect.mSlotRequests;
+    if (std::any_of(pending.begin(), pending.end(), [&](const auto& aOne) {
+          return aOne.mState == SlotRequestState::eReserved &&
+                 aOne.mTarget == aTarget;
+        })) {
+      request.mDirect.mCheckAt = aStep.mNow;
+      ScheduleRequest(aStep, request);
+    }
+  }
+}
+
 // Logs the new rate. The divider tells the other entries, which may have no
 // requests of their own for the target yet.
 void
@@ -72,6 +89,7 @@
   Entry& entry = aStep.mEntry;
   PlacementLoad& load = LoadOfTarget(aStep, aTarget);
   aStep.mOut.emplace_back(RateLog(aTarget.mId, load.mRate.mPerSecond, aSource));
+  CheckReservedStarts(aStep, aTarget.mId);
   if (NodeOfTarget(entry, aTarget) != nullptr || !IsDivider(aStep, aTarget)) {
     return;
   }
@@ -99,6 +117,12 @@
     divided.mTargetStart = aTarget.mStartedAt;
   }
   if (divided.mPace.mStatedRate != rate) {
+    if (rate > 0 && rate < divided.mPace.mStatedRate) {
+      // Starts that were reserved under the higher rate are given up, see
+      // UseReservedStart. So the lower one begins as a first one does.
+      divided.mReserved.clear();
+      divided.mPace.mStatedRate = 0;
+    }
     SetStatedRate(divided.mPace, aStep.mNow, rate);
   }
   std::erase_if(divided.mReserved, [&](const auto& aReserved) {
--- a/tests/entry_rate_test.cpp
+++ b/tests/entry_rate_test.cpp
@@ -316,6 +316,24 @@
   BOOST_TEST(fleet.EntriesThatKnow(0, 8) == 0u);
 }
 
+// Starts are reserved for up to 2 s. As many as the former rate allowed would
+// come after the target has stated a far lower one.
+BOOST_AUTO_TEST_CASE(starts_reserved_under_a_higher_rate_are_given_up)
+{
+  for (const size_t entries : { 1, 8 }) {
+    EntryFleet fleet(entries, 1);
+    fleet.mRates = { 40 };
+    fleet.Run(Seconds(6), 60);
+    fleet.mRates = { 2 };
+    // Its next answer states the lower rate after 0.1 s; callers of the target
+    // have half a second from then on.
+    const MonoTime judged = fleet.mNow + Millis(600);
+    fleet.Run(Seconds(12), 60);
+    BOOST_TEST(fleet.MostInWindow(0, judged) <= Tolerated(2));
+    BOOST_TEST(fleet.StartsSince(0, judged) >= 20u); // in 11.4 s
+  }
+}
+
 BOOST_AUTO_TEST_CASE(entries_without_requests_learn_the_rate)
 {
   EntryFleet fleet(20, 1);
