--- a/tests/platform_crowd_fleet_test.cpp
+++ b/tests/platform_crowd_fleet_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 
+#include "absl/strings/str_cat.h"
 #include "caraway/runtime/http_server.h"
 #include "tests/crowd.h"
 #include "tests/json_shapes.h"
@@ -287,12 +288,11 @@
   constexpr size_t kMargin = 4000; // for what is round the shape
   for (const JsonShape& shape : kJsonShapes) {
     const std::string value = shape.mMake(kShapeBytes - kMargin);
-    const std::string item =
-      R"({"id":"i","path":"/p","tokenCount":1,"headers":)";
-    for (const std::string& job :
-         { value,
-           R"({"requests":)" + value + "}",
-           R"({"requests":[)" + item + value + "}]}" }) {
+    const char* item =
+      R"({"requests":[{"id":"i","path":"/p","tokenCount":1,"headers":)";
+    for (const std::string& job : { value,
+                                    absl::StrCat(R"({"requests":)", value, "}"),
+                                    absl::StrCat(item, value, "}]}") }) {
       for (const char* key : { "none", "secret" }) {
         const std::string answer =
           CrowdedProcess::Ask(mCallers, Post("/batch/", job, key));
