--- a/tests/platform_whole_result_test.cpp
+++ b/tests/platform_whole_result_test.cpp
@@ -27,7 +27,7 @@
 const std::vector<Alphabet>&
 Alphabets()
 {
-  static const std::vector<Alphabet> sAlphabets{
+  static const std::vector<Alphabet> kAlphabets{
     { "letters", { "a", "Z", "7", " " } },
     { "as in JSON inside a JSON string", { "\\", "\"", "/" } },
     { "control characters", { "\x01", "\x1f", "\x7f", "\n", "\r", "\t" } },
@@ -37,7 +37,7 @@
     { "all",
       { "a", "\\", "\"", "\x02", "\n", "\u2029", "\U0010ffff", "}", "<" } },
   };
-  return sAlphabets;
+  return kAlphabets;
 }
 
 std::string
